Set up the workspace, the schemas and the messages of the engine

Need: one place for the records that all parts share (positions, member status, configuration, settings, outcomes) and the events and effects of the group engine, before the parts are built side by side.

--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,16 @@
+export {
+  DEFAULT_ENGINE_POLICY,
+  type Access,
+  type EngineEffect,
+  type EngineEvent,
+  type EnginePolicy,
+  type EngineRecord,
+  type EngineRequest,
+  type GroupEngine,
+  type GroupEngineOptions,
+  type GroupEngineView,
+  type MemberView,
+  type QuestionFailure,
+  type RefusalReason,
+  type StatementResult,
+} from './lib/engine/messages';
--- /dev/null
+++ b/packages/schema/src/index.ts
@@ -0,0 +1,55 @@
+export {
+  ORIGIN,
+  comparePositions,
+  formatPosition,
+  isAtMost,
+  maxPosition,
+  parsePosition,
+  positionSchema,
+  type Position,
+} from './lib/position/position';
+export {
+  memberRoleSchema,
+  memberStatusSchema,
+  termStartSchema,
+  type MemberRole,
+  type MemberStatus,
+  type TermStart,
+} from './lib/group/memberStatus';
+export { GROUP_OBJECT_KIND, groupObjectSchema, type GroupObject } from './lib/group/groupObject';
+export {
+  DEFAULT_KIND,
+  callerSchema,
+  configurationSchema,
+  databaseSchema,
+  requestKindSchema,
+  serviceLevelSchema,
+  upstreamGroupSchema,
+  type Caller,
+  type Configuration,
+  type Database,
+  type RequestKind,
+  type ServiceLevel,
+  type UpstreamGroup,
+} from './lib/configuration/configuration';
+export {
+  CONFIGURATION_OBJECT,
+  REMEMBERED_PATCHES,
+  acceptedPatchSchema,
+  configurationObjectSchema,
+  configurationPatchSchema,
+  type AcceptedPatch,
+  type ConfigurationObject,
+  type ConfigurationPatch,
+} from './lib/configuration/configurationObject';
+export { instanceSchema, instanceStateSchema, type Instance } from './lib/instance/instance';
+export { settingsSchema, type Settings } from './lib/settings/settings';
+export { SettingsError, parseSettings, type SettingsFault } from './lib/settings/parseSettings';
+export {
+  notRunReasonSchema,
+  outcomeSchema,
+  unknownReasonSchema,
+  type NotRunReason,
+  type Outcome,
+  type UnknownReason,
+} from './lib/request/outcome';
--- /dev/null
+++ b/packages/schema/src/lib/settings/parseSettings.ts
@@ -0,0 +1,62 @@
+import { parse, TomlError } from 'smol-toml';
+import type { z } from 'zod';
+import { settingsSchema } from './settings';
+import type { Settings } from './settings';
+
+/** One fault of a settings file: where it is and what would be accepted. @public */
+export interface SettingsFault {
+  /** Dotted path of the key; empty where the file as a whole is at fault. */
+  key: string;
+  reason: string;
+}
+
+/** Thrown for a settings file that cannot be used; lists every fault. @public */
+export class SettingsError extends Error {
+  readonly file: string;
+
+  readonly faults: readonly SettingsFault[];
+
+  constructor(file: string, faults: readonly SettingsFault[]) {
+    super(faults.map(({ key, reason }) => `${file}: ${key || '(file)'}: ${reason}`).join('\n'));
+    this.name = 'SettingsError';
+    this.file = file;
+    this.faults = faults;
+  }
+}
+
+/**
+ * Parses and checks the text of a settings file.
+ *
+ * @param options.file - name for messages; nothing is read here.
+ * @param options.text - content in TOML.
+ * @throws SettingsError with every fault that was found.
+ * @public
+ */
+export function parseSettings(options: { file: string; text: string }): Settings {
+  const { file, text } = options;
+  const result = settingsSchema.safeParse(parseToml(file, text));
+  if (result.success) return result.data;
+  throw new SettingsError(file, result.error.issues.flatMap(describeIssue));
+}
+
+function parseToml(file: string, text: string): unknown {
+  try {
+    return parse(text);
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    const reason = `line ${error.line}, column ${error.column}: ${error.message.split('\n')[0]}`;
+    throw new SettingsError(file, [{ key: '', reason }]);
+  }
+}
+
+/** Turns one issue of the validator into faults, one for each unknown key. */
+function describeIssue(issue: z.core.$ZodIssue): SettingsFault[] {
+  const path = issue.path.join('.');
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map((key) => ({
+      key: path ? `${path}.${key}` : key,
+      reason: 'unknown key',
+    }));
+  }
+  return [{ key: path, reason: issue.message }];
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,12 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['{packages,stand-ins,tools,tests}/**/*.test.ts'],
+    globalSetup: ['tests/build-before-tests.ts'],
+    testTimeout: 30_000,
+    hookTimeout: 30_000,
+    pool: 'forks',
+    maxWorkers: 6,
+  },
+});
