--- a/packages/schema/src/test/parseSettings.test.ts
+++ b/packages/schema/src/test/parseSettings.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { SettingsError, parseSettings } from '../index';
+import { SettingsError, parseSettings } from "..";
 
 const MINIMAL_SETTINGS = `
 [instance]
