--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -56,6 +56,7 @@
       'import-x/no-extraneous-dependencies': 'off',
       'import-x/extensions': 'off',
       'import-x/no-cycle': 'error',
+      'import-x/no-useless-path-segments': 'off',
       'import-x/no-rename-default': 'off',
       '@typescript-eslint/consistent-type-definitions': ['error', 'interface'],
       'no-continue': 'off',
--- a/packages/schema/src/test/parseSettings.test.ts
+++ b/packages/schema/src/test/parseSettings.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { SettingsError, parseSettings } from "..";
+import { SettingsError, parseSettings } from '../index';
 
 const MINIMAL_SETTINGS = `
 [instance]
