Add logs, latency histograms and the service-level burn report

Need: operators see burn over several windows for each kind of request and group as text, JSON and one self-contained page. Counts are kept in 10 s buckets over six hours for each service level; two pairs of windows raise page and ticket. Ruled out: deriving burn from the latency histograms, which keep no time axis. Settings gain peers.seeds, addresses asked for the configuration while the platform is down.

--- a/packages/schema/src/lib/settings/settings.ts
+++ b/packages/schema/src/lib/settings/settings.ts
@@ -29,7 +29,10 @@
     region: z.string().min(1),
   }),
   callers: listenerSchema,
-  peers: listenerSchema,
+  peers: listenerSchema.extend({
+    /** `host:port` of other instances, asked for the configuration while the platform is down. */
+    seeds: z.array(z.string().regex(/^.+:\d{1,5}$/, 'host:port')).default([]),
+  }),
   administration: listenerSchema.extend({
     /** Bearer token that operators present. */
     token: z.string().min(8),
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,16 @@
+export { createLogger } from './lib/log/createLogger';
+export type { LogFields, LogLevel, Logger, LoggerOptions } from './lib/log/createLogger';
+export { createLatencyRecorder } from './lib/latency/latencyRecorder';
+export type { LatencyRecorder, LatencySeries, LatencySummary } from './lib/latency/latencyRecorder';
+export { BUCKET_COUNT, BUCKET_MILLISECONDS, createBurnCounters } from './lib/burn/burnCounters';
+export type { BurnBucket, BurnCounters, BurnSeries, JudgedRequest } from './lib/burn/burnCounters';
+export { BURN_WINDOWS_MINUTES, createBurnReport } from './lib/burn/burnReport';
+export type {
+  BurnAlarm,
+  BurnReport,
+  BurnReportLevel,
+  BurnWindow,
+  InstanceBurn,
+} from './lib/burn/burnReport';
+export { renderBurnPage } from './lib/burn/renderBurnPage';
+export { renderBurnText } from './lib/burn/renderBurnText';
