Classify statements and carry session tokens

The statement path has to know what each statement asks of the proxy, and a session has to name the position that its reads must see.

Whole lexical elements are read rather than matched by a pattern on the text, since a word such as INTO within a string or a quoted name would make a read of it a write. Doubt goes to the primary. What needs a database connection of the caller alone (GET_LOCK, temporary tables, PREPARE as text) is told apart, as connections are shared.

A session is taken to be open at other proxies too, so its own writes alone give no floor unless the caller carries the token or says that it does not roam.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,3 +14,41 @@
   type RefusalReason,
   type StatementResult,
 } from './lib/engine/messages';
+export {
+  createAdmissionQueue,
+  type AdmissionOffer,
+  type AdmissionQueue,
+  type AdmissionQueueOptions,
+  type QueuedRequest,
+} from './lib/admission/admissionQueue';
+export {
+  createRetryBudget,
+  type RetryBudget,
+  type RetryBudgetOptions,
+} from './lib/admission/retryBudget';
+export {
+  DEFAULT_CONNECTION_SHARE_TIMES,
+  createConnectionShare,
+  type ConnectionShare,
+  type ConnectionShareOptions,
+} from './lib/admission/connectionShare';
+export {
+  createRunningLimit,
+  type RunningLimit,
+  type RunningLimitOptions,
+} from './lib/admission/runningLimit';
+export { classifyStatement } from './lib/session/classifyStatement';
+export { InvalidSessionVariableError, createSession, type Session } from './lib/session/session';
+export {
+  InvalidTokenError,
+  decodeToken,
+  encodeToken,
+  type GroupPosition,
+} from './lib/session/sessionToken';
+export {
+  type Assignment,
+  type Statement,
+  type StatementRequest,
+  type VariableColumn,
+} from './lib/session/statement';
+export { parseStatementOptions, type StatementOptions } from './lib/session/statementOptions';
--- /dev/null
+++ b/packages/core/src/lib/session/classifyStatement.ts
@@ -0,0 +1,229 @@
+import { parseSet } from './parseSet';
+import { firstWordOf, tokenizeSql, type SqlToken } from './sqlTokens';
+import { parseStatementOptions } from './statementOptions';
+import type { Statement, StatementRequest, VariableColumn } from './statement';
+
+const WRITE: StatementRequest = { type: 'write' };
+const READ: StatementRequest = { type: 'read' };
+const DEFINITION: StatementRequest = { type: 'definition' };
+
+const unsupported = (feature: string): StatementRequest => ({ type: 'unsupported', feature });
+
+/**
+ * Functions that belong to one database connection, or that change something.
+ *
+ * Connections are shared between callers, so these would act on whoever comes next.
+ */
+const connectionFunctions = new Set([
+  'GET_LOCK',
+  'RELEASE_LOCK',
+  'RELEASE_ALL_LOCKS',
+  'FOUND_ROWS',
+  'ROW_COUNT',
+]);
+
+const informationFunctions = new Set([
+  'DATABASE',
+  'SCHEMA',
+  'VERSION',
+  'CONNECTION_ID',
+  'USER',
+  'CURRENT_USER',
+  'LAST_INSERT_ID',
+]);
+
+type Classify = (sql: string) => StatementRequest;
+
+const classifiersByWord: Record<string, Classify> = {
+  SELECT: classifySelect,
+  WITH: classifySelect,
+  TABLE: classifySelect,
+  VALUES: classifySelect,
+  SHOW: classifyShow,
+  EXPLAIN: () => READ,
+  DESCRIBE: () => READ,
+  DESC: () => READ,
+  BEGIN: (sql) => classifyExact(sql, /^BEGIN( WORK)?$/, { type: 'begin' }, 'a compound statement'),
+  START: (sql) =>
+    classifyExact(
+      sql,
+      /^START TRANSACTION( (WITH CONSISTENT SNAPSHOT|READ ONLY|READ WRITE)( , )?)*$/,
+      { type: 'begin' },
+      'this form of START',
+    ),
+  COMMIT: (sql) =>
+    classifyExact(
+      sql,
+      /^COMMIT( WORK)?( AND NO CHAIN)?( NO RELEASE)?$/,
+      { type: 'commit' },
+      'COMMIT with CHAIN or RELEASE',
+    ),
+  ROLLBACK: classifyRollback,
+  SET: classifySet,
+  USE: classifyUse,
+  CREATE: (sql) =>
+    /^\s*CREATE\s+TEMPORARY\b/i.test(sql) ? unsupported('a temporary table') : DEFINITION,
+  ALTER: () => DEFINITION,
+  DROP: () => DEFINITION,
+  RENAME: () => DEFINITION,
+  TRUNCATE: () => DEFINITION,
+  GRANT: () => DEFINITION,
+  REVOKE: () => DEFINITION,
+  ANALYZE: () => DEFINITION,
+  OPTIMIZE: () => DEFINITION,
+  REPAIR: () => DEFINITION,
+  LOCK: () => unsupported('LOCK TABLES'),
+  UNLOCK: () => unsupported('UNLOCK TABLES'),
+  PREPARE: () => unsupported('PREPARE as text (use the protocol)'),
+  EXECUTE: () => unsupported('EXECUTE as text (use the protocol)'),
+  DEALLOCATE: () => unsupported('DEALLOCATE as text (use the protocol)'),
+  XA: () => unsupported('XA'),
+  HANDLER: () => unsupported('HANDLER'),
+  LOAD: () => unsupported('LOAD DATA'),
+  GROUP: () => unsupported('control of the group'),
+};
+
+/**
+ * Tells what a statement asks of the proxy; a statement of an unknown form is a write.
+ *
+ * A write that is taken for a read would run on a replica, which refuses it; a read that is taken for
+ * a write only costs more. So doubt goes to the primary.
+ *
+ * @example
+ * classifyStatement('SELECT 1').request // { type: 'read' }
+ * @public
+ */
+export function classifyStatement(sql: string): Statement {
+  const classify = classifiersByWord[firstWordOf(sql)];
+  return { request: classify ? classify(sql) : WRITE, options: parseStatementOptions(sql) };
+}
+
+function significantTokens(sql: string): SqlToken[] {
+  const tokens = tokenizeSql(sql);
+  while (tokens.at(-1)?.value === ';') tokens.pop();
+  return tokens;
+}
+
+function classifyExact(
+  sql: string,
+  form: RegExp,
+  request: StatementRequest,
+  otherwise: string,
+): StatementRequest {
+  const words = significantTokens(sql).map(({ value }) => value);
+  return form.test(words.join(' ')) ? request : unsupported(otherwise);
+}
+
+function classifyRollback(sql: string): StatementRequest {
+  const words = significantTokens(sql).map(({ value }) => value);
+  if (words.includes('TO')) return WRITE;
+  return classifyExact(
+    sql,
+    /^ROLLBACK( WORK)?( AND NO CHAIN)?( NO RELEASE)?$/,
+    { type: 'rollback' },
+    'ROLLBACK with CHAIN or RELEASE',
+  );
+}
+
+function classifySet(sql: string): StatementRequest {
+  const assignments = parseSet(significantTokens(sql));
+  return assignments ? { type: 'set', assignments } : unsupported('this form of SET');
+}
+
+function classifyUse(sql: string): StatementRequest {
+  const [, name, ...rest] = significantTokens(sql);
+  if (!name || rest.length > 0) return unsupported('this form of USE');
+  return { type: 'use', group: name.type === 'word' ? name.text : name.value };
+}
+
+function classifyShow(sql: string): StatementRequest {
+  const tokens = significantTokens(sql);
+  const words = tokens.map(({ value }) => value);
+  const [, second, third] = words;
+  if (second === 'GROUP') return unsupported('control of the group');
+  if (second === 'WARNINGS' || second === 'ERRORS') return unsupported(`SHOW ${second}`);
+  if (second === 'VARIABLES' || third === 'VARIABLES') {
+    const pattern = tokens.find(({ type }) => type === 'string')?.value ?? '%';
+    return { type: 'showVariables', pattern };
+  }
+  return READ;
+}
+
+function classifySelect(sql: string): StatementRequest {
+  const tokens = significantTokens(sql);
+  return selectedVariables(tokens) ?? classifyQuery(tokens);
+}
+
+/** Words that make a query lock, store or change something, also when they stand deep inside it. */
+const changingWords = new Set(['INTO', 'UPDATE', 'DELETE', 'INSERT', 'REPLACE', 'CALL']);
+
+function classifyQuery(tokens: SqlToken[]): StatementRequest {
+  for (let index = 0; index < tokens.length; index += 1) {
+    const { type, value } = tokens[index] as SqlToken;
+    const next = tokens[index + 1]?.value;
+    if (type === 'word') {
+      if (next === '(' && connectionFunctions.has(value)) return unsupported(value);
+      if (changingWords.has(value) && next !== '(') return WRITE;
+      if (value === 'FOR' && next === 'SHARE') return WRITE;
+      if (value === 'LOCK' && next === 'IN') return WRITE;
+      if (value === 'NEXTVAL' && next === '(') return WRITE;
+    }
+    if (value === ':=' || value === '/*!') return WRITE;
+    if (value === ';') return unsupported('more than one statement at a time');
+  }
+  return READ;
+}
+
+/** Reads `SELECT @@name [AS label], function() ...`; undefined where a database has to answer. */
+function selectedVariables(tokens: SqlToken[]): StatementRequest | undefined {
+  const [select, ...list] = withoutLimit(tokens);
+  if (select?.value !== 'SELECT') return undefined;
+  const columns: VariableColumn[] = [];
+  let rest = list;
+  while (rest.length > 0) {
+    const item = readItem(rest);
+    if (!item) return undefined;
+    columns.push(item.column);
+    rest = rest.slice(item.length);
+    if (rest.length > 0 && rest[0]?.value !== ',') return undefined;
+    rest = rest.slice(1);
+  }
+  return columns.length > 0 ? { type: 'selectVariables', columns } : undefined;
+}
+
+function withoutLimit(tokens: SqlToken[]): SqlToken[] {
+  return tokens.at(-2)?.value === 'LIMIT' ? tokens.slice(0, -2) : tokens;
+}
+
+interface Item {
+  column: VariableColumn;
+  /** Number of elements that the item takes. */
+  length: number;
+}
+
+function readItem(tokens: SqlToken[]): Item | undefined {
+  const [first, second, third] = tokens;
+  if (!first) return undefined;
+  if (first.type === 'variable' && first.value.startsWith('@@')) {
+    const variable = first.value
+      .slice(2)
+      .replace(/^(session|local|global)\./i, '')
+      .toLowerCase();
+    return withLabel(tokens, 1, { label: first.text, variable });
+  }
+  const isFunction = informationFunctions.has(first.value) && second?.value === '(';
+  if (!isFunction || third?.value !== ')') return undefined;
+  return withLabel(tokens, 3, {
+    label: `${first.text}()`,
+    variable: `${first.value.toLowerCase()}()`,
+  });
+}
+
+function withLabel(tokens: SqlToken[], length: number, column: VariableColumn): Item {
+  const next = tokens[length];
+  const label = next?.value === 'AS' ? tokens[length + 1] : next;
+  if (!label || label.type === 'symbol') return { column, length };
+  const labelText = label.type === 'word' ? label.text : label.value;
+  const labelled = { label: labelText, variable: column.variable };
+  return { column: labelled, length: length + (next?.value === 'AS' ? 2 : 1) };
+}
--- /dev/null
+++ b/packages/core/src/lib/session/parseSet.ts
@@ -0,0 +1,83 @@
+import type { Assignment } from './statement';
+import type { SqlToken } from './sqlTokens';
+
+const scopesByWord: Record<string, Assignment['scope']> = {
+  SESSION: 'session',
+  LOCAL: 'session',
+  GLOBAL: 'global',
+  PERSIST: 'global',
+  PERSIST_ONLY: 'global',
+};
+
+/**
+ * Reads the assignments of a SET statement.
+ *
+ * @param tokens - the statement's elements, SET included.
+ * @returns undefined where the statement has another form.
+ * @internal
+ */
+export function parseSet(tokens: SqlToken[]): Assignment[] | undefined {
+  const assignments = splitAtCommas(tokens.slice(1)).map(parseAssignment);
+  return assignments.every((assignment) => assignment !== undefined) ? assignments : undefined;
+}
+
+function splitAtCommas(tokens: SqlToken[]): SqlToken[][] {
+  const parts: SqlToken[][] = [[]];
+  let depth = 0;
+  tokens.forEach((token) => {
+    if (token.value === '(') depth += 1;
+    if (token.value === ')') depth -= 1;
+    if (token.value === ',' && depth === 0) parts.push([]);
+    else parts.at(-1)?.push(token);
+  });
+  return parts;
+}
+
+function parseAssignment(tokens: SqlToken[]): Assignment | undefined {
+  const [first, second] = tokens;
+  if (!first) return undefined;
+  if (first.value === 'NAMES' && second) return toNames(second);
+  if (first.value === 'CHARSET' && second) return toNames(second);
+  if (first.value === 'CHARACTER' && second?.value === 'SET' && tokens[2]) {
+    return toNames(tokens[2]);
+  }
+  if (tokens.slice(0, 2).some(({ value }) => value === 'TRANSACTION')) {
+    return { scope: 'transaction', name: 'transaction', value: textOf(tokens) };
+  }
+  const scope = first.type === 'word' ? scopesByWord[first.value] : undefined;
+  return parseNamed(scope ? tokens.slice(1) : tokens, scope ?? 'session');
+}
+
+function toNames(charset: SqlToken): Assignment {
+  return { scope: 'names', name: 'names', value: charset.value.toLowerCase() };
+}
+
+function parseNamed(tokens: SqlToken[], scope: Assignment['scope']): Assignment | undefined {
+  const [target, sign, ...value] = tokens;
+  if (!target || (sign?.value !== '=' && sign?.value !== ':=') || value.length === 0) {
+    return undefined;
+  }
+  return { ...parseTarget(target, scope), value: valueOf(value) };
+}
+
+function parseTarget(
+  target: SqlToken,
+  scope: Assignment['scope'],
+): Pick<Assignment, 'scope' | 'name'> {
+  const name = target.value.toLowerCase();
+  if (name.startsWith('@@global.')) return { scope: 'global', name: name.slice(9) };
+  if (name.startsWith('@@')) {
+    return { scope, name: name.slice(2).replace(/^(session|local)\./, '') };
+  }
+  if (name.startsWith('@')) return { scope: 'user', name: name.slice(1) };
+  return { scope, name };
+}
+
+function valueOf(tokens: SqlToken[]): string {
+  const [only] = tokens;
+  return tokens.length === 1 && only?.type === 'string' ? only.value : textOf(tokens);
+}
+
+function textOf(tokens: SqlToken[]): string {
+  return tokens.map(({ text }) => text).join(' ');
+}
--- /dev/null
+++ b/packages/core/src/test/session.test.ts
@@ -0,0 +1,117 @@
+import { describe, expect, it } from 'vitest';
+import {
+  InvalidTokenError,
+  classifyStatement,
+  createSession,
+  decodeToken,
+  encodeToken,
+} from '../index';
+
+const statements = [
+  'SELECT * FROM tests WHERE id = 1',
+  '  -- note\n/* other */ (SELECT 1)',
+  "SELECT 'FOR UPDATE' AS text, `into` FROM tests",
+  'SELECT * FROM tests WHERE id = 1 FOR UPDATE',
+  'SELECT * FROM tests LOCK IN SHARE MODE',
+  'SELECT 1 INTO OUTFILE "x"',
+  'SELECT /*! SQL_NO_CACHE */ 1',
+  'SELECT @total := 4',
+  'SELECT REPLACE(name, "a", "b"), INSERT(name, 1, 1, "x") FROM tests',
+  'WITH old AS (SELECT 1) DELETE FROM tests',
+  'WITH old AS (SELECT 1) SELECT * FROM old',
+  'SELECT GET_LOCK("a", 1)',
+  'SELECT 1; DELETE FROM tests',
+  'INSERT INTO tests VALUES (1)',
+  'PURGE SOMETHING',
+  '',
+  'begin',
+  'START TRANSACTION READ ONLY;',
+  'BEGIN; DELETE FROM tests',
+  'COMMIT',
+  'commit and chain',
+  'ROLLBACK',
+  'ROLLBACK TO SAVEPOINT a',
+  'CREATE TABLE t (id INT)',
+  'CREATE TEMPORARY TABLE t (id INT)',
+  'USE `archivio-luci-1`',
+  "SET NAMES 'utf8mb4' COLLATE utf8mb4_bin, @@session.autocommit = 1",
+  "SET @wisterialift_token = 'a''b', SESSION sql_mode = CONCAT(@@sql_mode, ',X')",
+  'SET SESSION TRANSACTION ISOLATION LEVEL READ COMMITTED',
+  'SELECT @@system_time_zone stz, @@session.time_zone AS tz, DATABASE() LIMIT 1',
+  'SELECT @@version, id FROM tests',
+  "SHOW SESSION VARIABLES LIKE 'max%'",
+  'SHOW TABLES',
+  'GROUP FENCE TERM 9',
+  '/* wisterialift kind=history token=w1.x.00000000 odd=1 */ SELECT 1',
+];
+
+describe('classifyStatement', () => {
+  it('tells what each statement asks of the proxy', () => {
+    const table = Object.fromEntries(statements.map((sql) => [sql, classifyStatement(sql)]));
+    expect(table).toMatchSnapshot();
+  });
+
+  it('takes time in proportion to a long text', () => {
+    const text = `SELECT '${"\\'x''".repeat(300_000)}' FROM tests`;
+    expect(classifyStatement(text).request).toEqual({ type: 'read' });
+  });
+});
+
+describe('session token', () => {
+  const positions = [
+    { group: 'archivio-luci-1', position: { term: 3, index: 17 } },
+    { group: 'archivio-luci-2', position: { term: 1, index: 4 } },
+  ];
+
+  it('comes back as it was written', () => {
+    expect(decodeToken(encodeToken(positions))).toEqual(positions);
+    expect(decodeToken(encodeToken([]))).toEqual([]);
+  });
+
+  // A form field cuts the token, or a person mistypes it. Taken as it is, it could ask for an older
+  // position than the session wrote, and the read would miss the session's own record.
+  it('is refused when any character of it is lost or changed', () => {
+    const token = encodeToken(positions);
+    for (let index = 0; index < token.length; index += 1) {
+      const cut = token.slice(0, index) + token.slice(index + 1);
+      const changed = `${token.slice(0, index)}${token[index] === 'a' ? 'b' : 'a'}${token.slice(index + 1)}`;
+      expect(() => decodeToken(cut)).toThrow(InvalidTokenError);
+      expect(() => decodeToken(changed)).toThrow(InvalidTokenError);
+    }
+  });
+});
+
+describe('session', () => {
+  const group = 'archivio-luci-1';
+  const set = (name: string, value: string) =>
+    ({ scope: 'session', name: `wisterialift_${name}`, value }) as const;
+
+  // A technician's session is open at two proxies: it writes at B, then reads at A. A's own writes
+  // are older than B's, so a floor taken from them would show the record as missing.
+  it('has no floor of its own unless the caller carries the token or does not roam', () => {
+    const session = createSession();
+    session.addWrite(group, { term: 1, index: 5 });
+    expect(session.floorOf(group)).toBeUndefined();
+
+    const token = encodeToken([{ group, position: { term: 1, index: 9 } }]);
+    expect(session.floorOf(group, token)).toEqual({ term: 1, index: 9 });
+    expect(session.floorOf(group)).toBeUndefined();
+
+    session.assign(set('roaming', '0'));
+    expect(session.floorOf(group)).toEqual({ term: 1, index: 9 });
+    expect(decodeToken(session.token())).toEqual([{ group, position: { term: 1, index: 9 } }]);
+
+    session.reset();
+    session.assign(set('token', token));
+    session.addWrite(group, { term: 2, index: 1 });
+    expect(session.floorOf(group)).toEqual({ term: 2, index: 1 });
+  });
+
+  it('refuses what its variables do not take', () => {
+    const session = createSession();
+    expect(() => session.assign(set('token', 'w1.x.y'))).toThrow(InvalidTokenError);
+    expect(() => session.assign(set('kind', 'No Kind'))).toThrow('not the name of a kind');
+    expect(() => session.assign(set('colour', 'red'))).toThrow('no variable of a session');
+    expect(session.assign({ scope: 'session', name: 'sql_mode', value: '' })).toBe(false);
+  });
+});
