--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,24 +13,27 @@
   fuzz: 'tools/fuzz/src/main.ts',
 };
 
-const present = Object.fromEntries(
-  Object.entries(entryPoints).filter(([, path]) => existsSync(path)),
-);
+/** Bundles one program; a program that does not bundle leaves the others usable. */
+function bundleProgram([name, path]) {
+  return build({
+    entryPoints: { [name]: path },
+    outdir: 'dist',
+    outExtension: { '.js': '.cjs' },
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    external: ['dtrace-provider'],
+    logLevel: 'warning',
+  });
+}
 
 mkdirSync('dist', { recursive: true });
-await build({
-  entryPoints: present,
-  outdir: 'dist',
-  outExtension: { '.js': '.cjs' },
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  sourcemap: false,
-  external: ['dtrace-provider'],
-  logLevel: 'warning',
-});
+const present = Object.entries(entryPoints).filter(([, path]) => existsSync(path));
+const results = await Promise.allSettled(present.map(bundleProgram));
 
 // The database stand-in loads its SQL engine from a WebAssembly file beside the bundle.
 const { resolve } = createRequire(import.meta.url);
 copyFileSync(resolve('sql.js/dist/sql-wasm.wasm'), 'dist/sql-wasm.wasm');
+
+if (results.some(({ status }) => status === 'rejected')) process.exitCode = 1;
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,4 +1,4 @@
-// Installs what the tests need, then runs formatter check, linter, types and tests in this order.
+// Installs what the tests need, then runs formatter check, linter, types, bundles and tests in this order.
 import { spawnSync } from 'node:child_process';
 import { existsSync } from 'node:fs';
 
@@ -16,4 +16,5 @@
 runStep('format', 'npx', ['prettier', '--check', '.']);
 runStep('lint', 'npx', ['eslint', '.']);
 runStep('types', 'npx', ['tsc', '--noEmit']);
+runStep('bundle', 'node', ['scripts/bundle.mjs']);
 runStep('unit', 'npx', ['vitest', 'run']);
