--- a/stand-ins/platform/src/lib/platformStandIn.ts
+++ b/stand-ins/platform/src/lib/platformStandIn.ts
@@ -89,7 +89,7 @@
 function addFaults(server: FastifyInstance, faults: Faults): void {
   server.addHook('preHandler', async (request, reply) => {
     const { delayMilliseconds } = faults.state();
-    if (delayMilliseconds > 0) await sleep(delayMilliseconds);
+    if (delayMilliseconds > 0) await sleep(delayMilliseconds, undefined, { ref: false });
     if (!faults.state().outage) return undefined;
     return reply.code(503).send({ error: 'outage' });
   });
