Add the command line and the administration API

Need: operators read status, patch the configuration, drain instances and see burn from any instance.

--- /dev/null
+++ b/packages/cli/src/lib/commands/configCommands.ts
@@ -0,0 +1,131 @@
+import type { AcceptedPatch, Configuration } from '@wisterialift/schema';
+import { Command, InvalidArgumentError } from 'commander';
+import { ClientError } from '../client/clientError';
+import { renderTable } from '../output/renderTable';
+import { addConnectionOptions, connect, writeAnswer } from './commandContext';
+import type { CommandContext, ConnectionOptions } from './commandContext';
+
+interface NumberedConfiguration {
+  number: number;
+  configuration: Configuration;
+}
+
+interface PatchAnswer {
+  outcome: 'accepted' | 'unknown';
+  patchId: string;
+  number?: number;
+}
+
+interface PatchOptions extends ConnectionOptions {
+  file: string;
+  against: number;
+  id?: string;
+  author?: string;
+}
+
+/** `config get|patch|find|history`. @internal */
+export function createConfigCommand(context: CommandContext): Command {
+  const command = new Command('config').description('read and patch the shared configuration');
+  command.addCommand(createGetCommand(context));
+  command.addCommand(createPatchCommand(context));
+  command.addCommand(createFindCommand(context));
+  command.addCommand(createHistoryCommand(context));
+  return command;
+}
+
+function createGetCommand(context: CommandContext): Command {
+  const command = new Command('get').description('print the configuration in force and its number');
+  return addConnectionOptions(command).action(async (options: ConnectionOptions) => {
+    const value = await connect(context, options).get<NumberedConfiguration>('/v1/configuration');
+    writeAnswer(context, options, {
+      value,
+      text: () => `# number ${value.number}\n${JSON.stringify(value.configuration, null, 2)}\n`,
+    });
+  });
+}
+
+function createPatchCommand(context: CommandContext): Command {
+  const command = new Command('patch')
+    .description('submit a JSON merge patch (RFC 7396) against a numbered configuration')
+    .requiredOption('--file <path>', 'file that holds the patch')
+    .requiredOption('--against <number>', 'number that the patch was made against', parseNumber)
+    .option('--id <id>', 'id of the patch; repeat it to ask again after an unknown outcome')
+    .option('--author <name>', 'who submits it ($USER)');
+  return addConnectionOptions(command).action(async (options: PatchOptions) => {
+    const changes = await readPatch(context, options.file);
+    const patchId = options.id ?? context.createId();
+    const author = options.author ?? context.environment.USER ?? 'operator';
+    const patch = { patchId, againstNumber: options.against, author, changes };
+    const client = connect(context, options);
+    const answer = await client.post<PatchAnswer>('/v1/configuration/patches', patch);
+    if (answer.outcome === 'unknown') throw createUnknownError(answer.patchId);
+    writeAnswer(context, options, {
+      value: answer,
+      text: () => `accepted as number ${answer.number} (patch ${answer.patchId})\n`,
+    });
+  });
+}
+
+function createFindCommand(context: CommandContext): Command {
+  const command = new Command('find')
+    .description('tell whether a patch was accepted')
+    .argument('<id>', 'id of the patch');
+  return addConnectionOptions(command).action(async (id: string, options: ConnectionOptions) => {
+    const path = `/v1/configuration/patches/${encodeURIComponent(id)}`;
+    const value = await connect(context, options).get<AcceptedPatch>(path);
+    writeAnswer(context, options, {
+      value,
+      text: () => `accepted as number ${value.number} at ${value.acceptedAt}\n`,
+    });
+  });
+}
+
+function createHistoryCommand(context: CommandContext): Command {
+  const command = new Command('history').description('list the accepted patches, newest last');
+  return addConnectionOptions(command).action(async (options: ConnectionOptions) => {
+    const client = connect(context, options);
+    const value = await client.get<{ patches: AcceptedPatch[] }>('/v1/configuration/history');
+    writeAnswer(context, options, { value, text: () => renderHistory(value.patches) });
+  });
+}
+
+function renderHistory(patches: readonly AcceptedPatch[]): string {
+  const rows = patches.map(({ number, patchId, author, acceptedAt }) => [
+    `${number}`,
+    acceptedAt,
+    author,
+    patchId,
+  ]);
+  return renderTable([['number', 'accepted at', 'author', 'patch'], ...rows]);
+}
+
+async function readPatch(context: CommandContext, path: string): Promise<Record<string, unknown>> {
+  const text = await readTextFile(context, path);
+  try {
+    const changes: unknown = JSON.parse(text);
+    if (typeof changes === 'object' && changes !== null && !Array.isArray(changes)) {
+      return changes as Record<string, unknown>;
+    }
+  } catch (error) {
+    throw new ClientError('usage', `--file: ${path}: ${(error as Error).message}`);
+  }
+  throw new ClientError('usage', `--file: ${path}: a JSON object is required`);
+}
+
+async function readTextFile(context: CommandContext, path: string): Promise<string> {
+  try {
+    return await context.readFile(path);
+  } catch (error) {
+    throw new ClientError('usage', `--file: ${(error as Error).message}`);
+  }
+}
+
+function createUnknownError(patchId: string): ClientError {
+  const message = `it is not known whether patch ${patchId} was accepted; ask again with "config find ${patchId}"`;
+  return new ClientError('unknown', message, { outcome: 'unknown', patchId });
+}
+
+function parseNumber(text: string): number {
+  if (/^\d+$/.test(text)) return Number(text);
+  throw new InvalidArgumentError('a whole number from 0 is required.');
+}
--- /dev/null
+++ b/packages/cli/src/lib/createProgram.ts
@@ -0,0 +1,28 @@
+import { Command } from 'commander';
+import type { CommandContext } from './commands/commandContext';
+import { createConfigCommand } from './commands/configCommands';
+import { createReportCommand } from './commands/reportCommands';
+import { createProxyCommand, createSettingsCommand } from './commands/settingsCommands';
+import {
+  createGroupCommand,
+  createInstanceCommand,
+  createStatusCommand,
+} from './commands/statusCommands';
+
+/** @public */
+export const VERSION = '0.1.0';
+
+/** Creates the command line with every command. @public */
+export function createProgram(context: CommandContext): Command {
+  const program = new Command('wisterialift')
+    .description('a database proxy with session consistency')
+    .version(VERSION);
+  program.addCommand(createProxyCommand(context));
+  program.addCommand(createConfigCommand(context));
+  program.addCommand(createStatusCommand(context));
+  program.addCommand(createGroupCommand(context));
+  program.addCommand(createInstanceCommand(context));
+  program.addCommand(createReportCommand(context));
+  program.addCommand(createSettingsCommand(context));
+  return program;
+}
--- /dev/null
+++ b/packages/proxy/src/index.ts
@@ -0,0 +1,6 @@
+export type {
+  InstanceState,
+  InstanceStatus,
+  PatchAnswer,
+  PatchFault,
+} from './lib/administration/administrationSources';
--- /dev/null
+++ b/packages/proxy/src/lib/process/recordDecision.ts
@@ -0,0 +1,58 @@
+import type { EngineRecord } from '@wisterialift/core';
+import type { LogLevel, Logger } from '@wisterialift/telemetry';
+
+/**
+ * Log level of each decision. What happens for each statement is counted and not logged, since a
+ * line for each would cost more than the statement.
+ */
+const LEVEL_BY_RECORD: Record<EngineRecord['name'], LogLevel | 'counted'> = {
+  primarySuspected: 'warn',
+  suspicionCleared: 'info',
+  termFenced: 'warn',
+  fenceFailed: 'warn',
+  primaryPromoted: 'warn',
+  primaryLearned: 'info',
+  memberAttached: 'info',
+  readRouted: 'counted',
+  writeConfirmed: 'counted',
+  requestRetried: 'debug',
+  requestRejected: 'debug',
+};
+
+/** Reads of one group by the kind of member that served them. @public */
+export interface ReadCounts {
+  group: string;
+  replicaReads: number;
+  primaryReads: number;
+}
+
+/** @internal */
+export interface DecisionRecorder {
+  record: (decision: { group: string; record: EngineRecord }) => void;
+  readCounts: () => ReadCounts[];
+}
+
+/** Turns the engines' decisions into log lines and counts. @internal */
+export function createDecisionRecorder(options: { logger: Logger }): DecisionRecorder {
+  const { logger } = options;
+  const countsByGroup = new Map<string, ReadCounts>();
+
+  function countRead(group: string, isReplica: boolean): void {
+    const counts = countsByGroup.get(group) ?? { group, replicaReads: 0, primaryReads: 0 };
+    if (isReplica) counts.replicaReads += 1;
+    else counts.primaryReads += 1;
+    countsByGroup.set(group, counts);
+  }
+
+  function record(decision: { group: string; record: EngineRecord }): void {
+    const { name, ...fields } = decision.record;
+    if (decision.record.name === 'readRouted') {
+      countRead(decision.group, decision.record.isReplica);
+    }
+    const level = LEVEL_BY_RECORD[name];
+    if (level === 'counted') return;
+    logger[level](name, { group: decision.group, ...fields });
+  }
+
+  return { record, readCounts: () => [...countsByGroup.values()] };
+}
