--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,6 +21,7 @@
   type AdmissionQueueOptions,
   type QueuedRequest,
 } from './lib/admission/admissionQueue';
+export { createHeap, type Heap } from './lib/admission/heap';
 export {
   createRetryBudget,
   type RetryBudget,
--- a/packages/core/src/lib/admission/runningLimit.ts
+++ b/packages/core/src/lib/admission/runningLimit.ts
@@ -21,11 +21,12 @@
 }
 
 /** Latency in proportion to the unloaded one up to which a database counts as not queueing. */
-const TOLERATED_SLOWDOWN = 2;
+const TOLERATED_SLOWDOWN = 1.5;
 const DECREASE_FACTOR = 0.9;
 const SMOOTHING = 0.1;
-/** Pull of the unloaded latency towards what is observed, so that it follows a changed workload. */
-const BASELINE_DRIFT = 0.002;
+/** Pull of the unloaded latency upwards, so that it follows a workload that has become slower. */
+const BASELINE_DRIFT = 0.005;
+const CLOCK_RESOLUTION_MILLISECONDS = 0.1;
 
 /**
  * Limits the statements that one instance runs at a database at the same time.
@@ -40,26 +41,25 @@
 export function createRunningLimit(options: RunningLimitOptions): RunningLimit {
   let { slots, instances } = options;
   let baseline: number | undefined;
-  let smoothed = 0;
+  let smoothed: number | undefined;
   let current = fairPart(slots, instances);
 
   const clamp = (value: number) => Math.min(slots, Math.max(fairPart(slots, instances), value));
 
-  const observe = (milliseconds: number): number => {
-    if (baseline === undefined) {
-      baseline = milliseconds;
-      smoothed = milliseconds;
-      return baseline;
-    }
-    smoothed += SMOOTHING * (milliseconds - smoothed);
-    baseline = Math.min(milliseconds, baseline + BASELINE_DRIFT * (smoothed - baseline));
-    return baseline;
+  const observe = (milliseconds: number) => {
+    smoothed = smoothed === undefined ? milliseconds : blend(smoothed, milliseconds);
+    baseline ??= smoothed;
+    if (smoothed < baseline) baseline = smoothed;
+    // Above the fair part the latency holds queueing that this instance may cause itself: taken for
+    // unloaded, it would let the limit of every instance climb to the slots and stay there.
+    const isAtFairPart = current <= fairPart(slots, instances);
+    if (isAtFairPart) baseline += BASELINE_DRIFT * (smoothed - baseline);
+    return { observed: smoothed, unloaded: baseline };
   };
 
   const recordCompletion = (milliseconds: number, running: number) => {
-    const unloaded = observe(milliseconds);
-    const isQueueing = smoothed > TOLERATED_SLOWDOWN * Math.max(unloaded, 0.1);
-    if (isQueueing) {
+    const { observed, unloaded } = observe(milliseconds);
+    if (observed > TOLERATED_SLOWDOWN * Math.max(unloaded, CLOCK_RESOLUTION_MILLISECONDS)) {
       current = clamp(current - (current * (1 - DECREASE_FACTOR)) / Math.max(1, current));
     } else if (running >= Math.floor(current)) {
       // Growth only while the limit is what holds statements back.
@@ -83,3 +83,7 @@
 function fairPart(slots: number, instances: number): number {
   return Math.max(1, slots / Math.max(1, instances));
 }
+
+function blend(average: number, observation: number): number {
+  return average + SMOOTHING * (observation - average);
+}
