Add the group engine

The decisions for one upstream group as events in and effects out: member view, status questions, floor rounds, ages of replicas, held acknowledgements, the change of primary as a pure xstate machine, admission and attempts.

One stream of status questions serves probes, floor rounds and confirmations, so that the questions depend on round trips and not on statements. Ruled out: a round of questions of its own for each purpose, which asks the same thing three times, and lock-step confirmation rounds, which a silent member would hold back for its whole timeout.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export { createGroupEngine } from './lib/engine/groupEngine';
 export {
   DEFAULT_ENGINE_POLICY,
   type Access,
@@ -13,6 +14,7 @@
   type QuestionFailure,
   type RefusalReason,
   type StatementResult,
+  type SuspicionCause,
 } from './lib/engine/messages';
 export {
   createAdmissionQueue,
--- a/packages/core/src/lib/engine/messages.ts
+++ b/packages/core/src/lib/engine/messages.ts
@@ -88,9 +88,22 @@
   | { type: 'setTimer'; at: number }
   | { type: 'record'; record: EngineRecord };
 
+/**
+ * Why the group needs another primary, or the same one at a new term.
+ *
+ * - `silent`: the primary does not answer, a majority of the others does.
+ * - `unconfirmed`: it answers, but its writes reach no other member.
+ * - `absent`: a majority answers, and none is the primary of its term.
+ * - `leaving`: the primary is to receive no more work.
+ * - `stranded`: a member recorded a term above the primary's and can follow it no more.
+ *
+ * @public
+ */
+export type SuspicionCause = 'silent' | 'unconfirmed' | 'absent' | 'leaving' | 'stranded';
+
 /** A decision worth a line in the log or a count in the metrics. @public */
 export type EngineRecord =
-  | { name: 'primarySuspected'; member: string; cause: 'silent' | 'unconfirmed' | 'absent' }
+  | { name: 'primarySuspected'; member: string; cause: SuspicionCause }
   | { name: 'suspicionCleared'; member: string }
   | { name: 'termFenced'; term: number; members: string[] }
   | { name: 'fenceFailed'; term: number; granted: number; needed: number }
--- /dev/null
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -0,0 +1,393 @@
+import { comparePositions } from '@wisterialift/schema';
+import type { MemberStatus } from '@wisterialift/schema';
+import { lowestMajorityEnd, termOf } from '../engine/memberTable';
+import type { Member, MemberTable } from '../engine/memberTable';
+import type { EngineEffect, EngineRecord } from '../engine/messages';
+import { orderByRendezvous } from '../membership/rendezvous';
+import { createFailoverLifecycle } from './failoverMachine';
+import type { FailoverPhase, Suspicion } from './failoverMachine';
+import type { PrimaryDetector } from './primaryDetector';
+
+/** @internal */
+export interface FailoverController {
+  step: (now: number) => void;
+  onAnswered: (answer: FailoverAnswer, now: number) => void;
+  onFailed: (failure: FailoverFailure, now: number) => void;
+  onPaused: (now: number) => void;
+  onInstances: (liveInstances: string[]) => void;
+  onDrainStarted: () => void;
+  phase: () => FailoverPhase;
+  /** Whether writes wait because the present primary is about to be replaced. */
+  holdsWrites: () => boolean;
+  nextDueAt: () => number;
+}
+
+/** @internal */
+export interface FailoverAnswer {
+  questionId: number;
+  kind: 'status' | 'fence' | 'promote' | 'follow';
+  member: string;
+  status: MemberStatus;
+}
+
+/** @internal */
+export interface FailoverFailure {
+  questionId: number;
+  kind: 'status' | 'fence' | 'promote' | 'follow';
+  member: string;
+  reason: 'timeout' | 'unreachable' | 'refused';
+}
+
+/** @internal */
+export type ControlOrder =
+  | { type: 'fence'; member: string; term: number }
+  | { type: 'promote'; member: string; term: number }
+  | { type: 'follow'; member: string; term: number; primary: string };
+
+/** Times of a change of primary, in milliseconds. @internal */
+export interface FailoverTimes {
+  /** Between the turns of two instances next to each other in rendezvous order. */
+  staggerMilliseconds: number;
+  /** Longest time of the look before a fence. */
+  lookMilliseconds: number;
+  questionTimeoutMilliseconds: number;
+  /** Middle of the random pause after a change of primary that came to nothing. */
+  backoffMilliseconds: number;
+  /** Pause between two orders to follow to the same member. */
+  followMilliseconds: number;
+  /** How long a planned change of primary waits for statements and transactions in flight. */
+  handoverMilliseconds: number;
+}
+
+interface Options {
+  group: string;
+  instance: string;
+  members: MemberTable;
+  detector: PrimaryDetector;
+  times: FailoverTimes;
+  random: () => number;
+  nextQuestionId: () => number;
+  /** Sends an order and returns its question identifier. */
+  order: (order: ControlOrder, now: number) => number;
+  askAll: (now: number) => void;
+  emit: (effect: EngineEffect) => void;
+  /** Work of this instance in flight at the member. */
+  inFlight: (member: string) => number;
+}
+
+/** Questions of one change of primary whose answers are awaited. */
+interface Ballot {
+  open: Map<number, string>;
+  grants: Map<string, MemberStatus>;
+}
+
+/** Lost answers to a promotion after which it is given up; the order itself is idempotent. */
+const PROMOTION_ATTEMPTS = 3;
+
+/** Causes for which every answer is waited for, so that the best successor can be chosen. */
+const CAUSES_WITHOUT_HASTE = new Set(['leaving', 'stranded', 'absent']);
+
+/**
+ * Creates the controller that changes the primary.
+ *
+ * Guards against two primaries that both acknowledge, which would show as a record that one caller
+ * was told is kept and another reads as absent. A member grants a term once, and only above the term
+ * it has recorded; so of all promoters of a term at most one holds a majority of grants, and each
+ * majority refuses the log of lower terms from then on. A lost answer to a fence is no grant: the
+ * member may have granted the same term to another instance. Then a higher term is tried.
+ *
+ * The candidate holds every acknowledged write: its log end is at or above that of every member of
+ * some granting majority, and each acknowledged write is held by a member of that majority.
+ *
+ * @internal
+ */
+export function createFailoverController(options: Options): FailoverController {
+  const { group, instance, members, detector, times, random, order, emit } = options;
+  const lifecycle = createFailoverLifecycle();
+  let liveInstances: string[] = [];
+  let isDraining = false;
+  let ballot: Ballot = { open: new Map(), grants: new Map() };
+  let promotionAttempts = 0;
+  let suspectedSince = 0;
+  let silentSince = 0;
+  let learnedTerm = 0;
+  let highestBid = 0;
+
+  function record(entry: EngineRecord): void {
+    emit({ type: 'record', record: entry });
+  }
+
+  /** Instances with the same list agree on the order of turns; the term makes it differ each time. */
+  function staggerDelay(): number {
+    const key = `${group}/${members.highestTerm()}`;
+    const names = liveInstances.includes(instance) ? liveInstances : [...liveInstances, instance];
+    const rank = orderByRendezvous({ key, names }).indexOf(instance);
+    return (rank + random() / 4) * times.staggerMilliseconds;
+  }
+
+  /** Random, and wider with each failure, so that two promoters drift apart. */
+  function backoffEnd(now: number): number {
+    const width = times.backoffMilliseconds * Math.min(4, 1 + lifecycle.context().failures);
+    return now + width * (0.25 + random());
+  }
+
+  function clear(now: number): void {
+    const { suspicion } = lifecycle.context();
+    if (suspicion) record({ name: 'suspicionCleared', member: suspicion.member });
+    lifecycle.send({ type: 'CLEARED' });
+    ballot = { open: new Map(), grants: new Map() };
+    suspectedSince = now;
+  }
+
+  function fail(now: number): void {
+    lifecycle.send({ type: 'FAILED', dueAt: backoffEnd(now) });
+    ballot = { open: new Map(), grants: new Map() };
+  }
+
+  function onSteady(now: number): void {
+    if (isDraining) return;
+    const suspicion = detector.findSuspicion(now);
+    if (!suspicion) return;
+    suspectedSince = now;
+    silentSince = members.get(suspicion.member)?.silentSince ?? now;
+    record({ name: 'primarySuspected', ...suspicion });
+    lifecycle.send({ type: 'SUSPECTED', suspicion, dueAt: now + staggerDelay() });
+  }
+
+  function suspicionOf(): Suspicion {
+    return lifecycle.context().suspicion as Suspicion;
+  }
+
+  function onSuspecting(now: number): void {
+    const suspicion = suspicionOf();
+    if (isDraining || !detector.stillStands(suspicion, now)) {
+      clear(now);
+      return;
+    }
+    if (now < lifecycle.context().dueAt || mustFinishFirst(suspicion, now)) return;
+    const fromQuestionId = options.nextQuestionId();
+    lifecycle.send({ type: 'TURN_CAME', fromQuestionId, dueAt: now + times.lookMilliseconds });
+    options.askAll(now);
+  }
+
+  /** A planned change cuts nothing: it waits for what this instance has in flight, for a time. */
+  function mustFinishFirst({ cause, member }: Suspicion, now: number): boolean {
+    if (cause !== 'leaving' || options.inFlight(member) === 0) return false;
+    return now - suspectedSince < times.handoverMilliseconds;
+  }
+
+  /**
+   * Looks again with questions asked now. Guards against what was seen before a pause or through a
+   * lossy link: a primary that answers here keeps its place.
+   */
+  function onLooking(now: number): void {
+    const suspicion = suspicionOf();
+    if (isDraining || !detector.stillStands(suspicion, now)) {
+      clear(now);
+      return;
+    }
+    const { dueAt, fromQuestionId } = lifecycle.context();
+    const fresh = members.list().filter((member) => member.statusQuestionId >= fromQuestionId);
+    const hasMajority = fresh.length >= members.majority();
+    const hasTime = now < dueAt;
+    const needsWholeLook = suspicion.cause === 'silent';
+    if (hasTime && (needsWholeLook || !hasMajority)) return;
+    if (hasMajority) startFence(suspicion, now);
+    else fail(now);
+  }
+
+  function startFence(suspicion: Suspicion, now: number): void {
+    const term = Math.max(members.highestTerm(), highestBid) + 1;
+    highestBid = term;
+    const dueAt = now + times.questionTimeoutMilliseconds;
+    lifecycle.send({ type: 'UPHELD', term, dueAt });
+    ballot = { open: new Map(), grants: new Map() };
+    fenceTargets(suspicion).forEach((member) => {
+      ballot.open.set(order({ type: 'fence', member: member.name, term }, now), member.name);
+    });
+  }
+
+  /**
+   * A primary that is cut from its group is left out: with the highest log end it would have to be
+   * chosen again. Without its grant its extra entries, which nobody else holds, are discarded.
+   */
+  function fenceTargets({ cause, member }: Suspicion): Member[] {
+    if (cause !== 'unconfirmed') return [...members.list()];
+    return members.list().filter(({ name }) => name !== member);
+  }
+
+  function onFencing(now: number): void {
+    const { term, dueAt } = lifecycle.context();
+    const majority = members.majority();
+    const granted = ballot.grants.size;
+    if (granted >= majority && (!isWorthWaiting() || ballot.open.size === 0 || now >= dueAt)) {
+      startPromotion(now);
+      return;
+    }
+    const canStillWin = granted + ballot.open.size >= majority && now < dueAt;
+    if (canStillWin) return;
+    record({ name: 'fenceFailed', term, granted, needed: majority });
+    fail(now);
+  }
+
+  function isWorthWaiting(): boolean {
+    return CAUSES_WITHOUT_HASTE.has(suspicionOf().cause);
+  }
+
+  function startPromotion(now: number): void {
+    const { term } = lifecycle.context();
+    const granted = [...ballot.grants.keys()];
+    record({ name: 'termFenced', term, members: granted });
+    const candidate = chooseCandidate();
+    promotionAttempts = 0;
+    lifecycle.send({
+      type: 'FENCED',
+      candidate,
+      dueAt: now + PROMOTION_ATTEMPTS * times.questionTimeoutMilliseconds,
+    });
+    orderPromotion(now);
+  }
+
+  function chooseCandidate(): string {
+    const { member: suspect, cause } = suspicionOf();
+    const grants = [...ballot.grants];
+    const bound = lowestMajorityEnd(
+      grants.map(([, { logEnd }]) => logEnd),
+      members.majority(),
+    );
+    const eligible = grants.filter(
+      ([, { logEnd }]) => bound && comparePositions(logEnd, bound) >= 0,
+    );
+    const isSecondChoice = (name: string): number => {
+      const isUnwanted = members.get(name)?.database.leaving === true;
+      return isUnwanted || (cause !== 'stranded' && name === suspect) ? 1 : 0;
+    };
+    eligible.sort(
+      ([leftName, left], [rightName, right]) =>
+        isSecondChoice(leftName) - isSecondChoice(rightName) ||
+        comparePositions(right.logEnd, left.logEnd) ||
+        leftName.localeCompare(rightName),
+    );
+    return (eligible[0] as [string, MemberStatus])[0];
+  }
+
+  function orderPromotion(now: number): void {
+    const { candidate, term } = lifecycle.context();
+    promotionAttempts += 1;
+    const questionId = order({ type: 'promote', member: candidate, term }, now);
+    ballot.open = new Map([[questionId, candidate]]);
+  }
+
+  function onPromoting(now: number): void {
+    const { term, candidate, dueAt } = lifecycle.context();
+    const primary = members.get(candidate);
+    if (primary?.status?.role === 'primary' && primary.status.currentTerm === term) {
+      finishPromotion(primary, now);
+      return;
+    }
+    if (members.highestTerm() > term || now >= dueAt) fail(now);
+  }
+
+  function finishPromotion(primary: Member, now: number): void {
+    const { term } = lifecycle.context();
+    record({
+      name: 'primaryPromoted',
+      term,
+      member: primary.name,
+      silentMilliseconds: now - silentSince,
+    });
+    learnedTerm = Math.max(learnedTerm, term);
+    emit({ type: 'publishPrimary', term, primary: primary.name });
+    lifecycle.send({ type: 'PROMOTED' });
+    ballot = { open: new Map(), grants: new Map() };
+  }
+
+  const phaseHandlers: Record<FailoverPhase, (now: number) => void> = {
+    steady: onSteady,
+    suspecting: onSuspecting,
+    looking: onLooking,
+    fencing: onFencing,
+    promoting: onPromoting,
+  };
+
+  function step(now: number): void {
+    phaseHandlers[lifecycle.phase()](now);
+    learnPrimary();
+    attachMembers(now);
+  }
+
+  function learnPrimary(): void {
+    const primary = members.primary();
+    if (!primary || termOf(primary) <= learnedTerm) return;
+    learnedTerm = termOf(primary);
+    record({ name: 'primaryLearned', term: learnedTerm, member: primary.name });
+  }
+
+  /** Members that were away, deposed or never attached are told whom to follow. */
+  function attachMembers(now: number): void {
+    const primary = members.primary();
+    if (!primary || lifecycle.phase() === 'fencing') return;
+    members.list().forEach((member) => {
+      if (member === primary || now < member.nextFollowAt || !needsToFollow(member, primary)) {
+        return;
+      }
+      Object.assign(member, { nextFollowAt: now + times.followMilliseconds * (0.5 + random()) });
+      order(
+        { type: 'follow', member: member.name, term: termOf(primary), primary: primary.name },
+        now,
+      );
+    });
+  }
+
+  function onAnswered(answer: FailoverAnswer, now: number): void {
+    if (answer.kind === 'fence' && ballot.open.delete(answer.questionId)) {
+      const isGrant = answer.status.currentTerm === lifecycle.context().term;
+      if (isGrant) ballot.grants.set(answer.member, answer.status);
+    }
+    if (answer.kind === 'follow') {
+      record({ name: 'memberAttached', term: answer.status.currentTerm, member: answer.member });
+    }
+    step(now);
+  }
+
+  function onFailed({ kind, questionId, reason }: FailoverFailure, now: number): void {
+    if (!ballot.open.delete(questionId)) return;
+    if (kind === 'promote') onPromotionFailed(reason, now);
+    else step(now);
+  }
+
+  function onPromotionFailed(reason: FailoverFailure['reason'], now: number): void {
+    if (reason === 'refused' || promotionAttempts >= PROMOTION_ATTEMPTS) fail(now);
+    else orderPromotion(now);
+  }
+
+  return {
+    step,
+    onAnswered,
+    onFailed,
+    onPaused: (now) => {
+      detector.onPaused(now);
+      lifecycle.send({ type: 'PAUSED' });
+    },
+    onInstances: (names) => {
+      liveInstances = names;
+    },
+    onDrainStarted: () => {
+      isDraining = true;
+    },
+    phase: lifecycle.phase,
+    holdsWrites: () => {
+      const phase = lifecycle.phase();
+      if (phase === 'fencing' || phase === 'promoting') return true;
+      return phase !== 'steady' && suspicionOf().cause === 'leaving';
+    },
+    nextDueAt: () => lifecycle.context().dueAt,
+  };
+}
+
+function needsToFollow(member: Member, primary: Member): boolean {
+  if (!member.status) return false;
+  const term = termOf(primary);
+  if (member.status.currentTerm < term) return true;
+  return member.status.currentTerm === term && member.status.following !== primary.name;
+}
