Decide on patches, configurations and members without input or output

An operator must be told the truth about a patch though answers are lost, arrive late or never.

Ruled out: to take an absent patch id after a lost answer as "refused". The update may still be on its way; only another patch in its place makes it void, as the expected version is then gone. Also ruled out: to look at the number before the patch id, which calls a repeated patch outdated because of the number that it brought itself.

Membership: rendezvous order, two watchers a data centre, a view that a single lagging list does not shrink.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -55,3 +55,35 @@
   type VariableColumn,
 } from './lib/session/statement';
 export { parseStatementOptions, type StatementOptions } from './lib/session/statementOptions';
+export { adoptConfiguration, type Adoption } from './lib/configuration/adoptConfiguration';
+export { type ConfigurationFault } from './lib/configuration/configurationFault';
+export { EMPTY_CONFIGURATION_OBJECT } from './lib/configuration/emptyConfiguration';
+export { mergePatch, type JsonValue } from './lib/configuration/mergePatch';
+export {
+  createPatchSubmission,
+  type PatchOutcome,
+  type PatchSubmission,
+  type PatchSubmissionOptions,
+  type SubmissionEvent,
+  type SubmissionStep,
+  type VersionedConfiguration,
+} from './lib/configuration/patchSubmission';
+export {
+  findAcceptedPatch,
+  preparePatch,
+  type PreparedPatch,
+} from './lib/configuration/preparePatch';
+export { settlePatch, type PatchFinding } from './lib/configuration/settlePatch';
+export {
+  LEAVING_MEMORY_MILLISECONDS,
+  MISSED_LISTS_LIMIT,
+  createInstanceView,
+  instancesOf,
+  mergeInstanceList,
+  mergeLeaving,
+  withSelf,
+  type InstanceView,
+  type KnownInstance,
+} from './lib/membership/instanceView';
+export { orderByRendezvous } from './lib/membership/rendezvous';
+export { WATCHERS_PER_DATA_CENTRE, chooseWatchers } from './lib/membership/watchers';
--- /dev/null
+++ b/packages/core/src/test/membership.test.ts
@@ -0,0 +1,110 @@
+import type { Instance } from '@wisterialift/schema';
+import { describe, expect, it } from 'vitest';
+import {
+  LEAVING_MEMORY_MILLISECONDS,
+  chooseWatchers,
+  createInstanceView,
+  instancesOf,
+  mergeInstanceList,
+  mergeLeaving,
+  orderByRendezvous,
+} from '..';
+import type { InstanceView } from '..';
+
+const NAMES = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7'];
+
+function instance(name: string, changes: Partial<Instance> = {}): Instance {
+  return {
+    name,
+    dataCentre: 'sesto-dc',
+    region: 'lomb-nord',
+    peerAddress: `127.0.0.1:${name}`,
+    administrationAddress: `127.0.0.1:${name}`,
+    state: 'live',
+    ...changes,
+  };
+}
+
+function viewAfter(lists: string[][], start = createInstanceView(instance('p1'))): InstanceView {
+  return lists.reduce(
+    (view, names) =>
+      mergeInstanceList({ view, instances: names.map((name) => instance(name)), now: 0 }),
+    start,
+  );
+}
+
+function namesOf(view: InstanceView): string[] {
+  return instancesOf(view).map(({ name, state }) => (state === 'live' ? name : `${name} leaving`));
+}
+
+describe('rendezvous hashing', () => {
+  it('finds the same order from any order of the names', () => {
+    const order = orderByRendezvous({ key: 'archivio-1', names: NAMES });
+    expect(orderByRendezvous({ key: 'archivio-1', names: [...NAMES].reverse() })).toEqual(order);
+  });
+
+  it('keeps the order of the others when one goes', () => {
+    const order = orderByRendezvous({ key: 'archivio-1', names: NAMES });
+    const names = NAMES.filter((name) => name !== 'p4');
+    expect(orderByRendezvous({ key: 'archivio-1', names })).toEqual(
+      order.filter((name) => name !== 'p4'),
+    );
+  });
+
+  it('spreads the keys over the names', () => {
+    const firsts = Array.from({ length: 7_000 }, (unused, key) => {
+      const [first] = orderByRendezvous({ key: `group-${key}`, names: NAMES });
+      return first;
+    });
+    NAMES.forEach((name) => {
+      const count = firsts.filter((first) => first === name).length;
+      expect(count).toBeGreaterThan(850);
+      expect(count).toBeLessThan(1_150);
+    });
+  });
+});
+
+describe('the watchers of a data centre', () => {
+  it('are two of its live instances', () => {
+    const instances = [
+      ...['p1', 'p2', 'p3'].map((name) => instance(name)),
+      instance('p4', { state: 'leaving' }),
+      instance('p5', { dataCentre: 'mestre-dc' }),
+    ];
+    const watchers = chooseWatchers({ instances, dataCentre: 'sesto-dc' });
+    expect(watchers).toHaveLength(2);
+    expect(['p1', 'p2', 'p3']).toEqual(expect.arrayContaining(watchers));
+    expect(chooseWatchers({ instances, dataCentre: 'mestre-dc' })).toEqual(['p5']);
+  });
+});
+
+describe('the view of the instances', () => {
+  /*
+   * A proxy asks twice and is answered by two copies of the list, the second older than the first:
+   * p3 seems to go and come back. Its connections would be given to others while it still holds them.
+   */
+  it('keeps an instance that a single list does not name', () => {
+    expect(namesOf(viewAfter([['p2', 'p3'], ['p2']]))).toEqual(['p1', 'p2', 'p3']);
+    expect(namesOf(viewAfter([['p2', 'p3'], ['p2'], ['p2']]))).toEqual(['p1', 'p2']);
+    expect(namesOf(viewAfter([['p2', 'p3'], ['p2'], ['p3'], ['p2']]))).toEqual(['p1', 'p2', 'p3']);
+  });
+
+  it('holds the instance itself though no list names it yet', () => {
+    expect(namesOf(viewAfter([[]]))).toEqual(['p1']);
+  });
+
+  /*
+   * p2 tells its peers that it leaves, then a list from before that arrives and shows it live. New
+   * work would go to an instance that is about to stop.
+   */
+  it('believes an announced leaving against an older list, for a while', () => {
+    const left = mergeLeaving({ view: viewAfter([['p2']]), name: 'p2', now: 0 });
+    expect(namesOf(viewAfter([['p2']], left))).toEqual(['p1', 'p2 leaving']);
+    const later = mergeInstanceList({
+      view: left,
+      instances: [instance('p2')],
+      now: LEAVING_MEMORY_MILLISECONDS,
+    });
+    expect(namesOf(later)).toEqual(['p1', 'p2']);
+  });
+});
