--- a/stand-ins/database/src/lib/engine/createSqlCopy.ts
+++ b/stand-ins/database/src/lib/engine/createSqlCopy.ts
@@ -52,8 +52,9 @@
       statement.bind(parameters);
       const rows: SqlValue[][] = [];
       while (statement.step()) rows.push(statement.get(null, { useBigInt: true }));
-      if (isRead)
-        {return { columns: statement.getColumnNames(), rows, affectedRows: 0, insertId: 0 };}
+      if (isRead) {
+        return { columns: statement.getColumnNames(), rows, affectedRows: 0, insertId: 0 };
+      }
       const affectedRows = readCounter(counters.changes) - changesBefore;
       const isInsert = affectedRows > 0 && /^\s*(?:INSERT|REPLACE)/i.test(sql);
       const insertId = isInsert ? readCounter(counters.lastRow) : 0;
--- a/stand-ins/database/src/lib/protocol/createConnection.ts
+++ b/stand-ins/database/src/lib/protocol/createConnection.ts
@@ -159,8 +159,9 @@
   };
 
   async function answerCommand(command: Command): Promise<void> {
-    await faults.whenThawed();
     if (stream.destroyed) return;
+    // What arrived before the client went away is still run after a thaw, as by a stopped process.
+    await faults.whenThawed();
     try {
       const handler = handlers[command.payload[0] ?? 0];
       if (!handler) throw new DatabaseError(1047, '08S01', 'Unknown command');
