--- /dev/null
+++ b/packages/peer/src/lib/errors/peerError.ts
@@ -0,0 +1,7 @@
+/** Base of the errors of calls between instances. @public */
+export class PeerError extends Error {
+  constructor(message: string, options?: ErrorOptions) {
+    super(message, options);
+    this.name = new.target.name;
+  }
+}
