Carry statements from callers to databases

A statement of a MySQL client goes through the engine of its group to a database and its answer comes back: text and prepared, with transactions, session tokens and held acknowledgements.

mysql2 has the framing and the handshakes on both sides. Its server dispatch is replaced by a reader of raw commands, as it sends SET and EXECUTE to the handlers of prepared statements and drops the types of their parameters. Towards databases a command of our own passes frames on as the slices of the socket chunks that they came in; only the last packet of an answer is read, because the acknowledgement hangs on it. Ruled out: decoding rows and writing them again, which costs by the column and has to know every type.

A change with RETURNING is refused: its answer ends with rows and names no log position, so nobody could tell whether a majority has it.

--- a/packages/core/src/lib/session/classifyStatement.ts
+++ b/packages/core/src/lib/session/classifyStatement.ts
@@ -5,6 +5,7 @@
 
 const WRITE: StatementRequest = { type: 'write' };
 const READ: StatementRequest = { type: 'read' };
+const LOCKING_READ: StatementRequest = { type: 'lockingRead' };
 const DEFINITION: StatementRequest = { type: 'definition' };
 
 const unsupported = (feature: string): StatementRequest => ({ type: 'unsupported', feature });
@@ -20,6 +21,8 @@
   'RELEASE_ALL_LOCKS',
   'FOUND_ROWS',
   'ROW_COUNT',
+  'NEXTVAL',
+  'SETVAL',
 ]);
 
 const informationFunctions = new Set([
@@ -61,6 +64,10 @@
   ROLLBACK: classifyRollback,
   SET: classifySet,
   USE: classifyUse,
+  INSERT: classifyChange,
+  REPLACE: classifyChange,
+  UPDATE: classifyChange,
+  DELETE: classifyChange,
   CREATE: (sql) =>
     /^\s*CREATE\s+TEMPORARY\b/i.test(sql) ? unsupported('a temporary table') : DEFINITION,
   ALTER: () => DEFINITION,
@@ -114,6 +121,20 @@
   return form.test(words.join(' ')) ? request : unsupported(otherwise);
 }
 
+const RETURNING = /\bRETURNING\b/i;
+
+/**
+ * Guards against acknowledging a change whose position is not known: an answer that ends with rows
+ * names no log entry, so nobody could tell whether a majority has it.
+ */
+function classifyChange(sql: string): StatementRequest {
+  if (!RETURNING.test(sql)) return WRITE;
+  const isReturning = tokenizeSql(sql).some(
+    ({ type, value }) => type === 'word' && value === 'RETURNING',
+  );
+  return isReturning ? unsupported('RETURNING') : WRITE;
+}
+
 function classifyRollback(sql: string): StatementRequest {
   const words = significantTokens(sql).map(({ value }) => value);
   if (words.includes('TO')) return WRITE;
@@ -154,24 +175,29 @@
   return selectedVariables(tokens) ?? classifyQuery(tokens);
 }
 
-/** Words that make a query lock, store or change something, also when they stand deep inside it. */
+/** Words that make a query change or store something, also when they stand deep inside it. */
 const changingWords = new Set(['INTO', 'UPDATE', 'DELETE', 'INSERT', 'REPLACE', 'CALL']);
 
 function classifyQuery(tokens: SqlToken[]): StatementRequest {
+  let request = READ;
   for (let index = 0; index < tokens.length; index += 1) {
     const { type, value } = tokens[index] as SqlToken;
     const next = tokens[index + 1]?.value;
-    if (type === 'word') {
-      if (next === '(' && connectionFunctions.has(value)) return unsupported(value);
-      if (changingWords.has(value) && next !== '(') return WRITE;
-      if (value === 'FOR' && next === 'SHARE') return WRITE;
-      if (value === 'LOCK' && next === 'IN') return WRITE;
-      if (value === 'NEXTVAL' && next === '(') return WRITE;
-    }
-    if (value === ':=' || value === '/*!') return WRITE;
     if (value === ';') return unsupported('more than one statement at a time');
+    if (value === ':=') return unsupported('a user variable');
+    if (type === 'word' && next === '(' && connectionFunctions.has(value)) {
+      return unsupported(value);
+    }
+    if (isLockingClause(value, next)) request = LOCKING_READ;
+    const isLock = value === 'UPDATE' && tokens[index - 1]?.value === 'FOR';
+    if (type === 'word' && changingWords.has(value) && next !== '(' && !isLock) return WRITE;
   }
-  return READ;
+  return request;
+}
+
+function isLockingClause(value: string, next: string | undefined): boolean {
+  if (value === 'FOR') return next === 'UPDATE' || next === 'SHARE';
+  return value === '/*!' || (value === 'LOCK' && next === 'IN');
 }
 
 /** Reads `SELECT @@name [AS label], function() ...`; undefined where a database has to answer. */
--- a/packages/core/src/lib/session/statement.ts
+++ b/packages/core/src/lib/session/statement.ts
@@ -21,6 +21,8 @@
 export type StatementRequest =
   | { type: 'read' }
   | { type: 'write' }
+  /** Reads and locks, or wants the primary for another reason; it changes nothing. */
+  | { type: 'lockingRead' }
   /** Changes the schema; a database commits an open transaction before it. */
   | { type: 'definition' }
   | { type: 'begin' }
--- a/packages/core/src/test/session.test.ts
+++ b/packages/core/src/test/session.test.ts
@@ -22,6 +22,8 @@
   'SELECT GET_LOCK("a", 1)',
   'SELECT 1; DELETE FROM tests',
   'INSERT INTO tests VALUES (1)',
+  'INSERT INTO tests VALUES (1) RETURNING id',
+  "INSERT INTO tests VALUES ('returning')",
   'PURGE SOMETHING',
   '',
   'begin',
--- /dev/null
+++ b/packages/mysql/src/index.ts
@@ -0,0 +1,41 @@
+export { type CallerCommand, MalformedPacketError } from './lib/caller/callerCommand';
+export {
+  type CallerConnection,
+  type CallerHandlers,
+  type OkAnswer,
+} from './lib/caller/callerConnection';
+export {
+  createCallerListener,
+  type CallerListener,
+  type CallerListenerOptions,
+  type CallerLogin,
+  type ListenerAddress,
+} from './lib/caller/callerListener';
+export { isPasswordProven, type PasswordProof } from './lib/caller/passwordCheck';
+export {
+  createGroupControlConnection,
+  type ControlAnswer,
+  type ControlQuestion,
+  type GroupControlConnection,
+  type GroupControlConnectionOptions,
+} from './lib/control/groupControlConnection';
+export { serverStatus } from './lib/protocol/constants';
+export { type SqlError } from './lib/protocol/errorPacket';
+export { toFrames } from './lib/protocol/frames';
+export { EMPTY_OK, hasFlag, withFlag, type OkPacket } from './lib/protocol/okPacket';
+export { type TextResult } from './lib/protocol/textResult';
+export { ProtocolError } from './lib/upstream/answerReader';
+export {
+  createUpstreamConnection,
+  type ConnectFailure,
+  type UpstreamAddress,
+  type UpstreamConnection,
+  type UpstreamConnectionOptions,
+} from './lib/upstream/upstreamConnection';
+export {
+  type AnswerReceiver,
+  type CompletedAnswer,
+  type FinalPacket,
+  type PreparedDescription,
+  type UpstreamStatement,
+} from './lib/upstream/upstreamStatement';
--- /dev/null
+++ b/packages/proxy/src/lib/statements/groupTask.ts
@@ -0,0 +1,430 @@
+import {
+  createGroupEngine,
+  type EngineEffect,
+  type EngineEvent,
+  type EnginePolicy,
+  type EngineRecord,
+  type GroupEngineView,
+  type StatementResult,
+} from '@wisterialift/core';
+import type { CompletedAnswer, ControlQuestion } from '@wisterialift/mysql';
+import { parsePosition, type Outcome, type UpstreamGroup } from '@wisterialift/schema';
+import { createMailbox } from './mailbox';
+import type { GroupMessage, GroupPort, TransactionStatement } from './messages';
+import { createStatementRun, endAttempt, type StatementRun } from './statementRun';
+import { createUpstreamMembers, type UpstreamConnectionCount } from './upstreamMembers';
+import type { Lease } from './upstreamPool';
+
+/** @internal */
+export interface GroupTaskOptions {
+  group: string;
+  upstreamGroup: UpstreamGroup;
+  instance: { name: string; dataCentre: string };
+  policy: EnginePolicy;
+  clock: () => number;
+  random: () => number;
+  record: (record: EngineRecord) => void;
+  onPrimaryPromoted: (promotion: { term: number; primary: string }) => void;
+}
+
+/** The task of one upstream group: it owns the engine, its timer and the upstream connections. @internal */
+export interface GroupTask {
+  port: GroupPort;
+  view: () => GroupEngineView;
+  connectionCounts: () => UpstreamConnectionCount[];
+  /** Requests and transactions that are not over. */
+  openCount: () => number;
+  stop: () => void;
+}
+
+interface OpenTransaction {
+  lease: Lease;
+  caller: StatementRun['caller'];
+  /** The statement that runs on the connection now. */
+  run: StatementRun | undefined;
+}
+
+type MessageHandlers = {
+  [Type in GroupMessage['type']]: (message: Extract<GroupMessage, { type: Type }>) => void;
+};
+
+type EffectHandlers = {
+  [Type in EngineEffect['type']]: (effect: Extract<EngineEffect, { type: Type }>) => void;
+};
+
+/** The database's refusal of a write where it is no primary: nothing of it ran. */
+const NOT_PRIMARY_ERROR = 1290;
+
+const SWEEP_INTERVAL_MILLISECONDS = 1_000;
+
+/** When a transaction whose connection broke may be tried again, in milliseconds. */
+const TRANSACTION_RETRY_MILLISECONDS = 100;
+
+const IMPLICITLY_COMMITTED: Outcome = {
+  status: 'unknown',
+  reason: 'connectionLost',
+  retryAfterMilliseconds: TRANSACTION_RETRY_MILLISECONDS,
+};
+
+/**
+ * Starts the task of a group.
+ *
+ * Effects of the engine are carried out as they come; whatever follows from them arrives as a message
+ * of its own, so the engine is never entered while it works.
+ *
+ * @internal
+ */
+export function createGroupTask(options: GroupTaskOptions): GroupTask {
+  const { group, clock, policy, instance } = options;
+  const { post } = createMailbox<GroupMessage>(onMessage);
+  const runs = new Map<string, StatementRun>();
+  const transactions = new Map<string, OpenTransaction>();
+  /** Transactions whose connection is being reset, by that connection. */
+  const resets = new Map<Lease, string>();
+  let timer: NodeJS.Timeout | undefined;
+  let isStopped = false;
+
+  const engine = createGroupEngine({
+    group,
+    instance: instance.name,
+    dataCentre: instance.dataCentre,
+    databases: options.upstreamGroup.databases,
+    policy,
+    random: options.random,
+  });
+  const members = createUpstreamMembers({
+    group,
+    clock,
+    questionTimeoutMilliseconds: policy.questionTimeoutMilliseconds,
+    onLeaseClosed: (lease) => post({ type: 'leaseClosed', lease }),
+  });
+  members.update(options.upstreamGroup);
+  const sweepTimer = setInterval(sweep, SWEEP_INTERVAL_MILLISECONDS);
+
+  const messageHandlers: MessageHandlers = {
+    requestSubmitted: ({ request, statement, caller }) => {
+      const { requestId, access, transactionId } = request;
+      runs.set(
+        requestId,
+        createStatementRun({ requestId, statement, caller, access, transactionId }),
+      );
+      feed({ type: 'requestArrived', request });
+    },
+    requestWithdrawn: ({ requestId }) => {
+      const run = runs.get(requestId);
+      if (!run) return;
+      runs.delete(requestId);
+      feed({ type: 'requestCancelled', requestId });
+      // The engine knows nothing of statements within a transaction.
+      dropAttempt(run);
+    },
+    transactionStatementSubmitted: ({ statement }) => runInTransaction(statement),
+    transactionEnded: ({ transactionId, isClean }) => endTransaction(transactionId, isClean),
+    flowChanged: ({ requestId, isPaused }) => {
+      const connection = runs.get(requestId)?.lease?.connection;
+      if (isPaused) connection?.pause();
+      else connection?.resume();
+    },
+    leaseGranted: ({ run, attempt, lease }) => {
+      if (run.attempt === attempt) runOn(lease, run);
+      else members.release(lease);
+    },
+    leaseRefused: ({ run, attempt, failure }) => {
+      if (run.attempt === attempt) finish(run, { kind: 'refused', reason: failure });
+    },
+    framesArrived: ({ run, attempt, frames, next }) => {
+      if (run.attempt !== attempt) return;
+      Object.assign(run, { hasStarted: true });
+      const { requestId } = run;
+      run.caller.post({ type: 'answerContinued', requestId, frames, nextSequence: next });
+    },
+    statementAnswered: ({ run, attempt, answer }) => {
+      if (run.attempt === attempt) onAnswered(run, answer);
+    },
+    statementLost: ({ run, attempt }) => {
+      if (run.attempt === attempt) onLost(run);
+    },
+    leaseClosed: ({ lease }) => onLeaseClosed(lease),
+    transactionReset: ({ lease, transactionId }) => {
+      if (!resets.delete(lease)) return;
+      members.release(lease);
+      feed({ type: 'transactionFinished', transactionId });
+    },
+    upstreamGroupChanged: ({ upstreamGroup }) => {
+      members.update(upstreamGroup);
+      feed({ type: 'groupChanged', databases: upstreamGroup.databases });
+    },
+    engineEvent: ({ event }) => feed(event),
+  };
+
+  const effectHandlers: EffectHandlers = {
+    runStatement: ({ requestId, attempt, member }) => {
+      const run = runs.get(requestId);
+      if (!run) return;
+      Object.assign(run, { attempt });
+      if (run.access === 'commit') runCommit(run);
+      else lendTo(run, member);
+    },
+    abandonStatement: ({ requestId, attempt }) => {
+      const run = runs.get(requestId);
+      if (run?.attempt === attempt) dropAttempt(run);
+    },
+    answerRequest: ({ requestId, outcome }) => {
+      const run = runs.get(requestId);
+      if (!run) return;
+      runs.delete(requestId);
+      const answer = outcome.status === 'done' ? run.answer : undefined;
+      run.caller.post({ type: 'requestAnswered', requestId, outcome, answer });
+    },
+    askStatus: ({ questionId, member }) => ask(questionId, member, { type: 'askStatus' }),
+    fence: ({ questionId, member, term }) => ask(questionId, member, { type: 'fence', term }),
+    promote: ({ questionId, member, term }) => ask(questionId, member, { type: 'promote', term }),
+    follow: ({ questionId, member, term, primary }) => {
+      const { host, port } = members.get(primary)?.database ?? {};
+      const primaryAddress = `${host}:${port}`;
+      ask(questionId, member, { type: 'follow', term, primary, primaryAddress });
+    },
+    publishPrimary: ({ term, primary }) => options.onPrimaryPromoted({ term, primary }),
+    setTimer: ({ at }) => {
+      clearTimeout(timer);
+      timer = setTimeout(
+        () => post({ type: 'engineEvent', event: { type: 'timerFired' } }),
+        Math.max(0, at - clock()),
+      );
+    },
+    record: ({ record }) => options.record(record),
+  };
+
+  function onMessage(message: GroupMessage): void {
+    if (isStopped) return;
+    const handle = messageHandlers[message.type] as (message: GroupMessage) => void;
+    handle(message);
+  }
+
+  function feed(event: EngineEvent): void {
+    engine.handle(event, clock()).forEach(carryOut);
+  }
+
+  function carryOut(effect: EngineEffect): void {
+    const handle = effectHandlers[effect.type] as (effect: EngineEffect) => void;
+    handle(effect);
+  }
+
+  function ask(questionId: number, memberName: string, question: ControlQuestion): void {
+    const member = members.get(memberName);
+    if (!member) {
+      const event = { type: 'questionFailed', questionId, reason: 'unreachable' } as const;
+      post({ type: 'engineEvent', event });
+      return;
+    }
+    member.control.ask(question, (answer) => {
+      const event: EngineEvent =
+        answer.type === 'answered'
+          ? { type: 'statusAnswered', questionId, status: answer.status }
+          : { type: 'questionFailed', questionId, reason: answer.reason };
+      post({ type: 'engineEvent', event });
+    });
+  }
+
+  // One attempt at a statement
+
+  function lendTo(run: StatementRun, memberName: string): void {
+    const { attempt } = run;
+    const member = members.get(memberName);
+    if (!member) {
+      post({ type: 'leaseRefused', run, attempt, failure: 'connectFailed' });
+      return;
+    }
+    member.pool.acquire({
+      onGranted: (lease) => post({ type: 'leaseGranted', run, attempt, lease }),
+      onRefused: (failure) => post({ type: 'leaseRefused', run, attempt, failure }),
+    });
+  }
+
+  function runOn(lease: Lease, run: StatementRun): void {
+    const { attempt } = run;
+    Object.assign(run, { lease });
+    // A connection may end between its loan and the statement, which then was not sent.
+    if (!lease.connection.isOpen) {
+      post({ type: 'leaseRefused', run, attempt, failure: 'connectFailed' });
+      return;
+    }
+    lease.connection.run(run.statement, {
+      onFrames: (frames, next) => post({ type: 'framesArrived', run, attempt, frames, next }),
+      onAnswered: (answer) => post({ type: 'statementAnswered', run, attempt, answer }),
+      onLost: () => post({ type: 'statementLost', run, attempt }),
+    });
+  }
+
+  function onAnswered(run: StatementRun, answer: CompletedAnswer): void {
+    const result = resultOf(run, answer);
+    Object.assign(run, { answer });
+    finish(run, result);
+  }
+
+  function onLost(run: StatementRun): void {
+    finish(run, { kind: 'lost', answerStarted: run.hasStarted });
+  }
+
+  /** Gives the connection to whoever needs it next, then tells the engine or the caller. */
+  function finish(run: StatementRun, result: StatementResult): void {
+    const { lease, attempt, requestId } = run;
+    clearTimeout(run.deadlineTimer);
+    lease?.connection.resume();
+    endAttempt(run);
+    if (run.access === 'statement') {
+      onTransactionStatementFinished(run, result);
+      return;
+    }
+    if (run.access === 'commit') endTransaction(run.transactionId, result.kind !== 'lost');
+    else if (lease && run.access === 'transaction' && result.kind === 'completed') {
+      transactions.set(requestId, { lease, caller: run.caller, run: undefined });
+    } else if (lease) members.release(lease);
+    feed({ type: 'statementFinished', requestId, attempt, result });
+  }
+
+  /** Ends an attempt whose answer nobody waits for; the connection is closed, as its answer may come late. */
+  function dropAttempt(run: StatementRun): void {
+    if (run.attempt === 0) return;
+    clearTimeout(run.deadlineTimer);
+    run.lease?.connection.destroy();
+    endAttempt(run);
+    if (run.access === 'commit' || run.access === 'statement') {
+      endTransaction(run.transactionId, false);
+    }
+  }
+
+  // Transactions
+
+  function runCommit(run: StatementRun): void {
+    const transaction = transactions.get(run.transactionId ?? '');
+    if (transaction) runOn(transaction.lease, run);
+    else post({ type: 'leaseRefused', run, attempt: run.attempt, failure: 'connectFailed' });
+  }
+
+  function runInTransaction(submitted: TransactionStatement): void {
+    const { requestId, transactionId, statement, caller, deadlineAt } = submitted;
+    const transaction = transactions.get(transactionId);
+    if (!transaction) {
+      answerDiscarded(caller, requestId);
+      return;
+    }
+    const run = createStatementRun({
+      requestId,
+      statement,
+      caller,
+      access: 'statement',
+      transactionId,
+    });
+    run.attempt = 1;
+    run.deadlineTimer = setTimeout(() => {
+      if (runs.get(requestId) !== run) return;
+      runs.delete(requestId);
+      dropAttempt(run);
+      answerDiscarded(caller, requestId);
+    }, deadlineAt - clock());
+    runs.set(requestId, run);
+    transaction.run = run;
+    runOn(transaction.lease, run);
+  }
+
+  function onTransactionStatementFinished(run: StatementRun, result: StatementResult): void {
+    const { requestId, caller, transactionId } = run;
+    runs.delete(requestId);
+    const transaction = transactions.get(transactionId ?? '');
+    if (transaction) transaction.run = undefined;
+    if (result.kind === 'lost' || result.kind === 'refused') {
+      endTransaction(transactionId, false);
+      answerDiscarded(caller, requestId);
+      return;
+    }
+    if (hasCommitted(run)) {
+      endTransaction(transactionId, false);
+      caller.post({ type: 'requestAnswered', requestId, outcome: IMPLICITLY_COMMITTED });
+      return;
+    }
+    const outcome = { status: 'done' } as const;
+    caller.post({ type: 'requestAnswered', requestId, outcome, answer: run.answer });
+  }
+
+  function answerDiscarded(caller: StatementRun['caller'], requestId: string): void {
+    const outcome = {
+      status: 'discarded',
+      retryAfterMilliseconds: TRANSACTION_RETRY_MILLISECONDS,
+    } as const;
+    caller.post({ type: 'requestAnswered', requestId, outcome });
+  }
+
+  function endTransaction(transactionId: string | undefined, isClean: boolean): void {
+    const transaction = transactions.get(transactionId ?? '');
+    if (transactionId === undefined || !transaction) return;
+    transactions.delete(transactionId);
+    const { lease } = transaction;
+    if (isClean) {
+      resets.set(lease, transactionId);
+      lease.connection.reset(() => post({ type: 'transactionReset', lease, transactionId }));
+      return;
+    }
+    // The database rolls back what a closed connection leaves open.
+    lease.connection.destroy();
+    const event = { type: 'transactionFinished', transactionId } as const;
+    post({ type: 'engineEvent', event });
+  }
+
+  function onLeaseClosed(lease: Lease): void {
+    const resetId = resets.get(lease);
+    if (resetId !== undefined) {
+      resets.delete(lease);
+      feed({ type: 'transactionFinished', transactionId: resetId });
+    }
+    transactions.forEach((transaction, transactionId) => {
+      // A statement on the connection has its own message of the loss.
+      if (transaction.lease !== lease || transaction.run) return;
+      endTransaction(transactionId, false);
+      transaction.caller.post({ type: 'transactionLost', transactionId });
+    });
+  }
+
+  function sweep(): void {
+    const { members: views } = engine.view(clock());
+    const shares = new Map(views.map(({ name, connectionShare }) => [name, connectionShare]));
+    members.sweep((name) => shares.get(name) ?? 0);
+  }
+
+  post({ type: 'engineEvent', event: { type: 'timerFired' } });
+
+  return {
+    port: { post },
+    view: () => engine.view(clock()),
+    connectionCounts: members.counts,
+    openCount: () => runs.size + transactions.size,
+    stop: () => {
+      isStopped = true;
+      clearTimeout(timer);
+      clearInterval(sweepTimer);
+      runs.forEach(({ deadlineTimer }) => clearTimeout(deadlineTimer));
+      members.destroy();
+    },
+  };
+}
+
+/**
+ * Guards against a statement that commits a transaction by itself: its writes would be acknowledged
+ * without a majority. It shows as a position in an answer before COMMIT.
+ */
+function hasCommitted({ answer }: StatementRun): boolean {
+  return answer?.final.type === 'ok' && answer.final.ok.gtid !== undefined;
+}
+
+const changingAccess: ReadonlySet<StatementRun['access']> = new Set(['write', 'commit']);
+
+function resultOf(run: StatementRun, { final }: CompletedAnswer): StatementResult {
+  if (final.type === 'error') {
+    const { code } = final.error;
+    if (code === NOT_PRIMARY_ERROR) return { kind: 'refused', reason: 'notPrimary' };
+    return { kind: 'databaseError', code };
+  }
+  if (final.type !== 'ok' || !changingAccess.has(run.access)) return { kind: 'completed' };
+  const position = final.ok.gtid === undefined ? undefined : parsePosition(final.ok.gtid);
+  return { kind: 'completed', position };
+}
--- /dev/null
+++ b/packages/proxy/src/lib/statements/messages.ts
@@ -0,0 +1,55 @@
+import type { EngineEvent, EngineRequest } from '@wisterialift/core';
+import type { CompletedAnswer, UpstreamStatement } from '@wisterialift/mysql';
+import type { Outcome, UpstreamGroup } from '@wisterialift/schema';
+import type { Mailbox } from './mailbox';
+import type { StatementRun } from './statementRun';
+import type { Lease, LeaseFailure } from './upstreamPool';
+
+/** What a caller task is told about its statements. @internal */
+export type CallerMessage =
+  /** A part of the answer that goes on. */
+  | { type: 'answerContinued'; requestId: string; frames: Buffer[]; nextSequence: number }
+  /** The final answer; `answer` comes with `done` alone. */
+  | { type: 'requestAnswered'; requestId: string; outcome: Outcome; answer?: CompletedAnswer }
+  /** The connection of an open transaction broke between two statements. */
+  | { type: 'transactionLost'; transactionId: string };
+
+/** @internal */
+export type CallerPort = Mailbox<CallerMessage>;
+
+/** What a group task is asked to do, and what its connections tell it. @internal */
+export type GroupMessage =
+  | {
+      type: 'requestSubmitted';
+      request: EngineRequest;
+      statement: UpstreamStatement;
+      caller: CallerPort;
+    }
+  | { type: 'requestWithdrawn'; requestId: string }
+  | { type: 'transactionStatementSubmitted'; statement: TransactionStatement }
+  /** `isClean` where the database has ended the transaction, so that its connection can be used again. */
+  | { type: 'transactionEnded'; transactionId: string; isClean: boolean }
+  /** The caller's socket is full, or has room again. */
+  | { type: 'flowChanged'; requestId: string; isPaused: boolean }
+  | { type: 'leaseGranted'; run: StatementRun; attempt: number; lease: Lease }
+  | { type: 'leaseRefused'; run: StatementRun; attempt: number; failure: LeaseFailure }
+  | { type: 'framesArrived'; run: StatementRun; attempt: number; frames: Buffer[]; next: number }
+  | { type: 'statementAnswered'; run: StatementRun; attempt: number; answer: CompletedAnswer }
+  | { type: 'statementLost'; run: StatementRun; attempt: number }
+  | { type: 'leaseClosed'; lease: Lease }
+  | { type: 'transactionReset'; lease: Lease; transactionId: string }
+  | { type: 'upstreamGroupChanged'; upstreamGroup: UpstreamGroup }
+  | { type: 'engineEvent'; event: EngineEvent };
+
+/** @internal */
+export type GroupPort = Mailbox<GroupMessage>;
+
+/** A statement within an open transaction, which goes to the transaction's own connection. @internal */
+export interface TransactionStatement {
+  requestId: string;
+  transactionId: string;
+  statement: UpstreamStatement;
+  /** Time of the engine's clock at which the transaction is given up. */
+  deadlineAt: number;
+  caller: CallerPort;
+}
--- /dev/null
+++ b/packages/proxy/src/test/statementsFixture.ts
@@ -0,0 +1,226 @@
+import { createHash } from 'node:crypto';
+import { connect as connectTcp, type Socket } from 'node:net';
+import {
+  createConnection as createMariadbConnection,
+  type Connection as MariadbConnection,
+} from 'mariadb';
+import { createConnection, type Connection, type ConnectionOptions } from 'mysql2/promise';
+import { onTestFinished } from 'vitest';
+import {
+  configurationSchema,
+  settingsSchema,
+  type Configuration,
+  type Settings,
+} from '@wisterialift/schema';
+import {
+  DEFAULT_DATABASE_OPTIONS,
+  createStandInDatabase,
+  type FaultSettings,
+  type StandInDatabase,
+} from '@wisterialift/stand-in-database';
+import type { EngineRecord } from '@wisterialift/core';
+import { createStatementPath, type RequestObservation, type StatementPath } from '../index';
+
+export const GROUP = 'archivio-luci-1';
+export const CALLER = 'luce';
+export const PASSWORD = 'secret';
+
+/** A proxy's statement path in front of a group of three databases. */
+export interface StatementsFixture {
+  path: StatementPath;
+  port: number;
+  configuration: Configuration;
+  records: EngineRecord[];
+  observations: RequestObservation[];
+  /** Connects with mysql2. */
+  connect: (options?: Partial<ConnectionOptions>) => Promise<Connection>;
+  connectMariadb: () => Promise<MariadbConnection>;
+  /** A socket that speaks no protocol of its own. */
+  connectRaw: () => Promise<Socket>;
+  setFaults: (member: 'a1' | 'a2' | 'a3', faults: Partial<FaultSettings>) => Promise<void>;
+  /** Rows that the primary has committed. */
+  rowsAt: (member: 'a1' | 'a2' | 'a3', sql: string) => Promise<unknown>;
+}
+
+export interface FixtureOptions {
+  kinds?: Record<string, unknown>;
+  connectionLimit?: number;
+  limits?: Partial<Settings['limits']>;
+}
+
+const SCHEMA_SQL = `CREATE TABLE tests (id INTEGER PRIMARY KEY AUTO_INCREMENT, name VARCHAR(100), result BLOB);
+  CREATE TABLE big (id INTEGER PRIMARY KEY, text VARCHAR(100))`;
+
+/** Starts the databases and the statement path; both end with the test. */
+export async function startStatements(options: FixtureOptions = {}): Promise<StatementsFixture> {
+  const databases = await startDatabases();
+  const configuration = configurationSchema.parse({
+    groups: {
+      [GROUP]: {
+        databases: Object.entries(databases).map(([name, { port }]) => ({
+          name,
+          host: '127.0.0.1',
+          port,
+          dataCentre: `${name}-dc`,
+          connectionLimit: 30,
+          slots: 5,
+        })),
+        user: DEFAULT_DATABASE_OPTIONS.user,
+        password: DEFAULT_DATABASE_OPTIONS.password,
+      },
+      'archivio-luci-2': {
+        databases: [
+          {
+            name: 'b1',
+            host: '127.0.0.1',
+            port: 1,
+            dataCentre: 'd',
+            connectionLimit: 30,
+            slots: 5,
+          },
+        ],
+        user: 'proxy',
+        password: 'proxy',
+      },
+    },
+    callers: {
+      [CALLER]: {
+        passwordHash: hashOf(PASSWORD),
+        groups: [GROUP],
+        connectionLimit: options.connectionLimit ?? 100,
+      },
+    },
+    kinds: options.kinds ?? {},
+  });
+  const records: EngineRecord[] = [];
+  const observations: RequestObservation[] = [];
+  const path = createStatementPath({
+    settings: createSettings(options),
+    configuration,
+    random: () => 0.5,
+    record: ({ record }) => records.push(record),
+    observe: (observation) => observations.push(observation),
+    onPrimaryPromoted: () => {},
+  });
+  const { port } = await path.listen();
+  onTestFinished(() => path.stop());
+  await waitUntil(() => path.views().some(({ primary }) => primary === 'a1'));
+  return {
+    path,
+    port,
+    configuration,
+    records,
+    observations,
+    connect: (connectOptions) => connectTo(port, connectOptions),
+    connectMariadb: () => connectWithMariadb(port),
+    connectRaw: () => connectRaw(port),
+    setFaults: (member, faults) => setFaults(databases[member], faults),
+    rowsAt: (member, sql) => rowsAt(databases[member], sql),
+  };
+}
+
+/** Waits for a condition, without a time that a busy machine could miss. */
+export async function waitUntil(condition: () => boolean | Promise<boolean>): Promise<void> {
+  while (!(await condition())) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+}
+
+/** Code of the error that a promise fails with. */
+export async function errorOf(
+  promise: Promise<unknown>,
+): Promise<{ errno?: number; sqlState?: string; message: string }> {
+  return promise.then(
+    () => ({ message: 'no error' }),
+    (error: { errno?: number; sqlState?: string; message: string }) => error,
+  );
+}
+
+async function startDatabases() {
+  const start = (name: string, options: Partial<Parameters<typeof createStandInDatabase>[0]>) =>
+    createStandInDatabase({ ...DEFAULT_DATABASE_OPTIONS, name, ...options });
+  const a1 = await start('a1', { primaryTerm: 1, schemaSql: SCHEMA_SQL });
+  const follow = { name: 'a1', address: `127.0.0.1:${a1.port}`, term: 1 };
+  const a2 = await start('a2', { follow });
+  const a3 = await start('a3', { follow });
+  onTestFinished(async () => {
+    await Promise.all([a1, a2, a3].map((database) => database.stop()));
+  });
+  return { a1, a2, a3 };
+}
+
+function createSettings({ limits }: FixtureOptions): Settings {
+  return settingsSchema.parse({
+    instance: { name: 'entry-1', dataCentre: 'a1-dc', region: 'lomb-nord' },
+    callers: { port: 0 },
+    peers: { port: 0 },
+    administration: { port: 0, token: 'operator-token' },
+    platform: { address: 'http://127.0.0.1:1' },
+    limits: { ...limits },
+  });
+}
+
+async function connectTo(port: number, options?: Partial<ConnectionOptions>): Promise<Connection> {
+  const connection = await createConnection({
+    host: '127.0.0.1',
+    port,
+    user: CALLER,
+    password: PASSWORD,
+    database: GROUP,
+    ...options,
+  });
+  connection.on('error', () => {});
+  onTestFinished(() => connection.destroy());
+  return connection;
+}
+
+async function connectWithMariadb(port: number): Promise<MariadbConnection> {
+  const connection = await createMariadbConnection({
+    host: '127.0.0.1',
+    port,
+    user: CALLER,
+    password: PASSWORD,
+    database: GROUP,
+  });
+  connection.on('error', () => {});
+  onTestFinished(() => connection.destroy());
+  return connection;
+}
+
+async function connectRaw(port: number): Promise<Socket> {
+  const socket = connectTcp(port, '127.0.0.1');
+  socket.on('error', () => {});
+  onTestFinished(() => {
+    socket.destroy();
+  });
+  await new Promise((resolve) => {
+    socket.once('data', resolve);
+  });
+  return socket;
+}
+
+function hashOf(password: string): string {
+  const sha1 = (data: Buffer): Buffer => createHash('sha1').update(data).digest();
+  return sha1(sha1(Buffer.from(password))).toString('hex');
+}
+
+async function setFaults(
+  { controlPort }: StandInDatabase,
+  faults: Partial<FaultSettings>,
+): Promise<void> {
+  const response = await fetch(`http://127.0.0.1:${controlPort}/faults`, {
+    method: 'PUT',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(faults),
+  });
+  if (!response.ok) throw new Error(await response.text());
+}
+
+async function rowsAt({ controlPort }: StandInDatabase, sql: string): Promise<unknown> {
+  const response = await fetch(
+    `http://127.0.0.1:${controlPort}/rows?sql=${encodeURIComponent(sql)}`,
+  );
+  return response.json();
+}
