Let instances ask the watchers of their data centre instead of the platform

Polls of every instance grow with the fleet, and so do the calls that the platform counts. Instances that do not watch therefore ask a watcher of their data centre for the configuration and for the instance list; each answer carries the time since the platform confirmed it there.

A list that marks the instance itself as leaving counts only after a list has shown it live: one from before its start may still show the leaving of a predecessor of its name.

Back-off and jitter are functions of the core with the random number as input.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -87,3 +87,14 @@
 } from './lib/membership/instanceView';
 export { orderByRendezvous } from './lib/membership/rendezvous';
 export { WATCHERS_PER_DATA_CENTRE, chooseWatchers } from './lib/membership/watchers';
+export {
+  chooseAudience,
+  chooseSources,
+  isWatcher,
+  type Neighbourhood,
+} from './lib/membership/audience';
+export {
+  backOffMilliseconds,
+  jitterMilliseconds,
+  type BackOffTimes,
+} from './lib/membership/backOff';
--- a/packages/core/src/lib/configuration/settlePatch.ts
+++ b/packages/core/src/lib/configuration/settlePatch.ts
@@ -1,9 +1,9 @@
-import type { ConfigurationObject } from '@wisterialift/schema';
+import type { AcceptedPatch, ConfigurationObject } from '@wisterialift/schema';
 import { findAcceptedPatch } from './preparePatch';
 
 /** What a configuration object says about a patch that was sent before. @public */
 export type PatchFinding =
-  | { status: 'accepted'; number: number }
+  | { status: 'accepted'; patch: AcceptedPatch }
   /** Another patch took the number; this one can no longer take effect. */
   | { status: 'refused'; presentNumber: number }
   /** Not there yet: an update on its way may still take effect, and a repetition is safe. */
@@ -30,7 +30,7 @@
   const { configurationObject, patchId, againstNumber } = options;
   const { number: presentNumber, patches } = configurationObject;
   const accepted = findAcceptedPatch(configurationObject, patchId);
-  if (accepted) return { status: 'accepted', number: accepted.number };
+  if (accepted) return { status: 'accepted', patch: accepted };
   if (againstNumber === undefined || presentNumber <= againstNumber) {
     return { status: 'pending', presentNumber };
   }
--- a/packages/core/src/lib/membership/instanceView.ts
+++ b/packages/core/src/lib/membership/instanceView.ts
@@ -4,6 +4,8 @@
 export interface InstanceView {
   /** The instance that has this view; always a part of it, as it knows itself best. */
   readonly self: Instance;
+  /** Whether a list has shown the instance itself as live since it was started. */
+  readonly isSelfListed: boolean;
   readonly others: readonly KnownInstance[];
 }
 
@@ -24,7 +26,7 @@
 
 /** A view that knows only the instance itself. @public */
 export function createInstanceView(self: Instance): InstanceView {
-  return { self, others: [] };
+  return { self, isSelfListed: false, others: [] };
 }
 
 /** Replaces the entry of the instance itself, as when it begins to leave. @public */
@@ -56,7 +58,7 @@
     .filter(({ instance }) => !listedNames.has(instance.name))
     .map((known) => ({ ...known, missedLists: known.missedLists + 1 }))
     .filter(({ missedLists }) => missedLists < MISSED_LISTS_LIMIT);
-  return { ...view, others: [...listed, ...missed] };
+  return { ...meetSelf(view, instances), others: [...listed, ...missed] };
 }
 
 /**
@@ -86,6 +88,18 @@
   return [view.self, ...others].sort((left, right) => (left.name < right.name ? -1 : 1));
 }
 
+/**
+ * An operator drains an instance by marking it in the list. The mark counts only after a list has
+ * shown the instance live: a list from before it was started may still show the leaving of its
+ * predecessor of the same name, and a fresh instance would stop at once.
+ */
+function meetSelf(view: InstanceView, instances: readonly Instance[]): InstanceView {
+  const state = instances.find(({ name }) => name === view.self.name)?.state;
+  if (state === 'live') return { ...view, isSelfListed: true };
+  if (state !== 'leaving' || !view.isSelfListed) return view;
+  return { ...view, self: { ...view.self, state } };
+}
+
 function meetInstance(view: InstanceView, instance: Instance, now: number): KnownInstance {
   const known = view.others.find((other) => other.instance.name === instance.name);
   const leavingUntil = known?.leavingUntil;
--- a/packages/core/src/test/configuration.test.ts
+++ b/packages/core/src/test/configuration.test.ts
@@ -139,7 +139,10 @@
     settlePatch({ configurationObject, patchId, againstNumber: 0 });
 
   it('finds it, or whatever took its place, or neither', () => {
-    expect(settle(acceptMany(3), 'patch-1')).toEqual({ status: 'accepted', number: 1 });
+    expect(settle(acceptMany(3), 'patch-1')).toMatchObject({
+      status: 'accepted',
+      patch: { patchId: 'patch-1', number: 1, author: 'operator' },
+    });
     expect(settle(acceptMany(3), 'other')).toEqual({ status: 'refused', presentNumber: 3 });
     expect(settle(EMPTY_CONFIGURATION_OBJECT, 'other')).toEqual({
       status: 'pending',
--- a/packages/core/src/test/configurationSubmission.test.ts
+++ b/packages/core/src/test/configurationSubmission.test.ts
@@ -75,7 +75,7 @@
   const platform = createFakePlatform();
   const operators = [0, 1, 2].map(createOperator);
   const restOfMoves = operators.flatMap((unused, operator) =>
-    Array.from({ length: 12 }, () => ({
+    Array.from<unknown, Move>({ length: 12 }, () => ({
       operator,
       fate: 'answered',
       isLateArrival: false,
--- a/packages/core/src/test/membership.test.ts
+++ b/packages/core/src/test/membership.test.ts
@@ -2,9 +2,12 @@
 import { describe, expect, it } from 'vitest';
 import {
   LEAVING_MEMORY_MILLISECONDS,
+  chooseAudience,
+  chooseSources,
   chooseWatchers,
   createInstanceView,
   instancesOf,
+  isWatcher,
   mergeInstanceList,
   mergeLeaving,
   orderByRendezvous,
@@ -78,6 +81,27 @@
   });
 });
 
+describe('the audience of a configuration', () => {
+  const instances = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7'].map((name, index) =>
+    instance(name, { dataCentre: index < 3 ? 'sesto-dc' : 'mestre-dc' }),
+  );
+  const self = instances[0]!;
+
+  it('is the own data centre and the watchers of the others', () => {
+    const watchers = chooseWatchers({ instances, dataCentre: 'mestre-dc' });
+    const audience = chooseAudience({ self, instances }).map(({ name }) => name);
+    expect(audience.sort()).toEqual(['p2', 'p3', ...watchers].sort());
+  });
+
+  it('asks the watchers of its data centre, and watches itself when it knows of none', () => {
+    const sources = chooseSources({ self, instances }).map(({ name }) => name);
+    const watchers = chooseWatchers({ instances, dataCentre: 'sesto-dc' });
+    expect(sources.sort()).toEqual(watchers.filter((name) => name !== 'p1').sort());
+    expect(isWatcher({ self, instances })).toBe(watchers.includes('p1'));
+    expect(isWatcher({ self, instances: [] })).toBe(true);
+  });
+});
+
 describe('the view of the instances', () => {
   /*
    * A proxy asks twice and is answered by two copies of the list, the second older than the first:
@@ -93,6 +117,19 @@
     expect(namesOf(viewAfter([[]]))).toEqual(['p1']);
   });
 
+  /*
+   * p1 is replaced by another of the same name, while the list still shows the leaving of the first.
+   * The new one must not stop for it; an operator's drain, marked later, must be heeded.
+   */
+  it('heeds its own leaving only after a list has shown it live', () => {
+    const drained = [instance('p1', { state: 'leaving' })];
+    const merge = (view: InstanceView, instances: Instance[]): InstanceView =>
+      mergeInstanceList({ view, instances, now: 0 });
+    const fresh = merge(createInstanceView(instance('p1')), drained);
+    expect(namesOf(fresh)).toEqual(['p1']);
+    expect(namesOf(merge(merge(fresh, [instance('p1')]), drained))).toEqual(['p1 leaving']);
+  });
+
   /*
    * p2 tells its peers that it leaves, then a list from before that arrives and shows it live. New
    * work would go to an instance that is about to stop.
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,8 +4,10 @@
 export { PeerUnavailableError } from './lib/errors/peerUnavailableError';
 export {
   NO_CONFIGURATION_NUMBER,
+  type HeldConfiguration,
   type PeerConfiguration,
   type PeerHandlers,
+  type PeerInstances,
   type PeerStatus,
   type PeerTls,
   type PublishedPrimary,
--- a/packages/peer/src/lib/client/peerClient.ts
+++ b/packages/peer/src/lib/client/peerClient.ts
@@ -1,8 +1,17 @@
-import type { ConfigurationObject } from '@wisterialift/schema';
+import { instanceSchema } from '@wisterialift/schema';
+import type { ConfigurationObject, Instance } from '@wisterialift/schema';
+import { z } from 'zod';
 import { PeerServiceClient } from '../../generated/wisterialift/peer/v1/peer';
 import { PeerAnswerError } from '../errors/peerAnswerError';
+import { decodeAge } from '../ageOnWire';
 import { MESSAGE_LIMIT_BYTES } from '../peerMessages';
-import type { PeerConfiguration, PeerStatus, PeerTls, PublishedPrimary } from '../peerMessages';
+import type {
+  PeerConfiguration,
+  PeerInstances,
+  PeerStatus,
+  PeerTls,
+  PublishedPrimary,
+} from '../peerMessages';
 import { createCallCredentials } from '../tls/peerCredentials';
 import { callPeer } from './callPeer';
 
@@ -29,6 +38,8 @@
   ) => Promise<number>;
   /** Asks for the configuration of the peer if its number is above the given one. */
   fetchConfiguration: (address: string, aboveNumber: number) => Promise<PeerConfiguration>;
+  /** Asks for the instances that the peer knows. */
+  fetchInstances: (address: string) => Promise<PeerInstances>;
   announcePrimary: (address: string, published: PublishedPrimary) => Promise<void>;
   /** @param instance - name of the instance that leaves. */
   announceLeaving: (address: string, instance: string) => Promise<void>;
@@ -38,6 +49,8 @@
   close: () => void;
 }
 
+const instancesSchema = z.array(instanceSchema);
+
 /** Pauses between attempts to connect again; in between, calls fail at once. */
 const CHANNEL_OPTIONS = {
   'grpc.initial_reconnect_backoff_ms': 100,
@@ -97,12 +110,29 @@
     aboveNumber: number,
   ): Promise<PeerConfiguration> {
     const service = serviceAt(address);
-    const { number, configurationObjectJson } = await callPeer({
+    const { number, configurationObjectJson, ageMilliseconds } = await callPeer({
       method: service.fetchConfiguration.bind(service),
       request: { aboveNumber },
       deadlineMilliseconds,
     });
-    return { number, configurationObject: parseJson(configurationObjectJson) };
+    return {
+      number,
+      configurationObject: parseJson(configurationObjectJson),
+      ageMilliseconds: decodeAge(ageMilliseconds),
+    };
+  }
+
+  async function fetchInstances(address: string): Promise<PeerInstances> {
+    const service = serviceAt(address);
+    const { instancesJson, ageMilliseconds } = await callPeer({
+      method: service.fetchInstances.bind(service),
+      request: {},
+      deadlineMilliseconds,
+    });
+    return {
+      instances: parseInstances(instancesJson),
+      ageMilliseconds: decodeAge(ageMilliseconds),
+    };
   }
 
   async function announcePrimary(address: string, published: PublishedPrimary): Promise<void> {
@@ -130,6 +160,7 @@
   return {
     announceConfiguration,
     fetchConfiguration,
+    fetchInstances,
     announcePrimary,
     announceLeaving,
     ping,
@@ -138,6 +169,14 @@
   };
 }
 
+function parseInstances(text: string): Instance[] {
+  const result = instancesSchema.safeParse(parseJson(text));
+  if (result.success) return result.data;
+  throw new PeerAnswerError('the instances of the peer are not a list of instances', {
+    cause: result.error,
+  });
+}
+
 function parseJson(text: string): unknown {
   if (text === '') return undefined;
   try {
--- a/packages/peer/src/lib/peerMessages.ts
+++ b/packages/peer/src/lib/peerMessages.ts
@@ -1,4 +1,4 @@
-import type { ConfigurationObject } from '@wisterialift/schema';
+import type { ConfigurationObject, Instance } from '@wisterialift/schema';
 
 /** The number of an instance that has no configuration in force yet. @public */
 export const NO_CONFIGURATION_NUMBER = -1;
@@ -16,6 +16,22 @@
   number: number;
   /** Unchecked; undefined unless the number is above the one asked for. */
   configurationObject: unknown;
+  /** Time since the platform said there that this number is the present one. */
+  ageMilliseconds: number;
+}
+
+/** The instances that a peer knows. @public */
+export interface PeerInstances {
+  instances: Instance[];
+  /** Time since the platform answered there with the list that this is made of. */
+  ageMilliseconds: number;
+}
+
+/** What is in force at an instance, for a peer that asks. @public */
+export interface HeldConfiguration {
+  /** Undefined before the first. */
+  configurationObject: ConfigurationObject | undefined;
+  ageMilliseconds: number;
 }
 
 /** What a peer answers to a ping. @public */
@@ -32,8 +48,8 @@
 export interface PeerHandlers {
   /** @returns the number in force after the message. */
   onConfigurationAnnounced: (configurationObject: unknown) => number;
-  /** @returns what is in force; undefined for nothing. */
-  onConfigurationRequested: () => ConfigurationObject | undefined;
+  onConfigurationRequested: () => HeldConfiguration;
+  onInstancesRequested: () => PeerInstances;
   onPrimaryPublished: (published: PublishedPrimary) => void;
   /** Another instance is about to stop. */
   onLeavingAnnounced: (instance: string) => void;
--- a/packages/peer/src/lib/server/peerService.ts
+++ b/packages/peer/src/lib/server/peerService.ts
@@ -1,9 +1,9 @@
 import { status } from '@grpc/grpc-js';
 import type { handleUnaryCall } from '@grpc/grpc-js';
-import type { ConfigurationObject } from '@wisterialift/schema';
 import type { PeerServiceServer } from '../../generated/wisterialift/peer/v1/peer';
+import { encodeAge } from '../ageOnWire';
 import { NO_CONFIGURATION_NUMBER } from '../peerMessages';
-import type { PeerHandlers } from '../peerMessages';
+import type { HeldConfiguration, PeerHandlers } from '../peerMessages';
 
 /**
  * Turns the messages of the protocol into calls of the handlers.
@@ -18,12 +18,20 @@
       return { number: handlers.onConfigurationAnnounced(JSON.parse(configurationObjectJson)) };
     }),
     fetchConfiguration: answerWith(({ aboveNumber }) => {
-      const configurationObject = handlers.onConfigurationRequested();
-      const number = numberOf(configurationObject);
+      const held = handlers.onConfigurationRequested();
+      const number = numberOf(held);
       const isNews = number > aboveNumber;
       return {
         number,
-        configurationObjectJson: isNews ? JSON.stringify(configurationObject) : '',
+        configurationObjectJson: isNews ? JSON.stringify(held.configurationObject) : '',
+        ageMilliseconds: encodeAge(held.ageMilliseconds),
+      };
+    }),
+    fetchInstances: answerWith(() => {
+      const { instances, ageMilliseconds } = handlers.onInstancesRequested();
+      return {
+        instancesJson: JSON.stringify(instances),
+        ageMilliseconds: encodeAge(ageMilliseconds),
       };
     }),
     announcePrimary: answerWith((published) => {
@@ -38,7 +46,7 @@
   };
 }
 
-function numberOf(configurationObject: ConfigurationObject | undefined): number {
+function numberOf({ configurationObject }: HeldConfiguration): number {
   return configurationObject?.number ?? NO_CONFIGURATION_NUMBER;
 }
 
--- a/packages/peer/src/test/peer.test.ts
+++ b/packages/peer/src/test/peer.test.ts
@@ -1,5 +1,5 @@
 import { EMPTY_CONFIGURATION_OBJECT } from '@wisterialift/core';
-import type { ConfigurationObject } from '@wisterialift/schema';
+import type { ConfigurationObject, Instance } from '@wisterialift/schema';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import {
   NO_CONFIGURATION_NUMBER,
@@ -10,6 +10,17 @@
 } from '..';
 import type { PeerClient, PeerServer, PublishedPrimary } from '..';
 
+const INSTANCES: Instance[] = [
+  {
+    name: 'p2',
+    dataCentre: 'sesto-dc',
+    region: 'lomb-nord',
+    peerAddress: '127.0.0.1:7300',
+    administrationAddress: '127.0.0.1:7400',
+    state: 'live',
+  },
+];
+
 /** A listener that keeps what it was told. */
 function createListener(port: number) {
   const heard = { primaries: [] as PublishedPrimary[], leaving: [] as string[] };
@@ -22,7 +33,11 @@
         held = configurationObject as ConfigurationObject;
         return held.number;
       },
-      onConfigurationRequested: () => held,
+      onConfigurationRequested: () => ({
+        configurationObject: held,
+        ageMilliseconds: held ? 20 : Infinity,
+      }),
+      onInstancesRequested: () => ({ instances: INSTANCES, ageMilliseconds: 30 }),
       onPrimaryPublished: (published) => heard.primaries.push(published),
       onLeavingAnnounced: (instance) => heard.leaving.push(instance),
       onPing: () => ({ instance: 'p2', configurationNumber: held?.number ?? -1 }),
@@ -57,19 +72,32 @@
 
 describe('messages between instances', () => {
   it('carry a configuration, and carry it back only where it is news', async () => {
-    const nothing = { number: NO_CONFIGURATION_NUMBER, configurationObject: undefined };
+    const nothing = {
+      number: NO_CONFIGURATION_NUMBER,
+      configurationObject: undefined,
+      ageMilliseconds: Infinity,
+    };
     expect(await peers.fetchConfiguration(address, NO_CONFIGURATION_NUMBER)).toEqual(nothing);
     const configurationObject = configurationWith(7);
     expect(await peers.announceConfiguration(address, configurationObject)).toBe(7);
-    expect(await peers.fetchConfiguration(address, 6)).toEqual({ number: 7, configurationObject });
+    expect(await peers.fetchConfiguration(address, 6)).toEqual({
+      number: 7,
+      configurationObject,
+      ageMilliseconds: 20,
+    });
     expect(await peers.fetchConfiguration(address, 7)).toEqual({
       number: 7,
       configurationObject: undefined,
+      ageMilliseconds: 20,
     });
     expect(await peers.ping(address)).toEqual({ instance: 'p2', configurationNumber: 7 });
   });
 
-  it('carry a published primary and a leaving', async () => {
+  it('carry the instances, a published primary and a leaving', async () => {
+    expect(await peers.fetchInstances(address)).toEqual({
+      instances: INSTANCES,
+      ageMilliseconds: 30,
+    });
     const published = { group: 'archivio-1', term: 4, primary: 'a2' };
     await peers.announcePrimary(address, published);
     await peers.announceLeaving(address, 'p1');
--- a/packages/peer/src/test/peerTls.test.ts
+++ b/packages/peer/src/test/peerTls.test.ts
@@ -22,7 +22,11 @@
     tls: readKeys('own'),
     handlers: {
       onConfigurationAnnounced: () => 0,
-      onConfigurationRequested: () => undefined,
+      onConfigurationRequested: () => ({
+        configurationObject: undefined,
+        ageMilliseconds: Infinity,
+      }),
+      onInstancesRequested: () => ({ instances: [], ageMilliseconds: Infinity }),
       onPrimaryPublished: () => {},
       onLeavingAnnounced: () => {},
       onPing: () => ({ instance: 'p2', configurationNumber: 3 }),
