--- a/stand-ins/database/src/lib/control/createControlServer.ts
+++ b/stand-ins/database/src/lib/control/createControlServer.ts
@@ -3,6 +3,7 @@
 import type { Engine } from '../engine/createEngine';
 import type { FaultSettings, Faults } from '../faults/createFaults';
 import type { Member } from '../group/createMember';
+import type { StatementCounters } from '../session/createStatementCounters';
 import type { Log } from '../log/createLog';
 
 const milliseconds = { type: 'number', minimum: 0, maximum: 3_600_000 };
@@ -33,11 +34,12 @@
   faults: Faults;
   /** Open connections of callers. */
   countConnections: () => number;
+  counters: StatementCounters;
 }
 
 /** Creates the HTTP server of the control port; it answers also while the database is frozen. */
 export function createControlServer(options: ControlOptions): FastifyInstance {
-  const { member, log, engine, faults, countConnections } = options;
+  const { member, log, engine, faults, countConnections, counters } = options;
   const server = fastify({
     forceCloseConnections: true,
     ajv: { customOptions: { removeAdditional: false, coerceTypes: false } },
@@ -46,6 +48,7 @@
   server.get('/health', () => ({
     status: member.status(),
     connections: countConnections(),
+    statements: counters.read(),
     faults: faults.settings(),
   }));
   server.get('/log', () => ({ entries: log.entriesAfter(0, log.end().index) }));
--- a/stand-ins/database/src/lib/createStandInDatabase.ts
+++ b/stand-ins/database/src/lib/createStandInDatabase.ts
@@ -16,6 +16,7 @@
 import { createReplication } from './replication/createReplication';
 import { createSession } from './session/createSession';
 import { createSlots } from './session/createSlots';
+import { createStatementCounters } from './session/createStatementCounters';
 import { createWriterLock } from './session/createWriterLock';
 
 /** How a database is started. */
@@ -68,6 +69,7 @@
   const logServer = createLogServer({ member, log, faults });
   const lock = createWriterLock();
   const slots = createSlots(options.slots);
+  const counters = createStatementCounters();
   const listener = createListener({
     user: options.user,
     password: options.password,
@@ -79,6 +81,7 @@
     member,
     slots,
     logServer,
+    counters,
   });
 
   const socketServer = createServer((stream) => {
@@ -97,6 +100,7 @@
     engine,
     faults,
     countConnections: listener.countConnections,
+    counters,
   });
   await control.listen({ host: options.host, port: options.controlPort });
 
--- a/stand-ins/database/src/lib/protocol/createConnection.ts
+++ b/stand-ins/database/src/lib/protocol/createConnection.ts
@@ -6,6 +6,7 @@
 import { runGroupStatement } from '../group/groupStatements';
 import type { LogServer } from '../replication/createLogServer';
 import type { Session, SessionAnswer } from '../session/createSession';
+import type { StatementCounters } from '../session/createStatementCounters';
 import type { Slots } from '../session/createSlots';
 import { findStatementKind } from '../session/statementKind';
 import { createAnswerWriter } from './createAnswerWriter';
@@ -31,6 +32,7 @@
   faults: Faults;
   slots: Slots;
   logServer: LogServer;
+  counters: StatementCounters;
 }
 
 interface Command {
@@ -60,7 +62,7 @@
 
 /** Answers the commands of one authenticated connection, one after the other. */
 export function serveConnection(options: ConnectionOptions): void {
-  const { connection, session, engine, member, faults, slots, logServer } = options;
+  const { connection, session, engine, member, faults, slots, logServer, counters } = options;
   const { stream } = connection;
   const statements = createPreparedStatements();
   const tracksSession = hasCapability(connection.clientHelloReply.clientFlags, 'sessionTrack');
@@ -83,7 +85,9 @@
       await writeText(writer, groupAnswer.column, groupAnswer.text);
       return;
     }
-    if (!FREE_KINDS.has(findStatementKind(sql))) {
+    const kind = findStatementKind(sql);
+    counters.count(kind);
+    if (!FREE_KINDS.has(kind)) {
       await slots.occupy(faults.settings().serviceMilliseconds);
     }
     const answer = await session.run(sql, values);
--- a/stand-ins/database/src/lib/protocol/createListener.ts
+++ b/stand-ins/database/src/lib/protocol/createListener.ts
@@ -4,6 +4,7 @@
 import type { LogServer } from '../replication/createLogServer';
 import { REPLICATION_USER } from '../replication/createReplication';
 import type { Session } from '../session/createSession';
+import type { StatementCounters } from '../session/createStatementCounters';
 import type { Slots } from '../session/createSlots';
 import { serveConnection } from './createConnection';
 import { isPasswordRight } from './isPasswordRight';
@@ -30,6 +31,7 @@
   member: Member;
   slots: Slots;
   logServer: LogServer;
+  counters: StatementCounters;
 }
 
 const UTF8_CHARACTER_SET = 45;
@@ -39,7 +41,7 @@
 
 /** Creates what greets, authenticates and limits connections. */
 export function createListener(options: ListenerOptions): Listener {
-  const { faults, member, engine, slots, logServer } = options;
+  const { faults, member, engine, slots, logServer, counters } = options;
   const open = new Set<ServerConnection>();
   const counted = new Set<ServerConnection>();
   let lastId = 0;
@@ -65,7 +67,7 @@
     }
     if (credentials.user !== REPLICATION_USER) counted.add(connection);
     const session = options.createSession();
-    serveConnection({ connection, session, engine, member, faults, slots, logServer });
+    serveConnection({ connection, session, engine, member, faults, slots, logServer, counters });
     stream.write(frame(okPayload(), ANSWER_SEQUENCE).bytes);
   }
 
