--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,9 +1,19 @@
+export { AdministrationError } from './lib/administration/administrationError';
+export type { AdministrationErrorCode } from './lib/administration/administrationError';
+export { createAdministrationServer } from './lib/administration/createAdministrationServer';
 export type {
+  AdministrationServer,
+  AdministrationServerOptions,
+} from './lib/administration/createAdministrationServer';
+export type {
+  AdministrationSources,
   InstanceState,
   InstanceStatus,
-  PatchAnswer,
-  PatchFault,
 } from './lib/administration/administrationSources';
+export type { ReadCounts } from './lib/process/recordDecision';
+export { createProxy, type Proxy, type ProxyOptions } from './lib/process/createProxy';
+export { runProxyProcess } from './lib/process/runProxyProcess';
+export { TlsFileError } from './lib/process/tlsFileError';
 export {
   createStatementPath,
   type ConnectionCounts,
