--- a/tools/bench/src/lib/cluster/requestJson.ts
+++ b/tools/bench/src/lib/cluster/requestJson.ts
@@ -1,14 +1,13 @@
 /** Sends a request to a control port or the platform. */
 export async function requestJson<Answer>(
   address: string,
-  options: { method?: string; body?: unknown } = {},
+  options: { method?: string; body?: unknown; headers?: Record<string, string> } = {},
 ): Promise<Answer> {
-  const { method = 'GET', body } = options;
+  const { method = 'GET', body, headers = {} } = options;
   const response = await fetch(address, {
     method,
-    ...(body === undefined
-      ? {}
-      : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } }),
+    headers: body === undefined ? headers : { ...headers, 'content-type': 'application/json' },
+    ...(body === undefined ? {} : { body: JSON.stringify(body) }),
   });
   const text = await response.text();
   if (!response.ok) throw new Error(`${method} ${address}: ${response.status} ${text}`);
--- a/tools/bench/src/lib/cluster/trialOptions.ts
+++ b/tools/bench/src/lib/cluster/trialOptions.ts
@@ -59,8 +59,11 @@
   connectionLimit: 30,
   connectMilliseconds: 12,
   serviceMilliseconds: 0,
-  schemaSql:
-    'CREATE TABLE records (id VARCHAR(64) PRIMARY KEY, session VARCHAR(64), note VARCHAR(200))',
+  // An id may stand twice, so that a write which ran twice shows.
+  schemaSql: `CREATE TABLE records
+    (number INT AUTO_INCREMENT PRIMARY KEY, id VARCHAR(64), session VARCHAR(64), note VARCHAR(200));
+    CREATE INDEX records_by_id ON records (id);
+    CREATE INDEX records_by_session ON records (session)`,
   caller: { name: 'technician', password: 'technician-password' },
   kinds: {
     history: {
@@ -75,6 +78,12 @@
       priority: 5,
       isRepeatable: true,
     },
+    urgent: {
+      maximumStalenessMilliseconds: 10_000,
+      deadlineMilliseconds: 300,
+      priority: 5,
+      isRepeatable: true,
+    },
     issue: {
       maximumStalenessMilliseconds: 0,
       deadlineMilliseconds: 5_000,
