--- a/packages/cli/src/lib/commands/configCommands.ts
+++ b/packages/cli/src/lib/commands/configCommands.ts
@@ -11,11 +11,22 @@
 }
 
 interface PatchAnswer {
-  outcome: 'accepted' | 'unknown';
+  status: 'accepted' | 'unknown';
   patchId: string;
   number?: number;
 }
 
+type PatchFinding = { status: 'accepted'; patch: AcceptedPatch } | UnsettledFinding;
+
+interface UnsettledFinding {
+  status: 'refused' | 'pending' | 'forgotten' | 'unknown';
+  presentNumber?: number;
+}
+
+interface FindOptions extends ConnectionOptions {
+  against?: number;
+}
+
 interface PatchOptions extends ConnectionOptions {
   file: string;
   against: number;
@@ -58,7 +69,7 @@
     const patch = { patchId, againstNumber: options.against, author, changes };
     const client = connect(context, options);
     const answer = await client.post<PatchAnswer>('/v1/configuration/patches', patch);
-    if (answer.outcome === 'unknown') throw createUnknownError(answer.patchId);
+    if (answer.status === 'unknown') throw createUnknownError(answer.patchId);
     writeAnswer(context, options, {
       value: answer,
       text: () => `accepted as number ${answer.number} (patch ${answer.patchId})\n`,
@@ -69,17 +80,38 @@
 function createFindCommand(context: CommandContext): Command {
   const command = new Command('find')
     .description('tell whether a patch was accepted')
-    .argument('<id>', 'id of the patch');
-  return addConnectionOptions(command).action(async (id: string, options: ConnectionOptions) => {
-    const path = `/v1/configuration/patches/${encodeURIComponent(id)}`;
-    const value = await connect(context, options).get<AcceptedPatch>(path);
+    .argument('<id>', 'id of the patch')
+    .option(
+      '--against <number>',
+      'number that it was made against; lets a refusal be told',
+      parseNumber,
+    );
+  return addConnectionOptions(command).action(async (id: string, options: FindOptions) => {
+    const query = options.against === undefined ? '' : `?against=${options.against}`;
+    const path = `/v1/configuration/patches/${encodeURIComponent(id)}${query}`;
+    const value = await connect(context, options).get<PatchFinding>(path);
+    if (value.status !== 'accepted') throw createFindingError(id, value);
+    const { number, acceptedAt } = value.patch;
     writeAnswer(context, options, {
       value,
-      text: () => `accepted as number ${value.number} at ${value.acceptedAt}\n`,
+      text: () => `accepted as number ${number} at ${acceptedAt}\n`,
     });
   });
 }
 
+/** What is said of a patch that is not known to be accepted. */
+const FINDING_MESSAGES: Record<UnsettledFinding['status'], string> = {
+  refused: 'was refused: another patch took its number',
+  pending: 'is not accepted yet; submitting it again under the same id is safe',
+  forgotten: 'is too old to be told; the configuration has moved on',
+  unknown: 'cannot be told now: the platform does not answer; ask again',
+};
+
+function createFindingError(id: string, finding: UnsettledFinding): ClientError {
+  const code = finding.status === 'refused' ? 'outdated' : 'unknown';
+  return new ClientError(code, `patch ${id} ${FINDING_MESSAGES[finding.status]}`, finding);
+}
+
 function createHistoryCommand(context: CommandContext): Command {
   const command = new Command('history').description('list the accepted patches, newest last');
   return addConnectionOptions(command).action(async (options: ConnectionOptions) => {
@@ -122,7 +154,7 @@
 
 function createUnknownError(patchId: string): ClientError {
   const message = `it is not known whether patch ${patchId} was accepted; ask again with "config find ${patchId}"`;
-  return new ClientError('unknown', message, { outcome: 'unknown', patchId });
+  return new ClientError('unknown', message, { status: 'unknown', patchId });
 }
 
 function parseNumber(text: string): number {
--- a/packages/cli/src/test/program.test.ts
+++ b/packages/cli/src/test/program.test.ts
@@ -142,7 +142,7 @@
     const silent = await serveAnswers(() => ({
       'POST /v1/configuration/patches': {
         status: 202,
-        body: { outcome: 'unknown', patchId: 'patch-1' },
+        body: { status: 'unknown', patchId: 'patch-1' },
       },
     }));
     const unknown = await run([...patch, '--address', silent], files);
--- a/packages/proxy/src/lib/administration/administrationSources.ts
+++ b/packages/proxy/src/lib/administration/administrationSources.ts
@@ -1,4 +1,4 @@
-import type { GroupEngineView } from '@wisterialift/core';
+import type { GroupEngineView, PatchOutcome } from '@wisterialift/core';
 import type {
   AcceptedPatch,
   ConfigurationObject,
@@ -6,6 +6,7 @@
   Instance,
 } from '@wisterialift/schema';
 import type { InstanceBurn, LatencySummary } from '@wisterialift/telemetry';
+import type { PatchAnswer } from '../configuration/configurationTask';
 import type { ReadCounts } from '../process/recordDecision';
 
 /** @public */
@@ -25,26 +26,14 @@
   reads: ReadCounts[];
 }
 
-/** One fault of a patch: where in the configuration, and what would be accepted. @public */
-export interface PatchFault {
-  path: string;
-  reason: string;
-}
-
-/** How a submitted patch ended, as far as the instance knows. @public */
-export type PatchAnswer =
-  | { outcome: 'accepted'; patchId: string; number: number }
-  | { outcome: 'outdated'; patchId: string; presentNumber: number }
-  | { outcome: 'invalid'; patchId: string; faults: PatchFault[] }
-  | { outcome: 'unknown'; patchId: string };
-
 /** Where the administration API takes its answers from. @public */
 export interface AdministrationSources {
   status: () => InstanceStatus;
   configuration: () => ConfigurationObject | undefined;
-  submitPatch: (patch: ConfigurationPatch) => Promise<PatchAnswer>;
-  findPatch: (patchId: string) => Promise<AcceptedPatch | undefined>;
-  history: () => Promise<AcceptedPatch[]>;
+  submitPatch: (patch: ConfigurationPatch) => Promise<PatchOutcome>;
+  /** @param againstNumber - number that the patch was made against, if the operator knows it. */
+  findPatch: (patchId: string, againstNumber?: number) => Promise<PatchAnswer>;
+  history: () => AcceptedPatch[];
   instances: () => readonly Instance[];
   /** Marks an instance as leaving at the platform; it drains once its list says so. */
   drainInstance: (instance: Instance) => Promise<void>;
--- a/packages/proxy/src/lib/administration/createAdministrationServer.ts
+++ b/packages/proxy/src/lib/administration/createAdministrationServer.ts
@@ -1,11 +1,12 @@
 import { timingSafeEqual } from 'node:crypto';
 import type { AddressInfo } from 'node:net';
+import type { PatchOutcome } from '@wisterialift/core';
 import { configurationPatchSchema } from '@wisterialift/schema';
 import type { Configuration, ConfigurationObject, Settings } from '@wisterialift/schema';
 import fastify from 'fastify';
 import type { FastifyInstance, FastifyRequest } from 'fastify';
 import { AdministrationError } from './administrationError';
-import type { AdministrationSources, PatchAnswer } from './administrationSources';
+import type { AdministrationSources } from './administrationSources';
 
 /** @public */
 export interface AdministrationServer {
@@ -79,18 +80,24 @@
     const { number, configuration } = requireConfiguration(sources);
     return { number, configuration: redactPasswords(configuration) };
   });
-  server.get('/v1/configuration/history', async () => ({ patches: await sources.history() }));
+  server.get('/v1/configuration/history', async () => ({ patches: sources.history() }));
   server.post('/v1/configuration/patches', async (request, reply) => {
     const parsed = configurationPatchSchema.safeParse(request.body);
     if (!parsed.success) throw describeBadPatch(parsed.error.issues);
-    const answer = await sources.submitPatch(parsed.data);
-    return reply.status(answer.outcome === 'unknown' ? 202 : 200).send(acceptedOrThrow(answer));
-  });
-  server.get<{ Params: { id: string } }>('/v1/configuration/patches/:id', async ({ params }) => {
-    const patch = await sources.findPatch(params.id);
-    if (patch) return { outcome: 'accepted', ...patch };
-    throw new AdministrationError('notFound', `no accepted patch has the id "${params.id}"`);
+    const outcome = acceptedOrThrow(await sources.submitPatch(parsed.data));
+    const { patchId } = parsed.data;
+    return reply.status(outcome.status === 'unknown' ? 202 : 200).send({ ...outcome, patchId });
   });
+  server.get<{ Params: { id: string }; Querystring: { against?: string } }>(
+    '/v1/configuration/patches/:id',
+    async ({ params, query }) => sources.findPatch(params.id, parseAgainst(query.against)),
+  );
+}
+
+function parseAgainst(text: string | undefined): number | undefined {
+  if (text === undefined) return undefined;
+  if (/^\d+$/.test(text)) return Number(text);
+  throw new AdministrationError('badRequest', `against: "${text}" is not a number`);
 }
 
 function addInstanceRoutes(server: FastifyInstance, sources: AdministrationSources): void {
@@ -149,14 +156,20 @@
 }
 
 /** Turns a refusal into the error that carries it; accepted and unknown are answers. */
-function acceptedOrThrow(answer: PatchAnswer): PatchAnswer {
-  if (answer.outcome === 'outdated') {
-    const message = `the configuration has moved on to number ${answer.presentNumber}`;
-    throw new AdministrationError('outdated', message, { presentNumber: answer.presentNumber });
+function acceptedOrThrow(outcome: PatchOutcome): PatchOutcome {
+  const { status } = outcome;
+  if (status === 'outdated') {
+    const { presentNumber } = outcome;
+    const message = `the configuration has moved on to number ${presentNumber}`;
+    throw new AdministrationError('outdated', message, { presentNumber });
   }
-  if (answer.outcome === 'invalid') {
+  if (status === 'invalid') {
     const message = 'the patch would leave a configuration that is not valid';
-    throw new AdministrationError('invalid', message, { faults: answer.faults });
+    throw new AdministrationError('invalid', message, { faults: outcome.faults });
+  }
+  if (status === 'unavailable') {
+    const message = 'the platform cannot be reached; nothing was sent and nothing has changed';
+    throw new AdministrationError('platformUnavailable', message);
   }
-  return answer;
+  return outcome;
 }
