Prove the statement path with two drivers and under failures

Tests with mysql2 and mariadb (text, prepared, NULL, binary, 100,000 rows, errors with their code, transactions) and of failures: bad packets, late and lost answers, crossed callers, a slow reader, lost transactions, a removed caller, a graceful stop.

Two faults that they found first: - Rows went missing in large answers. The parser puts a packet that came in two chunks together without the first three bytes of its header, and frames were passed on with whatever stood there. The length is written anew. - A graceful stop answered "not run" to a request that was on its way while its connection looked idle. Idle connections now stay for 100 ms, busy ones are served for a second and then get their "not run" in place of an answer.

--- a/packages/mysql/src/lib/upstream/frameCollector.ts
+++ b/packages/mysql/src/lib/upstream/frameCollector.ts
@@ -1,6 +1,9 @@
 import { payloadOf, type DriverPacket } from '../driverConnection';
+import { HEADER_BYTES } from '../protocol/constants';
 import { toFrames } from '../protocol/frames';
 
+const LENGTH_BYTES = 3;
+
 /** Gathers the frames of packets that pass through, joined where they lie side by side. @internal */
 export interface FrameCollector {
   add: (packet: DriverPacket) => void;
@@ -37,6 +40,7 @@
       }
       if (packet.buffer !== chunk || packet.start !== end) {
         closeSlice();
+        restoreLength(packet);
         chunk = packet.buffer;
         start = packet.start;
       }
@@ -50,3 +54,12 @@
     },
   };
 }
+
+/**
+ * Guards against a frame whose length is whatever the memory held before: the parser puts a packet that
+ * came in two chunks together without the first three bytes of its header. It shows as rows that go
+ * missing at the caller. Such a packet stands at the start of a buffer of its own.
+ */
+function restoreLength({ buffer, start, end }: DriverPacket): void {
+  if (start === 0) buffer.writeUIntLE(end - HEADER_BYTES, 0, LENGTH_BYTES);
+}
--- a/packages/proxy/src/lib/statements/callerTask.ts
+++ b/packages/proxy/src/lib/statements/callerTask.ts
@@ -79,10 +79,18 @@
   readonly caller: string;
   readonly group: string | undefined;
   /** Closes once no request is in flight and no transaction is open. */
-  retire: (reason: SqlError) => void;
+  retire: (retirement: Retirement) => void;
   destroy: () => void;
 }
 
+/** How a connection comes to its end. @internal */
+export interface Retirement {
+  /** Told to the caller in place of an answer to what it asks too late. */
+  reason: SqlError;
+  /** Time during which requests that were on their way are still served, in milliseconds. */
+  graceMilliseconds: number;
+}
+
 interface CurrentRequest {
   requestId: string;
   group: string;
@@ -158,6 +166,9 @@
 
 const FIRST_ANSWER = 1;
 
+/** A retired connection that has been idle for this long is closed. */
+const IDLE_BEFORE_CLOSE_MILLISECONDS = 100;
+
 const KIND_VARIABLE = 'wisterialift_kind';
 const STATEMENT_ID_AT = 1;
 const PARAMETER_COUNT_AT = 7;
@@ -182,7 +193,8 @@
   let { group } = login;
   let current: CurrentRequest | undefined;
   let transaction: Transaction | undefined;
-  let retireReason: SqlError | undefined;
+  let retirement: (Retirement & { until: number }) | undefined;
+  let idleTimer: NodeJS.Timeout | undefined;
   let lastInsertId = 0;
   let requestCount = 0;
 
@@ -222,6 +234,11 @@
   };
 
   function onCommand(command: CallerCommand): void {
+    clearTimeout(idleTimer);
+    if (retirement && !transaction && clock() >= retirement.until) {
+      connection.end(retirement.reason);
+      return;
+    }
     const handle = commandHandlers[command.type] as (command: CallerCommand) => void;
     handle(command);
   }
@@ -654,11 +671,21 @@
     return { ...EMPTY_OK, status: withFlag(EMPTY_OK.status, serverStatus.inTransaction, isOpen) };
   }
 
+  /**
+   * Guards against cutting a request that is on its way while the connection looks idle: the caller
+   * would see a broken connection and could not tell whether its request had run. So an idle
+   * connection stays for a moment, and what comes after that is answered with the reason.
+   */
   function closeIfRetired(): void {
-    if (retireReason && !current && !transaction) connection.end(retireReason);
+    if (!retirement || current || transaction) return;
+    const { reason, graceMilliseconds } = retirement;
+    clearTimeout(idleTimer);
+    if (graceMilliseconds === 0) connection.end(reason);
+    else idleTimer = setTimeout(() => connection.end(reason), IDLE_BEFORE_CLOSE_MILLISECONDS);
   }
 
   function onClosed(): void {
+    clearTimeout(idleTimer);
     if (current) {
       const { services, requestId } = current;
       services.port.post({ type: 'requestWithdrawn', requestId });
@@ -681,8 +708,8 @@
     get group() {
       return group;
     },
-    retire: (reason) => {
-      retireReason ??= reason;
+    retire: (wanted) => {
+      retirement ??= { ...wanted, until: clock() + wanted.graceMilliseconds };
       closeIfRetired();
     },
     destroy: () => connection.destroy(),
--- a/packages/proxy/src/lib/statements/statementPath.ts
+++ b/packages/proxy/src/lib/statements/statementPath.ts
@@ -18,6 +18,7 @@
   type CallerTask,
   type GroupServices,
   type RequestObservation,
+  type Retirement,
 } from './callerTask';
 import { createGroupTask, type GroupTask } from './groupTask';
 import { checkGroup, checkLogin, findCaller } from './loginCheck';
@@ -86,6 +87,10 @@
   'notRun',
   'Not run: this proxy is stopping; connect again, retry after 0 ms',
 );
+
+/** While it stops, an instance serves connections that are busy for this long before it sends them on. */
+const DRAINING: Retirement = { reason: STOPPING, graceMilliseconds: 1_000 };
+
 const POLL_MILLISECONDS = 20;
 
 /**
@@ -135,7 +140,7 @@
       onClosed: () => callers.delete(task),
     });
     callers.add(task);
-    if (isDraining) task.retire(STOPPING);
+    if (isDraining) task.retire(DRAINING);
   }
 
   function startGroup(group: string): void {
@@ -183,7 +188,7 @@
   function applyCallers(): void {
     callers.forEach((task) => {
       const refusal = refusalOf(task);
-      if (refusal) task.retire(refusal);
+      if (refusal) task.retire({ reason: refusal, graceMilliseconds: 0 });
     });
   }
 
@@ -225,7 +230,7 @@
       groups.forEach(({ port }) => {
         port.post({ type: 'engineEvent', event: { type: 'drainStarted' } });
       });
-      callers.forEach((task) => task.retire(STOPPING));
+      callers.forEach((task) => task.retire(DRAINING));
       await waitUntil(() => callers.size === 0, settings.limits.drainMilliseconds);
     },
     stop: async () => {
--- /dev/null
+++ b/packages/proxy/src/test/scriptedDatabase.ts
@@ -0,0 +1,88 @@
+import { createCallerListener, toFrames, type CallerConnection } from '@wisterialift/mysql';
+import { DEFAULT_DATABASE_OPTIONS } from '@wisterialift/stand-in-database';
+import { onTestFinished } from 'vitest';
+
+/** A connection of the proxy, as the database sees it. */
+export interface ScriptedConnection {
+  connection: CallerConnection;
+  /** Called when the proxy has read what was sent. */
+  onDrain: () => void;
+}
+
+/** Answers one query. */
+export type Script = (scripted: ScriptedConnection, sql: string) => void;
+
+/** A group of one primary whose answers a test writes byte by byte. */
+export async function startScriptedDatabase(script: Script): Promise<{ port: number }> {
+  const status = {
+    member: 'a1',
+    role: 'primary',
+    currentTerm: 1,
+    logEnd: { term: 1, index: 1 },
+    applied: { term: 1, index: 1 },
+    termStarts: [{ term: 1, start: 0 }],
+  };
+  const connections = new Set<CallerConnection>();
+  const listener = createCallerListener({
+    host: DEFAULT_DATABASE_OPTIONS.host,
+    port: 0,
+    maximumPacketBytes: 1_000_000,
+    authenticate: () => undefined,
+    onConnection: (connection) => {
+      connections.add(connection);
+      const scripted: ScriptedConnection = { connection, onDrain: () => {} };
+      connection.start({
+        onCommand: (command) => {
+          if (command.type !== 'query') connection.finishOk({});
+          else if (command.sql === 'SHOW GROUP STATUS') {
+            connection.finishResult({ columns: ['status'], rows: [[JSON.stringify(status)]] });
+          } else script(scripted, command.sql);
+        },
+        onDrain: () => scripted.onDrain(),
+        onClosed: () => connections.delete(connection),
+      });
+    },
+  });
+  const { port } = await listener.listen();
+  onTestFinished(() => {
+    listener.stopAccepting();
+    connections.forEach((connection) => connection.destroy());
+  });
+  return { port };
+}
+
+const EOF_PAYLOAD = Buffer.from([0xfe, 0, 0, 2, 0]);
+const ROW_BYTES = 200;
+
+/** Sends rows of text one after the other, as long as the proxy takes them. */
+export function streamRows(
+  scripted: ScriptedConnection,
+  count: number,
+  onProduced: (rows: number) => void,
+): void {
+  const { connection } = scripted;
+  const row = Buffer.concat([Buffer.from([ROW_BYTES]), Buffer.alloc(ROW_BYTES, 'r')]);
+  const start = [Buffer.from([1]), describeColumn('text'), EOF_PAYLOAD];
+  connection.writeFrames(start.map((payload, index) => toFrames(payload, index + 1)));
+  let produced = 0;
+  const sendMore = (): void => {
+    while (produced < count && !connection.isFull) {
+      produced += 1;
+      connection.writeFrames([toFrames(row, start.length + produced)]);
+    }
+    onProduced(produced);
+    if (produced < count) return;
+    Object.assign(scripted, { onDrain: () => {} });
+    connection.finish([toFrames(EOF_PAYLOAD, start.length + produced + 1)]);
+  };
+  Object.assign(scripted, { onDrain: sendMore });
+  sendMore();
+}
+
+function describeColumn(name: string): Buffer {
+  const names = ['def', '', '', '', name, name].map((text) =>
+    Buffer.concat([Buffer.from([text.length]), Buffer.from(text)]),
+  );
+  const fixed = Buffer.from([12, 45, 0, 255, 255, 0, 0, 0xfd, 0, 0, 0, 0, 0]);
+  return Buffer.concat([...names, fixed]);
+}
--- a/packages/proxy/src/test/statementsFixture.ts
+++ b/packages/proxy/src/test/statementsFixture.ts
@@ -19,9 +19,12 @@
   type StandInDatabase,
 } from '@wisterialift/stand-in-database';
 import type { EngineRecord } from '@wisterialift/core';
-import { createStatementPath, type RequestObservation, type StatementPath } from '../index';
+import type { RequestObservation } from '../lib/statements/callerTask';
+import { createStatementPath, type StatementPath } from '../lib/statements/statementPath';
 
 export const GROUP = 'archivio-luci-1';
+/** A group of the configuration that the caller may not reach. */
+export const OTHER_GROUP = 'archivio-luci-2';
 export const CALLER = 'luce';
 export const PASSWORD = 'secret';
 
@@ -37,51 +40,38 @@
   connectMariadb: () => Promise<MariadbConnection>;
   /** A socket that speaks no protocol of its own. */
   connectRaw: () => Promise<Socket>;
-  setFaults: (member: 'a1' | 'a2' | 'a3', faults: Partial<FaultSettings>) => Promise<void>;
-  /** Rows that the primary has committed. */
-  rowsAt: (member: 'a1' | 'a2' | 'a3', sql: string) => Promise<unknown>;
+  setFaults: (member: MemberName, faults: Partial<FaultSettings>) => Promise<void>;
+  setFaultsEverywhere: (faults: Partial<FaultSettings>) => Promise<void>;
+  /** Rows that a member has committed. */
+  rowsAt: (member: MemberName, sql: string) => Promise<unknown>;
 }
 
 export interface FixtureOptions {
   kinds?: Record<string, unknown>;
   connectionLimit?: number;
   limits?: Partial<Settings['limits']>;
+  /** In place of the three databases, one that answers as a test says. */
+  scriptedPort?: number;
 }
 
+export type MemberName = 'a1' | 'a2' | 'a3';
+
 const SCHEMA_SQL = `CREATE TABLE tests (id INTEGER PRIMARY KEY AUTO_INCREMENT, name VARCHAR(100), result BLOB);
   CREATE TABLE big (id INTEGER PRIMARY KEY, text VARCHAR(100))`;
 
 /** Starts the databases and the statement path; both end with the test. */
 export async function startStatements(options: FixtureOptions = {}): Promise<StatementsFixture> {
-  const databases = await startDatabases();
+  const databases = options.scriptedPort === undefined ? await startDatabases() : undefined;
+  const ports = Object.entries(databases ?? { a1: { port: options.scriptedPort ?? 0 } });
+  const { user, password } = DEFAULT_DATABASE_OPTIONS;
   const configuration = configurationSchema.parse({
     groups: {
       [GROUP]: {
-        databases: Object.entries(databases).map(([name, { port }]) => ({
-          name,
-          host: '127.0.0.1',
-          port,
-          dataCentre: `${name}-dc`,
-          connectionLimit: 30,
-          slots: 5,
-        })),
-        user: DEFAULT_DATABASE_OPTIONS.user,
-        password: DEFAULT_DATABASE_OPTIONS.password,
-      },
-      'archivio-luci-2': {
-        databases: [
-          {
-            name: 'b1',
-            host: '127.0.0.1',
-            port: 1,
-            dataCentre: 'd',
-            connectionLimit: 30,
-            slots: 5,
-          },
-        ],
-        user: 'proxy',
-        password: 'proxy',
+        databases: ports.map(([name, { port }]) => describeDatabase(name, port)),
+        user,
+        password,
       },
+      [OTHER_GROUP]: { databases: [describeDatabase('b1', 1)], user, password },
     },
     callers: {
       [CALLER]: {
@@ -89,6 +79,7 @@
         groups: [GROUP],
         connectionLimit: options.connectionLimit ?? 100,
       },
+      other: { passwordHash: hashOf('other'), groups: [GROUP] },
     },
     kinds: options.kinds ?? {},
   });
@@ -114,8 +105,11 @@
     connect: (connectOptions) => connectTo(port, connectOptions),
     connectMariadb: () => connectWithMariadb(port),
     connectRaw: () => connectRaw(port),
-    setFaults: (member, faults) => setFaults(databases[member], faults),
-    rowsAt: (member, sql) => rowsAt(databases[member], sql),
+    setFaults: (member, faults) => setFaults(databases?.[member], faults),
+    setFaultsEverywhere: async (faults) => {
+      await Promise.all(ports.map(([name]) => setFaults(databases?.[name as MemberName], faults)));
+    },
+    rowsAt: (member, sql) => rowsAt(databases?.[member], sql),
   };
 }
 
@@ -128,14 +122,20 @@
   }
 }
 
-/** Code of the error that a promise fails with. */
-export async function errorOf(
-  promise: Promise<unknown>,
-): Promise<{ errno?: number; sqlState?: string; message: string }> {
-  return promise.then(
-    () => ({ message: 'no error' }),
-    (error: { errno?: number; sqlState?: string; message: string }) => error,
-  );
+/** Waits until a number no longer changes. */
+export async function waitUntilSteady(read: () => number): Promise<void> {
+  let last = Number.NaN;
+  let unchanged = 0;
+  await waitUntil(() => {
+    unchanged = read() === last ? unchanged + 1 : 0;
+    last = read();
+    return unchanged === 50;
+  });
+}
+
+function describeDatabase(name: string, port: number) {
+  const dataCentre = `${name}-dc`;
+  return { name, host: '127.0.0.1', port, dataCentre, connectionLimit: 30, slots: 5 };
 }
 
 async function startDatabases() {
@@ -207,10 +207,10 @@
 }
 
 async function setFaults(
-  { controlPort }: StandInDatabase,
+  database: StandInDatabase | undefined,
   faults: Partial<FaultSettings>,
 ): Promise<void> {
-  const response = await fetch(`http://127.0.0.1:${controlPort}/faults`, {
+  const response = await fetch(`http://127.0.0.1:${database?.controlPort}/faults`, {
     method: 'PUT',
     headers: { 'content-type': 'application/json' },
     body: JSON.stringify(faults),
@@ -218,9 +218,9 @@
   if (!response.ok) throw new Error(await response.text());
 }
 
-async function rowsAt({ controlPort }: StandInDatabase, sql: string): Promise<unknown> {
+async function rowsAt(database: StandInDatabase | undefined, sql: string): Promise<unknown> {
   const response = await fetch(
-    `http://127.0.0.1:${controlPort}/rows?sql=${encodeURIComponent(sql)}`,
+    `http://127.0.0.1:${database?.controlPort}/rows?sql=${encodeURIComponent(sql)}`,
   );
   return response.json();
 }
