--- a/tools/bench/src/lib/cluster/freePorts.ts
+++ b/tools/bench/src/lib/cluster/freePorts.ts
@@ -1,9 +1,24 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 
+/**
+ * The ports tried. They lie below the range from which the system gives out local ports: a port of
+ * that range that was free a moment ago may by then carry somebody's outgoing connection, which
+ * shows as "address already in use" when the program starts.
+ */
+const LOWEST_PORT = 10_000;
+const PORT_COUNT = 20_000;
+
 /** Finds ports of the loopback interface that nobody listens on. */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, openServer));
+  const servers: Server[] = [];
+  // A random start keeps trials that run side by side apart.
+  let offset = Math.floor(Math.random() * PORT_COUNT);
+  while (servers.length < count) {
+    const server = await openServer(LOWEST_PORT + (offset % PORT_COUNT));
+    if (server) servers.push(server);
+    offset += 1;
+  }
   const ports = servers.map((server) => (server.address() as AddressInfo).port);
   await Promise.all(servers.map(closeServer));
   return ports;
@@ -11,11 +26,12 @@
 
 type Server = ReturnType<typeof createServer>;
 
-function openServer(): Promise<Server> {
-  return new Promise((resolve, reject) => {
+/** Listens on the port; undefined where somebody else does. */
+function openServer(port: number): Promise<Server | undefined> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, '127.0.0.1', () => resolve(server));
+    server.once('error', () => resolve(undefined));
+    server.listen(port, '127.0.0.1', () => resolve(server));
   });
 }
 
