Take work away from a database that froze with it

A frozen database keeps its connections open, so a read sent to it waited for its whole deadline. Once the member is silent by the measure of detection, the engine breaks the attempt (abandonStatement with the new optional reportsLoss) and waits for the result 'lost': whether a part of the answer has gone to the caller is known only where the connection is owned, so the engine cannot repeat the read on its own. A write is called unknown as soon as its silent primary was replaced, and not before: until then its answer may come.

Also tests for a group left fenced without a primary and for a member that recorded a higher term alone.

--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -147,6 +147,7 @@
     timerFired: (_event, now) => {
       timerAt = undefined;
       failover.step(now);
+      requests.breakSilent(now);
     },
   };
 
--- a/packages/core/src/lib/engine/messages.ts
+++ b/packages/core/src/lib/engine/messages.ts
@@ -72,8 +72,11 @@
 /** An order of the engine to the tasks round it. @public */
 export type EngineEffect =
   | { type: 'runStatement'; requestId: string; attempt: number; member: string }
-  /** Close the upstream connection of this attempt; its late answer is never reused. */
-  | { type: 'abandonStatement'; requestId: string; attempt: number }
+  /**
+   * Close the upstream connection of this attempt; its late answer is never reused. With `reportsLoss`
+   * the request is still open, and the engine waits for `statementFinished` with the result `lost`.
+   */
+  | { type: 'abandonStatement'; requestId: string; attempt: number; reportsLoss?: true }
   /** The final answer. For `done`, the held answer of the last attempt is released to the caller. */
   | { type: 'answerRequest'; requestId: string; outcome: Outcome }
   | { type: 'askStatus'; questionId: number; member: string }
--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -33,6 +33,8 @@
   onTransactionFinished: (transactionId: string) => void;
   /** A member answered: floors, ages, confirmations and routes may have changed. */
   onAnswered: (member: Member, now: number) => void;
+  /** Ends attempts at members that have gone silent. */
+  breakSilent: (now: number) => void;
   /** Gives every request its final answer that has reached its deadline. */
   expire: (now: number) => void;
   /** Sends what may be sent. */
@@ -340,6 +342,7 @@
 
   function run(request: TrackedRequest, member: Member, now: number): void {
     request.phase = 'running';
+    request.isBroken = false;
     request.attempt += 1;
     request.member = member.name;
     request.term = termOf(member);
@@ -543,6 +546,44 @@
     }
   }
 
+  /**
+   * Guards against an answer that never comes: a frozen database keeps its connections open, and the
+   * caller would wait for its whole deadline. A read goes to another member. A write stays unknown,
+   * and is called so as soon as its primary was replaced; until then the answer may still come.
+   */
+  function breakSilent(now: number): void {
+    members
+      .list()
+      .filter((member) => places.running(member) > 0 && isSilent(member, now))
+      .forEach((member) => breakAttempts(member, now));
+  }
+
+  function isSilent(member: Member, now: number): boolean {
+    const isFailing = member.failedQuestions >= FAILURES_OF_AN_UNUSABLE_MEMBER;
+    return isFailing && now - member.silentSince >= policy.suspicionMilliseconds;
+  }
+
+  function breakAttempts(member: Member, now: number): void {
+    for (const request of requests.values()) {
+      if (request.phase !== 'running' || request.member !== member.name) continue;
+      if (!changesData(request.access)) breakAttempt(request);
+      else if ((members.knownTerm() ?? 0) > request.term) onReplacedInFlight(request, now);
+    }
+  }
+
+  /** Whether a part of the answer has reached the caller is known where the connection is owned. */
+  function breakAttempt(request: TrackedRequest): void {
+    if (request.isBroken) return;
+    const { requestId, attempt } = request;
+    request.isBroken = true;
+    emit({ type: 'abandonStatement', requestId, attempt, reportsLoss: true });
+  }
+
+  function onReplacedInFlight(request: TrackedRequest, now: number): void {
+    abandon(request, now);
+    answer(request, leftOpen(request, 'connectionLost', policy.probeIntervalMilliseconds));
+  }
+
   function onDeadline(request: TrackedRequest, now: number): void {
     if (request.phase === 'running') abandon(request, now);
     giveUp(request, reasonOf(request, now), now);
@@ -597,6 +638,7 @@
     onFinished,
     onTransactionFinished,
     onAnswered,
+    breakSilent,
     expire,
     dispatch,
     demand,
--- a/packages/core/src/lib/engine/requestTable.ts
+++ b/packages/core/src/lib/engine/requestTable.ts
@@ -28,6 +28,8 @@
   round: FloorRound | undefined;
   /** An attempt may have run; it was not refused. */
   mayHaveRun: boolean;
+  /** The running attempt was given up; its connection is being closed. */
+  isBroken: boolean;
   /** Member that failed the last attempt. */
   avoid: string | undefined;
   /** Until then a read rather waits for a replica than goes to the primary. */
@@ -85,6 +87,7 @@
       startedAt: request.arrivedAt,
       round: undefined,
       mayHaveRun: false,
+      isBroken: false,
       avoid: undefined,
       patienceUntil: undefined,
       position: undefined,
--- a/packages/core/src/test/acknowledgement.test.ts
+++ b/packages/core/src/test/acknowledgement.test.ts
@@ -103,6 +103,17 @@
     expect(scenario.member('a1').received).toEqual([write.requestId]);
   });
 
+  it('calls a write unknown once the primary that froze with it was replaced', () => {
+    // A technician stares at a spinning wheel for the whole deadline. The primary froze with the
+    // write; another one serves long since. Cause: whether it ran is not known and stays so.
+    const scenario = createScenario();
+    const write = scenario.write({ deadlineAt: scenario.now() + 60_000 });
+    scenario.member('a1').state = 'frozen';
+    scenario.runUntil(() => write.outcome !== undefined);
+    expect(write.outcome).toMatchObject({ status: 'unknown', reason: 'primaryReplaced' });
+    expect(scenario.now()).toBeLessThan(5_000);
+  });
+
   it('acknowledges nothing and says so while two of three databases are gone', () => {
     // An officer waits for a certificate that cannot be kept. Both replicas are dead; the primary
     // runs the write. Cause: one copy is no majority, so neither "done" nor "not run" is true.
--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -171,7 +171,10 @@
 
   const carriers: Carriers = {
     runStatement: (target, effect) => runStatement(target, effect),
-    abandonStatement: () => {},
+    abandonStatement: (target, { requestId, attempt, reportsLoss }) => {
+      const result: StatementResult = { kind: 'lost', answerStarted: false };
+      if (reportsLoss) later(0, () => finish(target, requestId, attempt, result));
+    },
     answerRequest: (_target, { requestId, outcome }) => {
       Object.assign(handles.get(requestId) as Handle, { outcome });
     },
@@ -251,12 +254,19 @@
     handles.get(requestId)?.sentTo.push(name);
     reach(name, (database) => {
       const result = execute(database, requestId);
-      later(linkDelay(), () =>
-        handle(target, { type: 'statementFinished', requestId, attempt, result }),
-      );
+      later(linkDelay(), () => finish(target, requestId, attempt, result));
     });
   }
 
+  function finish(
+    target: FakeInstance,
+    requestId: string,
+    attempt: number,
+    result: StatementResult,
+  ): void {
+    handle(target, { type: 'statementFinished', requestId, attempt, result });
+  }
+
   function execute(database: FakeMember, requestId: string): StatementResult {
     const request = handles.get(requestId) as Handle & { access: EngineRequest['access'] };
     if (database.state === 'down') return { kind: 'refused', reason: 'connectFailed' };
--- a/packages/core/src/test/failover.test.ts
+++ b/packages/core/src/test/failover.test.ts
@@ -130,6 +130,26 @@
     scenario.runUntil(() => scenario.recordsOf('primaryPromoted').length > 0);
   });
 
+  it('recovers a group that a promoter left fenced and without a primary', () => {
+    // Approvals stop for good although all databases are well: a proxy fenced two of them and died
+    // before it promoted one. Cause: the old primary is refused, and nobody has the new term.
+    const scenario = createScenario();
+    ['b1', 'c1'].forEach((name) => Object.assign(scenario.member(name), { currentTerm: 7 }));
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome !== undefined);
+    expect(write.outcome?.status).toBe('done');
+    expect(scenario.member('a1').currentTerm).toBeGreaterThan(7);
+  });
+
+  it('brings back a member that recorded a higher term alone', () => {
+    // One more failure and nothing is acknowledged any more: a replica recorded a term in a change
+    // of primary that came to nothing and refuses the log since. Cause: terms never go back.
+    const scenario = createScenario();
+    scenario.member('b1').currentTerm = 7;
+    scenario.runUntil(() => scenario.member('b1').log.at(-1)?.term === 8);
+    expect(scenario.member('a1').role).toBe('primary');
+  });
+
   it('hands over from a leaving primary and cuts nothing in flight', () => {
     // A planned stop breaks an approval in the middle. The primary is marked as leaving while a
     // transaction is open at it. Cause: the change of primary did not wait for work in flight.
--- a/packages/core/src/test/reads.test.ts
+++ b/packages/core/src/test/reads.test.ts
@@ -83,4 +83,17 @@
     expect(read.outcome?.status).toBe('done');
     expect(read.sentTo).toEqual(['b1', 'c1']);
   });
+
+  it('takes a read away from a replica that froze with it', () => {
+    // An officer waits at a locked door for the whole deadline. The nearest replica froze while the
+    // read ran; its connection stays open. Cause: no error comes from a database that says nothing.
+    const scenario = createScenario();
+    const read = scenario.read({ deadlineAt: scenario.now() + 10_000 });
+    scenario.runUntil(() => read.sentTo.length === 1);
+    scenario.member('b1').state = 'frozen';
+    const waited = scenario.runUntil(() => read.outcome !== undefined);
+    expect(read.outcome?.status).toBe('done');
+    expect(read.sentTo).toEqual(['b1', 'c1']);
+    expect(waited).toBeLessThan(2_000);
+  });
 });
