Measure failover gaps with writes that do not wait for each other

Writes now go out every 20 ms; those in flight without an answer a second later are counted on their own. A cold proxy took several times the processor time for a statement, so a warm-up goes before the phases. Processes of a bench that is interrupted end with it.

--- a/tools/bench/src/lib/cluster/startProgram.ts
+++ b/tools/bench/src/lib/cluster/startProgram.ts
@@ -1,4 +1,5 @@
 import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
 import { existsSync } from 'node:fs';
 import { join } from 'node:path';
 
@@ -52,6 +53,22 @@
   return found;
 }
 
+const running = new Set<ChildProcess>();
+
+/** A process that ends without stopping its trial, by an error or a signal, leaves none behind. */
+function killAll(): void {
+  running.forEach((child) => child.kill('SIGKILL'));
+}
+
+function keepUntilEnd(child: ChildProcess): void {
+  if (running.size === 0) process.once('exit', killAll);
+  running.add(child);
+  child.once('exit', () => {
+    running.delete(child);
+    if (running.size === 0) process.off('exit', killAll);
+  });
+}
+
 /** Starts a program; the caller stops it. */
 export function startProgram(options: ProgramOptions): ProgramProcess {
   const { program, programArguments, preload = [], environment = {}, onLine } = options;
@@ -64,6 +81,8 @@
   const { pid } = child;
   if (pid === undefined) throw new ProgramError(`${program} did not start`);
 
+  keepUntilEnd(child);
+
   const lines: string[] = [];
   const keepLine = (line: string): void => {
     lines.push(line);
--- a/tools/bench/src/lib/phases/measureFailover.ts
+++ b/tools/bench/src/lib/phases/measureFailover.ts
@@ -1,9 +1,11 @@
+import type { Connection } from 'mysql2/promise';
 import type { TrialDatabase } from '../cluster/startDatabase';
 import type { Trial } from '../cluster/startTrial';
 import type { TrialProxy } from '../cluster/startProxy';
 import { findErrorMeaning } from '../load/callerError';
 import type { Oracle } from '../load/createOracle';
 import { createReconnecting } from '../load/createReconnecting';
+import type { ReconnectingConnection } from '../load/createReconnecting';
 import { createTimings, pause, waitUntil } from '../load/measure';
 
 /** How a primary is made to fail. */
@@ -20,6 +22,8 @@
   unfinished: number;
   /** Longest gap after each kind of fault. */
   longestByFault: Partial<Record<PrimaryFault, number>>;
+  /** Writes in flight that had no answer a second after the group took writes again. */
+  unanswered: Partial<Record<PrimaryFault, number>>;
 }
 
 /** How often and how the primaries fail. */
@@ -34,7 +38,10 @@
 }
 
 const WRITE = 'INSERT INTO records (id, session, note) VALUES (?, ?, ?)';
-const RETRY_MILLISECONDS = 10;
+const WRITE_INTERVAL_MILLISECONDS = 20;
+const CONNECTIONS_PER_WRITER = 100;
+/** Time that writes in flight get after the group takes writes again. */
+const ANSWER_WAIT_MILLISECONDS = 1_000;
 const WRITER_TIMEOUT_MILLISECONDS = 8_000;
 const REJOIN_TIMEOUT_MILLISECONDS = 5_000;
 /** Time that writers run before the fault. */
@@ -61,16 +68,17 @@
   },
 };
 
-/** Lets primaries fail while one writer at each proxy goes on writing. */
+/** Lets primaries fail while a writer at each proxy goes on sending writes. */
 export async function measureFailover(
   trial: Trial,
   options: FailoverOptions,
 ): Promise<FailoverResult> {
   const timings = createTimings();
-  const result: Pick<FailoverResult, 'rounds' | 'unfinished' | 'longestByFault'> = {
+  const result: Omit<FailoverResult, 'gaps' | 'gapP50' | 'gapP99'> = {
     rounds: 0,
     unfinished: 0,
     longestByFault: {},
+    unanswered: {},
   };
   const recordGap = (fault: PrimaryFault, gap: number): void => {
     timings.record(gap);
@@ -81,8 +89,9 @@
       for (let round = 0; round < options.rounds; round += 1) {
         if (performance.now() > options.startNoneAfter) return;
         const fault = options.faults[(round + groupIndex) % options.faults.length] ?? 'killed';
-        const gaps = await runRound(trial, { group, fault, round, oracle: options.oracle });
-        gaps.forEach((gap) => {
+        const writers = await runRound(trial, { group, fault, round, oracle: options.oracle });
+        writers.forEach(({ gap, unanswered }) => {
+          result.unanswered[fault] = (result.unanswered[fault] ?? 0) + unanswered;
           if (gap === undefined) result.unfinished += 1;
           else recordGap(fault, gap);
         });
@@ -109,7 +118,7 @@
 async function runRound(
   trial: Trial,
   { group, fault, round, oracle }: RoundOptions,
-): Promise<(number | undefined)[]> {
+): Promise<WriterResult[]> {
   const primary = await trial.findPrimary(group);
   if (!primary) throw new Error(`group ${group} has no primary`);
   const moment = { failedAt: Infinity };
@@ -119,10 +128,10 @@
   await pause(LEAD_MILLISECONDS);
   moment.failedAt = performance.now();
   await ACTIONS[fault].begin(primary);
-  const gaps = await Promise.all(writers);
+  const results = await Promise.all(writers);
   await ACTIONS[fault].end(primary);
   await waitUntil(() => hasRejoined(trial, group, primary), REJOIN_TIMEOUT_MILLISECONDS);
-  return gaps;
+  return results;
 }
 
 /** Whether a replaced primary follows the present one and holds its log. */
@@ -144,27 +153,49 @@
   run: string;
 }
 
-/** Writes until a write that was sent after the fault is acknowledged; gives the gap. */
-async function runWriter(trial: Trial, options: WriterOptions): Promise<number | undefined> {
+/** What one writer met. */
+interface WriterResult {
+  gap: number | undefined;
+  /** Writes that were still without an answer some time after the group took writes again. */
+  unanswered: number;
+}
+
+/**
+ * Sends a write in each interval, whether or not earlier ones were answered, until one that was sent
+ * after the fault is acknowledged.
+ */
+async function runWriter(trial: Trial, options: WriterOptions): Promise<WriterResult> {
   const { proxy, group, oracle, moment, run } = options;
-  const connection = createReconnecting(() => trial.connectToProxy(proxy, group));
-  try {
-    for (let count = 0; !isOver(moment.failedAt); count += 1) {
-      const id = `${run}-${count}`;
-      const sentAt = performance.now();
-      try {
-        await connection.use((open) => open.query(WRITE, [id, run, 'test']));
-        oracle.recordWrite({ group, id, outcome: 'acknowledged' });
-        if (sentAt > moment.failedAt) return performance.now() - moment.failedAt;
-      } catch (error) {
-        oracle.recordWrite({ group, id, outcome: findErrorMeaning(error) });
-      }
-      await pause(RETRY_MILLISECONDS);
+  const open = (): Promise<Connection> => trial.connectToProxy(proxy, group);
+  const idle = Array.from({ length: CONNECTIONS_PER_WRITER }, () => createReconnecting(open));
+  const connections = [...idle];
+  const running = new Map<string, Promise<void>>();
+  let gap: number | undefined;
+
+  async function write(id: string, connection: ReconnectingConnection): Promise<void> {
+    const sentAt = performance.now();
+    try {
+      await connection.use((present) => present.query(WRITE, [id, run, 'test']));
+      oracle.recordWrite({ group, id, outcome: 'acknowledged' });
+      if (sentAt > moment.failedAt) gap ??= performance.now() - moment.failedAt;
+    } catch (error) {
+      oracle.recordWrite({ group, id, outcome: findErrorMeaning(error) });
     }
-    return undefined;
-  } finally {
-    connection.close();
+    running.delete(id);
+    idle.push(connection);
+  }
+
+  for (let count = 0; gap === undefined && !isOver(moment.failedAt); count += 1) {
+    const connection = idle.shift();
+    const id = `${run}-${count}`;
+    if (connection) running.set(id, write(id, connection));
+    await pause(WRITE_INTERVAL_MILLISECONDS);
   }
+  await Promise.race([Promise.all(running.values()), pause(ANSWER_WAIT_MILLISECONDS)]);
+  // The driver leaves the statements of a closed connection without an end, so it comes from here.
+  running.forEach((_, id) => oracle.recordWrite({ group, id, outcome: 'unknown' }));
+  connections.forEach((connection) => connection.close());
+  return { gap, unanswered: running.size };
 }
 
 function isOver(failedAt: number): boolean {
--- a/tools/bench/src/lib/phases/measureThroughput.ts
+++ b/tools/bench/src/lib/phases/measureThroughput.ts
@@ -11,7 +11,8 @@
 }
 
 const READ = 'SELECT note FROM records WHERE id = ?';
-const CONNECTIONS = 30;
+/** More than the slots of a group, few enough beside the connections that the proxies keep. */
+const CONNECTIONS = 24;
 
 /** Measures reads in a closed loop, with the same number of connections in each way. */
 export async function measureThroughput(
@@ -30,7 +31,7 @@
       share,
       READ,
       () => trial.connectToDatabase(members[0]!),
-      trial.options.connectionLimit / 2,
+      CONNECTIONS / members.length,
     );
     const proxies = await runLoop(share, `/* wisterialift kind=lookup */ ${READ}`, (index) =>
       trial.connectToProxy(trial.proxies[index % trial.proxies.length]!, group),
--- a/tools/bench/src/lib/report/renderBench.ts
+++ b/tools/bench/src/lib/report/renderBench.ts
@@ -96,7 +96,7 @@
     rows.push({
       measure: 'failover gap, p50 and p99',
       figure: `${milliseconds(failover.gapP50)} and ${milliseconds(failover.gapP99)}`,
-      baseline: `endless without a promotion; ${failover.gaps} gaps in ${failover.rounds} rounds, ${failover.unfinished} unfinished, longest ${JSON.stringify(failover.longestByFault)}`,
+      baseline: `endless without a promotion; ${failover.gaps} gaps in ${failover.rounds} rounds, ${failover.unfinished} unfinished, longest ${JSON.stringify(failover.longestByFault)}, in flight without answer 1 s later ${JSON.stringify(failover.unanswered)}`,
     });
   }
   if (falsePromotions) {
--- a/tools/bench/src/lib/runBench.ts
+++ b/tools/bench/src/lib/runBench.ts
@@ -11,10 +11,12 @@
 import { measureOverload } from './phases/measureOverload';
 import { measureReplicaReads } from './phases/measureReplicaReads';
 import { measureThroughput } from './phases/measureThroughput';
+import { warmUp } from './phases/warmUp';
 import type { BenchResult } from './report/benchResult';
 
 /** Lengths of the phases, in milliseconds where not said otherwise. */
 export interface BenchPlan {
+  warmUp: number;
   latency: number;
   throughput: number;
   reads: number;
@@ -30,10 +32,11 @@
 
 /** Ends within 50 s. */
 export const QUICK_PLAN: BenchPlan = {
+  warmUp: 2_500,
   latency: 2_400,
   throughput: 4_500,
-  reads: 3_500,
-  overload: 5_000,
+  reads: 3_000,
+  overload: 4_000,
   falsePromotions: 0,
   failoverRounds: 20,
   failover: 16_000,
@@ -43,6 +46,7 @@
 
 /** The whole measure, for each user about two minutes. */
 export const FULL_PLAN: BenchPlan = {
+  warmUp: 5_000,
   latency: 9_000,
   throughput: 15_000,
   reads: 10_000,
@@ -125,6 +129,7 @@
     }
   }
 
+  await runPhase('warm-up', () => warmUp(trial, plan.warmUp));
   await runPhase('latency', async () => {
     result.latency = await measureLatency(trial, {
       group: first,
--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -66,6 +66,7 @@
     await runRelay(programArguments[1] ?? '');
     return;
   }
+  ['SIGTERM', 'SIGINT'].forEach((signal) => process.once(signal, () => process.exit(1)));
   const flags = new Set(programArguments);
   if (flags.has('--help')) process.stdout.write(USAGE);
   else if (flags.has('--slopes')) await runSlopes(flags.has('--json'));
