Keep the executable quiet about modules that are not built in

Cause: the logger tries an optional module with require, which in a single executable knows built-in modules alone and prints a warning at each start. Change: the bundle takes the ordinary require there.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,6 +13,18 @@
   fuzz: 'tools/fuzz/src/main.ts',
 };
 
+/**
+ * In the single executable, `require` knows built-in modules alone and warns on any other. An
+ * optional module of the logger is tried at the start, so the ordinary `require` takes its place.
+ */
+const EXECUTABLE_BANNER = [
+  'try {',
+  "  if (require('node:sea').isSea()) {",
+  "    require = require('node:module').createRequire(process.execPath);",
+  '  }',
+  '} catch {}',
+].join('\n');
+
 /** Bundles one program; a program that does not bundle leaves the others usable. */
 function bundleProgram([name, path]) {
   return build({
@@ -24,6 +36,7 @@
     target: 'node20',
     format: 'cjs',
     external: ['dtrace-provider'],
+    banner: { js: EXECUTABLE_BANNER },
     logLevel: 'warning',
   });
 }
