--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -91,6 +91,7 @@
   chooseAudience,
   chooseSources,
   isWatcher,
+  type ConfigurationSource,
   type Neighbourhood,
 } from './lib/membership/audience';
 export {
--- a/packages/core/src/lib/membership/audience.ts
+++ b/packages/core/src/lib/membership/audience.ts
@@ -8,20 +8,34 @@
   instances: readonly Instance[];
 }
 
+/** Where an instance has a configuration from. @public */
+export type ConfigurationSource =
+  /** It submitted the patch itself. */
+  | 'patch'
+  /** It read it at the platform. */
+  | 'platform'
+  /** Another instance told it. */
+  | 'peer';
+
 /**
- * Whom an instance tells of a configuration that it took from the platform: everyone in its data
- * centre, and the watchers of the others, who tell theirs.
+ * Whom an instance tells of a configuration that is news to it.
  *
- * The watchers of the others would hear from the platform as well, unless it has gone down since.
+ * The submitter of a patch tells its data centre and the watchers of all others, which would hear
+ * from the platform as well unless that has gone down since. Watchers tell their data centre. An
+ * instance that does not watch and was told by another tells nobody, so that messages end.
  *
  * @public
  */
-export function chooseAudience({ self, instances }: Neighbourhood): Instance[] {
-  const watchers = new Set(namesOfAllWatchers(instances));
+export function chooseAudience(
+  options: Neighbourhood & { source: ConfigurationSource },
+): Instance[] {
+  const { self, instances, source } = options;
+  if (source === 'peer' && !isWatcher({ self, instances })) return [];
+  const farWatchers = new Set(source === 'patch' ? namesOfAllWatchers(instances) : []);
   return instances.filter(
     (instance) =>
       instance.name !== self.name &&
-      (instance.dataCentre === self.dataCentre || watchers.has(instance.name)),
+      (instance.dataCentre === self.dataCentre || farWatchers.has(instance.name)),
   );
 }
 
--- a/packages/core/src/test/membership.test.ts
+++ b/packages/core/src/test/membership.test.ts
@@ -12,7 +12,7 @@
   mergeLeaving,
   orderByRendezvous,
 } from '..';
-import type { InstanceView } from '..';
+import type { ConfigurationSource, InstanceView } from '..';
 
 const NAMES = ['p1', 'p2', 'p3', 'p4', 'p5', 'p6', 'p7'];
 
@@ -87,10 +87,20 @@
   );
   const self = instances[0]!;
 
-  it('is the own data centre and the watchers of the others', () => {
+  it('is the own data centre, and for the submitter the watchers of the others', () => {
+    const namesOfAudience = (source: ConfigurationSource): string[] =>
+      chooseAudience({ self, instances, source }).map(({ name }) => name);
     const watchers = chooseWatchers({ instances, dataCentre: 'mestre-dc' });
-    const audience = chooseAudience({ self, instances }).map(({ name }) => name);
-    expect(audience.sort()).toEqual(['p2', 'p3', ...watchers].sort());
+    expect(namesOfAudience('platform')).toEqual(['p2', 'p3']);
+    expect(namesOfAudience('patch').sort()).toEqual(['p2', 'p3', ...watchers].sort());
+  });
+
+  it('is nobody for an instance that does not watch and was told by another', () => {
+    const watchers = chooseWatchers({ instances, dataCentre: 'sesto-dc' });
+    instances.slice(0, 3).forEach((member) => {
+      const audience = chooseAudience({ self: member, instances, source: 'peer' });
+      expect(audience).toHaveLength(watchers.includes(member.name) ? 2 : 0);
+    });
   });
 
   it('asks the watchers of its data centre, and watches itself when it knows of none', () => {
