Measure rates in slices that take turns

On a machine that others use, a rate measured in one block and its baseline in the next differ by what the others did meanwhile. Each way now gets several slices in turn, and the table names the load of the machine.

--- a/tools/bench/src/lib/phases/measureFailover.ts
+++ b/tools/bench/src/lib/phases/measureFailover.ts
@@ -43,7 +43,7 @@
 /** Time that writes in flight get after the group takes writes again. */
 const ANSWER_WAIT_MILLISECONDS = 1_000;
 const WRITER_TIMEOUT_MILLISECONDS = 8_000;
-const REJOIN_TIMEOUT_MILLISECONDS = 5_000;
+const REJOIN_TIMEOUT_MILLISECONDS = 3_000;
 /** Time that writers run before the fault. */
 const LEAD_MILLISECONDS = 300;
 
--- a/tools/bench/src/lib/phases/measureOverload.ts
+++ b/tools/bench/src/lib/phases/measureOverload.ts
@@ -23,6 +23,10 @@
 
 const READ = '/* wisterialift kind=urgent */ SELECT note FROM records WHERE id = ?';
 const CONNECTIONS_PER_PROXY = 80;
+/** Proxies learn the new time of a statement before they use every slot again. */
+const SETTLE_MILLISECONDS = 2_000;
+/** Slices of each rate in turn, so that a machine that is busy at times is so for both. */
+const SLICES = 2;
 const TICK_MILLISECONDS = 5;
 
 /** Offers requests at fixed rates, whether or not earlier ones were answered. */
@@ -39,9 +43,15 @@
   const offer = (rate: number, time: number): Promise<LoadLevel> =>
     offerLoad({ connections, rate, milliseconds: time, deadline });
   try {
-    await offer(capacity / 2, 500);
-    const atCapacity = await offer(capacity, milliseconds / 2);
-    const atTwice = await offer(capacity * 2, milliseconds / 2);
+    await offer(capacity, SETTLE_MILLISECONDS);
+    const single: LoadLevel[] = [];
+    const twice: LoadLevel[] = [];
+    for (let slice = 0; slice < SLICES; slice += 1) {
+      single.push(await offer(capacity, milliseconds / 2 / SLICES));
+      twice.push(await offer(capacity * 2, milliseconds / 2 / SLICES));
+    }
+    const atCapacity = combine(single);
+    const atTwice = combine(twice);
     return { atCapacity, atTwice, goodputRatio: atTwice.goodput / atCapacity.goodput };
   } finally {
     connections.forEach((connection) => connection.destroy());
@@ -53,6 +63,19 @@
   }
 }
 
+/** Takes slices of equal length together. */
+function combine(slices: readonly LoadLevel[]): LoadLevel {
+  const sum = (value: (level: LoadLevel) => number): number =>
+    slices.reduce((total, level) => total + value(level), 0);
+  return {
+    offered: sum(({ offered }) => offered) / slices.length,
+    goodput: sum(({ goodput }) => goodput) / slices.length,
+    refused: sum(({ refused }) => refused),
+    late: sum(({ late }) => late),
+    refusalP99: Math.max(...slices.map(({ refusalP99 }) => refusalP99)),
+  };
+}
+
 async function openConnections(trial: Trial, group: string): Promise<Connection[]> {
   const connections: Connection[] = [];
   for (let count = 0; count < CONNECTIONS_PER_PROXY; count += 1) {
--- a/tools/bench/src/lib/phases/measureThroughput.ts
+++ b/tools/bench/src/lib/phases/measureThroughput.ts
@@ -11,9 +11,23 @@
 }
 
 const READ = 'SELECT note FROM records WHERE id = ?';
+const PROXY_READ = `/* wisterialift kind=lookup */ ${READ}`;
+/** Proxies learn the new time of a statement before they use every slot again. */
+const SETTLE_MILLISECONDS = 2_000;
 /** More than the slots of a group, few enough beside the connections that the proxies keep. */
 const CONNECTIONS = 24;
 
+/** A way in which clients reach the group, and what came of it so far. */
+interface Way {
+  sql: string;
+  connections: Connection[];
+  completed: number;
+  milliseconds: number;
+}
+
+/** Slices that each way gets in turn, so that a machine that is busy at times is so for all. */
+const SLICES = 4;
+
 /** Measures reads in a closed loop, with the same number of connections in each way. */
 export async function measureThroughput(
   trial: Trial,
@@ -21,23 +35,36 @@
 ): Promise<ThroughputResult> {
   const { group, milliseconds, serviceMilliseconds } = options;
   const members = trial.databasesOf(group);
-  const share = milliseconds / 3;
+  const primary = members[0]!;
   await Promise.all(members.map((member) => member.changeFaults({ serviceMilliseconds })));
-  try {
-    const direct = await runLoop(share, READ, (index) =>
+  const ways = {
+    direct: await openWay(READ, CONNECTIONS, (index) =>
       trial.connectToDatabase(members[index % members.length]!),
-    );
-    const primaryOnly = await runLoop(
-      share,
-      READ,
-      () => trial.connectToDatabase(members[0]!),
-      CONNECTIONS / members.length,
-    );
-    const proxies = await runLoop(share, `/* wisterialift kind=lookup */ ${READ}`, (index) =>
+    ),
+    primaryOnly: await openWay(READ, CONNECTIONS / members.length, () =>
+      trial.connectToDatabase(primary),
+    ),
+    proxies: await openWay(PROXY_READ, CONNECTIONS, (index) =>
       trial.connectToProxy(trial.proxies[index % trial.proxies.length]!, group),
-    );
-    return { direct, primaryOnly, proxies, ratioToDirect: proxies / direct };
+    ),
+  };
+  const all = Object.values(ways);
+  try {
+    await runSlice(ways.proxies, SETTLE_MILLISECONDS);
+    all.forEach((way) => Object.assign(way, { completed: 0, milliseconds: 0 }));
+    for (let slice = 0; slice < SLICES; slice += 1) {
+      for (const way of all) await runSlice(way, milliseconds / SLICES / all.length);
+    }
+    const proxies = rateOf(ways.proxies);
+    const direct = rateOf(ways.direct);
+    return {
+      direct,
+      primaryOnly: rateOf(ways.primaryOnly),
+      proxies,
+      ratioToDirect: proxies / direct,
+    };
   } finally {
+    all.forEach(({ connections }) => connections.forEach((connection) => connection.destroy()));
     await Promise.all(
       members.map((member) =>
         member.changeFaults({ serviceMilliseconds: trial.options.serviceMilliseconds }),
@@ -46,28 +73,38 @@
   }
 }
 
-/** Runs a statement on every connection in a closed loop; gives statements a second. */
-async function runLoop(
-  milliseconds: number,
+async function openWay(
   sql: string,
+  count: number,
   open: (index: number) => Promise<Connection>,
-  count = CONNECTIONS,
-): Promise<number> {
-  const indices = Array.from({ length: Math.floor(count) }, (_, index) => index);
+): Promise<Way> {
+  const indices = Array.from({ length: count }, (_, index) => index);
   const connections = await Promise.all(indices.map(open));
-  let completed = 0;
+  return { sql, connections, completed: 0, milliseconds: 0 };
+}
+
+/** Runs the statement on every connection of a way in a closed loop. */
+async function runSlice(way: Way, milliseconds: number): Promise<void> {
+  const { sql, connections } = way;
   const started = performance.now();
-  try {
-    await Promise.all(
-      connections.map((connection) =>
-        repeatFor(milliseconds, async () => {
-          await connection.query(sql, ['absent']);
-          completed += 1;
-        }),
-      ),
-    );
-    return (completed * 1_000) / (performance.now() - started);
-  } finally {
-    connections.forEach((connection) => connection.destroy());
-  }
+  const counts = await Promise.all(
+    connections.map(async (connection) => {
+      let completed = 0;
+      await repeatFor(milliseconds, async () => {
+        await connection.query(sql, ['absent']);
+        completed += 1;
+      });
+      return completed;
+    }),
+  );
+  const completed = counts.reduce((sum, count) => sum + count, 0);
+  Object.assign(way, {
+    completed: way.completed + completed,
+    milliseconds: way.milliseconds + performance.now() - started,
+  });
+}
+
+/** Statements a second. */
+function rateOf({ completed, milliseconds }: Way): number {
+  return (completed * 1_000) / milliseconds;
 }
--- a/tools/bench/src/lib/report/renderBench.ts
+++ b/tools/bench/src/lib/report/renderBench.ts
@@ -1,3 +1,4 @@
+import { availableParallelism, loadavg } from 'node:os';
 import type { LatencyComparison } from '../phases/measureLatency';
 import type { LoadLevel } from '../phases/measureOverload';
 import type { ReplicaReadResult } from '../phases/measureReplicaReads';
@@ -36,7 +37,11 @@
       `${measure.padEnd(widths[0])}  ${figure.padEnd(widths[1])}  ${baseline}`,
   );
   const failures = result.failures.map((failure) => `not measured: ${failure}`);
-  return [result.title, ...lines, ...failures, ''].join('\n');
+  const load = loadavg()
+    .map((value) => value.toFixed(1))
+    .join(' ');
+  const machine = `load average ${load} on ${availableParallelism()} processors`;
+  return [`${result.title} (${machine})`, ...lines, ...failures, ''].join('\n');
 }
 
 function latencyRows({ latency }: BenchResult): Row[] {
--- a/tools/bench/src/lib/runBench.ts
+++ b/tools/bench/src/lib/runBench.ts
@@ -34,13 +34,13 @@
 export const QUICK_PLAN: BenchPlan = {
   warmUp: 2_500,
   latency: 2_400,
-  throughput: 4_500,
+  throughput: 4_200,
   reads: 3_000,
   overload: 4_000,
   falsePromotions: 0,
   failoverRounds: 20,
   failover: 16_000,
-  total: 37_000,
+  total: 38_000,
   faults: ['killed', 'frozen', 'cutFromGroup'],
 };
 
