Find a dead primary sooner and duel less

Nothing listening at an address tells a dead process from a slow link, so three refused questions and half the suspicion time are enough, and a member in doubt is probed twice as fast. An instance that sees another one's new term gives it time to promote. Each change of primary in which no write was confirmed doubles the time for unconfirmed writes: with replicas that lag three seconds the group was led from one primary to the next, now it settles (test; fails without the doubling). A primary that only this instance does not reach stays (test; fails without the look at moving replicas).

--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -35,6 +35,7 @@
 const STAGGER_FACTOR = 0.25;
 const CHECK_FACTOR = 0.025;
 const LOOK_FACTOR = 0.25;
+const RIVAL_FACTOR = 0.5;
 const BACKOFF_FACTOR = 0.5;
 const FOLLOW_FACTOR = 0.5;
 const HANDOVER_GRACE_MILLISECONDS = 1_000;
@@ -87,6 +88,7 @@
     places,
     nextQuestionId: questions.nextId,
     holdsWrites,
+    onConfirmed,
     emit,
   });
   const detector = createPrimaryDetector({
@@ -151,6 +153,10 @@
     },
   };
 
+  function onConfirmed(waitedMilliseconds: number): void {
+    detector.onConfirmed(waitedMilliseconds);
+  }
+
   function holdsWrites(): boolean {
     return failover.holdsWrites();
   }
@@ -161,7 +167,7 @@
     now: number,
   ): void {
     // A refusal is an answer too: the member is there.
-    if (reason !== 'refused') members.onFailed(question.member, question.askedAt);
+    if (reason !== 'refused') members.onFailed({ ...question, reason });
     failover.onFailed({ ...question, reason }, now);
   }
 
@@ -271,6 +277,7 @@
     staggerMilliseconds: suspicionMilliseconds * STAGGER_FACTOR,
     lookMilliseconds: suspicionMilliseconds * LOOK_FACTOR,
     questionTimeoutMilliseconds,
+    rivalMilliseconds: questionTimeoutMilliseconds * RIVAL_FACTOR,
     backoffMilliseconds: suspicionMilliseconds * BACKOFF_FACTOR,
     followMilliseconds: suspicionMilliseconds * FOLLOW_FACTOR,
     handoverMilliseconds: HANDOVER_MILLISECONDS,
--- a/packages/core/src/lib/engine/memberTable.ts
+++ b/packages/core/src/lib/engine/memberTable.ts
@@ -24,6 +24,8 @@
   silentSince: number;
   /** Questions in a row that failed since the last answer. */
   failedQuestions: number;
+  /** Those of them that failed because nothing listens at the member's address. */
+  unreachableQuestions: number;
   /** When the end of its log last moved. */
   logAdvancedAt: number;
   /** No statement is sent before this time; set by refused connections. */
@@ -43,8 +45,7 @@
   majority: () => number;
   replaceDatabases: (databases: Database[], now: number) => void;
   onAnswered: (answer: Answer) => Member | undefined;
-  /** A question asked at this time failed. */
-  onFailed: (name: string, askedAt: number) => void;
+  onFailed: (failure: Failure) => void;
   /** Starts every silence anew, because the instance itself was not looking. */
   restartSilences: (now: number) => void;
   /** The highest term that a majority has recorded; undefined before a majority answered. */
@@ -65,6 +66,13 @@
   now: number;
 }
 
+/** @internal */
+export interface Failure {
+  member: string;
+  askedAt: number;
+  reason: 'timeout' | 'unreachable';
+}
+
 /**
  * Creates the table of what is known about the members of a group.
  *
@@ -97,6 +105,7 @@
     member.answeredAt = Math.max(member.answeredAt ?? askedAt, askedAt);
     member.silentSince = Math.max(member.silentSince, askedAt);
     member.failedQuestions = 0;
+    member.unreachableQuestions = 0;
     if (questionId < member.statusQuestionId) return member;
     if (!member.status || comparePositions(member.status.logEnd, status.logEnd) !== 0) {
       member.logAdvancedAt = now;
@@ -115,13 +124,20 @@
    * Only questions asked since the member was last heard count: a lost answer that was overtaken by
    * a later one, or that was due while the instance was paused, says nothing about the member.
    */
-  function onFailed(name: string, askedAt: number): void {
+  function onFailed({ member: name, askedAt, reason }: Failure): void {
     const member = byName.get(name);
-    if (member && askedAt >= member.silentSince) member.failedQuestions += 1;
+    if (!member || askedAt < member.silentSince) return;
+    member.failedQuestions += 1;
+    member.unreachableQuestions = reason === 'unreachable' ? member.unreachableQuestions + 1 : 0;
   }
 
   function restartSilences(now: number): void {
-    const fresh = { silentSince: now, failedQuestions: 0, logAdvancedAt: now };
+    const fresh = {
+      silentSince: now,
+      failedQuestions: 0,
+      unreachableQuestions: 0,
+      logAdvancedAt: now,
+    };
     members.forEach((member) => Object.assign(member, fresh));
   }
 
@@ -217,6 +233,7 @@
     roundTrip: 0,
     silentSince: now,
     failedQuestions: 0,
+    unreachableQuestions: 0,
     logAdvancedAt: now,
     avoidUntil: 0,
     trustedFromQuestionId: 0,
--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -60,6 +60,7 @@
   places: MemberPlaces;
   nextQuestionId: () => number;
   holdsWrites: () => boolean;
+  onConfirmed: (waitedMilliseconds: number) => void;
   emit: (effect: EngineEffect) => void;
 }
 
@@ -208,7 +209,8 @@
     const queue = queueOf(request);
     const offer = queue.offer(request, now);
     if (!offer.accepted) {
-      giveUp(request, 'overloaded', now);
+      const isWithoutPrimary = request.access !== 'read' && !usablePrimary(now);
+      giveUp(request, isWithoutPrimary ? 'noPrimary' : 'overloaded', now);
       return;
     }
     request.phase = 'queued';
@@ -519,7 +521,9 @@
       answer(request, discarded(policy.probeIntervalMilliseconds));
       return;
     }
-    record({ name: 'writeConfirmed', waitedMilliseconds: now - write.completedAt });
+    const waitedMilliseconds = now - write.completedAt;
+    record({ name: 'writeConfirmed', waitedMilliseconds });
+    if (settlement === 'confirmed') options.onConfirmed(waitedMilliseconds);
     answer(request, done(write.position));
   }
 
--- a/packages/core/src/lib/engine/statusPump.ts
+++ b/packages/core/src/lib/engine/statusPump.ts
@@ -26,6 +26,11 @@
 const MAXIMUM_OPEN_QUESTIONS = 2;
 /** Open questions beyond which a silent member gets no more probes. */
 const MAXIMUM_OPEN_PROBES = 8;
+/** Failed questions in a row after which a member is asked at the pace of probes only. */
+const FAILURES_OF_A_PROBED_MEMBER = 2;
+/** Unreachable members are probed faster up to this many refused questions. */
+const DOUBTED_QUESTIONS = 5;
+const DOUBT_SHARE = 0.5;
 /** Half-width of the spread of probes, in proportion to their interval. */
 const PROBE_JITTER = 0.25;
 
@@ -40,7 +45,7 @@
  *
  * Each answer serves everything that was waiting when its question was asked, so the number of
  * questions depends on round trips and not on the number of statements. A member that does not
- * answer is asked at the pace of probes only.
+ * answer twice in a row is asked at the pace of probes only.
  *
  * @internal
  */
@@ -67,12 +72,18 @@
     Object.assign(schedule, {
       lastQuestionId: ask(member, now),
       lastAskedAt: now,
-      nextProbeAt: now + policy.probeIntervalMilliseconds * jitter,
+      nextProbeAt: now + probeInterval(member) * jitter,
     });
   }
 
+  /** A dead process is told from a passing fault sooner, at the price of a few refused connections. */
+  function probeInterval({ unreachableQuestions }: Member): number {
+    const isInDoubt = unreachableQuestions > 0 && unreachableQuestions < DOUBTED_QUESTIONS;
+    return policy.probeIntervalMilliseconds * (isInDoubt ? DOUBT_SHARE : 1);
+  }
+
   function isWanted(member: Member, schedule: Schedule, demand: StatusDemand): boolean {
-    if (member.failedQuestions > 0) return false;
+    if (member.failedQuestions >= FAILURES_OF_A_PROBED_MEMBER) return false;
     const open = questions.openCount(member.name);
     if (open >= MAXIMUM_OPEN_QUESTIONS) return false;
     if (demand.fromQuestionId > schedule.lastQuestionId) return true;
--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -6,6 +6,7 @@
 import { orderByRendezvous } from '../membership/rendezvous';
 import { createFailoverLifecycle } from './failoverMachine';
 import type { FailoverPhase, Suspicion } from './failoverMachine';
+import { REFUSALS_OF_A_DEAD_MEMBER } from './primaryDetector';
 import type { PrimaryDetector } from './primaryDetector';
 
 /** @internal */
@@ -53,6 +54,8 @@
   /** Shortest time of the look before a fence at a silent primary. */
   lookMilliseconds: number;
   questionTimeoutMilliseconds: number;
+  /** How long another instance that has fenced is given to promote. */
+  rivalMilliseconds: number;
   /** Middle of the random pause after a change of primary that came to nothing. */
   backoffMilliseconds: number;
   /** Pause between two orders to follow to the same member. */
@@ -116,6 +119,8 @@
   let silentSince = 0;
   let learnedTerm = 0;
   let highestBid = 0;
+  let highestSeen = 0;
+  let rivalSeenAt = Number.NEGATIVE_INFINITY;
   let checkedAt = Number.NEGATIVE_INFINITY;
   let checkedPrimary: Member | undefined;
 
@@ -171,11 +176,23 @@
       return;
     }
     if (now < lifecycle.context().dueAt || mustFinishFirst(suspicion, now)) return;
+    if (hasRival(now)) return;
     const fromQuestionId = options.nextQuestionId();
     lifecycle.send({ type: 'TURN_CAME', fromQuestionId, dueAt: now + lookTime(suspicion) });
     options.askAll(now);
   }
 
+  /** Another instance is changing the primary; its promotion would only be undone. */
+  function hasRival(now: number): boolean {
+    return now - rivalSeenAt < times.rivalMilliseconds;
+  }
+
+  function watchRivals(now: number): void {
+    const term = members.highestTerm();
+    if (term > highestSeen && highestSeen > 0 && term > highestBid) rivalSeenAt = now;
+    highestSeen = Math.max(highestSeen, term);
+  }
+
   /** Long enough for an answer over the link to the suspect as it was, with room for variation. */
   function lookTime({ member }: Suspicion): number {
     const roundTrip = members.get(member)?.roundTrip ?? 0;
@@ -202,12 +219,18 @@
     const fresh = members.list().filter((member) => member.statusQuestionId >= fromQuestionId);
     const hasMajority = fresh.length >= members.majority();
     const hasTime = now < dueAt;
-    const needsWholeLook = suspicion.cause === 'silent';
+    const needsWholeLook = suspicion.cause === 'silent' && !hasRefusedLook();
     if (hasTime && (needsWholeLook || !hasMajority)) return;
-    if (hasMajority) startFence(suspicion, now);
+    if (hasMajority && !hasRival(now)) startFence(suspicion, now);
     else fail(now);
   }
 
+  /** Nothing listens at the suspect's address: there is no slow answer to wait for. */
+  function hasRefusedLook(): boolean {
+    const suspect = members.get(suspicionOf().member);
+    return suspect !== undefined && suspect.unreachableQuestions >= REFUSALS_OF_A_DEAD_MEMBER;
+  }
+
   function startFence(suspicion: Suspicion, now: number): void {
     const term = Math.max(members.highestTerm(), highestBid) + 1;
     highestBid = term;
@@ -309,6 +332,7 @@
       silentMilliseconds: now - silentSince,
     });
     learnedTerm = Math.max(learnedTerm, term);
+    detector.onPrimaryChanged();
     emit({ type: 'publishPrimary', term, primary: primary.name });
     lifecycle.send({ type: 'PROMOTED' });
     ballot = { open: new Map(), grants: new Map() };
@@ -331,6 +355,7 @@
   function step(now: number): void {
     if (isQuiet(now)) return;
     checkedAt = now;
+    watchRivals(now);
     checkedPrimary = members.primary();
     phaseHandlers[lifecycle.phase()](now);
     learnPrimary();
@@ -340,6 +365,7 @@
   function learnPrimary(): void {
     const primary = members.primary();
     if (!primary || termOf(primary) <= learnedTerm) return;
+    if (learnedTerm > 0) detector.onPrimaryChanged();
     learnedTerm = termOf(primary);
     record({ name: 'primaryLearned', term: learnedTerm, member: primary.name });
   }
--- a/packages/core/src/lib/failover/primaryDetector.ts
+++ b/packages/core/src/lib/failover/primaryDetector.ts
@@ -23,10 +23,20 @@
   /** Whether a suspicion raised before still stands; stricter in time limits than raising it. */
   stillStands: (suspicion: Suspicion, now: number) => boolean;
   onPaused: (now: number) => void;
+  /** A write was confirmed this long after it had completed. */
+  onConfirmed: (waitedMilliseconds: number) => void;
+  /** Another primary was learned. */
+  onPrimaryChanged: () => void;
 }
 
 /** Questions in a row that must have failed before a member counts as silent. */
 const FAILURES_OF_A_SILENT_MEMBER = 2;
+/** Refused connections in a row that tell a dead process from a slow link. @internal */
+export const REFUSALS_OF_A_DEAD_MEMBER = 3;
+/** Part of the suspicion time after which a dead process counts as silent. */
+const DEAD_MEMBER_SHARE = 0.5;
+/** Doublings of the time for unconfirmed writes at most. */
+const MAXIMUM_DOUBLINGS = 4;
 /** Log entries by which the successor of a leaving primary may be behind when the change starts. */
 const HANDOVER_LAG_ENTRIES = 100;
 
@@ -36,9 +46,13 @@
  * - `silent`: no answer for the suspicion time, several questions in a row failed (one lost answer
  *   shows as one failure), a majority of the others answers, and the furthest replica stands still.
  *   A replica that moves on has heard from the primary, so only this instance's link to it is bad.
+ *   Where nothing listens at its address any more, half the time is enough: a link that loses or
+ *   delays packets does not refuse connections.
  * - `unconfirmed`: the primary answers, a write has waited, and enough members to fence without the
  *   primary answer while their logs stand still. That is a primary cut from its group. A lagging
- *   replica alone never matches: the other one moves.
+ *   replica alone never matches: the other one moves. Where all of them lag longer than that, each
+ *   change of primary in which no write was confirmed doubles the time, so that a slow group is not
+ *   taken through one primary after the other.
  * - `absent`: a majority answers and none is the primary of the known term, for example after a
  *   promoter died between fencing and promoting.
  * - `leaving`: the primary is to go and a successor has caught up.
@@ -54,6 +68,7 @@
 }): PrimaryDetector {
   const { members, times, oldestHeldWrite } = options;
   const since = new Map<SuspicionCause, number>();
+  let doublings = 0;
 
   function hasLasted(cause: SuspicionCause, holds: boolean, time: number, now: number): boolean {
     if (!holds) {
@@ -79,7 +94,12 @@
 
   function isSilent(member: Member, now: number): boolean {
     if (member.failedQuestions < FAILURES_OF_A_SILENT_MEMBER) return false;
-    return now - member.silentSince >= times.suspicionMilliseconds;
+    return now - member.silentSince >= silenceOf(member);
+  }
+
+  function silenceOf({ unreachableQuestions }: Member): number {
+    const isDead = unreachableQuestions >= REFUSALS_OF_A_DEAD_MEMBER;
+    return times.suspicionMilliseconds * (isDead ? DEAD_MEMBER_SHARE : 1);
   }
 
   function hasMovingReplica(primary: Member, now: number): boolean {
@@ -87,7 +107,7 @@
       .filter((member) => termOf(member) === termOf(primary))
       .sort((left, right) => comparePositions(logEndOf(right), logEndOf(left)))[0];
     if (!furthest || !hasAnswered(furthest, times.suspicionMilliseconds, now)) return false;
-    return now - furthest.logAdvancedAt < times.suspicionMilliseconds;
+    return now - furthest.logAdvancedAt < silenceOf(primary);
   }
 
   function isPrimarySilent(primary: Member, now: number): boolean {
@@ -99,11 +119,12 @@
   function isCutFromGroup(primary: Member, now: number): boolean {
     const write = oldestHeldWrite();
     if (!write || write.term !== termOf(primary)) return false;
-    if (now - write.completedAt < times.unconfirmedMilliseconds) return false;
+    const patience = times.unconfirmedMilliseconds * 2 ** doublings;
+    if (now - write.completedAt < patience) return false;
     if (!hasAnswered(primary, times.suspicionMilliseconds, now)) return false;
     const standingStill = answering(othersThan(primary), now).filter(
       (member) =>
-        now - member.logAdvancedAt >= times.unconfirmedMilliseconds &&
+        now - member.logAdvancedAt >= patience &&
         comparePositions(logEndOf(member), logEndOf(primary)) < 0,
     );
     return hasMajority(standingStill);
@@ -168,6 +189,12 @@
     findSuspicion,
     stillStands: (suspicion, now) => standing[suspicion.cause](suspicion, now),
     onPaused: () => since.clear(),
+    onConfirmed: (waitedMilliseconds) => {
+      if (waitedMilliseconds < times.unconfirmedMilliseconds) doublings = 0;
+    },
+    onPrimaryChanged: () => {
+      if (oldestHeldWrite()) doublings = Math.min(doublings + 1, MAXIMUM_DOUBLINGS);
+    },
   };
 }
 
--- a/packages/core/src/test/failover.test.ts
+++ b/packages/core/src/test/failover.test.ts
@@ -57,6 +57,36 @@
     expect(scenario.member('a1').currentTerm).toBe(1);
   });
 
+  it('settles down where every replica lags longer than the time for unconfirmed writes', () => {
+    // Approvals are discarded one after the other on a day with a slow network between the databases.
+    // Replication takes three seconds, writes are rare. Cause: replicas that stand still because
+    // nothing has reached them yet look cut off, under the next primary too.
+    const scenario = createScenario();
+    ['a1', 'b1', 'c1'].forEach((name) => {
+      scenario.member(name).lagMilliseconds = 3_000;
+    });
+    const outcomes = Array.from({ length: 10 }, () => {
+      const write = scenario.write({ deadlineAt: scenario.now() + 8_000 });
+      scenario.runUntil(() => write.outcome !== undefined);
+      return write.outcome?.status;
+    });
+    expect(outcomes.slice(-5)).toEqual(Array(5).fill('done'));
+    expect(scenario.recordsOf('primaryPromoted').length).toBeLessThanOrEqual(2);
+  });
+
+  it('keeps a primary that only this instance does not reach', () => {
+    // Approvals of all offices stop because one proxy has a bad line to the primary.
+    // The others write on. Cause: silence at one instance says nothing about the primary where the
+    // replicas still receive its log.
+    const scenario = createScenario({ instances: ['p1', 'p2'] });
+    scenario.instance('p1').unreachable.add('a1');
+    for (let count = 0; count < 100; count += 1) {
+      scenario.write({}, 'p2');
+      scenario.run(50);
+    }
+    expect(scenario.recordsOf('termFenced')).toEqual([]);
+  });
+
   it('deposes nobody after a pause of the instance itself', () => {
     // Approvals stop for a second although every database is well. The proxy was frozen for longer
     // than any limit; when it goes on, all its answers are old and its questions have timed out.
