Split the task of a caller connection by what it owns

Answers, session, requests, transaction and prepared statements are now modules that own their part of the state; the task wires them to the commands.

--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -22,5 +22,5 @@
   type StatementPath,
   type StatementPathOptions,
 } from './lib/statements/statementPath';
-export { type RequestObservation } from './lib/statements/callerTask';
-export { callerErrorCode } from './lib/statements/callerErrors';
+export { type RequestObservation } from './lib/statements/caller/callerTypes';
+export { callerErrorCode } from './lib/statements/caller/callerErrors';
--- a/packages/proxy/src/lib/process/requestMeter.ts
+++ b/packages/proxy/src/lib/process/requestMeter.ts
@@ -1,7 +1,7 @@
 import type { ServiceLevel } from '@wisterialift/schema';
 import { createBurnCounters, createLatencyRecorder } from '@wisterialift/telemetry';
 import type { BurnSeries, LatencySummary } from '@wisterialift/telemetry';
-import type { RequestObservation } from '../statements/callerTask';
+import type { RequestObservation } from '../statements/caller/callerTypes';
 
 /** Measures every request for the burn report and the latency summaries. @internal */
 export interface RequestMeter {
--- a/packages/proxy/src/lib/statements/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -9,8 +9,8 @@
 } from '@wisterialift/core';
 import type { CompletedAnswer, ControlQuestion } from '@wisterialift/mysql';
 import { parsePosition, type Outcome, type UpstreamGroup } from '@wisterialift/schema';
-import { createMailbox } from './mailbox';
-import type { GroupMessage, GroupPort, TransactionStatement } from './messages';
+import { createMailbox } from '../mailbox';
+import type { GroupMessage, GroupPort, TransactionStatement } from '../taskMessages';
 import { createStatementRun, endAttempt, type StatementRun } from './statementRun';
 import { createUpstreamMembers, type UpstreamConnectionCount } from './upstreamMembers';
 import type { Lease } from './upstreamPool';
--- a/packages/proxy/src/lib/statements/statementPath.ts
+++ b/packages/proxy/src/lib/statements/statementPath.ts
@@ -12,18 +12,13 @@
   type SqlError,
 } from '@wisterialift/mysql';
 import type { Configuration, Settings } from '@wisterialift/schema';
-import { callerError } from './callerErrors';
-import {
-  createCallerTask,
-  type CallerTask,
-  type GroupServices,
-  type RequestObservation,
-  type Retirement,
-} from './callerTask';
-import { createGroupTask, type GroupTask } from './groupTask';
-import { checkGroup, checkLogin, findCaller } from './loginCheck';
-import { createPreparedDescriptions } from './preparedDescriptions';
-import type { UpstreamConnectionCount } from './upstreamMembers';
+import { callerError } from './caller/callerErrors';
+import { createCallerTask, type CallerTask } from './caller/callerTask';
+import type { GroupServices, RequestObservation, Retirement } from './caller/callerTypes';
+import { createGroupTask, type GroupTask } from './group/groupTask';
+import { checkGroup, checkLogin, findCaller } from './caller/loginCheck';
+import { createPreparedDescriptions } from './caller/preparedDescriptions';
+import type { UpstreamConnectionCount } from './group/upstreamMembers';
 
 /** A decision of a group's engine, for the log and the counts. @public */
 export interface GroupRecord {
--- a/packages/proxy/src/lib/statements/messages.ts
+++ b/packages/proxy/src/lib/statements/taskMessages.ts
@@ -2,8 +2,8 @@
 import type { CompletedAnswer, UpstreamStatement } from '@wisterialift/mysql';
 import type { Outcome, UpstreamGroup } from '@wisterialift/schema';
 import type { Mailbox } from './mailbox';
-import type { StatementRun } from './statementRun';
-import type { Lease, LeaseFailure } from './upstreamPool';
+import type { StatementRun } from './group/statementRun';
+import type { Lease, LeaseFailure } from './group/upstreamPool';
 
 /** What a caller task is told about its statements. @internal */
 export type CallerMessage =
--- a/packages/proxy/src/test/statementsFixture.ts
+++ b/packages/proxy/src/test/statementsFixture.ts
@@ -19,7 +19,7 @@
   type StandInDatabase,
 } from '@wisterialift/stand-in-database';
 import type { EngineRecord } from '@wisterialift/core';
-import type { RequestObservation } from '../lib/statements/callerTask';
+import type { RequestObservation } from '../lib/statements/caller/callerTypes';
 import { createStatementPath, type StatementPath } from '../lib/statements/statementPath';
 
 export const GROUP = 'archivio-luci-1';
