--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,5 @@
-// Builds dist/wisterialift: one executable that needs no installed Node.js.
+// Builds dist/wisterialift: one executable that needs no installed Node.js. With --bundled it takes the
+// bundle that is there.
 import { execFileSync } from 'node:child_process';
 import { chmodSync, copyFileSync, writeFileSync } from 'node:fs';
 
@@ -12,7 +13,7 @@
   execFileSync(command, commandArguments, { stdio: ['ignore', 'ignore', 'inherit'] });
 }
 
-run('node', ['scripts/bundle.mjs']);
+if (!process.argv.includes('--bundled')) run('node', ['scripts/bundle.mjs']);
 writeFileSync(
   SEA_CONFIG,
   JSON.stringify({
