Ask again when an answer is late, not at its timeout

While something waits, a lost question kept its member unasked until its timeout of 250 ms. A question that is late by three usual round trips (20 ms at least) is now followed by another one, the order to promote is repeated likewise, and a fence waits for answers as long as the links need.

--- a/packages/core/src/lib/engine/statusPump.ts
+++ b/packages/core/src/lib/engine/statusPump.ts
@@ -23,7 +23,12 @@
 }
 
 /** Status questions to one member that are open at the same time because something waits. */
-const MAXIMUM_OPEN_QUESTIONS = 2;
+const MAXIMUM_OPEN_QUESTIONS = 3;
+/** Open questions up to which another one is asked for a floor or a confirmation that came later. */
+const MAXIMUM_OVERLAPPING = 2;
+/** An answer is late after this many usual round trips, and never sooner than the time below. */
+const LATE_ROUND_TRIPS = 3;
+const SHORTEST_LATENESS_MILLISECONDS = 20;
 /** Open questions beyond which a silent member gets no more probes. */
 const MAXIMUM_OPEN_PROBES = 8;
 /** Failed questions in a row after which a member is asked at the pace of probes only. */
@@ -82,12 +87,23 @@
     return policy.probeIntervalMilliseconds * (isInDoubt ? DOUBT_SHARE : 1);
   }
 
-  function isWanted(member: Member, schedule: Schedule, demand: StatusDemand): boolean {
+  /** A lost question would otherwise keep what waits until its timeout. */
+  function isLate(member: Member, schedule: Schedule, now: number): boolean {
+    const usual = Math.max(SHORTEST_LATENESS_MILLISECONDS, LATE_ROUND_TRIPS * member.roundTrip);
+    return now - schedule.lastAskedAt >= usual;
+  }
+
+  function isWanted(
+    member: Member,
+    schedule: Schedule,
+    demand: StatusDemand,
+    now: number,
+  ): boolean {
     if (member.failedQuestions >= FAILURES_OF_A_PROBED_MEMBER) return false;
     const open = questions.openCount(member.name);
     if (open >= MAXIMUM_OPEN_QUESTIONS) return false;
-    if (demand.fromQuestionId > schedule.lastQuestionId) return true;
-    return demand.isContinuous && open === 0;
+    if (demand.fromQuestionId > schedule.lastQuestionId) return open < MAXIMUM_OVERLAPPING;
+    return demand.isContinuous && (open === 0 || isLate(member, schedule, now));
   }
 
   function stepMember(member: Member, demand: StatusDemand, now: number): number {
@@ -97,7 +113,7 @@
       else schedule.nextProbeAt = now + policy.probeIntervalMilliseconds;
       return schedule.nextProbeAt;
     }
-    if (!isWanted(member, schedule, demand)) return schedule.nextProbeAt;
+    if (!isWanted(member, schedule, demand, now)) return schedule.nextProbeAt;
     const earliest = schedule.lastAskedAt + demand.paceMilliseconds;
     if (now < earliest) return Math.min(earliest, schedule.nextProbeAt);
     askMember(member, schedule, now);
--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -89,7 +89,8 @@
 /** Lost answers to a promotion after which it is given up; the order itself is idempotent. */
 const PROMOTION_ATTEMPTS = 3;
 
-const ROUND_TRIPS_OF_A_LOOK = 3;
+/** Round trips within which an answer comes, unless it was lost. */
+const ROUND_TRIPS_OF_AN_ANSWER = 3;
 
 /** Causes for which every answer is waited for, so that the best successor can be chosen. */
 const CAUSES_WITHOUT_HASTE = new Set(['leaving', 'stranded', 'absent']);
@@ -115,6 +116,7 @@
   let isDraining = false;
   let ballot: Ballot = { open: new Map(), grants: new Map() };
   let promotionAttempts = 0;
+  let promotionOrderedAt = 0;
   let suspectedSince = 0;
   let silentSince = 0;
   let learnedTerm = 0;
@@ -178,7 +180,11 @@
     if (now < lifecycle.context().dueAt || mustFinishFirst(suspicion, now)) return;
     if (hasRival(now)) return;
     const fromQuestionId = options.nextQuestionId();
-    lifecycle.send({ type: 'TURN_CAME', fromQuestionId, dueAt: now + lookTime(suspicion) });
+    lifecycle.send({
+      type: 'TURN_CAME',
+      fromQuestionId,
+      dueAt: now + answerTime(members.get(suspicion.member)),
+    });
     options.askAll(now);
   }
 
@@ -193,10 +199,10 @@
     highestSeen = Math.max(highestSeen, term);
   }
 
-  /** Long enough for an answer over the link to the suspect as it was, with room for variation. */
-  function lookTime({ member }: Suspicion): number {
-    const roundTrip = members.get(member)?.roundTrip ?? 0;
-    return Math.max(times.lookMilliseconds, ROUND_TRIPS_OF_A_LOOK * roundTrip);
+  /** Long enough for an answer over the link to the member as it was, with room for variation. */
+  function answerTime(member: Member | undefined): number {
+    const roundTrip = member?.roundTrip ?? 0;
+    return Math.max(times.lookMilliseconds, ROUND_TRIPS_OF_AN_ANSWER * roundTrip);
   }
 
   /** A planned change cuts nothing: it waits for what this instance has in flight, for a time. */
@@ -234,10 +240,11 @@
   function startFence(suspicion: Suspicion, now: number): void {
     const term = Math.max(members.highestTerm(), highestBid) + 1;
     highestBid = term;
-    const dueAt = now + times.questionTimeoutMilliseconds;
+    const targets = fenceTargets(suspicion);
+    const dueAt = now + Math.max(...targets.map(answerTime));
     lifecycle.send({ type: 'UPHELD', term, dueAt });
     ballot = { open: new Map(), grants: new Map() };
-    fenceTargets(suspicion).forEach((member) => {
+    targets.forEach((member) => {
       ballot.open.set(order({ type: 'fence', member: member.name, term }, now), member.name);
     });
   }
@@ -275,6 +282,7 @@
     record({ name: 'termFenced', term, members: granted });
     const candidate = chooseCandidate();
     promotionAttempts = 0;
+    ballot.open.clear();
     lifecycle.send({
       type: 'FENCED',
       candidate,
@@ -310,7 +318,8 @@
     const { candidate, term } = lifecycle.context();
     promotionAttempts += 1;
     const questionId = order({ type: 'promote', member: candidate, term }, now);
-    ballot.open = new Map([[questionId, candidate]]);
+    ballot.open.set(questionId, candidate);
+    promotionOrderedAt = now;
   }
 
   function onPromoting(now: number): void {
@@ -321,6 +330,13 @@
       return;
     }
     if (members.highestTerm() > term || now >= dueAt) fail(now);
+    else if (isPromotionLate(primary, now)) orderPromotion(now);
+  }
+
+  /** The order to promote is idempotent, so it is repeated before its timeout: writes are waiting. */
+  function isPromotionLate(candidate: Member | undefined, now: number): boolean {
+    if (promotionAttempts >= PROMOTION_ATTEMPTS) return false;
+    return now - promotionOrderedAt >= answerTime(candidate);
   }
 
   function finishPromotion(primary: Member, now: number): void {
@@ -404,8 +420,8 @@
   }
 
   function onPromotionFailed(reason: FailoverFailure['reason'], now: number): void {
-    if (reason === 'refused' || promotionAttempts >= PROMOTION_ATTEMPTS) fail(now);
-    else orderPromotion(now);
+    if (reason === 'refused') fail(now);
+    else step(now);
   }
 
   return {
