Fence the next term at once when answers got lost

A change of primary over a lossy link spent its time in back-offs after fences whose answers were lost. Without a refusal, which would show a rival, up to three terms are now fenced one after the other; the fence reaches the suspect too, so each is a fresh question to it.

--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -84,10 +84,17 @@
 interface Ballot {
   open: Map<number, string>;
   grants: Map<string, MemberStatus>;
+  hasRefusal: boolean;
+}
+
+function emptyBallot(): Ballot {
+  return { open: new Map(), grants: new Map(), hasRefusal: false };
 }
 
 /** Lost answers to a promotion after which it is given up; the order itself is idempotent. */
 const PROMOTION_ATTEMPTS = 3;
+/** Terms that are fenced one after the other before the next back-off. */
+const FENCE_ATTEMPTS = 3;
 
 /** Round trips within which an answer comes, unless it was lost. */
 const ROUND_TRIPS_OF_AN_ANSWER = 3;
@@ -114,7 +121,8 @@
   const lifecycle = createFailoverLifecycle();
   let liveInstances: string[] = [];
   let isDraining = false;
-  let ballot: Ballot = { open: new Map(), grants: new Map() };
+  let ballot: Ballot = emptyBallot();
+  let fenceAttempts = 0;
   let promotionAttempts = 0;
   let promotionOrderedAt = 0;
   let suspectedSince = 0;
@@ -148,13 +156,13 @@
     const { suspicion } = lifecycle.context();
     if (suspicion) record({ name: 'suspicionCleared', member: suspicion.member });
     lifecycle.send({ type: 'CLEARED' });
-    ballot = { open: new Map(), grants: new Map() };
+    ballot = emptyBallot();
     suspectedSince = now;
   }
 
   function fail(now: number): void {
     lifecycle.send({ type: 'FAILED', dueAt: backoffEnd(now) });
-    ballot = { open: new Map(), grants: new Map() };
+    ballot = emptyBallot();
   }
 
   function onSteady(now: number): void {
@@ -227,6 +235,7 @@
     const hasTime = now < dueAt;
     const needsWholeLook = suspicion.cause === 'silent' && !hasRefusedLook();
     if (hasTime && (needsWholeLook || !hasMajority)) return;
+    fenceAttempts = 0;
     if (hasMajority && !hasRival(now)) startFence(suspicion, now);
     else fail(now);
   }
@@ -243,7 +252,7 @@
     const targets = fenceTargets(suspicion);
     const dueAt = now + Math.max(...targets.map(answerTime));
     lifecycle.send({ type: 'UPHELD', term, dueAt });
-    ballot = { open: new Map(), grants: new Map() };
+    ballot = emptyBallot();
     targets.forEach((member) => {
       ballot.open.set(order({ type: 'fence', member: member.name, term }, now), member.name);
     });
@@ -269,7 +278,19 @@
     const canStillWin = granted + ballot.open.size >= majority && now < dueAt;
     if (canStillWin) return;
     record({ name: 'fenceFailed', term, granted, needed: majority });
-    fail(now);
+    if (mayFenceAgain(now)) startFence(suspicionOf(), now);
+    else fail(now);
+  }
+
+  /**
+   * Answers that got lost call for the next term at once: the fence reached the primary too and was
+   * a fresh question to it, and the member that granted can follow no lower term any more. A refusal
+   * shows a rival, and then the back-off comes first.
+   */
+  function mayFenceAgain(now: number): boolean {
+    fenceAttempts += 1;
+    if (ballot.hasRefusal || fenceAttempts >= FENCE_ATTEMPTS) return false;
+    return !isDraining && !hasRival(now) && detector.stillStands(suspicionOf(), now);
   }
 
   function isWorthWaiting(): boolean {
@@ -351,7 +372,7 @@
     detector.onPrimaryChanged();
     emit({ type: 'publishPrimary', term, primary: primary.name });
     lifecycle.send({ type: 'PROMOTED' });
-    ballot = { open: new Map(), grants: new Map() };
+    ballot = emptyBallot();
   }
 
   const phaseHandlers: Record<FailoverPhase, (now: number) => void> = {
@@ -415,6 +436,7 @@
 
   function onFailed({ kind, questionId, reason }: FailoverFailure, now: number): void {
     if (!ballot.open.delete(questionId)) return;
+    if (reason === 'refused') ballot.hasRefusal = true;
     if (kind === 'promote') onPromotionFailed(reason, now);
     else step(now);
   }
--- a/packages/core/src/lib/failover/failoverMachine.ts
+++ b/packages/core/src/lib/failover/failoverMachine.ts
@@ -107,6 +107,9 @@
     fencing: {
       on: {
         CLEARED: 'steady',
+        UPHELD: {
+          actions: assign(({ event }) => ({ term: event.term, dueAt: event.dueAt })),
+        },
         FENCED: {
           target: 'promoting',
           actions: assign(({ event }) => ({ candidate: event.candidate, dueAt: event.dueAt })),
