Move open transactions out of the group task

The group task held the states of attempts and of transactions together.

Found on the way: when a caller left just as its BEGIN was answered, the transaction stayed open at the group with nobody to end it. The withdrawal now ends it.

--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -8,10 +8,12 @@
   type StatementResult,
 } from '@wisterialift/core';
 import type { CompletedAnswer, ControlQuestion } from '@wisterialift/mysql';
-import { parsePosition, type Outcome, type UpstreamGroup } from '@wisterialift/schema';
+import type { UpstreamGroup } from '@wisterialift/schema';
 import { createMailbox } from '../mailbox';
 import type { GroupMessage, GroupPort, TransactionStatement } from '../taskMessages';
+import { TRANSACTION_DISCARDED, resultOf, transactionOutcomeOf } from './statementResult';
 import { createStatementRun, endAttempt, type StatementRun } from './statementRun';
+import { createTransactionTable } from './transactionTable';
 import { createUpstreamMembers, type UpstreamConnectionCount } from './upstreamMembers';
 import type { Lease } from './upstreamPool';
 
@@ -37,13 +39,6 @@
   stop: () => void;
 }
 
-interface OpenTransaction {
-  lease: Lease;
-  caller: StatementRun['caller'];
-  /** The statement that runs on the connection now. */
-  run: StatementRun | undefined;
-}
-
 type MessageHandlers = {
   [Type in GroupMessage['type']]: (message: Extract<GroupMessage, { type: Type }>) => void;
 };
@@ -52,20 +47,8 @@
   [Type in EngineEffect['type']]: (effect: Extract<EngineEffect, { type: Type }>) => void;
 };
 
-/** The database's refusal of a write where it is no primary: nothing of it ran. */
-const NOT_PRIMARY_ERROR = 1290;
-
 const SWEEP_INTERVAL_MILLISECONDS = 1_000;
 
-/** When a transaction whose connection broke may be tried again, in milliseconds. */
-const TRANSACTION_RETRY_MILLISECONDS = 100;
-
-const IMPLICITLY_COMMITTED: Outcome = {
-  status: 'unknown',
-  reason: 'connectionLost',
-  retryAfterMilliseconds: TRANSACTION_RETRY_MILLISECONDS,
-};
-
 /**
  * Starts the task of a group.
  *
@@ -78,9 +61,6 @@
   const { group, clock, policy, instance } = options;
   const { post } = createMailbox<GroupMessage>(onMessage);
   const runs = new Map<string, StatementRun>();
-  const transactions = new Map<string, OpenTransaction>();
-  /** Transactions whose connection is being reset, by that connection. */
-  const resets = new Map<Lease, string>();
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
 
@@ -99,6 +79,14 @@
     onLeaseClosed: (lease) => post({ type: 'leaseClosed', lease }),
   });
   members.update(options.upstreamGroup);
+  const transactions = createTransactionTable({
+    clock,
+    release: members.release,
+    onResetAnswered: (lease) => post({ type: 'transactionReset', lease }),
+    onFinished: (transactionId) => {
+      post({ type: 'engineEvent', event: { type: 'transactionFinished', transactionId } });
+    },
+  });
   const sweepTimer = setInterval(sweep, SWEEP_INTERVAL_MILLISECONDS);
 
   const messageHandlers: MessageHandlers = {
@@ -112,14 +100,18 @@
     },
     requestWithdrawn: ({ requestId }) => {
       const run = runs.get(requestId);
-      if (!run) return;
+      if (!run) {
+        // The answer to a BEGIN and the caller's end have crossed.
+        transactions.end(requestId, false);
+        return;
+      }
       runs.delete(requestId);
       feed({ type: 'requestCancelled', requestId });
       // The engine knows nothing of statements within a transaction.
       dropAttempt(run);
     },
     transactionStatementSubmitted: ({ statement }) => runInTransaction(statement),
-    transactionEnded: ({ transactionId, isClean }) => endTransaction(transactionId, isClean),
+    transactionEnded: ({ transactionId, isClean }) => transactions.end(transactionId, isClean),
     flowChanged: ({ requestId, isPaused }) => {
       const connection = runs.get(requestId)?.lease?.connection;
       if (isPaused) connection?.pause();
@@ -144,12 +136,8 @@
     statementLost: ({ run, attempt }) => {
       if (run.attempt === attempt) onLost(run);
     },
-    leaseClosed: ({ lease }) => onLeaseClosed(lease),
-    transactionReset: ({ lease, transactionId }) => {
-      if (!resets.delete(lease)) return;
-      members.release(lease);
-      feed({ type: 'transactionFinished', transactionId });
-    },
+    leaseClosed: ({ lease }) => transactions.onLeaseClosed(lease),
+    transactionReset: ({ lease }) => transactions.onReset(lease),
     upstreamGroupChanged: ({ upstreamGroup }) => {
       members.update(upstreamGroup);
       feed({ type: 'groupChanged', databases: upstreamGroup.databases });
@@ -276,9 +264,9 @@
       onTransactionStatementFinished(run, result);
       return;
     }
-    if (run.access === 'commit') endTransaction(run.transactionId, result.kind !== 'lost');
+    if (run.access === 'commit') transactions.end(run.transactionId, result.kind !== 'lost');
     else if (lease && run.access === 'transaction' && result.kind === 'completed') {
-      transactions.set(requestId, { lease, caller: run.caller, run: undefined });
+      transactions.add(requestId, lease, run.caller);
     } else if (lease) members.release(lease);
     feed({ type: 'statementFinished', requestId, attempt, result });
   }
@@ -290,14 +278,14 @@
     run.lease?.connection.destroy();
     endAttempt(run);
     if (run.access === 'commit' || run.access === 'statement') {
-      endTransaction(run.transactionId, false);
+      transactions.end(run.transactionId, false);
     }
   }
 
   // Transactions
 
   function runCommit(run: StatementRun): void {
-    const transaction = transactions.get(run.transactionId ?? '');
+    const transaction = transactions.get(run.transactionId);
     if (transaction) runOn(transaction.lease, run);
     else post({ type: 'leaseRefused', run, attempt: run.attempt, failure: 'connectFailed' });
   }
@@ -324,70 +312,28 @@
       answerDiscarded(caller, requestId);
     }, deadlineAt - clock());
     runs.set(requestId, run);
-    transaction.run = run;
+    transactions.setRunning(transactionId, true);
     runOn(transaction.lease, run);
   }
 
   function onTransactionStatementFinished(run: StatementRun, result: StatementResult): void {
     const { requestId, caller, transactionId } = run;
+    const outcome = transactionOutcomeOf(run, result);
+    const answer = outcome.status === 'done' ? run.answer : undefined;
     runs.delete(requestId);
-    const transaction = transactions.get(transactionId ?? '');
-    if (transaction) transaction.run = undefined;
-    if (result.kind === 'lost' || result.kind === 'refused') {
-      endTransaction(transactionId, false);
-      answerDiscarded(caller, requestId);
-      return;
-    }
-    if (hasCommitted(run)) {
-      endTransaction(transactionId, false);
-      caller.post({ type: 'requestAnswered', requestId, outcome: IMPLICITLY_COMMITTED });
-      return;
-    }
-    const outcome = { status: 'done' } as const;
-    caller.post({ type: 'requestAnswered', requestId, outcome, answer: run.answer });
+    transactions.setRunning(transactionId, false);
+    if (outcome.status !== 'done') transactions.end(transactionId, false);
+    caller.post({ type: 'requestAnswered', requestId, outcome, answer });
   }
 
   function answerDiscarded(caller: StatementRun['caller'], requestId: string): void {
-    const outcome = {
-      status: 'discarded',
-      retryAfterMilliseconds: TRANSACTION_RETRY_MILLISECONDS,
-    } as const;
-    caller.post({ type: 'requestAnswered', requestId, outcome });
-  }
-
-  function endTransaction(transactionId: string | undefined, isClean: boolean): void {
-    const transaction = transactions.get(transactionId ?? '');
-    if (transactionId === undefined || !transaction) return;
-    transactions.delete(transactionId);
-    const { lease } = transaction;
-    if (isClean) {
-      resets.set(lease, transactionId);
-      lease.connection.reset(() => post({ type: 'transactionReset', lease, transactionId }));
-      return;
-    }
-    // The database rolls back what a closed connection leaves open.
-    lease.connection.destroy();
-    const event = { type: 'transactionFinished', transactionId } as const;
-    post({ type: 'engineEvent', event });
-  }
-
-  function onLeaseClosed(lease: Lease): void {
-    const resetId = resets.get(lease);
-    if (resetId !== undefined) {
-      resets.delete(lease);
-      feed({ type: 'transactionFinished', transactionId: resetId });
-    }
-    transactions.forEach((transaction, transactionId) => {
-      // A statement on the connection has its own message of the loss.
-      if (transaction.lease !== lease || transaction.run) return;
-      endTransaction(transactionId, false);
-      transaction.caller.post({ type: 'transactionLost', transactionId });
-    });
+    caller.post({ type: 'requestAnswered', requestId, outcome: TRANSACTION_DISCARDED });
   }
 
   function sweep(): void {
     const { members: views } = engine.view(clock());
     const shares = new Map(views.map(({ name, connectionShare }) => [name, connectionShare]));
+    transactions.endIdle();
     members.sweep((name) => shares.get(name) ?? 0);
   }
 
@@ -397,7 +343,7 @@
     port: { post },
     view: () => engine.view(clock()),
     connectionCounts: members.counts,
-    openCount: () => runs.size + transactions.size,
+    openCount: () => runs.size + transactions.size(),
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
@@ -407,24 +353,3 @@
     },
   };
 }
-
-/**
- * Guards against a statement that commits a transaction by itself: its writes would be acknowledged
- * without a majority. It shows as a position in an answer before COMMIT.
- */
-function hasCommitted({ answer }: StatementRun): boolean {
-  return answer?.final.type === 'ok' && answer.final.ok.gtid !== undefined;
-}
-
-const changingAccess: ReadonlySet<StatementRun['access']> = new Set(['write', 'commit']);
-
-function resultOf(run: StatementRun, { final }: CompletedAnswer): StatementResult {
-  if (final.type === 'error') {
-    const { code } = final.error;
-    if (code === NOT_PRIMARY_ERROR) return { kind: 'refused', reason: 'notPrimary' };
-    return { kind: 'databaseError', code };
-  }
-  if (final.type !== 'ok' || !changingAccess.has(run.access)) return { kind: 'completed' };
-  const position = final.ok.gtid === undefined ? undefined : parsePosition(final.ok.gtid);
-  return { kind: 'completed', position };
-}
--- a/packages/proxy/src/lib/statements/taskMessages.ts
+++ b/packages/proxy/src/lib/statements/taskMessages.ts
@@ -37,7 +37,7 @@
   | { type: 'statementAnswered'; run: StatementRun; attempt: number; answer: CompletedAnswer }
   | { type: 'statementLost'; run: StatementRun; attempt: number }
   | { type: 'leaseClosed'; lease: Lease }
-  | { type: 'transactionReset'; lease: Lease; transactionId: string }
+  | { type: 'transactionReset'; lease: Lease }
   | { type: 'upstreamGroupChanged'; upstreamGroup: UpstreamGroup }
   | { type: 'engineEvent'; event: EngineEvent };
 
--- a/packages/proxy/src/test/statementsFailures.test.ts
+++ b/packages/proxy/src/test/statementsFailures.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { encodeToken } from '@wisterialift/core';
+import { toFrames } from '@wisterialift/mysql';
 import type { Caller } from '@wisterialift/schema';
 import type { Connection as CallbackConnection, RowDataPacket } from 'mysql2';
 import type { Connection } from 'mysql2/promise';
@@ -235,6 +236,41 @@
     );
   });
 
+  // Two technicians' writes deadlock, and the database rolls one transaction back as a whole. What its
+  // caller still sends would be kept statement by statement, without the part that is gone.
+  it('that the database rolled back takes no more statements either', async () => {
+    const seen: string[] = [];
+    const { port: scriptedPort } = await startScriptedDatabase(({ connection }, sql) => {
+      seen.push(sql);
+      if (sql !== 'UPDATE tests') connection.finishOk({});
+      else connection.finishError({ code: 1213, state: '40001', message: 'Deadlock found' });
+    });
+    const { connect } = await startStatements({ scriptedPort });
+    const connection = await connect();
+    await connection.beginTransaction();
+    await expect(connection.query('UPDATE tests')).rejects.toMatchObject({ errno: 1213 });
+    await expect(connection.query('INSERT INTO tests')).rejects.toMatchObject({ errno: 9103 });
+    await connection.rollback();
+    await connection.query('DELETE FROM tests');
+    expect(seen).toEqual(['START TRANSACTION', 'UPDATE tests', 'DELETE FROM tests']);
+  });
+
+  // A statement that the proxy takes for harmless makes the database commit. Its writes would count as
+  // acknowledged although no majority has confirmed them.
+  it('that the database committed before COMMIT has an unknown outcome', async () => {
+    const position = Buffer.from([3, 5, 0, 3, ...Buffer.from('1:7')]);
+    const ok = Buffer.from([0, 0, 0, 2, 0x40, 0, 0, 0, position.length, ...position]);
+    const { port: scriptedPort } = await startScriptedDatabase(({ connection }, sql) => {
+      if (sql === 'UPDATE tests') connection.finish([toFrames(ok, 1)]);
+      else connection.finishOk({});
+    });
+    const { connect } = await startStatements({ scriptedPort });
+    const connection = await connect();
+    await connection.beginTransaction();
+    await expect(connection.query('UPDATE tests')).rejects.toMatchObject({ errno: 9102 });
+    await expect(connection.commit()).rejects.toMatchObject({ errno: 9103 });
+  });
+
   it('whose COMMIT lost its answer has an unknown outcome', async () => {
     const { connect, setFaults } = await startStatements();
     const connection = await connect();
