--- a/packages/cli/src/lib/commands/configCommands.ts
+++ b/packages/cli/src/lib/commands/configCommands.ts
@@ -1,7 +1,7 @@
 import type { AcceptedPatch, Configuration } from '@wisterialift/schema';
 import { Command, InvalidArgumentError } from 'commander';
+import { renderTable } from '@wisterialift/telemetry';
 import { ClientError } from '../client/clientError';
-import { renderTable } from '../output/renderTable';
 import { addConnectionOptions, connect, writeAnswer } from './commandContext';
 import type { CommandContext, ConnectionOptions } from './commandContext';
 
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -14,3 +14,4 @@
 } from './lib/burn/burnReport';
 export { renderBurnPage } from './lib/burn/renderBurnPage';
 export { renderBurnText } from './lib/burn/renderBurnText';
+export { renderTable } from './lib/text/renderTable';
--- a/packages/telemetry/src/lib/burn/renderBurnText.ts
+++ b/packages/telemetry/src/lib/burn/renderBurnText.ts
@@ -1,3 +1,4 @@
+import { renderTable } from '../text/renderTable';
 import type { BurnReport, BurnReportLevel, BurnWindow } from './burnReport';
 
 /** Burn rate with two decimals, or a dash where no request was judged. @internal */
@@ -12,19 +13,12 @@
 
 /** Renders the report as a table for a terminal. @public */
 export function renderBurnText(report: BurnReport): string {
-  const rows = [headings(report), ...report.levels.map(row)];
-  const widths = (rows[0] ?? []).map((_, column) =>
-    Math.max(...rows.map((cells) => cells[column]?.length ?? 0)),
-  );
-  const lines = rows.map((cells) =>
-    cells
-      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
-      .join('  ')
-      .trimEnd(),
-  );
-  return [`service-level burn at ${report.generatedAt}`, ...lines, ...footer(report), ''].join(
-    '\n',
-  );
+  const table = renderTable([headings(report), ...report.levels.map(row)]);
+  return [
+    `service-level burn at ${report.generatedAt}`,
+    table + footer(report).join('\n'),
+    '',
+  ].join('\n');
 }
 
 function headings(report: BurnReport): string[] {
