Show the writes that are lost without confirmation

Baseline of the failover phase: a client past the proxies writes at a primary that is cut from its group.

--- a/tools/bench/src/lib/phases/measureFailover.ts
+++ b/tools/bench/src/lib/phases/measureFailover.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import type { Connection } from 'mysql2/promise';
 import type { TrialDatabase } from '../cluster/startDatabase';
 import type { Trial } from '../cluster/startTrial';
@@ -24,6 +25,8 @@
   longestByFault: Partial<Record<PrimaryFault, number>>;
   /** Writes in flight that had no answer a second after the group took writes again. */
   unanswered: Partial<Record<PrimaryFault, number>>;
+  /** Baseline: writes that a cut primary acknowledged to clients past the proxies, and that are gone. */
+  unconfirmed: { acknowledged: number; lost: number };
 }
 
 /** How often and how the primaries fail. */
@@ -39,6 +42,7 @@
 
 const WRITE = 'INSERT INTO records (id, session, note) VALUES (?, ?, ?)';
 const WRITE_INTERVAL_MILLISECONDS = 20;
+const UNCONFIRMED_WRITES = 5;
 const CONNECTIONS_PER_WRITER = 100;
 /** Time that writes in flight get after the group takes writes again. */
 const ANSWER_WAIT_MILLISECONDS = 1_000;
@@ -79,6 +83,7 @@
     unfinished: 0,
     longestByFault: {},
     unanswered: {},
+    unconfirmed: { acknowledged: 0, lost: 0 },
   };
   const recordGap = (fault: PrimaryFault, gap: number): void => {
     timings.record(gap);
@@ -89,7 +94,14 @@
       for (let round = 0; round < options.rounds; round += 1) {
         if (performance.now() > options.startNoneAfter) return;
         const fault = options.faults[(round + groupIndex) % options.faults.length] ?? 'killed';
-        const writers = await runRound(trial, { group, fault, round, oracle: options.oracle });
+        const { writers, unconfirmed } = await runRound(trial, {
+          group,
+          fault,
+          round,
+          oracle: options.oracle,
+        });
+        result.unconfirmed.acknowledged += unconfirmed.acknowledged;
+        result.unconfirmed.lost += unconfirmed.lost;
         writers.forEach(({ gap, unanswered }) => {
           result.unanswered[fault] = (result.unanswered[fault] ?? 0) + unanswered;
           if (gap === undefined) result.unfinished += 1;
@@ -108,6 +120,11 @@
   };
 }
 
+interface RoundResult {
+  writers: WriterResult[];
+  unconfirmed: FailoverResult['unconfirmed'];
+}
+
 interface RoundOptions {
   group: string;
   fault: PrimaryFault;
@@ -118,7 +135,7 @@
 async function runRound(
   trial: Trial,
   { group, fault, round, oracle }: RoundOptions,
-): Promise<WriterResult[]> {
+): Promise<RoundResult> {
   const primary = await trial.findPrimary(group);
   if (!primary) throw new Error(`group ${group} has no primary`);
   const moment = { failedAt: Infinity };
@@ -128,10 +145,40 @@
   await pause(LEAD_MILLISECONDS);
   moment.failedAt = performance.now();
   await ACTIONS[fault].begin(primary);
+  const ids = fault === 'cutFromGroup' ? await writeUnconfirmed(trial, primary) : [];
   const results = await Promise.all(writers);
   await ACTIONS[fault].end(primary);
   await waitUntil(() => hasRejoined(trial, group, primary), REJOIN_TIMEOUT_MILLISECONDS);
-  return results;
+  return {
+    writers: results,
+    unconfirmed: { acknowledged: ids.length, lost: await countMissing(trial, group, ids) },
+  };
+}
+
+/** Writes past the proxies at a primary that is cut from its group; gives the acknowledged ids. */
+async function writeUnconfirmed(trial: Trial, primary: TrialDatabase): Promise<string[]> {
+  const connection = await trial.connectToDatabase(primary);
+  const ids: string[] = [];
+  try {
+    for (let count = 0; count < UNCONFIRMED_WRITES; count += 1) {
+      const id = `unconfirmed-${randomUUID()}`;
+      await connection.query(WRITE, [id, 'unconfirmed', 'test']);
+      ids.push(id);
+    }
+  } catch {
+    // The primary is fenced meanwhile and refuses the rest.
+  } finally {
+    connection.destroy();
+  }
+  return ids;
+}
+
+async function countMissing(trial: Trial, group: string, ids: string[]): Promise<number> {
+  if (ids.length === 0) return 0;
+  const primary = await trial.findPrimary(group);
+  const list = ids.map((id) => `'${id}'`).join(', ');
+  const rows = await primary?.readRows(`SELECT id FROM records WHERE id IN (${list})`);
+  return ids.length - (rows?.length ?? 0);
 }
 
 /** Whether a replaced primary follows the present one and holds its log. */
--- a/tools/bench/src/lib/report/renderBench.ts
+++ b/tools/bench/src/lib/report/renderBench.ts
@@ -95,7 +95,7 @@
   return `offered ${offered.toFixed(0)}/s, refused ${refused} (p99 ${milliseconds(refusalP99)}), late ${late}`;
 }
 
-function failoverRows({ failover, falsePromotions }: BenchResult): Row[] {
+function failoverRows({ failover, falsePromotions, violations }: BenchResult): Row[] {
   const rows: Row[] = [];
   if (failover) {
     rows.push({
@@ -104,6 +104,14 @@
       baseline: `endless without a promotion; ${failover.gaps} gaps in ${failover.rounds} rounds, ${failover.unfinished} unfinished, longest ${JSON.stringify(failover.longestByFault)}, in flight without answer 1 s later ${JSON.stringify(failover.unanswered)}`,
     });
   }
+  if (failover && failover.unconfirmed.acknowledged > 0) {
+    const { acknowledged, lost } = failover.unconfirmed;
+    rows.push({
+      measure: 'acknowledged writes lost with a cut primary',
+      figure: String(violations.lost),
+      baseline: `${lost} of ${acknowledged} without confirmation`,
+    });
+  }
   if (falsePromotions) {
     rows.push({
       measure: 'false promotions under loss',
--- a/tools/bench/src/lib/runBench.ts
+++ b/tools/bench/src/lib/runBench.ts
@@ -131,8 +131,9 @@
 
   await runPhase('warm-up', () => warmUp(trial, plan.warmUp));
   await runPhase('latency', async () => {
+    // The second group has a replica in the data centre of the first proxy; the first its primary.
     result.latency = await measureLatency(trial, {
-      group: first,
+      group: second,
       milliseconds: plan.latency,
       oracle,
     });
