Wait for the whole round before a read goes to the primary

The first majority of a floor round is often the primary and one replica, and the primary's log end is then a floor that no replica has reached. The third answer lowers it to what the replicas hold, so a read now waits for it, within its 50 ms, before the primary serves it.

--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -25,7 +25,7 @@
 /** The shortest time for which the engine asks to be woken. */
 const SHORTEST_TIMER_MILLISECONDS = 1;
 /** Part of the suspicion time by which a timer may be late before the instance counts as paused. */
-const PAUSE_SHARE = 0.25;
+const PAUSE_SHARE = 0.5;
 /** Shares of connections change with time alone; this is how often they are worked out anew. */
 const SHARE_REFRESH_MILLISECONDS = 500;
 
--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -282,10 +282,19 @@
     if (now >= request.patienceUntil) return false;
     return members.list().some((member) => {
       if (member === primary || member.database.leaving || !isUsable(member, now)) return false;
-      return member.statusAskedAt - member.freshAsOf <= READ_PATIENCE_MILLISECONDS;
+      return keepsUp(member) || isAwaited(member, request);
     });
   }
 
+  function keepsUp(member: Member): boolean {
+    return member.statusAskedAt - member.freshAsOf <= READ_PATIENCE_MILLISECONDS;
+  }
+
+  /** The member's answer to the round may still lower the floor to what a replica has applied. */
+  function isAwaited(member: Member, { round }: TrackedRequest): boolean {
+    return round !== undefined && member.statusQuestionId < round.firstQuestionId;
+  }
+
   /** The member that writes go to; undefined while there is none that may acknowledge them. */
   function usablePrimary(now: number): Member | undefined {
     if (options.holdsWrites()) return undefined;
