Send the list of instances again only once it has changed

An instance that does not watch asks a watcher for the list every few seconds, and the whole list each time is what would break the budget of bytes first as the fleet grows. The question carries the digest of the list that came before; an unchanged list is answered with its digest and age alone. The digest is made once for each list.

Deltas were considered and left for the size at which lists change every few seconds.

--- a/packages/peer/src/lib/client/peerClient.ts
+++ b/packages/peer/src/lib/client/peerClient.ts
@@ -51,6 +51,12 @@
 
 const instancesSchema = z.array(instanceSchema);
 
+/** The list that a peer last sent. */
+interface KnownList {
+  digest: string;
+  instances: Instance[];
+}
+
 /** Pauses between attempts to connect again; in between, calls fail at once. */
 const CHANNEL_OPTIONS = {
   'grpc.initial_reconnect_backoff_ms': 100,
@@ -73,6 +79,7 @@
  */
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const services = new Map<string, PeerServiceClient>();
+  const lists = new Map<string, KnownList>();
   const callCredentials = createCallCredentials(options.tls);
   const { deadlineMilliseconds } = options;
 
@@ -87,6 +94,7 @@
   function closeAddress(address: string): void {
     services.get(address)?.close();
     services.delete(address);
+    lists.delete(address);
   }
 
   async function announceConfiguration(
@@ -122,17 +130,19 @@
     };
   }
 
+  /** A list that has not changed is not sent again; the one that came before stands for it. */
   async function fetchInstances(address: string): Promise<PeerInstances> {
     const service = serviceAt(address);
-    const { instancesJson, ageMilliseconds } = await callPeer({
+    const known = lists.get(address);
+    const { instancesJson, ageMilliseconds, digest } = await callPeer({
       method: service.fetchInstances.bind(service),
-      request: {},
+      request: { knownDigest: known?.digest ?? '' },
       deadlineMilliseconds,
     });
-    return {
-      instances: parseInstances(instancesJson),
-      ageMilliseconds: decodeAge(ageMilliseconds),
-    };
+    const isKnown = known !== undefined && known.digest === digest;
+    const instances = isKnown ? known.instances : parseInstances(instancesJson);
+    lists.set(address, { digest, instances });
+    return { instances, ageMilliseconds: decodeAge(ageMilliseconds) };
   }
 
   async function announcePrimary(address: string, published: PublishedPrimary): Promise<void> {
--- a/packages/peer/src/lib/server/peerService.ts
+++ b/packages/peer/src/lib/server/peerService.ts
@@ -2,6 +2,7 @@
 import type { handleUnaryCall } from '@grpc/grpc-js';
 import type { PeerServiceServer } from '../../generated/wisterialift/peer/v1/peer';
 import { encodeAge } from '../ageOnWire';
+import { createListWriter } from './listDigest';
 import { NO_CONFIGURATION_NUMBER } from '../peerMessages';
 import type { HeldConfiguration, PeerHandlers } from '../peerMessages';
 
@@ -11,6 +12,7 @@
  * Several watchers announce the same configuration; only the first is read and checked.
  */
 export function createPeerService(handlers: PeerHandlers): PeerServiceServer {
+  const writeList = createListWriter();
   return {
     announceConfiguration: answerWith(({ number, configurationObjectJson }) => {
       const heldNumber = numberOf(handlers.onConfigurationRequested());
@@ -27,11 +29,13 @@
         ageMilliseconds: encodeAge(held.ageMilliseconds),
       };
     }),
-    fetchInstances: answerWith(() => {
+    fetchInstances: answerWith(({ knownDigest }) => {
       const { instances, ageMilliseconds } = handlers.onInstancesRequested();
+      const { json, digest } = writeList(instances);
       return {
-        instancesJson: JSON.stringify(instances),
+        instancesJson: digest === knownDigest ? '' : json,
         ageMilliseconds: encodeAge(ageMilliseconds),
+        digest,
       };
     }),
     announcePrimary: answerWith((published) => {
--- a/packages/peer/src/test/peer.test.ts
+++ b/packages/peer/src/test/peer.test.ts
@@ -21,6 +21,8 @@
   },
 ];
 
+let instances = INSTANCES;
+
 /** A listener that keeps what it was told. */
 function createListener(port: number) {
   const heard = { primaries: [] as PublishedPrimary[], leaving: [] as string[] };
@@ -37,7 +39,7 @@
         configurationObject: held,
         ageMilliseconds: held ? 20 : Infinity,
       }),
-      onInstancesRequested: () => ({ instances: INSTANCES, ageMilliseconds: 30 }),
+      onInstancesRequested: () => ({ instances, ageMilliseconds: 30 }),
       onPrimaryPublished: (published) => heard.primaries.push(published),
       onLeavingAnnounced: (instance) => heard.leaving.push(instance),
       onPing: () => ({ instance: 'p2', configurationNumber: held?.number ?? -1 }),
@@ -93,11 +95,22 @@
     expect(await peers.ping(address)).toEqual({ instance: 'p2', configurationNumber: 7 });
   });
 
-  it('carry the instances, a published primary and a leaving', async () => {
-    expect(await peers.fetchInstances(address)).toEqual({
-      instances: INSTANCES,
-      ageMilliseconds: 30,
-    });
+  /*
+   * The list is asked for every few seconds and changes once a day. A change must not be hidden by
+   * the digest that spares sending it again.
+   */
+  it('carry the instances, again only once they have changed', async () => {
+    const changed = [{ ...INSTANCES[0]!, state: 'leaving' as const }];
+    const age = { ageMilliseconds: 30 };
+    expect(await peers.fetchInstances(address)).toEqual({ instances: INSTANCES, ...age });
+    expect(await peers.fetchInstances(address)).toEqual({ instances: INSTANCES, ...age });
+    instances = changed;
+    expect(await peers.fetchInstances(address)).toEqual({ instances: changed, ...age });
+    instances = INSTANCES;
+    expect(await peers.fetchInstances(address)).toEqual({ instances: INSTANCES, ...age });
+  });
+
+  it('carry a published primary and a leaving', async () => {
     const published = { group: 'archivio-1', term: 4, primary: 'a2' };
     await peers.announcePrimary(address, published);
     await peers.announceLeaving(address, 'p1');
