--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -55,7 +55,7 @@
  * @public
  */
 export function createGroupEngine(options: GroupEngineOptions): GroupEngine {
-  const { group, instance, policy, random } = options;
+  const { group, instance, dataCentre, policy, random } = options;
   const pauseMilliseconds = policy.suspicionMilliseconds * PAUSE_SHARE;
   const members = createMemberTable(options.databases);
   const questions = createQuestionTable();
@@ -83,7 +83,8 @@
   }
 
   const requests = createRequestFlow({
-    engine: options,
+    policy,
+    dataCentre,
     members,
     places,
     nextQuestionId: questions.nextId,
@@ -99,7 +100,7 @@
       strandedMilliseconds: policy.suspicionMilliseconds * STRANDED_FACTOR,
       handoverGraceMilliseconds: HANDOVER_GRACE_MILLISECONDS,
     },
-    oldestHeldWrite: requests.held.oldest,
+    oldestHeldWrite: requests.oldestHeldWrite,
   });
   const failover = createFailoverController({
     group,
