--- a/stand-ins/database/src/lib/protocol/serverConnection.ts
+++ b/stand-ins/database/src/lib/protocol/serverConnection.ts
@@ -36,8 +36,11 @@
   }) => void;
 }
 
-/** Puts the library's server half on an accepted socket. */
+/**
+ * Puts the library's server half on an accepted socket. The library sets memory aside for the prepared
+ * statements of a client, about half a megabyte by default, which a server never uses.
+ */
 export function createServerConnection(stream: Socket): ServerConnection {
-  const options = { stream, isServer: true } as ConnectionOptions;
+  const options = { stream, isServer: true, maxPreparedStatements: 1 } as ConnectionOptions;
   return createConnection(options) as unknown as ServerConnection;
 }
