Split the change of primary by job

A planned change of primary leaves 250 ms between holding new writes and the fence, so that what other instances have at the leaving primary ends first; only this instance's own work was waited for before.

--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -39,6 +39,7 @@
 const BACKOFF_FACTOR = 0.5;
 const FOLLOW_FACTOR = 0.5;
 const HANDOVER_GRACE_MILLISECONDS = 1_000;
+const SETTLING_MILLISECONDS = 250;
 const HANDOVER_MILLISECONDS = 5_000;
 
 /**
@@ -281,6 +282,7 @@
     rivalMilliseconds: questionTimeoutMilliseconds * RIVAL_FACTOR,
     backoffMilliseconds: suspicionMilliseconds * BACKOFF_FACTOR,
     followMilliseconds: suspicionMilliseconds * FOLLOW_FACTOR,
+    settlingMilliseconds: SETTLING_MILLISECONDS,
     handoverMilliseconds: HANDOVER_MILLISECONDS,
   };
 }
--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -1,13 +1,16 @@
-import { comparePositions } from '@wisterialift/schema';
 import type { MemberStatus } from '@wisterialift/schema';
-import { lowestMajorityEnd, termOf } from '../engine/memberTable';
+import { termOf } from '../engine/memberTable';
 import type { Member, MemberTable } from '../engine/memberTable';
 import type { EngineEffect, EngineRecord } from '../engine/messages';
-import { orderByRendezvous } from '../membership/rendezvous';
+import { chooseCandidate, emptyBallot } from './ballot';
+import type { Ballot } from './ballot';
 import { createFailoverLifecycle } from './failoverMachine';
 import type { FailoverPhase, Suspicion } from './failoverMachine';
+import { createMemberAttachment } from './memberAttachment';
 import { REFUSALS_OF_A_DEAD_MEMBER } from './primaryDetector';
 import type { PrimaryDetector } from './primaryDetector';
+import { createTurnOrder } from './turnOrder';
+import type { TurnTimes } from './turnOrder';
 
 /** @internal */
 export interface FailoverController {
@@ -46,21 +49,17 @@
   | { type: 'follow'; member: string; term: number; primary: string };
 
 /** Times of a change of primary, in milliseconds. @internal */
-export interface FailoverTimes {
+export interface FailoverTimes extends TurnTimes {
   /** Between two looks for a failed primary while the group is well. */
   checkMilliseconds: number;
-  /** Between the turns of two instances next to each other in rendezvous order. */
-  staggerMilliseconds: number;
   /** Shortest time of the look before a fence at a silent primary. */
   lookMilliseconds: number;
   questionTimeoutMilliseconds: number;
-  /** How long another instance that has fenced is given to promote. */
-  rivalMilliseconds: number;
-  /** Middle of the random pause after a change of primary that came to nothing. */
-  backoffMilliseconds: number;
   /** Pause between two orders to follow to the same member. */
   followMilliseconds: number;
-  /** How long a planned change of primary waits for statements and transactions in flight. */
+  /** Time that a planned change of primary leaves to the work of other instances. */
+  settlingMilliseconds: number;
+  /** How long a planned change of primary waits for this instance's own work in flight. */
   handoverMilliseconds: number;
 }
 
@@ -80,17 +79,6 @@
   inFlight: (member: string) => number;
 }
 
-/** Questions of one change of primary whose answers are awaited. */
-interface Ballot {
-  open: Map<number, string>;
-  grants: Map<string, MemberStatus>;
-  hasRefusal: boolean;
-}
-
-function emptyBallot(): Ballot {
-  return { open: new Map(), grants: new Map(), hasRefusal: false };
-}
-
 /** Lost answers to a promotion after which it is given up; the order itself is idempotent. */
 const PROMOTION_ATTEMPTS = 3;
 /** Terms that are fenced one after the other before the next back-off. */
@@ -117,9 +105,10 @@
  * @internal
  */
 export function createFailoverController(options: Options): FailoverController {
-  const { group, instance, members, detector, times, random, order, emit } = options;
+  const { members, detector, times, order, emit } = options;
   const lifecycle = createFailoverLifecycle();
-  let liveInstances: string[] = [];
+  const turns = createTurnOrder(options);
+  const attachment = createMemberAttachment({ ...options, ...times });
   let isDraining = false;
   let ballot: Ballot = emptyBallot();
   let fenceAttempts = 0;
@@ -128,9 +117,6 @@
   let suspectedSince = 0;
   let silentSince = 0;
   let learnedTerm = 0;
-  let highestBid = 0;
-  let highestSeen = 0;
-  let rivalSeenAt = Number.NEGATIVE_INFINITY;
   let checkedAt = Number.NEGATIVE_INFINITY;
   let checkedPrimary: Member | undefined;
 
@@ -138,20 +124,6 @@
     emit({ type: 'record', record: entry });
   }
 
-  /** Instances with the same list agree on the order of turns; the term makes it differ each time. */
-  function staggerDelay(): number {
-    const key = `${group}/${members.highestTerm()}`;
-    const names = liveInstances.includes(instance) ? liveInstances : [...liveInstances, instance];
-    const rank = orderByRendezvous({ key, names }).indexOf(instance);
-    return (rank + random() / 4) * times.staggerMilliseconds;
-  }
-
-  /** Random, and wider with each failure, so that two promoters drift apart. */
-  function backoffEnd(now: number): number {
-    const width = times.backoffMilliseconds * Math.min(4, 1 + lifecycle.context().failures);
-    return now + width * (0.25 + random());
-  }
-
   function clear(now: number): void {
     const { suspicion } = lifecycle.context();
     if (suspicion) record({ name: 'suspicionCleared', member: suspicion.member });
@@ -161,7 +133,10 @@
   }
 
   function fail(now: number): void {
-    lifecycle.send({ type: 'FAILED', dueAt: backoffEnd(now) });
+    lifecycle.send({
+      type: 'FAILED',
+      dueAt: now + turns.backoffDelay(lifecycle.context().failures),
+    });
     ballot = emptyBallot();
   }
 
@@ -172,7 +147,13 @@
     suspectedSince = now;
     silentSince = members.get(suspicion.member)?.silentSince ?? now;
     record({ name: 'primarySuspected', ...suspicion });
-    lifecycle.send({ type: 'SUSPECTED', suspicion, dueAt: now + staggerDelay() });
+    lifecycle.send({ type: 'SUSPECTED', suspicion, dueAt: now + turnDelay(suspicion) });
+  }
+
+  /** A planned change leaves the other instances time to finish what they have at the primary. */
+  function turnDelay({ cause }: Suspicion): number {
+    const settling = cause === 'leaving' ? times.settlingMilliseconds : 0;
+    return turns.staggerDelay() + settling;
   }
 
   function suspicionOf(): Suspicion {
@@ -186,7 +167,7 @@
       return;
     }
     if (now < lifecycle.context().dueAt || mustFinishFirst(suspicion, now)) return;
-    if (hasRival(now)) return;
+    if (turns.hasRival(now)) return;
     const fromQuestionId = options.nextQuestionId();
     lifecycle.send({
       type: 'TURN_CAME',
@@ -196,17 +177,6 @@
     options.askAll(now);
   }
 
-  /** Another instance is changing the primary; its promotion would only be undone. */
-  function hasRival(now: number): boolean {
-    return now - rivalSeenAt < times.rivalMilliseconds;
-  }
-
-  function watchRivals(now: number): void {
-    const term = members.highestTerm();
-    if (term > highestSeen && highestSeen > 0 && term > highestBid) rivalSeenAt = now;
-    highestSeen = Math.max(highestSeen, term);
-  }
-
   /** Long enough for an answer over the link to the member as it was, with room for variation. */
   function answerTime(member: Member | undefined): number {
     const roundTrip = member?.roundTrip ?? 0;
@@ -236,7 +206,7 @@
     const needsWholeLook = suspicion.cause === 'silent' && !hasRefusedLook();
     if (hasTime && (needsWholeLook || !hasMajority)) return;
     fenceAttempts = 0;
-    if (hasMajority && !hasRival(now)) startFence(suspicion, now);
+    if (hasMajority && !turns.hasRival(now)) startFence(suspicion, now);
     else fail(now);
   }
 
@@ -247,8 +217,7 @@
   }
 
   function startFence(suspicion: Suspicion, now: number): void {
-    const term = Math.max(members.highestTerm(), highestBid) + 1;
-    highestBid = term;
+    const term = turns.nextTerm();
     const targets = fenceTargets(suspicion);
     const dueAt = now + Math.max(...targets.map(answerTime));
     lifecycle.send({ type: 'UPHELD', term, dueAt });
@@ -290,7 +259,7 @@
   function mayFenceAgain(now: number): boolean {
     fenceAttempts += 1;
     if (ballot.hasRefusal || fenceAttempts >= FENCE_ATTEMPTS) return false;
-    return !isDraining && !hasRival(now) && detector.stillStands(suspicionOf(), now);
+    return !isDraining && !turns.hasRival(now) && detector.stillStands(suspicionOf(), now);
   }
 
   function isWorthWaiting(): boolean {
@@ -301,7 +270,7 @@
     const { term } = lifecycle.context();
     const granted = [...ballot.grants.keys()];
     record({ name: 'termFenced', term, members: granted });
-    const candidate = chooseCandidate();
+    const candidate = chooseCandidate({ ballot, majority: members.majority(), isUnwanted });
     promotionAttempts = 0;
     ballot.open.clear();
     lifecycle.send({
@@ -312,27 +281,10 @@
     orderPromotion(now);
   }
 
-  function chooseCandidate(): string {
+  function isUnwanted(name: string): boolean {
     const { member: suspect, cause } = suspicionOf();
-    const grants = [...ballot.grants];
-    const bound = lowestMajorityEnd(
-      grants.map(([, { logEnd }]) => logEnd),
-      members.majority(),
-    );
-    const eligible = grants.filter(
-      ([, { logEnd }]) => bound && comparePositions(logEnd, bound) >= 0,
-    );
-    const isSecondChoice = (name: string): number => {
-      const isUnwanted = members.get(name)?.database.leaving === true;
-      return isUnwanted || (cause !== 'stranded' && name === suspect) ? 1 : 0;
-    };
-    eligible.sort(
-      ([leftName, left], [rightName, right]) =>
-        isSecondChoice(leftName) - isSecondChoice(rightName) ||
-        comparePositions(right.logEnd, left.logEnd) ||
-        leftName.localeCompare(rightName),
-    );
-    return (eligible[0] as [string, MemberStatus])[0];
+    if (members.get(name)?.database.leaving) return true;
+    return cause !== 'stranded' && name === suspect;
   }
 
   function orderPromotion(now: number): void {
@@ -392,11 +344,11 @@
   function step(now: number): void {
     if (isQuiet(now)) return;
     checkedAt = now;
-    watchRivals(now);
+    turns.watchRivals(now);
     checkedPrimary = members.primary();
     phaseHandlers[lifecycle.phase()](now);
     learnPrimary();
-    attachMembers(now);
+    if (lifecycle.phase() !== 'fencing') attachment.attach(now);
   }
 
   function learnPrimary(): void {
@@ -407,22 +359,6 @@
     record({ name: 'primaryLearned', term: learnedTerm, member: primary.name });
   }
 
-  /** Members that were away, deposed or never attached are told whom to follow. */
-  function attachMembers(now: number): void {
-    const primary = members.primary();
-    if (!primary || lifecycle.phase() === 'fencing') return;
-    members.list().forEach((member) => {
-      if (member === primary || now < member.nextFollowAt || !needsToFollow(member, primary)) {
-        return;
-      }
-      Object.assign(member, { nextFollowAt: now + times.followMilliseconds * (0.5 + random()) });
-      order(
-        { type: 'follow', member: member.name, term: termOf(primary), primary: primary.name },
-        now,
-      );
-    });
-  }
-
   function onAnswered(answer: FailoverAnswer, now: number): void {
     if (answer.kind === 'fence' && ballot.open.delete(answer.questionId)) {
       const isGrant = answer.status.currentTerm === lifecycle.context().term;
@@ -454,9 +390,7 @@
       detector.onPaused(now);
       lifecycle.send({ type: 'PAUSED' });
     },
-    onInstances: (names) => {
-      liveInstances = names;
-    },
+    onInstances: turns.onInstances,
     onDrainStarted: () => {
       isDraining = true;
     },
@@ -469,10 +403,3 @@
     nextDueAt: () => lifecycle.context().dueAt,
   };
 }
-
-function needsToFollow(member: Member, primary: Member): boolean {
-  if (!member.status) return false;
-  const term = termOf(primary);
-  if (member.status.currentTerm < term) return true;
-  return member.status.currentTerm === term && member.status.following !== primary.name;
-}
