Measure the roll-out and keep the calls of the platform flat

A look that finds nothing where nothing is held now confirms as well (test: is asked of the platform by the watchers alone; fails without it).

Reckoned and not built: two watchers and a poll of the platform by the others, 12 polls a minute each, costs more than everyone watching.

Also: an error of whoever is told of a configuration is recorded and no longer looks like a failed call; an answer of the platform that cannot be understood is recorded.

--- a/packages/core/src/lib/membership/audience.ts
+++ b/packages/core/src/lib/membership/audience.ts
@@ -21,8 +21,10 @@
  * Whom an instance tells of a configuration that is news to it.
  *
  * The submitter of a patch tells its data centre and the watchers of all others, which would hear
- * from the platform as well unless that has gone down since. Watchers tell their data centre. An
- * instance that does not watch and was told by another tells nobody, so that messages end.
+ * from the platform as well unless that has gone down since. A watcher tells those of its data centre
+ * that do not watch. An instance that had to ask the platform itself tells its whole data centre, as
+ * the watchers failed it. One that does not watch and was told by another tells nobody, so that
+ * messages end.
  *
  * @public
  */
@@ -30,13 +32,14 @@
   options: Neighbourhood & { source: ConfigurationSource },
 ): Instance[] {
   const { self, instances, source } = options;
-  if (source === 'peer' && !isWatcher({ self, instances })) return [];
-  const farWatchers = new Set(source === 'patch' ? namesOfAllWatchers(instances) : []);
-  return instances.filter(
-    (instance) =>
-      instance.name !== self.name &&
-      (instance.dataCentre === self.dataCentre || farWatchers.has(instance.name)),
-  );
+  const watchers = new Set(namesOfAllWatchers(instances));
+  const isTellingWatchers = source === 'patch' || !watchers.has(self.name);
+  if (source === 'peer' && !watchers.has(self.name)) return [];
+  return instances.filter(({ name, dataCentre }) => {
+    if (name === self.name) return false;
+    if (watchers.has(name) && !isTellingWatchers) return false;
+    return dataCentre === self.dataCentre || (source === 'patch' && watchers.has(name));
+  });
 }
 
 /**
--- a/packages/proxy/src/lib/configuration/configurationReader.ts
+++ b/packages/proxy/src/lib/configuration/configurationReader.ts
@@ -24,7 +24,9 @@
 
   async function read(): Promise<VersionedConfiguration | undefined> {
     const object = await health.follow(platform.getObject(CONFIGURATION_OBJECT));
-    return object && onObject(object);
+    if (object) return onObject(object);
+    onNothingNew();
+    return undefined;
   }
 
   async function watch(wait: { waitMilliseconds: number; signal: AbortSignal }): Promise<void> {
@@ -37,7 +39,16 @@
     });
     const object = await health.follow(call, signal);
     if (object) onObject(object);
-    else holder.confirm({ number: holder.number(), ageMilliseconds: 0 });
+    else onNothingNew();
+  }
+
+  /**
+   * The platform confirms what was seen there before; or that there is nothing, where nothing is held
+   * here either. What came from a peer alone is not confirmed by a platform without the object.
+   */
+  function onNothingNew(): void {
+    if (knownVersion === 0 && holder.current()) return;
+    holder.confirm({ number: holder.number(), ageMilliseconds: 0 });
   }
 
   function onObject({ version, value }: PlatformObject): VersionedConfiguration {
--- a/packages/proxy/src/lib/configuration/configurationTask.ts
+++ b/packages/proxy/src/lib/configuration/configurationTask.ts
@@ -154,10 +154,19 @@
   const instanceLoop = createTaskLoop('instances', instances.takeStep);
 
   function onAdopted(object: ConfigurationObject, source: ConfigurationSource): void {
-    options.onConfiguration(object);
+    tellConfiguration(object);
     if (source !== 'patch') announcer.announceConfiguration(object, source);
   }
 
+  /** A fault of whoever is told must not look like a failed call of the platform or of a peer. */
+  function tellConfiguration(object: ConfigurationObject): void {
+    try {
+      options.onConfiguration(object);
+    } catch (error) {
+      record({ name: 'configurationTaskFault', loop: 'onConfiguration', reason: String(error) });
+    }
+  }
+
   /**
    * The watch may bring an accepted patch back before the answer to its update arrives; it is told
    * as the submitter's own in both cases, so that the other data centres hear of it.
--- a/packages/proxy/src/lib/configuration/platformHealth.ts
+++ b/packages/proxy/src/lib/configuration/platformHealth.ts
@@ -1,4 +1,4 @@
-import { PlatformUnavailableError } from '@wisterialift/platform';
+import { PlatformUnavailableError, VersionConflictError } from '@wisterialift/platform';
 import type { RecordConfiguration } from './messages';
 
 /** Notes when the platform goes away and when it is back, once each. @internal */
@@ -26,10 +26,13 @@
   }
 
   function onFailure(error: unknown): void {
-    if (!(error instanceof PlatformUnavailableError)) {
-      onAnswer();
-      return;
-    }
+    if (error instanceof PlatformUnavailableError) onUnavailable(error);
+    else onAnswer();
+    if (error instanceof VersionConflictError || error instanceof PlatformUnavailableError) return;
+    record({ name: 'configurationTaskFault', loop: 'platform', reason: String(error) });
+  }
+
+  function onUnavailable(error: PlatformUnavailableError): void {
     if (awaySince !== undefined) return;
     awaySince = now();
     record({ name: 'platformUnavailable', reason: error.message });
--- /dev/null
+++ b/packages/proxy/src/test/configurationMeasure.ts
@@ -0,0 +1,132 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { PeerClient } from '@wisterialift/peer';
+import { createFleet, describePatch } from './configurationFleet';
+import type { Fleet, FleetOptions, MemberOptions } from './configurationFleet';
+
+/**
+ * Measures the roll-out of a configuration and the calls that the platform counts; prints one line of
+ * JSON for each row. All instances run in this process, over loopback, with the default times.
+ */
+
+/** How the instances of a fleet share the watching. */
+interface Way {
+  name: string;
+  describeMember: (index: number) => MemberOptions;
+}
+
+const DATA_CENTRES = ['sesto-dc', 'mestre-dc', 'modena-dc'];
+const DEFAULT_TIMES: FleetOptions = { pollMilliseconds: 5_000, watchMilliseconds: 30_000 };
+const PATCHES = 60;
+const PATCH_PAUSE_MILLISECONDS = 50;
+const FLEET_SIZES = [7, 14, 28, 56];
+const COUNTED_MILLISECONDS = 60_000;
+const LARGEST_WAIT_MILLISECONDS = 30_000;
+
+const TWO_WATCHERS: Way = {
+  name: 'two watchers a data centre, announcements',
+  describeMember: (index) => ({
+    name: `p${index}`,
+    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
+  }),
+};
+
+const TWO_WATCHERS_SILENT: Way = {
+  name: 'two watchers a data centre, questions only',
+  describeMember: (index) => ({ ...TWO_WATCHERS.describeMember(index), wrapPeers: withoutNews }),
+};
+
+/** An instance that is alone in its data centre is its watcher. */
+const EVERYONE_WATCHES: Way = {
+  name: 'every instance watches',
+  describeMember: (index) => ({
+    name: `p${index}`,
+    dataCentre: `dc-${index}`,
+    wrapPeers: withoutNews,
+  }),
+};
+
+function withoutNews(peers: PeerClient): PeerClient {
+  return { ...peers, announceConfiguration: async () => 0 };
+}
+
+async function startFleet(way: Way, size: number, onAdopted?: () => void): Promise<Fleet> {
+  const fleet = await createFleet(DEFAULT_TIMES);
+  for (let index = 1; index <= size; index += 1) {
+    await fleet.add({ ...way.describeMember(index), onAdopted });
+  }
+  // The list of an instance that came early is complete after its next read.
+  await waitUntil(() => fleet.members.every(({ instances }) => instances().length === size));
+  return fleet;
+}
+
+async function waitUntil(isDone: () => boolean): Promise<void> {
+  const startedAt = performance.now();
+  while (!isDone()) {
+    if (performance.now() - startedAt > LARGEST_WAIT_MILLISECONDS) {
+      throw new Error('waited in vain');
+    }
+    await sleep(1);
+  }
+}
+
+/** Time from "accepted" until the last of seven instances has the configuration in force. */
+async function measureRollOut(way: Way, patches: number): Promise<void> {
+  let lastAdoptedAt = 0;
+  const fleet = await startFleet(way, 7, () => {
+    lastAdoptedAt = performance.now();
+  });
+  const durations: number[] = [];
+  for (let number = 0; number < patches; number += 1) {
+    const { task } = fleet.members[number % fleet.members.length]!;
+    const patch = describePatch({ patchId: `patch-${number}`, againstNumber: number });
+    const outcome = await task.submitPatch(patch);
+    const acceptedAt = performance.now();
+    if (outcome.status !== 'accepted') throw new Error(`the patch is ${outcome.status}`);
+    await waitUntil(() =>
+      fleet.members.every((member) => member.adoptedNumbers.at(-1) === number + 1),
+    );
+    durations.push(Math.max(0, lastAdoptedAt - acceptedAt));
+    await sleep(PATCH_PAUSE_MILLISECONDS);
+  }
+  await fleet.stop();
+  printRow({ measure: 'rollOutMilliseconds', way: way.name, patches, ...summarise(durations) });
+}
+
+function summarise(values: number[]): Record<string, number> {
+  const sorted = [...values].sort((left, right) => left - right);
+  const at = (share: number): number =>
+    Math.round(sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))]! * 10) / 10;
+  return { p50: at(0.5), p99: at(0.99), largest: at(1) };
+}
+
+/** Calls that the platform counts in a minute without any change. */
+async function measureCalls(way: Way, size: number): Promise<void> {
+  const fleet = await startFleet(way, size);
+  await fleet.members[0]!.task.submitPatch(describePatch());
+  await waitUntil(() => fleet.members.every(({ task }) => task.current() !== undefined));
+  const before = fleet.platform.calls();
+  await sleep(COUNTED_MILLISECONDS);
+  const after = fleet.platform.calls();
+  await fleet.stop();
+  const watches = after.watchObject - before.watchObject;
+  const lists = after.listInstances - before.listInstances;
+  printRow({ measure: 'platformCallsPerMinute', way: way.name, size, watches, lists });
+}
+
+function printRow(row: object): void {
+  process.stdout.write(`${JSON.stringify(row)}\n`);
+}
+
+async function main(): Promise<void> {
+  await measureRollOut(TWO_WATCHERS, PATCHES);
+  await measureRollOut(EVERYONE_WATCHES, PATCHES);
+  await measureRollOut(TWO_WATCHERS_SILENT, 10);
+  await Promise.all(
+    FLEET_SIZES.flatMap((size) => [
+      measureCalls(TWO_WATCHERS, size),
+      measureCalls(EVERYONE_WATCHES, size),
+    ]),
+  );
+}
+
+void main();
--- a/packages/proxy/src/test/configurationTask.test.ts
+++ b/packages/proxy/src/test/configurationTask.test.ts
@@ -290,6 +290,31 @@
     await waitForNumber(1);
   });
 
+  /*
+   * The platform charges by the call. If every instance asked it, the bill and the load would grow with
+   * the fleet; a first form did so for as long as no configuration had been submitted.
+   */
+  it('is asked of the platform by the watchers alone', async () => {
+    await fleet.stop();
+    fleet = await createFleet({ watchMilliseconds: 60_000 });
+    const questions = new Map<string, number>();
+    const add = (name: string): Promise<Member> =>
+      fleet.add({ name, wrapPeers: (peers) => countQuestions(peers, name, questions) });
+    for (const name of ['p1', 'p2', 'p3', 'p4', 'p5']) await add(name);
+    await waitForInstances(5);
+    await expect.poll(() => fleet.members.filter(isWatcher).length, GENEROUS).toBe(2);
+    const others = fleet.members.filter((member) => !isWatcher(member));
+    const waitForQuestions = async (count: number): Promise<void> => {
+      questions.clear();
+      const hasAsked = ({ name }: Member): boolean => (questions.get(name) ?? 0) >= count;
+      await expect.poll(() => others.every(hasAsked), GENEROUS).toBe(true);
+    };
+    await waitForQuestions(4);
+    const { watchObject } = fleet.platform.calls();
+    await waitForQuestions(4);
+    expect(fleet.platform.calls().watchObject).toBe(watchObject);
+  });
+
   it('goes on through an outage and a slow platform', async () => {
     const [first] = await addSevenInstances(fleet);
     await waitForInstances(7);
@@ -314,6 +339,21 @@
   return change?.name === 'watchRoleChanged' ? change.isWatcher : true;
 }
 
+/** Counts the questions for the configuration that an instance asks its peers. */
+function countQuestions(
+  peers: PeerClient,
+  name: string,
+  questions: Map<string, number>,
+): PeerClient {
+  return {
+    ...peers,
+    fetchConfiguration: (address, number) => {
+      questions.set(name, (questions.get(name) ?? 0) + 1);
+      return peers.fetchConfiguration(address, number);
+    },
+  };
+}
+
 /** An instance that tells its peers nothing. */
 function withoutNews(peers: PeerClient): PeerClient {
   return { ...peers, announceConfiguration: () => Promise.reject(new Error('lost')) };
