--- /dev/null
+++ b/packages/core/src/test/engine.test.ts
@@ -0,0 +1,83 @@
+import { describe, expect, it } from 'vitest';
+import { createScenario } from './engineScenario';
+
+describe('requests', () => {
+  it('answers at its deadline what was never sent, and says when to come back', () => {
+    // An officer keeps waiting after the system has given up. No member is fresh enough and the
+    // read waits in the queue. Cause: a request that nobody will serve is held back.
+    const scenario = createScenario();
+    const token = { term: 9, index: 1 };
+    const read = scenario.read({ token, deadlineAt: scenario.now() + 300 });
+    const waited = scenario.runUntil(() => read.outcome !== undefined);
+    expect(waited).toBeLessThanOrEqual(301);
+    expect(read.outcome).toMatchObject({ status: 'notRun', reason: 'noFreshMember' });
+    expect(read.sentTo).toEqual([]);
+  });
+
+  it('refuses at once what does not fit into the queue', () => {
+    const scenario = createScenario({ policy: { queueLength: 3 } });
+    scenario.member('a1').state = 'frozen';
+    scenario.run(450);
+    const writes = Array.from({ length: 5 }, () => scenario.write());
+    const refused = writes.filter(({ outcome }) => outcome?.status === 'notRun');
+    expect(refused.map(({ outcome }) => outcome)).toEqual(
+      Array(2).fill({
+        status: 'notRun',
+        reason: 'noPrimary',
+        retryAfterMilliseconds: expect.any(Number) as number,
+      }),
+    );
+  });
+
+  it('gives back the place of a statement whose caller has gone', () => {
+    // After a few callers that gave up, nothing runs at the database any more.
+    // Each left a statement running at a frozen member. Cause: a place that nobody gives back.
+    const scenario = createScenario();
+    scenario.run(4_000);
+    ['b1', 'c1', 'a1'].forEach((name) => Object.assign(scenario.member(name), { state: 'frozen' }));
+    const reads = Array.from({ length: 4 }, () => scenario.read({ token: { term: 1, index: 1 } }));
+    scenario.run(10);
+    expect(scenario.instance().engine.view(scenario.now()).running).toBe(4);
+    reads.forEach(({ requestId }) => scenario.handle({ type: 'requestCancelled', requestId }));
+    expect(scenario.instance().engine.view(scenario.now()).running).toBe(0);
+  });
+
+  it('keeps the place of a transaction until it is finished', () => {
+    const scenario = createScenario({ databases: { a1: { connectionLimit: 2 } } });
+    const begin = scenario.send({ access: 'transaction' });
+    scenario.runUntil(() => begin.outcome !== undefined);
+    const write = scenario.write();
+    scenario.run(500);
+    expect(write.sentTo).toEqual([]);
+    scenario.handle({ type: 'transactionFinished', transactionId: begin.requestId });
+    scenario.runUntil(() => write.outcome !== undefined);
+    expect(write.outcome?.status).toBe('done');
+  });
+
+  it('starts no change of primary while it drains', () => {
+    const scenario = createScenario();
+    scenario.handle({ type: 'drainStarted' });
+    scenario.member('a1').state = 'down';
+    scenario.run(3_000);
+    expect(scenario.recordsOf('termFenced')).toEqual([]);
+  });
+
+  it('sends nothing to a leaving replica', () => {
+    const scenario = createScenario();
+    scenario.changeDatabase('b1', { leaving: true });
+    const reads = Array.from({ length: 10 }, () => scenario.read());
+    scenario.runUntil(() => reads.every(({ outcome }) => outcome !== undefined));
+    expect(reads.flatMap(({ sentTo }) => sentTo)).not.toContain('b1');
+  });
+
+  it('shows itself to operators', () => {
+    const scenario = createScenario();
+    scenario.run(4_000);
+    const view = scenario.instance().engine.view(scenario.now());
+    const members = view.members.map(({ silentMilliseconds, ...member }) => ({
+      ...member,
+      isSilent: silentMilliseconds === undefined || silentMilliseconds > 400,
+    }));
+    expect({ ...view, members }).toMatchSnapshot();
+  });
+});
--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -3,6 +3,7 @@
 import type {
   EngineEffect,
   EngineEvent,
+  EnginePolicy,
   EngineRecord,
   EngineRequest,
   GroupEngine,
@@ -71,6 +72,7 @@
   lossShare?: number;
   /** A member whose link is slower than the others'. */
   slowMember?: string;
+  policy?: Partial<EnginePolicy>;
   databases?: Partial<Record<string, Partial<Database>>>;
 }
 
@@ -110,7 +112,7 @@
       instance: name,
       dataCentre: 'dc-b1',
       databases,
-      policy: DEFAULT_ENGINE_POLICY,
+      policy: { ...DEFAULT_ENGINE_POLICY, ...options.policy },
       random,
     });
     const unreachable = new Set<string>();
