Read lists that hold instances of a newer version

While a fleet is replaced, instances of two versions stand in one list; a field that the older does not know made it refuse the whole list. Unknown fields of an instance are now left out, at the platform and between peers. A configuration stays strict: it is taken whole or not at all.

Seen failing with the strict schema (1 fails). Tests: 18 pass (vitest run packages/platform packages/peer).

--- a/packages/peer/src/lib/client/peerClient.ts
+++ b/packages/peer/src/lib/client/peerClient.ts
@@ -49,7 +49,8 @@
   close: () => void;
 }
 
-const instancesSchema = z.array(instanceSchema);
+/** Leaves out fields that this version does not know, as a peer may be of a newer one. */
+const instancesSchema = z.array(z.object(instanceSchema.shape));
 
 /** The list that a peer last sent. */
 interface KnownList {
--- a/packages/platform/src/lib/answers.ts
+++ b/packages/platform/src/lib/answers.ts
@@ -17,5 +17,10 @@
 /** Answer to a conditional update, stored or in conflict. */
 export const versionAnswerSchema = z.object({ version: versionSchema });
 
-/** Answer to the question for the instance list. */
-export const instancesAnswerSchema = z.object({ instances: z.array(instanceSchema) });
+/**
+ * Answer to the question for the instance list. Fields that this version does not know are left out:
+ * instances of two versions stand in one list while a fleet is replaced.
+ */
+export const instancesAnswerSchema = z.object({
+  instances: z.array(z.object(instanceSchema.shape)),
+});
