Leave the baseline clients out of the connection limit

With seven proxies at their shares of 30 connections the direct clients of the throughput phase got error 1040. They now use the account that the limit leaves out. Files of an interrupted trial are removed; modules are named after their main export.

--- a/stand-ins/database/src/lib/createStandInDatabase.ts
+++ b/stand-ins/database/src/lib/createStandInDatabase.ts
@@ -19,7 +19,7 @@
 import { createStatementCounters } from './session/createStatementCounters';
 import { createWriterLock } from './session/createWriterLock';
 
-/** How a database is started. */
+/** How a database is started. @public */
 export interface StandInDatabaseOptions {
   name: string;
   host: string;
@@ -44,7 +44,7 @@
   faults?: Partial<FaultSettings>;
 }
 
-/** A running database. */
+/** A running database. @public */
 export interface StandInDatabase {
   port: number;
   controlPort: number;
@@ -56,6 +56,7 @@
  *
  * @example
  * const database = await createStandInDatabase({ ...DEFAULT_DATABASE_OPTIONS, name: 'a1' });
+ * @public
  */
 export async function createStandInDatabase(
   options: StandInDatabaseOptions,
@@ -137,7 +138,7 @@
   member.commit(statements);
 }
 
-/** Options that a test or a trial seldom changes. */
+/** Options that a test or a trial seldom changes. @public */
 export const DEFAULT_DATABASE_OPTIONS = {
   host: '127.0.0.1',
   port: 0,
--- a/stand-ins/database/src/lib/faults/createFaults.ts
+++ b/stand-ins/database/src/lib/faults/createFaults.ts
@@ -1,4 +1,4 @@
-/** Faults that can be switched at the control port. */
+/** Faults that can be switched at the control port. @public */
 export interface FaultSettings {
   /** Time until an entry of the primary reaches the log of this replica. */
   replicationLagMilliseconds: number;
--- a/stand-ins/database/src/lib/protocol/createAnswerWriter.ts
+++ b/stand-ins/database/src/lib/protocol/createAnswerWriter.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
 import type { SqlValue } from '../engine/sqlValue';
-import { findColumns } from './columnTypes';
+import { findColumns } from './findColumns';
 import {
   binaryRowPayload,
   columnCountPayload,
--- a/stand-ins/database/src/lib/protocol/createListener.ts
+++ b/stand-ins/database/src/lib/protocol/createListener.ts
@@ -6,7 +6,7 @@
 import type { Session } from '../session/createSession';
 import type { StatementCounters } from '../session/createStatementCounters';
 import type { Slots } from '../session/createSlots';
-import { serveConnection } from './createConnection';
+import { serveConnection } from './serveConnection';
 import { isPasswordRight } from './isPasswordRight';
 import { SERVED_CAPABILITIES, errorPayload, frame, okPayload } from './packets';
 import type { Credentials, ServerConnection } from './serverConnection';
--- a/tools/bench/src/lib/cluster/startDatabase.ts
+++ b/tools/bench/src/lib/cluster/startDatabase.ts
@@ -6,7 +6,7 @@
 import { DATABASE_ACCOUNT } from './trialConfiguration';
 import type { TrialOptions } from './trialOptions';
 
-/** Faults that a database can be given; see the stand-in's control port. */
+/** Faults that a database can be given; see the stand-in's control port. @public */
 export interface DatabaseFaults {
   replicationLagMilliseconds: number;
   applyLagMilliseconds: number;
@@ -19,7 +19,7 @@
   serviceMilliseconds: number;
 }
 
-/** What a database tells of itself at its control port. */
+/** What a database tells of itself at its control port. @public */
 export interface DatabaseHealth {
   status: MemberStatus;
   connections: number;
@@ -27,7 +27,7 @@
   statements: Record<string, number>;
 }
 
-/** A database of a trial. */
+/** A database of a trial. @public */
 export interface TrialDatabase extends Database {
   group: string;
   controlPort: number;
--- a/tools/bench/src/lib/cluster/startPlatform.ts
+++ b/tools/bench/src/lib/cluster/startPlatform.ts
@@ -4,7 +4,7 @@
 import { startStandIn } from './startProgram';
 import type { ProgramProcess } from './startProgram';
 
-/** Faults that the platform can be given. */
+/** Faults that the platform can be given. @public */
 export interface PlatformFaults {
   outage: boolean;
   delayMilliseconds: number;
@@ -12,7 +12,7 @@
   instanceLagMilliseconds: number;
 }
 
-/** The platform of a trial. */
+/** The platform of a trial. @public */
 export interface TrialPlatform {
   address: string;
   controlAddress: string;
--- a/tools/bench/src/lib/cluster/startProgram.ts
+++ b/tools/bench/src/lib/cluster/startProgram.ts
@@ -3,7 +3,7 @@
 import { existsSync } from 'node:fs';
 import { join } from 'node:path';
 
-/** A program of the project that runs as a process of its own. */
+/** A program of the project that runs as a process of its own. @public */
 export interface ProgramProcess {
   pid: number;
   /** The lines that it wrote last, standard output and errors together. */
@@ -33,7 +33,7 @@
   onLine?: (line: string) => void;
 }
 
-/** A program that did not start or did not get ready. */
+/** A program that did not start or did not get ready. @public */
 export class ProgramError extends Error {
   constructor(message: string) {
     super(message);
@@ -69,7 +69,7 @@
   });
 }
 
-/** Starts a program; the caller stops it. */
+/** Starts a program; the caller stops it. @public */
 export function startProgram(options: ProgramOptions): ProgramProcess {
   const { program, programArguments, preload = [], environment = {}, onLine } = options;
   const nodeArguments = preload.flatMap((path) => ['--require', path]);
--- a/tools/bench/src/lib/cluster/startProxy.ts
+++ b/tools/bench/src/lib/cluster/startProxy.ts
@@ -7,7 +7,7 @@
 import type { ProgramProcess } from './startProgram';
 import type { TrialOptions } from './trialOptions';
 
-/** A proxy of a trial. */
+/** A proxy of a trial. @public */
 export interface TrialProxy extends ProxyPlace {
   settingsFile: string;
   /** The present process; another one after a restart. */
--- a/tools/bench/src/lib/cluster/startTrial.ts
+++ b/tools/bench/src/lib/cluster/startTrial.ts
@@ -20,8 +20,10 @@
 
 const ADMINISTRATION_TOKEN = 'administration-token';
 const CONNECT_TIMEOUT_MILLISECONDS = 5_000;
+/** Account that the connection limit of the stand-in leaves out, so that a baseline takes no places. */
+const UNCOUNTED_USER = 'replication';
 
-/** A running platform, databases and proxies, each a process of its own. */
+/** A running platform, databases and proxies, each a process of its own. @public */
 export interface Trial {
   options: TrialOptions;
   platform: TrialPlatform;
@@ -79,9 +81,12 @@
   const options = { ...DEFAULT_TRIAL_OPTIONS, ...changes };
   const plan = await planTrial(options);
   const started: (() => ProgramProcess)[] = [];
+  const removeFiles = (): void => rmSync(plan.directory, { recursive: true, force: true });
+  process.once('exit', removeFiles);
   const stop = async (): Promise<void> => {
     await Promise.all(started.map((program) => program().kill()));
-    rmSync(plan.directory, { recursive: true, force: true });
+    process.off('exit', removeFiles);
+    removeFiles();
   };
   try {
     return await startAll({ options, plan, started, stop });
@@ -156,7 +161,8 @@
           dataCentre === undefined || !links
             ? database.port
             : links.portFor(dataCentre, database.port),
-        ...DATABASE_ACCOUNT,
+        user: UNCOUNTED_USER,
+        password: DATABASE_ACCOUNT.password,
       }),
     stop,
   };
--- a/tools/bench/src/lib/cluster/trialOptions.ts
+++ b/tools/bench/src/lib/cluster/trialOptions.ts
@@ -1,18 +1,18 @@
 import type { Configuration } from '@wisterialift/schema';
 
-/** A data centre of a trial and the region that it lies in. */
+/** A data centre of a trial and the region that it lies in. @public */
 export interface TrialDataCentre {
   name: string;
   region: string;
 }
 
-/** A caller of a trial, with the password that the configuration keeps as a hash. */
+/** A caller of a trial, with the password that the configuration keeps as a hash. @public */
 export interface TrialCaller {
   name: string;
   password: string;
 }
 
-/** The links between data centres; relays delay what passes over them. */
+/** The links between data centres; relays delay what passes over them. @public */
 export interface TrialLinks {
   /** One way, in milliseconds. */
   delayMilliseconds: number;
@@ -22,7 +22,7 @@
   loss: number;
 }
 
-/** What a trial consists of. */
+/** What a trial consists of. @public */
 export interface TrialOptions {
   /** Names of the upstream groups. */
   groups: string[];
@@ -45,7 +45,7 @@
   settings: Record<string, Record<string, string | number>>;
 }
 
-/** A small trial: one group of three, two proxies, no delays. */
+/** A small trial: one group of three, two proxies, no delays. @public */
 export const DEFAULT_TRIAL_OPTIONS: TrialOptions = {
   groups: ['archivio-luci-1'],
   databasesPerGroup: 3,
@@ -95,7 +95,7 @@
   settings: {},
 };
 
-/** The sizes of the Consorzio: three groups of three, 5 slots, 30 connections, 7 proxies. */
+/** The sizes of the Consorzio: three groups of three, 5 slots, 30 connections, 7 proxies. @public */
 export const CONSORZIO_OPTIONS: TrialOptions = {
   ...DEFAULT_TRIAL_OPTIONS,
   groups: ['archivio-luci-1', 'archivio-luci-2', 'archivio-luci-3'],
@@ -103,7 +103,7 @@
   links: { delayMilliseconds: 12, jitterMilliseconds: 2, loss: 0 },
 };
 
-/** The sizes of the Badan: three groups of three, 3 slots, 40 connections, 7 proxies. */
+/** The sizes of the Badan: three groups of three, 3 slots, 40 connections, 7 proxies. @public */
 export const BADAN_OPTIONS: TrialOptions = {
   ...DEFAULT_TRIAL_OPTIONS,
   groups: ['sertifikat-db-1', 'sertifikat-db-2', 'sertifikat-db-3'],
--- a/tools/bench/src/lib/phases/measureFailover.ts
+++ b/tools/bench/src/lib/phases/measureFailover.ts
@@ -7,7 +7,7 @@
 import type { Oracle } from '../load/createOracle';
 import { createReconnecting } from '../load/createReconnecting';
 import type { ReconnectingConnection } from '../load/createReconnecting';
-import { createTimings, pause, waitUntil } from '../load/measure';
+import { createTimings, pause, waitUntil } from '../load/timings';
 
 /** How a primary is made to fail. */
 export type PrimaryFault = 'killed' | 'frozen' | 'cutFromGroup';
--- a/tools/bench/src/lib/phases/measureFalsePromotions.ts
+++ b/tools/bench/src/lib/phases/measureFalsePromotions.ts
@@ -2,7 +2,7 @@
 import type { Trial } from '../cluster/startTrial';
 import type { TrialOptions } from '../cluster/trialOptions';
 import { createReconnecting } from '../load/createReconnecting';
-import { pause, repeatFor } from '../load/measure';
+import { pause, repeatFor } from '../load/timings';
 
 /** What came of a time without any fault of a primary, over links that lose. */
 export interface FalsePromotionResult {
--- a/tools/bench/src/lib/phases/measureLatency.ts
+++ b/tools/bench/src/lib/phases/measureLatency.ts
@@ -1,8 +1,8 @@
 import type { RowDataPacket } from 'mysql2/promise';
 import type { Trial } from '../cluster/startTrial';
 import type { Oracle } from '../load/createOracle';
-import { createTimings, repeatFor, timed } from '../load/measure';
-import type { Timings } from '../load/measure';
+import { createTimings, repeatFor, timed } from '../load/timings';
+import type { Timings } from '../load/timings';
 
 /** Latency of one statement by way of a proxy and directly. */
 export interface LatencyComparison {
--- a/tools/bench/src/lib/phases/measureOverload.ts
+++ b/tools/bench/src/lib/phases/measureOverload.ts
@@ -1,6 +1,6 @@
 import type { Connection } from 'mysql2/promise';
 import type { Trial } from '../cluster/startTrial';
-import { createTimings, pause } from '../load/measure';
+import { createTimings, pause } from '../load/timings';
 
 /** What came of the offered requests at one rate. */
 export interface LoadLevel {
--- a/tools/bench/src/lib/phases/measureReplicaReads.ts
+++ b/tools/bench/src/lib/phases/measureReplicaReads.ts
@@ -4,8 +4,8 @@
 import type { Oracle } from '../load/createOracle';
 import { findErrorMeaning } from '../load/callerError';
 import { createReconnecting } from '../load/createReconnecting';
-import { createTimings, pause, repeatFor, timed } from '../load/measure';
-import type { Timings } from '../load/measure';
+import { createTimings, pause, repeatFor, timed } from '../load/timings';
+import type { Timings } from '../load/timings';
 
 /** What the phase of roaming sessions gives. */
 export interface ReplicaReadResult {
--- a/tools/bench/src/lib/phases/measureThroughput.ts
+++ b/tools/bench/src/lib/phases/measureThroughput.ts
@@ -1,6 +1,6 @@
 import type { Connection } from 'mysql2/promise';
 import type { Trial } from '../cluster/startTrial';
-import { repeatFor } from '../load/measure';
+import { repeatFor } from '../load/timings';
 
 /** Statements a second by way of the proxies, directly spread over all members, and at the primary. */
 export interface ThroughputResult {
--- a/tools/bench/src/lib/phases/warmUp.ts
+++ b/tools/bench/src/lib/phases/warmUp.ts
@@ -1,5 +1,5 @@
 import type { Trial } from '../cluster/startTrial';
-import { repeatFor } from '../load/measure';
+import { repeatFor } from '../load/timings';
 
 const READ = 'SELECT note FROM records WHERE id = ?';
 const WRITE = "INSERT INTO records (id, session, note) VALUES ('warm-up', 'warm-up', 'test')";
--- a/tools/bench/src/lib/runBench.ts
+++ b/tools/bench/src/lib/runBench.ts
@@ -3,7 +3,7 @@
 import type { TrialOptions } from './cluster/trialOptions';
 import { createOracle } from './load/createOracle';
 import type { Oracle } from './load/createOracle';
-import { pause } from './load/measure';
+import { pause } from './load/timings';
 import { measureFailover } from './phases/measureFailover';
 import type { PrimaryFault } from './phases/measureFailover';
 import { measureFalsePromotions } from './phases/measureFalsePromotions';
--- a/tools/bench/src/lib/slopes/measureSlopes.ts
+++ b/tools/bench/src/lib/slopes/measureSlopes.ts
@@ -5,7 +5,7 @@
 import type { Trial } from '../cluster/startTrial';
 import type { TrialProxy } from '../cluster/startProxy';
 import type { TrialOptions } from '../cluster/trialOptions';
-import { pause } from '../load/measure';
+import { pause } from '../load/timings';
 import { readUsage } from './readUsage';
 
 /** What a proxy's control work costs at one point. */
