Offer TLS to callers

A client asks for TLS within the login and sends the first bytes of the TLS handshake along with it, so the bytes are held back from the packet parser until it is known which of the two comes. The packet limit moved from a listener on the socket to the way into the parser for the same reason: it took those bytes for a packet of a wrong size. TLS is offered, not required; callers need a certificate where an authority is set; keys can be changed for connections to come.

--- a/packages/mysql/src/index.ts
+++ b/packages/mysql/src/index.ts
@@ -11,6 +11,7 @@
   type CallerLogin,
   type ListenerAddress,
 } from './lib/caller/callerListener';
+export { type CallerTls } from './lib/caller/tlsUpgrade';
 export { isPasswordProven, type PasswordProof } from './lib/caller/passwordCheck';
 export {
   createGroupControlConnection,
--- a/packages/mysql/src/lib/caller/callerListener.ts
+++ b/packages/mysql/src/lib/caller/callerListener.ts
@@ -8,6 +8,7 @@
 import { createCallerConnection, endConnection, type CallerConnection } from './callerConnection';
 import { createPacketLimit } from './packetLimit';
 import type { PasswordProof } from './passwordCheck';
+import { acceptTls, toTlsKeys, type CallerTls, type TlsKeys } from './tlsUpgrade';
 
 /** Who wants to connect. @public */
 export interface CallerLogin {
@@ -26,6 +27,8 @@
   maximumPacketBytes: number;
   /** Time that a client has to log in, in milliseconds. */
   loginTimeoutMilliseconds?: number;
+  /** Offers TLS with these keys. */
+  tls?: CallerTls | undefined;
   /** @returns the error that refuses the login, or undefined. */
   authenticate: (login: CallerLogin) => SqlError | undefined;
   onConnection: (connection: CallerConnection, login: CallerLogin) => void;
@@ -40,6 +43,12 @@
 /** Accepts connections of callers. @public */
 export interface CallerListener {
   listen: () => Promise<ListenerAddress>;
+  /**
+   * Takes other keys for the connections to come.
+   *
+   * @throws Error of the TLS library where the keys cannot be used; the present ones stay.
+   */
+  useTls: (tls: CallerTls) => void;
   /** Accepts no more connections; those that are open stay. */
   stopAccepting: () => void;
 }
@@ -68,12 +77,16 @@
  */
 export function createCallerListener(options: CallerListenerOptions): CallerListener {
   let lastId = 0;
+  let tlsKeys = options.tls && toTlsKeys(options.tls);
   const server = createTcpServer({ noDelay: true }, (socket) => {
     lastId += 1;
-    acceptConnection(socket, lastId, options);
+    acceptConnection({ socket, id: lastId, tlsKeys, options });
   });
   return {
     listen: () => listen(server, options),
+    useTls: (tls) => {
+      tlsKeys = toTlsKeys(tls);
+    },
     stopAccepting: () => {
       server.close();
     },
@@ -94,7 +107,14 @@
   });
 }
 
-function acceptConnection(socket: Socket, id: number, options: CallerListenerOptions): void {
+interface AcceptedConnection {
+  socket: Socket;
+  id: number;
+  tlsKeys: TlsKeys | undefined;
+  options: CallerListenerOptions;
+}
+
+function acceptConnection({ socket, id, tlsKeys, options }: AcceptedConnection): void {
   const driverOptions: ConnectionOptions = { stream: socket, isServer: true };
   const driver = createConnection(driverOptions) as unknown as DriverConnection;
   // A connection that breaks is told by the close of its socket.
@@ -107,6 +127,7 @@
 
   let largestPacketBytes = LARGEST_LOGIN_BYTES;
   limitPackets(driver, () => largestPacketBytes);
+  if (tlsKeys) acceptTls(driver, tlsKeys);
   refuseWrongSequence(driver);
 
   driver.serverHandshake({
@@ -115,7 +136,7 @@
     connectionId: id,
     statusFlags: serverStatus.autocommit,
     characterSet: UTF8MB4_COLLATION,
-    capabilityFlags: CAPABILITIES,
+    capabilityFlags: CAPABILITIES + (tlsKeys ? capability.tls : 0),
     authCallback: (driverLogin) => {
       clearTimeout(loginTimer);
       const login = toLogin(driverLogin);
@@ -127,7 +148,7 @@
       largestPacketBytes = options.maximumPacketBytes;
       const flags = driver.clientHelloReply?.clientFlags ?? 0;
       const canTrackSession = hasFlag(flags, capability.sessionTrack);
-      socket.write(toFrames(encodeOk({ ok: EMPTY_OK, canTrackSession }), driver.sequenceId));
+      driver.stream.write(toFrames(encodeOk({ ok: EMPTY_OK, canTrackSession }), driver.sequenceId));
       options.onConnection(createCallerConnection({ id, driver, canTrackSession }), login);
     },
   });
@@ -136,11 +157,16 @@
 /** Closes this connection alone, before its packet is kept, when a header announces too much. */
 function limitPackets(driver: DriverConnection, maximumBytes: () => number): void {
   const limit = createPacketLimit(maximumBytes);
-  driver.stream.prependListener('data', (chunk: Buffer) => {
-    if (limit.accepts(chunk)) return;
+  const { packetParser } = driver;
+  const execute = (chunk: Buffer): void => {
+    if (limit.accepts(chunk)) {
+      packetParser.execute(chunk);
+      return;
+    }
     const message = `Got a packet bigger than ${maximumBytes()} bytes`;
     endConnection(driver, { code: 1153, state: '08S01', message }, 1);
-  });
+  };
+  Object.assign(driver, { packetParser: { execute } });
 }
 
 /** The driver prints a line for each packet out of order and goes on; here it ends the connection. */
--- a/packages/proxy/src/lib/statements/statementPath.ts
+++ b/packages/proxy/src/lib/statements/statementPath.ts
@@ -8,6 +8,7 @@
   createCallerListener,
   type CallerConnection,
   type CallerLogin,
+  type CallerTls,
   type ListenerAddress,
   type SqlError,
 } from '@wisterialift/mysql';
@@ -43,6 +44,8 @@
   observe: (observation: RequestObservation) => void;
   /** An engine of this instance has promoted a primary. */
   onPrimaryPromoted: (promoted: GroupPrimary) => void;
+  /** Keys of `settings.tls.callers`; without them callers connect in the clear alone. */
+  callerTls?: CallerTls | undefined;
   /** Changes to the engines' limits, for tests and trials. */
   policy?: Partial<EnginePolicy>;
 }
@@ -57,6 +60,12 @@
 export interface StatementPath {
   /** Starts to accept callers. */
   listen: () => Promise<ListenerAddress>;
+  /**
+   * Takes other keys for the callers to come.
+   *
+   * @throws Error of the TLS library where the keys cannot be used; the present ones stay.
+   */
+  applyCallerTls: (tls: CallerTls) => void;
   /** Takes a new configuration, also for the connections that are open. */
   applyConfiguration: (configuration: Configuration) => void;
   /** @param names - instances that the platform's list shows as live. */
@@ -111,6 +120,7 @@
   const listener = createCallerListener({
     ...settings.callers,
     maximumPacketBytes,
+    tls: options.callerTls,
     authenticate: (login) => checkLogin(login, { configuration, openConnections }),
     onConnection,
   });
@@ -201,6 +211,7 @@
 
   return {
     listen: () => listener.listen(),
+    applyCallerTls: listener.useTls,
     applyConfiguration: (changed) => {
       configuration = changed;
       applyGroups();
--- a/packages/proxy/src/test/statementsFixture.ts
+++ b/packages/proxy/src/test/statementsFixture.ts
@@ -6,6 +6,7 @@
 } from 'mariadb';
 import { createConnection, type Connection, type ConnectionOptions } from 'mysql2/promise';
 import { onTestFinished } from 'vitest';
+import type { CallerTls } from '@wisterialift/mysql';
 import {
   configurationSchema,
   settingsSchema,
@@ -50,6 +51,7 @@
   kinds?: Record<string, unknown>;
   connectionLimit?: number;
   limits?: Partial<Settings['limits']>;
+  callerTls?: CallerTls;
   /** In place of the three databases, one that answers as a test says. */
   scriptedPort?: number;
 }
@@ -91,6 +93,7 @@
     random: () => 0.5,
     record: ({ record }) => records.push(record),
     observe: (observation) => observations.push(observation),
+    callerTls: options.callerTls,
     onPrimaryPromoted: () => {},
   });
   const { port } = await path.listen();
