Replace the keys between instances without a new start

Keys that do not fit each other are refused first, as after half of a replacement; the old ones stay.

--- a/packages/peer/src/lib/client/peerClient.ts
+++ b/packages/peer/src/lib/client/peerClient.ts
@@ -12,6 +12,7 @@
   PeerTls,
   PublishedPrimary,
 } from '../peerMessages';
+import { checkKeys } from '../tls/checkKeys';
 import { createCallCredentials } from '../tls/peerCredentials';
 import { callPeer } from './callPeer';
 
@@ -46,6 +47,8 @@
   ping: (address: string) => Promise<PeerStatus>;
   /** Closes the connections to all other addresses. */
   retainAddresses: (addresses: readonly string[]) => void;
+  /** Uses other keys from now on, over new connections. @throws PeerError where they cannot be used. */
+  replaceKeys: (tls: PeerTls) => void;
   close: () => void;
 }
 
@@ -81,7 +84,7 @@
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const services = new Map<string, PeerServiceClient>();
   const lists = new Map<string, KnownList>();
-  const callCredentials = createCallCredentials(options.tls);
+  let callCredentials = createCallCredentials(options.tls);
   const { deadlineMilliseconds } = options;
 
   function serviceAt(address: string): PeerServiceClient {
@@ -168,6 +171,12 @@
     [...services.keys()].filter((address) => !retained.has(address)).forEach(closeAddress);
   }
 
+  function replaceKeys(tls: PeerTls): void {
+    checkKeys(tls);
+    callCredentials = createCallCredentials(tls);
+    retainAddresses([]);
+  }
+
   return {
     announceConfiguration,
     fetchConfiguration,
@@ -176,6 +185,7 @@
     announceLeaving,
     ping,
     retainAddresses,
+    replaceKeys,
     close: () => retainAddresses([]),
   };
 }
--- a/packages/peer/src/lib/server/peerServer.ts
+++ b/packages/peer/src/lib/server/peerServer.ts
@@ -3,7 +3,9 @@
 import { PeerError } from '../errors/peerError';
 import { MESSAGE_LIMIT_BYTES } from '../peerMessages';
 import type { PeerHandlers, PeerTls } from '../peerMessages';
+import { checkKeys } from '../tls/checkKeys';
 import { createListenerCredentials } from '../tls/peerCredentials';
+import { createReplaceableKeys } from '../tls/replaceableKeys';
 import { createPeerService } from './peerService';
 
 /** @public */
@@ -20,6 +22,13 @@
 export interface PeerServer {
   /** @returns the port that it listens on. @throws PeerError */
   start: () => Promise<number>;
+  /**
+   * Uses other keys for connections from now on, as when the files of the keys have changed.
+   *
+   * @throws PeerError where they cannot be used, or the listener was created without keys; it then
+   *   goes on with the keys that it has.
+   */
+  replaceKeys: (tls: PeerTls) => void;
   /** Refuses new calls and lets those in flight end, for a second at most. */
   stop: () => Promise<void>;
 }
@@ -30,6 +39,7 @@
 /** Creates the listener for calls of other instances. @public */
 export function createPeerServer(options: PeerServerOptions): PeerServer {
   const { host, port, handlers, tls } = options;
+  const keys = tls && createReplaceableKeys(tls);
   const server = new Server({
     'grpc.max_receive_message_length': MESSAGE_LIMIT_BYTES,
     'grpc.max_send_message_length': MESSAGE_LIMIT_BYTES,
@@ -38,7 +48,7 @@
 
   function start(): Promise<number> {
     return new Promise((resolve, reject) => {
-      const listener = createListenerCredentials(tls);
+      const listener = createListenerCredentials(keys);
       server.bindAsync(`${host}:${port}`, listener, (error, boundPort) => {
         if (error) reject(new PeerError(`cannot listen on ${host}:${port}`, { cause: error }));
         else resolve(boundPort);
@@ -46,6 +56,12 @@
     });
   }
 
+  function replaceKeys(next: PeerTls): void {
+    if (!keys) throw new PeerError('a listener without keys cannot change to TLS');
+    checkKeys(next);
+    keys.replace(next);
+  }
+
   function stop(): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(() => server.forceShutdown(), STOP_MILLISECONDS);
@@ -56,5 +72,5 @@
     });
   }
 
-  return { start, stop };
+  return { start, replaceKeys, stop };
 }
--- a/packages/peer/src/lib/tls/peerCredentials.ts
+++ b/packages/peer/src/lib/tls/peerCredentials.ts
@@ -1,6 +1,7 @@
-import { ServerCredentials, credentials } from '@grpc/grpc-js';
+import { ServerCredentials, credentials, experimental } from '@grpc/grpc-js';
 import type { ChannelCredentials } from '@grpc/grpc-js';
 import type { PeerTls } from '../peerMessages';
+import type { ReplaceableKeys } from './replaceableKeys';
 
 /** Credentials of calls: mutual TLS, or none where no keys are set. */
 export function createCallCredentials(tls: PeerTls | undefined): ChannelCredentials {
@@ -8,9 +9,11 @@
   return credentials.createSsl(tls.authority, tls.key, tls.certificate);
 }
 
-/** Credentials of a listener, which demands a certificate of whoever calls. */
-export function createListenerCredentials(tls: PeerTls | undefined): ServerCredentials {
-  if (!tls) return ServerCredentials.createInsecure();
-  const keyPair = { private_key: tls.key, cert_chain: tls.certificate };
-  return ServerCredentials.createSsl(tls.authority, [keyPair], true);
+/**
+ * Credentials of a listener, which demands a certificate of whoever calls. Keys that are replaced hold
+ * for connections from then on; those that are open go on.
+ */
+export function createListenerCredentials(keys: ReplaceableKeys | undefined): ServerCredentials {
+  if (!keys) return ServerCredentials.createInsecure();
+  return experimental.createCertificateProviderServerCredentials(keys, keys, true);
 }
--- a/packages/peer/src/test/peerTls.test.ts
+++ b/packages/peer/src/test/peerTls.test.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { PeerUnavailableError, createPeerClient, createPeerServer } from '..';
+import { PeerError, PeerUnavailableError, createPeerClient, createPeerServer } from '..';
 import type { PeerClient, PeerServer, PeerTls } from '..';
 
 /** Reads the keys of one authority; they are made for these tests alone. */
@@ -65,4 +65,30 @@
     const { authority } = readKeys('foreign');
     await expect(ping({ ...readKeys('own'), authority })).rejects.toThrow(PeerUnavailableError);
   });
+
+  /*
+   * The certificates of a fleet run out and are replaced in its files. If an instance had to be started
+   * again for it, every caller would have to connect anew.
+   */
+  it('uses other keys once they are replaced, without a new start', async () => {
+    expect(await ping(readKeys('own'))).toMatchObject({ instance: 'p2' });
+    server.replaceKeys(readKeys('foreign'));
+    expect(await peers!.ping(address)).toMatchObject({ instance: 'p2' });
+    peers!.replaceKeys(readKeys('foreign'));
+    expect(await peers!.ping(address)).toMatchObject({ instance: 'p2' });
+    peers!.close();
+    await expect(ping(readKeys('own'))).rejects.toThrow(PeerUnavailableError);
+  });
+
+  /*
+   * The file of the certificate was replaced and that of its key not yet. Taken as they are, the two
+   * would cut the instance off from all others.
+   */
+  it('keeps its keys when those that should replace them do not fit each other', async () => {
+    const halfWritten = { ...readKeys('own'), key: readKeys('foreign').key };
+    expect(() => server.replaceKeys(halfWritten)).toThrow(PeerError);
+    expect(await ping(readKeys('own'))).toMatchObject({ instance: 'p2' });
+    expect(() => peers!.replaceKeys(halfWritten)).toThrow(PeerError);
+    expect(await peers!.ping(address)).toMatchObject({ instance: 'p2' });
+  });
 });
