Refuse unusable keys between instances at the start

A listener that is given a certificate and a key that do not fit each other drops every connection without a word; it now fails when it is created, and so does a client.

--- a/packages/peer/src/lib/client/peerClient.ts
+++ b/packages/peer/src/lib/client/peerClient.ts
@@ -75,6 +75,8 @@
  * Creates a client for calls of other instances. A connection is opened by the first call to an
  * address and kept.
  *
+ * @throws PeerError where the keys cannot be used.
+ *
  * @example
  * const peers = createPeerClient({ deadlineMilliseconds: 1_000 });
  * const { configurationNumber } = await peers.ping('10.0.0.2:7300');
@@ -84,6 +86,7 @@
 export function createPeerClient(options: PeerClientOptions): PeerClient {
   const services = new Map<string, PeerServiceClient>();
   const lists = new Map<string, KnownList>();
+  if (options.tls) checkKeys(options.tls);
   let callCredentials = createCallCredentials(options.tls);
   const { deadlineMilliseconds } = options;
 
--- a/packages/peer/src/lib/server/peerServer.ts
+++ b/packages/peer/src/lib/server/peerServer.ts
@@ -36,9 +36,15 @@
 /** Calls between instances are short; whatever lasts longer than this is stuck. */
 const STOP_MILLISECONDS = 1_000;
 
-/** Creates the listener for calls of other instances. @public */
+/**
+ * Creates the listener for calls of other instances.
+ *
+ * @throws PeerError where the keys cannot be used.
+ * @public
+ */
 export function createPeerServer(options: PeerServerOptions): PeerServer {
   const { host, port, handlers, tls } = options;
+  if (tls) checkKeys(tls);
   const keys = tls && createReplaceableKeys(tls);
   const server = new Server({
     'grpc.max_receive_message_length': MESSAGE_LIMIT_BYTES,
--- a/packages/peer/src/test/peerTls.test.ts
+++ b/packages/peer/src/test/peerTls.test.ts
@@ -86,6 +86,9 @@
    */
   it('keeps its keys when those that should replace them do not fit each other', async () => {
     const halfWritten = { ...readKeys('own'), key: readKeys('foreign').key };
+    expect(() => createPeerClient({ deadlineMilliseconds: 1, tls: halfWritten })).toThrow(
+      PeerError,
+    );
     expect(() => server.replaceKeys(halfWritten)).toThrow(PeerError);
     expect(await ping(readKeys('own'))).toMatchObject({ instance: 'p2' });
     expect(() => peers!.replaceKeys(halfWritten)).toThrow(PeerError);
