Build the objects of a statement in one piece

A profile of reads by 16 callers had two functions that only build an object at 5.5% and 4.1% of the busy time: spreading an object into a literal and adding to it takes the slow way of the engine. Their fields are now written out.

Processor time of the proxy for one read with 16 callers, own floor, runs in turn on a machine that was loaded with 27 to 31 on 12 cores: before 390, 277, 386, 279 us; after 221, 287, 218, 148 us.

--- a/packages/proxy/src/lib/statements/caller/callerRequests.ts
+++ b/packages/proxy/src/lib/statements/caller/callerRequests.ts
@@ -156,6 +156,7 @@
     access: Access,
     { options: { kind: kindOption, token } }: Statement,
     group: string,
+    transactionId?: string,
   ): EngineRequest {
     const kind = kindOption ?? session.kind ?? DEFAULT_KIND;
     const settings = kindSettings(kind);
@@ -173,6 +174,7 @@
       deadlineAt: arrivedAt + settings.deadlineMilliseconds,
       priority: settings.priority,
       isRepeatable: settings.isRepeatable,
+      transactionId,
     };
   }
 
@@ -184,16 +186,18 @@
 
   function track(
     { requestId, access, kind, arrivedAt }: EngineRequest,
-    rest: Pick<CurrentRequest, 'group' | 'services' | 'onFinished'>,
+    { group, services, onFinished }: Pick<CurrentRequest, 'group' | 'services' | 'onFinished'>,
   ): void {
     current = {
-      ...rest,
       requestId,
+      group,
+      services,
       access,
       kind,
       startedAt: arrivedAt,
       nextSequence: FIRST_SEQUENCE,
       isPaused: false,
+      onFinished,
     };
   }
 
@@ -216,12 +220,12 @@
         answers.error(callerError('noGroupSelected', 'No group selected'));
         return;
       }
-      const request = createRequest(access, work.statement, group);
+      const request = createRequest(access, work.statement, group, transaction?.id);
       const statement = work.upstream();
       track(request, { group, services, onFinished });
       services.port.post({
         type: 'requestSubmitted',
-        request: { ...request, transactionId: transaction?.id },
+        request,
         statement,
         caller: port,
       });
--- a/packages/proxy/src/lib/statements/group/statementRun.ts
+++ b/packages/proxy/src/lib/statements/group/statementRun.ts
@@ -30,8 +30,13 @@
 
 /** Creates a run before its first attempt. @internal */
 export function createStatementRun(start: StatementRunStart): StatementRun {
+  const { requestId, statement, caller, access, transactionId } = start;
   return {
-    ...start,
+    requestId,
+    statement,
+    caller,
+    access,
+    transactionId,
     attempt: 0,
     lease: undefined,
     hasStarted: false,
