Refuse a patch that changes more than one member of a group

Cause: two instances with the members {a,b,c} and {a,b,d} have the majorities {b,c} and {a,d}, which share no member; a record confirmed by one can be missing from the log that the other promotes from. Found by reading; the fuzz harness does not change members. Ruled out for now: recording the set of members in the databases terms, which the platform gives no means for. The test failed before and passes now. Not proved: two changes one soon after the other.

--- a/packages/core/src/lib/configuration/preparePatch.ts
+++ b/packages/core/src/lib/configuration/preparePatch.ts
@@ -7,6 +7,7 @@
 } from '@wisterialift/schema';
 import { describeFaults } from './configurationFault';
 import type { ConfigurationFault } from './configurationFault';
+import { findMemberFaults } from './memberChanges';
 import { mergePatch } from './mergePatch';
 
 /** What a patch comes to when it meets the present configuration. @public */
@@ -45,6 +46,8 @@
   }
   const result = configurationSchema.safeParse(mergePatch(current.configuration, patch.changes));
   if (!result.success) return { status: 'invalid', faults: describeFaults(result.error) };
+  const faults = findMemberFaults(current.configuration, result.data);
+  if (faults.length > 0) return { status: 'invalid', faults };
   return checkLength(nextObject({ current, patch, acceptedAt, configuration: result.data }));
 }
 
--- a/packages/core/src/test/configuration.test.ts
+++ b/packages/core/src/test/configuration.test.ts
@@ -188,3 +188,33 @@
     });
   });
 });
+
+describe('the members of a group', () => {
+  const a = { ...DATABASE, name: 'a', port: 4001 };
+  const b = { ...DATABASE, name: 'b', port: 4002 };
+  const c = { ...DATABASE, name: 'c', port: 4003 };
+  const d = { ...DATABASE, name: 'd', port: 4004 };
+
+  function changeMembers(databases: object[]): PreparedPatch {
+    const groups = { archivio: { ...GROUP, databases: [a, b, c] } };
+    const current = accept({ patchId: 'first', changes: { groups } });
+    return submit({
+      current,
+      againstNumber: 1,
+      changes: { groups: { archivio: { databases } } },
+    });
+  }
+
+  it('change by one database a patch', () => {
+    // An operator replaces one database by another in a single patch. One instance still counts
+    // {a, b, c} and confirms a record on b and c; another counts {a, b, d}, promotes with a and d
+    // and knows nothing of the record that a technician was told is kept.
+    const reason = 'at most one database may be added, removed or moved by one patch';
+    const refused = { status: 'invalid', faults: [{ path: 'groups.archivio.databases', reason }] };
+    expect(changeMembers([a, b, d])).toEqual(refused);
+    expect(changeMembers([a, { ...b, port: 5001 }, { ...c, port: 5002 }])).toEqual(refused);
+    expect(changeMembers([a, b, c, d]).status).toBe('ready');
+    expect(changeMembers([a, b]).status).toBe('ready');
+    expect(changeMembers([a, b, { ...c, leaving: true }]).status).toBe('ready');
+  });
+});
