--- a/tools/fuzz/src/lib/oracle/oracle.ts
+++ b/tools/fuzz/src/lib/oracle/oracle.ts
@@ -1,5 +1,5 @@
 import type { Access } from '@wisterialift/core';
-import type { Outcome } from '@wisterialift/schema';
+import { outcomeSchema, type Outcome } from '@wisterialift/schema';
 import type { FakeDatabase } from '../fakes/fakeDatabase';
 import { isShown, type LogEntry, type LogView } from '../fakes/memberLog';
 
@@ -16,6 +16,8 @@
   | 'readTooStale'
   | 'answeredTwice'
   | 'answeredLate'
+  | 'malformedAnswer'
+  | 'noTimeToComeBack'
   | 'neverAnswered'
   | 'doneWithoutRun'
   | 'wrongPosition'
@@ -205,8 +207,15 @@
     if (now() > due) {
       report('answeredLate', `${requestId} ${outcome.status}, due ${Math.round(due)}`);
     }
-    if (outcome.status === 'done') checkDone(request, outcome, attempt);
-    else counts[outcome.status] += 1;
+    if (!outcomeSchema.safeParse(outcome).success) {
+      report('malformedAnswer', `${requestId}: ${JSON.stringify(outcome)}`);
+    }
+    if (outcome.status === 'done') {
+      checkDone(request, outcome, attempt);
+      return;
+    }
+    counts[outcome.status] += 1;
+    if (outcome.retryAfterMilliseconds <= 0) report('noTimeToComeBack', requestId);
   };
 
   // The end
