Read the keys of TLS from the settings and again on SIGHUP

Need: TLS towards callers and mutual TLS between instances by settings, keys replaced without a stop. On SIGHUP, keys that cannot be used are logged and the present ones stay.

--- a/packages/cli/src/lib/commands/settingsCommands.ts
+++ b/packages/cli/src/lib/commands/settingsCommands.ts
@@ -1,3 +1,4 @@
+import { TlsFileError } from '@wisterialift/proxy';
 import { SettingsError, parseSettings } from '@wisterialift/schema';
 import type { Settings } from '@wisterialift/schema';
 import { Command } from 'commander';
@@ -29,10 +30,19 @@
     .action(async ({ settings }: { settings: string }) => {
       // The settings are checked before anything opens a socket.
       await readSettings(context, settings);
-      await context.runProxy(settings);
+      await runProxy(context, settings);
     });
 }
 
+async function runProxy(context: CommandContext, settings: string): Promise<void> {
+  try {
+    await context.runProxy(settings);
+  } catch (error) {
+    if (!(error instanceof TlsFileError)) throw error;
+    throw new ClientError('settings', `${settings}: ${error.message}`);
+  }
+}
+
 /**
  * Reads and checks a settings file.
  *
--- a/packages/proxy/src/lib/process/createProxy.ts
+++ b/packages/proxy/src/lib/process/createProxy.ts
@@ -1,6 +1,5 @@
 import { performance } from 'node:perf_hooks';
 import { createPeerClient, createPeerServer } from '@wisterialift/peer';
-import type { PeerTls } from '@wisterialift/peer';
 import { PlatformError, createPlatformClient } from '@wisterialift/platform';
 import type { ConfigurationObject, Instance, Settings } from '@wisterialift/schema';
 import type { Logger } from '@wisterialift/telemetry';
@@ -14,6 +13,7 @@
 import { createConfigurationTask } from '../configuration/configurationTask';
 import { createStatementPath } from '../statements/statementPath';
 import type { GroupPrimary, StatementPath } from '../statements/statementPath';
+import type { ProxyKeys } from './readKeys';
 import { createConfigurationRecorder } from './recordConfiguration';
 import { createDecisionRecorder } from './recordDecision';
 import { createRequestMeter } from './requestMeter';
@@ -22,8 +22,8 @@
 export interface ProxyOptions {
   settings: Settings;
   logger: Logger;
-  /** Keys of mutual TLS between instances; calls go in the clear without them. */
-  peerTls?: PeerTls;
+  /** Keys of TLS towards callers and of mutual TLS between instances; in the clear without them. */
+  keys: ProxyKeys;
 }
 
 /** One instance: every task of the process. @public */
@@ -31,6 +31,8 @@
   start: () => Promise<void>;
   /** Stops gracefully; resolves when nothing is left. Further calls wait for the first. */
   drain: () => Promise<void>;
+  /** Uses other keys for connections to come; those that cannot be used are logged and left out. */
+  replaceKeys: (keys: ProxyKeys) => void;
   /** Resolves once a drain has ended, whoever asked for it. */
   drained: Promise<void>;
 }
@@ -48,7 +50,7 @@
  * @public
  */
 export function createProxy(options: ProxyOptions): Proxy {
-  const { settings, logger, peerTls } = options;
+  const { settings, logger } = options;
   const { name: instanceName } = settings.instance;
   const startedAt = performance.now();
   const decisions = createDecisionRecorder({ logger });
@@ -56,8 +58,9 @@
   const platform = createPlatformClient(settings.platform);
   const peers = createPeerClient({
     deadlineMilliseconds: PEER_DEADLINE_MILLISECONDS,
-    tls: peerTls,
+    tls: options.keys.peers,
   });
+  let { keys } = options;
   let state: InstanceState = 'starting';
   let path: StatementPath | undefined;
   let draining: Promise<void> | undefined;
@@ -81,7 +84,7 @@
     host: settings.peers.host,
     port: settings.peers.port,
     handlers: configurationTask.peerHandlers,
-    tls: peerTls,
+    tls: options.keys.peers,
   });
   const administration = createAdministrationServer({
     settings,
@@ -99,6 +102,7 @@
     const opened = createStatementPath({
       settings,
       configuration,
+      callerTls: keys.callers,
       random: Math.random,
       record: decisions.record,
       observe: meter.observe,
@@ -162,6 +166,20 @@
     markDrained();
   }
 
+  function replaceKeys(next: ProxyKeys): void {
+    try {
+      if (next.peers) {
+        peerServer.replaceKeys(next.peers);
+        peers.replaceKeys(next.peers);
+      }
+      if (next.callers) path?.applyCallerTls(next.callers);
+      keys = next;
+      logger.info('keysReplaced');
+    } catch (error) {
+      logger.error('keysNotReplaced', { error: error as Error });
+    }
+  }
+
   function status(): InstanceStatus {
     return {
       instance: settings.instance,
@@ -199,7 +217,7 @@
     };
   }
 
-  return { start, drain, drained };
+  return { start, drain, replaceKeys, drained };
 }
 
 function liveNames(instances: readonly Instance[]): string[] {
--- a/packages/proxy/src/lib/process/runProxyProcess.ts
+++ b/packages/proxy/src/lib/process/runProxyProcess.ts
@@ -1,13 +1,12 @@
 import { readFile } from 'node:fs/promises';
-import type { PeerTls } from '@wisterialift/peer';
 import { parseSettings } from '@wisterialift/schema';
-import type { Settings } from '@wisterialift/schema';
 import { createLogger } from '@wisterialift/telemetry';
 import { createProxy } from './createProxy';
-import { TlsFileError } from './tlsFileError';
+import { readKeys } from './readKeys';
 
 /**
- * Runs an instance until it has drained, after SIGTERM, SIGINT or the platform's word.
+ * Runs an instance until it has drained, after SIGTERM, SIGINT or the platform's word. SIGHUP reads the
+ * keys of TLS again.
  *
  * @param settingsPath - TOML file.
  * @throws SettingsError or TlsFileError before a socket is opened.
@@ -18,13 +17,21 @@
   const settings = parseSettings({ file: settingsPath, text });
   const { instance, log } = settings;
   const logger = createLogger({ instance: instance.name, level: log.level });
-  const proxy = createProxy({ settings, logger, peerTls: await readPeerTls(settings) });
+  const proxy = createProxy({ settings, logger, keys: await readKeys(settings) });
   const onSignal = (signal: NodeJS.Signals): void => {
     logger.info('signalReceived', { signal });
     void proxy.drain();
   };
+  /** Keys that cannot be used leave the present ones in place, so a bad file stops nothing. */
+  const onHangUp = (): void => {
+    readKeys(settings).then(
+      (keys) => proxy.replaceKeys(keys),
+      (error: Error) => logger.error('keysNotReplaced', { error }),
+    );
+  };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
+  process.on('SIGHUP', onHangUp);
   process.on('unhandledRejection', (reason) => {
     logger.error('unhandledRejection', { error: reason as Error });
   });
@@ -32,23 +39,5 @@
   await proxy.drained;
   process.off('SIGTERM', onSignal);
   process.off('SIGINT', onSignal);
-}
-
-async function readPeerTls({ tls }: Settings): Promise<PeerTls | undefined> {
-  if (!tls.peers) return undefined;
-  const { certificate, key, authority } = tls.peers;
-  if (authority === undefined) throw new TlsFileError('tls.peers.authority', 'a path is required');
-  return {
-    certificate: await readKeyFile('tls.peers.certificate', certificate),
-    key: await readKeyFile('tls.peers.key', key),
-    authority: await readKeyFile('tls.peers.authority', authority),
-  };
-}
-
-async function readKeyFile(setting: string, path: string): Promise<Buffer> {
-  try {
-    return await readFile(path);
-  } catch (error) {
-    throw new TlsFileError(setting, (error as Error).message);
-  }
+  process.off('SIGHUP', onHangUp);
 }
