--- a/tools/fuzz/src/lib/configuration/configurationHistory.ts
+++ b/tools/fuzz/src/lib/configuration/configurationHistory.ts
@@ -221,7 +221,7 @@
     });
     drive(submission, (outcome) => {
       remember(patch, outcome);
-      const isOpen = outcome.status === 'unknown' || outcome.status === 'unavailable';
+      const isOpen = outcome.status === 'unknown';
       if (isOpen && repetitions > 0) submit(patch, repetitions - 1);
     });
   };
@@ -286,14 +286,13 @@
   // The end
 
   const last = platform.stored()!.configurationObject;
-  const settled = new Set(['outdated', 'invalid', 'unavailable']);
+  const settled = new Set(['outdated', 'invalid']);
   const numbersOf = (patchId: string) =>
     platform.history().filter(({ patches }) => patches.at(-1)?.patchId === patchId);
 
   outcomes.forEach((told, patchId) => {
     const stored = numbersOf(patchId);
     if (stored.length > 1) report('acceptedTwice', patchId);
-    // A repetition of the same patch may be accepted after an "unavailable" that was true then.
     const final = told.at(-1)!;
     if (settled.has(final.status) && stored.length > 0) {
       report('refusedButStored', `${patchId}: ${final.status}`);
--- a/tools/fuzz/src/lib/history/faultInjector.ts
+++ b/tools/fuzz/src/lib/history/faultInjector.ts
@@ -42,6 +42,10 @@
 export function createFaultInjector(options: FaultInjectorOptions): FaultInjector {
   const { scheduler, network, databases, proxies, startProxy, trace } = options;
   const leaving = new Set<string>();
+  /** Number of the configuration that each proxy has in force. */
+  const numbers = new Map<string, number>();
+  let configurationNumber = 0;
+  let removed: string | undefined;
   let isHealed = false;
   let restarting = new Set<number>();
 
@@ -73,18 +77,27 @@
     if (!proxies[place]!.isAlive()) startProxy(place);
   };
 
-  const setLeaving = (name: string, isLeaving: boolean) => {
-    if (isLeaving) leaving.add(name);
-    else leaving.delete(name);
-    const described = options.describeDatabases(leaving);
+  /** Proxies hear of a configuration at different times, and never take a lower number. */
+  const tellDatabases = () => {
+    configurationNumber += 1;
+    const number = configurationNumber;
+    const described = options.describeDatabases(leaving).filter(({ name }) => name !== removed);
     proxies.forEach((proxy) => {
       scheduler.after(options.random.between(5, 800), () => {
+        if ((numbers.get(proxy.name) ?? 0) > number) return;
+        numbers.set(proxy.name, number);
         options.onStep('adopt', proxy.name);
         proxy.notify({ type: 'groupChanged', databases: described });
       });
     });
   };
 
+  const setLeaving = (name: string, isLeaving: boolean) => {
+    if (isLeaving) leaving.add(name);
+    else leaving.delete(name);
+    tellDatabases();
+  };
+
   /** Starts a fault and returns what ends it. */
   const starters: Record<FaultKind, (fault: FaultPlan) => () => void> = {
     databaseCrash: (fault) => {
@@ -182,6 +195,14 @@
       setLeaving(name, true);
       return () => setLeaving(name, false);
     },
+    databaseRemoved: (fault) => {
+      removed = memberOf(fault).name;
+      tellDatabases();
+      return () => {
+        removed = undefined;
+        tellDatabases();
+      };
+    },
     platformOutage: () => {
       options.setPlatformUp(false);
       return () => options.setPlatformUp(true);
@@ -219,6 +240,9 @@
     [...restarting].forEach(restartProxy);
     restarting = new Set();
     leaving.clear();
+    removed = undefined;
+    configurationNumber += 1;
+    proxies.forEach(({ name }) => numbers.set(name, configurationNumber));
     const described = options.describeDatabases(leaving);
     proxies.forEach((proxy) => proxy.notify({ type: 'groupChanged', databases: described }));
     options.setPlatformUp(true);
--- a/tools/fuzz/src/lib/history/historyPlan.ts
+++ b/tools/fuzz/src/lib/history/historyPlan.ts
@@ -58,8 +58,11 @@
   'twoDatabasesCrash',
 ] as const;
 
+/** Planned changes that the random histories leave out; no two of them overlap. @public */
+export const MEMBERSHIP_KINDS = ['databaseRemoved'] as const;
+
 /** @public */
-export type FaultKind = (typeof FAULT_KINDS)[number];
+export type FaultKind = (typeof FAULT_KINDS)[number] | (typeof MEMBERSHIP_KINDS)[number];
 
 /** A fault that strikes at a time and ends by itself, at the latest when the history heals. @public */
 export interface FaultPlan {
@@ -100,7 +103,7 @@
 /** What one history draws from. */
 interface Palette {
   operationKinds: OperationKind[];
-  faultKinds: FaultKind[];
+  faultKinds: (typeof FAULT_KINDS)[number][];
   /** Longest pause between two operations of a session. */
   longestPauseMilliseconds: number;
 }
