Call a patch without an answer unknown, also when nothing was sent

Cause: a submission judged by its own sends alone. A repetition under the same id, which "unknown" invites, was told "unavailable, nothing has changed" although the first one had been stored and its answer lost. Ruled out: telling repetitions apart by their id, as the first one may have gone through another instance. Change: without an answer the outcome is unknown with the id.

--- a/packages/core/src/lib/configuration/patchSubmission.ts
+++ b/packages/core/src/lib/configuration/patchSubmission.ts
@@ -12,9 +12,7 @@
   | { status: 'outdated'; presentNumber: number }
   | { status: 'invalid'; faults: ConfigurationFault[] }
   /** It may or may not be accepted: ask again by its id, or submit it again under the same id. */
-  | { status: 'unknown'; patchId: string }
-  /** The platform could not be reached and nothing was sent: this submission changed nothing. */
-  | { status: 'unavailable' };
+  | { status: 'unknown'; patchId: string };
 
 /** The configuration object with the version that the platform gave it; 0 where there is none. @public */
 export interface VersionedConfiguration {
@@ -156,7 +154,7 @@
  * A lost answer does not say whether the update took effect. The machine therefore reads again and
  * looks for the patch id: found, the patch is accepted; another patch in its place, it is outdated
  * for good; neither, the same update is sent again under the same version, of which at most one can
- * take effect. `unavailable` is told only where no update was ever sent.
+ * take effect. Without an answer the outcome is `unknown`, also where this submission sent nothing.
  *
  * @example
  * const submission = createPatchSubmission({ patch, acceptedAt, maximumFailures: 4 });
@@ -205,7 +203,11 @@
   return { status: 'unknown', patchId: patch.patchId };
 }
 
-function outcomeWithoutAnswer({ mayHaveApplied, patch }: SubmissionContext): PatchOutcome {
-  if (!mayHaveApplied) return { status: 'unavailable' };
+/**
+ * Guards against calling a stored patch not accepted. A submission that sent nothing may repeat one,
+ * perhaps of another instance, whose update took effect while its answer was lost; told "nothing has
+ * changed", the operator would make the change a second time under another id.
+ */
+function outcomeWithoutAnswer({ patch }: SubmissionContext): PatchOutcome {
   return { status: 'unknown', patchId: patch.patchId };
 }
--- a/packages/proxy/src/lib/administration/createAdministrationServer.ts
+++ b/packages/proxy/src/lib/administration/createAdministrationServer.ts
@@ -167,9 +167,5 @@
     const message = 'the patch would leave a configuration that is not valid';
     throw new AdministrationError('invalid', message, { faults: outcome.faults });
   }
-  if (status === 'unavailable') {
-    const message = 'the platform cannot be reached; nothing was sent and nothing has changed';
-    throw new AdministrationError('platformUnavailable', message);
-  }
   return outcome;
 }
--- a/packages/proxy/src/lib/configuration/times.ts
+++ b/packages/proxy/src/lib/configuration/times.ts
@@ -4,7 +4,7 @@
 export interface ConfigurationTaskTimes {
   /** Pauses after failed calls of the platform. */
   backOff: BackOffTimes;
-  /** Calls that may fail before a patch ends as unknown or unavailable. */
+  /** Calls that may fail before a patch ends as unknown. */
   maximumPatchFailures: number;
   /** Attempts to tell one peer of one configuration; polls cover what was missed. */
   announceAttempts: number;
