Look an acknowledged entry up in a member's history

The write had been held when its primary was lost; term 2 started without it and was cut off; term 3 started from a log that had it, so it was acknowledged as survived. The order of positions takes every higher term for a log that holds what was acknowledged before, but this entry was acknowledged after term 2 had begun.

A token is now looked up in the member's term starts: it shows the entry if it has applied the index and the entry of that index is of the token's term. Floors and ages need no change: a floor taken after the acknowledgement comes from a majority that has term 3 among it, so it is above every end of term 2. Ruled out: telling the position where term 3 began, since the caller's position would then be another entry's.

--- a/packages/core/src/lib/acknowledgement/confirmationTracker.ts
+++ b/packages/core/src/lib/acknowledgement/confirmationTracker.ts
@@ -1,4 +1,5 @@
-import type { MemberStatus, Position, TermStart } from '@wisterialift/schema';
+import type { MemberStatus, Position } from '@wisterialift/schema';
+import { isInHistory } from '../engine/history';
 import type { Member, MemberTable } from '../engine/memberTable';
 
 /** A write whose database has answered and whose caller has not been told yet. @internal */
@@ -83,7 +84,8 @@
 ): Settlement | undefined {
   if (isConfirmed(write, members)) return 'confirmed';
   if (!successor || successor.currentTerm <= write.term) return undefined;
-  return hasSurvived(write.position, successor.termStarts) ? 'survived' : 'discarded';
+  const hasSurvived = write.position && isInHistory(write.position, successor.termStarts);
+  return hasSurvived ? 'survived' : 'discarded';
 }
 
 function isConfirmed(write: HeldWrite, members: MemberTable): boolean {
@@ -117,10 +119,3 @@
     );
   return holding.length >= members.majority() ? status : undefined;
 }
-
-/** Whether the entry is part of a history: the last term that started before it is its own. */
-function hasSurvived(position: Position | undefined, termStarts: TermStart[]): boolean {
-  if (!position) return false;
-  const owner = termStarts.findLast(({ start }) => start < position.index);
-  return owner?.term === position.term;
-}
--- a/packages/core/src/lib/reads/readRouter.ts
+++ b/packages/core/src/lib/reads/readRouter.ts
@@ -1,5 +1,6 @@
 import { isAtMost } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
+import { shows } from '../engine/history';
 import type { Member } from '../engine/memberTable';
 
 /** What a member must show to serve a read. @internal */
@@ -62,11 +63,11 @@
 
 /** On what ground the member may serve the read; undefined when it may not. @internal */
 export function servesBy(member: Member, need: ReadNeed): ReadRoute['by'] | undefined {
-  const applied = member.status?.applied;
-  if (!applied) return undefined;
-  if (need.token && !isAtMost(need.token, applied)) return undefined;
+  const { status } = member;
+  if (!status) return undefined;
+  if (need.token && !shows(status, need.token)) return undefined;
   if (need.notBefore !== undefined && member.freshAsOf >= need.notBefore) return 'staleness';
-  if (need.floor && isAtMost(need.floor, applied)) return need.token ? 'token' : 'floor';
+  if (need.floor && isAtMost(need.floor, status.applied)) return need.token ? 'token' : 'floor';
   return undefined;
 }
 
--- a/packages/core/src/lib/routing/requestRouter.ts
+++ b/packages/core/src/lib/routing/requestRouter.ts
@@ -1,5 +1,6 @@
 import { isAtMost } from '@wisterialift/schema';
 import type { NotRunReason } from '@wisterialift/schema';
+import { shows } from '../engine/history';
 import { hasAnswered, termOf } from '../engine/memberTable';
 import type { Member } from '../engine/memberTable';
 import type { RequestContext } from '../engine/requestContext';
@@ -118,9 +119,9 @@
     // The session has seen a later primary's log; this one was replaced and only does not know it.
     if (token && token.term > termOf(primary)) return false;
     if (request.access === 'write') return true;
-    const applied = primary.status?.applied;
-    if (!applied || !round?.floor || termOf(primary) < round.term) return false;
-    return isAtMost(round.floor, applied) && (!token || isAtMost(token, applied));
+    const { status } = primary;
+    if (!status || !round?.floor || status.currentTerm < round.term) return false;
+    return isAtMost(round.floor, status.applied) && (!token || shows(status, token));
   }
 
   function isSilent(member: Member, now: number): boolean {
--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -58,6 +58,8 @@
   unreachable: Set<string>;
   /** Members that its orders to record a term do not reach. */
   lostFences: Set<string>;
+  /** Members that its orders to follow do not reach. */
+  lostFollows: Set<string>;
 }
 
 interface Delivery {
@@ -117,8 +119,9 @@
     });
     const unreachable = new Set<string>();
     const lostFences = new Set<string>();
+    const lostFollows = new Set<string>();
     const state = { timerAt: Infinity, isPaused: false, inbox: [], records: [] };
-    return { name, engine, unreachable, lostFences, ...state };
+    return { name, engine, unreachable, lostFences, lostFollows, ...state };
   }
 
   function member(name: string): FakeMember {
@@ -190,7 +193,8 @@
       });
     },
     promote: (target, effect) => askMember(target, effect, (asked) => promote(asked, effect.term)),
-    follow: (target, effect) =>
+    follow: (target, effect) => {
+      if (target.lostFollows.has(effect.member)) return;
       askMember(target, effect, (asked) => {
         const isOwnTerm = asked.role === 'primary' && asked.currentTerm === effect.term;
         if (effect.term < asked.currentTerm || isOwnTerm) return false;
@@ -201,7 +205,8 @@
           hasFollowedTerm: effect.term,
         });
         return true;
-      }),
+      });
+    },
     publishPrimary: () => {},
     setTimer: (target, { at }) => {
       Object.assign(target, { timerAt: at });
@@ -376,9 +381,9 @@
   }
 
   /** What another instance did that is not part of the scenario; the old primary hears nothing. */
-  function promoteElsewhere(name: string, term: number): void {
-    members.forEach((each) => {
-      if (each.role !== 'primary') Object.assign(each, { currentTerm: term, following: name });
+  function promoteElsewhere(name: string, term: number, group = ['b1', 'c1']): void {
+    group.forEach((each) => {
+      Object.assign(member(each), { currentTerm: term, following: name, role: 'replica' });
     });
     promote(member(name), term);
   }
--- a/packages/core/src/test/reads.test.ts
+++ b/packages/core/src/test/reads.test.ts
@@ -57,6 +57,31 @@
     expect(read.seen).toContain(write.requestId);
   });
 
+  it('keeps a read with a token from a member whose higher term began without the write', () => {
+    // A technician's entry is acknowledged and missing on the next page. It was held when a1 was cut
+    // off; b1 was promoted without it and cut off in turn; then a1 was promoted again, with it.
+    // Cause: b1's position is of a higher term than the entry's, and its log lacks the entry.
+    const scenario = createScenario();
+    ['a1', 'b1', 'c1'].forEach((name) =>
+      Object.assign(scenario.member(name), { isCutFromGroup: true }),
+    );
+    const write = scenario.write({ deadlineAt: scenario.now() + 20_000 });
+    scenario.runUntil(() => scenario.member('a1').log.length === 2);
+    scenario.promoteElsewhere('b1', 2);
+    scenario.instance().lostFences.add('b1');
+    scenario.instance().lostFollows.add('b1');
+    ['a1', 'c1'].forEach((name) =>
+      Object.assign(scenario.member(name), { isCutFromGroup: false, currentTerm: 2 }),
+    );
+    scenario.promoteElsewhere('a1', 3, ['a1', 'c1']);
+    scenario.runUntil(() => write.outcome !== undefined);
+    expect(write.outcome).toMatchObject({ status: 'done', position: { term: 1, index: 2 } });
+    const read = scenario.read({ token: { term: 1, index: 2 } });
+    scenario.runUntil(() => read.outcome !== undefined);
+    expect(scenario.member('b1').log.at(-1)?.term).toBe(2);
+    expect(read.seen).toContain(write.requestId);
+  });
+
   it('serves data of a stated age from a replica until it is too old', () => {
     // A building manager reads a history that is a day old although the kind allows ten seconds.
     // Replication to the nearest replica stands still while writes go on.
