Tell the engine when an attempt that it took away is lost

Seen in a trial: a read of 100,000 rows kept a database busy for half a second, the engine took the read away from the silent member and waited to hear that the attempt was lost. The group task closed the connection and said nothing, so the caller waited for its whole deadline and got 9103. The task now reports the end of such an attempt, and the engine sends the read to another member.

An answer that the caller has begun to read is left to run: it cannot be had elsewhere, and the database may only be busy.

--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -11,7 +11,12 @@
 import type { UpstreamGroup } from '@wisterialift/schema';
 import { createMailbox } from '../mailbox';
 import type { GroupMessage, GroupPort, TransactionStatement } from '../taskMessages';
-import { TRANSACTION_DISCARDED, resultOf, transactionOutcomeOf } from './statementResult';
+import {
+  TRANSACTION_DISCARDED,
+  resultOf,
+  resultOfAbandoned,
+  transactionOutcomeOf,
+} from './statementResult';
 import { createStatementRun, endAttempt, type StatementRun } from './statementRun';
 import { createTransactionTable } from './transactionTable';
 import { createUpstreamMembers, type UpstreamConnectionCount } from './upstreamMembers';
@@ -153,9 +158,17 @@
       if (run.access === 'commit') runCommit(run);
       else lendTo(run, member);
     },
-    abandonStatement: ({ requestId, attempt }) => {
+    abandonStatement: ({ requestId, attempt, reportsLoss }) => {
       const run = runs.get(requestId);
-      if (run?.attempt === attempt) dropAttempt(run);
+      if (run?.attempt !== attempt) return;
+      // An answer that the caller has begun to read cannot be had from another member: broken off it
+      // fails for certain, while a database that was merely busy goes on. The deadline still ends it.
+      if (reportsLoss && run.hasStarted) return;
+      const result = resultOfAbandoned(run);
+      dropAttempt(run);
+      if (!reportsLoss) return;
+      const event = { type: 'statementFinished', requestId, attempt, result } as const;
+      post({ type: 'engineEvent', event });
     },
     answerRequest: ({ requestId, outcome }) => {
       const run = runs.get(requestId);
--- a/packages/proxy/src/lib/statements/group/statementResult.ts
+++ b/packages/proxy/src/lib/statements/group/statementResult.ts
@@ -35,6 +35,12 @@
   return { kind: 'completed', position };
 }
 
+/** What the engine is told of an attempt that it gave up: one without a connection was not sent. @internal */
+export function resultOfAbandoned({ lease, hasStarted }: StatementRun): StatementResult {
+  if (!lease) return { kind: 'refused', reason: 'connectFailed' };
+  return { kind: 'lost', answerStarted: hasStarted };
+}
+
 const outcomesByResult: Record<StatementResult['kind'], Outcome> = {
   completed: { status: 'done' },
   databaseError: { status: 'done' },
--- a/packages/proxy/src/test/statementsFailures.test.ts
+++ b/packages/proxy/src/test/statementsFailures.test.ts
@@ -10,6 +10,7 @@
   startStatements,
   waitUntil,
   waitUntilSteady,
+  type MemberName,
 } from './statementsFixture';
 import { startScriptedDatabase, streamRows } from './scriptedDatabase';
 
@@ -147,6 +148,21 @@
     expect(path.connectionCounts().callers).toBe(1);
   });
 
+  // A replica freezes with a read in it. The engine takes the read away and waits to hear that the
+  // attempt is lost before it sends it elsewhere; unheard, the caller waits for its whole deadline.
+  it('come from another member when the first one freezes', async () => {
+    const { connect, setFaults, records } = await startStatements({
+      kinds: { patient: { deadlineMilliseconds: 600_000 } },
+    });
+    const connection = await connect();
+    await connection.query("SET wisterialift_kind = 'patient', wisterialift_roaming = 0");
+    await connection.query('SELECT 1');
+    const routed = records.findLast((record) => record.name === 'readRouted');
+    const member = routed?.name === 'readRouted' ? (routed.member as MemberName) : 'a1';
+    await setFaults(member, { frozen: true });
+    expect((await connection.query('SELECT 2 AS two'))[0]).toEqual([{ two: 2 }]);
+  });
+
   // The primary applies a write and its answer is lost on the way.
   it('that are lost after a write leave the outcome unknown, never "not run"', async () => {
     const { connect, setFaults, rowsAt } = await startStatements();
