Let the look at a cut primary wait for a majority of the others

Cause: after the suspicion of a cut primary the look ended with fresh answers of any majority, the suspect among them, although the fence leaves the suspect out.

Change: the majority of the look is one of the members that will be fenced.

The new test fails without the change.

--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -192,6 +192,9 @@
   /**
    * Looks again with questions asked now. Guards against what was seen before a pause or through a
    * lossy link: a primary that answers here keeps its place.
+   * The majority is one of the members that will be fenced: with the answer of a cut primary in place
+   * of a replica's, the look would end before it hears that this replica is the next primary already,
+   * and its term would be taken away; it shows as two promotions in a row.
    */
   function onLooking(now: number): void {
     const suspicion = suspicionOf();
@@ -200,7 +203,9 @@
       return;
     }
     const { dueAt, fromQuestionId } = lifecycle.context();
-    const fresh = members.list().filter((member) => member.statusQuestionId >= fromQuestionId);
+    const fresh = fenceTargets(suspicion).filter(
+      (member) => member.statusQuestionId >= fromQuestionId,
+    );
     const hasMajority = fresh.length >= members.majority();
     const hasTime = now < dueAt;
     const needsWholeLook = suspicion.cause === 'silent' && !hasRefusedLook();
--- a/packages/core/src/test/failover.test.ts
+++ b/packages/core/src/test/failover.test.ts
@@ -46,6 +46,26 @@
     expect(held.outcome?.status).toBe('discarded');
   });
 
+  it('leaves a promotion alone that a look at a cut primary has not heard of yet', () => {
+    // Writes pause twice after a cut: an instance deposes the primary that another has just promoted.
+    // The old primary and the first replica to answer made a majority, so its look ended before the
+    // new primary was heard, and the fence took that primary's term away.
+    const scenario = createScenario();
+    scenario.member('a1').isCutFromGroup = true;
+    scenario.member('c1').lagMilliseconds = 2_000;
+    scenario.write();
+    scenario.runUntil(() => scenario.recordsOf('primarySuspected').length > 0);
+    scenario.instance().unreachable.add('b1');
+    scenario.promoteElsewhere('b1', 2);
+    scenario.run(350);
+    scenario.instance().unreachable.delete('b1');
+    scenario.runUntil(() => scenario.recordsOf('primaryLearned').length === 2);
+    expect(scenario.recordsOf('fenceFailed')).toEqual([]);
+    expect(scenario.recordsOf('termFenced')).toEqual([]);
+    expect(scenario.primaries().map(({ name }) => name)).toContain('b1');
+    expect(scenario.member('c1').currentTerm).toBe(2);
+  });
+
   it('keeps the primary when only one replica lags', () => {
     const scenario = createScenario();
     scenario.member('b1').lagMilliseconds = 60_000;
