Leave replication alone when the order to follow is repeated

Cause of a part of the failover gap over slow links: all seven proxies order the replicas to follow the new primary, and the stand-in opened its replication link anew at each order, also a repeated one, so writes waited for their confirmation (trace: last order at 417 ms, confirmed at 568 ms). Ruled out by the same trace: the announcement between proxies (learned within 50 ms).

--- a/stand-ins/database/src/lib/group/createMember.ts
+++ b/stand-ins/database/src/lib/group/createMember.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import { existsSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import type { MemberStatus } from '@wisterialift/schema';
@@ -126,7 +127,9 @@
     follow: (term, primary) => {
       const isOwnTerm = state.isPrimary && term === state.currentTerm;
       refuseUnless(term >= state.currentTerm && !isOwnTerm, term);
-      changeState({ currentTerm: term, isPrimary: false, following: primary });
+      // Every proxy gives this order; a repeated one must not open the replication link anew.
+      const next = { currentTerm: term, isPrimary: false, following: primary };
+      if (!isDeepStrictEqual(next, state)) changeState(next);
     },
     commit,
     receive: (entries) => entries.forEach(log.append),
