--- a/packages/schema/src/lib/position/position.ts
+++ b/packages/schema/src/lib/position/position.ts
@@ -21,8 +21,8 @@
 /**
  * Orders positions by term, then by index.
  *
- * An entry of a higher term was written by a primary that already held every acknowledged entry of
- * the lower terms, so the order is also one of what must be contained.
+ * The order says which of two log ends is further. It does not say that a log which ends at the
+ * higher one contains the lower: an entry of a former term may have been discarded by a later one.
  *
  * @returns a negative number, zero or a positive number, as `Array.prototype.sort` expects.
  * @public
