Read the settings once and drop what stood twice

The proxy command read and checked its settings file twice, once in the command line and once in the process; the process takes the checked settings now. The workload of the process tests kept two times of each write that nothing read. Behaviour and assertions are as before; the fake of runProxy in a test takes settings in place of a path.

--- a/packages/cli/src/lib/commands/commandContext.ts
+++ b/packages/cli/src/lib/commands/commandContext.ts
@@ -1,3 +1,4 @@
+import type { Settings } from '@wisterialift/schema';
 import type { Command } from 'commander';
 import { createAdministrationClient } from '../client/administrationClient';
 import type { AdministrationClient } from '../client/administrationClient';
@@ -13,7 +14,7 @@
   now: () => number;
   createId: () => string;
   /** Runs the proxy until it has stopped. */
-  runProxy: (settingsPath: string) => Promise<void>;
+  runProxy: (settings: Settings) => Promise<void>;
 }
 
 /** Options of every command that talks to an instance. @internal */
--- a/packages/cli/src/lib/commands/settingsCommands.ts
+++ b/packages/cli/src/lib/commands/settingsCommands.ts
@@ -28,18 +28,18 @@
     .description('run an instance of the proxy until it is told to stop')
     .requiredOption('--settings <file>', 'TOML file')
     .action(async ({ settings }: { settings: string }) => {
-      // The settings are checked before anything opens a socket.
-      await readSettings(context, settings);
       await runProxy(context, settings);
     });
 }
 
-async function runProxy(context: CommandContext, settings: string): Promise<void> {
+/** The settings are checked before anything opens a socket. */
+async function runProxy(context: CommandContext, file: string): Promise<void> {
+  const settings = await readSettings(context, file);
   try {
     await context.runProxy(settings);
   } catch (error) {
     if (!(error instanceof TlsFileError)) throw error;
-    throw new ClientError('settings', `${settings}: ${error.message}`);
+    throw new ClientError('settings', `${file}: ${error.message}`);
   }
 }
 
--- a/packages/cli/src/test/program.test.ts
+++ b/packages/cli/src/test/program.test.ts
@@ -52,8 +52,8 @@
       },
       now: () => Date.parse('2026-12-01T12:00:00Z'),
       createId: () => 'patch-1',
-      runProxy: async (path) => {
-        result.output += `proxy ran with ${path}\n`;
+      runProxy: async ({ instance }) => {
+        result.output += `proxy ran as ${instance.name}\n`;
       },
     },
   });
--- a/packages/proxy/src/lib/process/runProxyProcess.ts
+++ b/packages/proxy/src/lib/process/runProxyProcess.ts
@@ -1,5 +1,4 @@
-import { readFile } from 'node:fs/promises';
-import { parseSettings } from '@wisterialift/schema';
+import type { Settings } from '@wisterialift/schema';
 import { createLogger } from '@wisterialift/telemetry';
 import { createProxy } from './createProxy';
 import { readKeys } from './readKeys';
@@ -8,13 +7,10 @@
  * Runs an instance until it has drained, after SIGTERM, SIGINT or the platform's word. SIGHUP reads the
  * keys of TLS again.
  *
- * @param settingsPath - TOML file.
- * @throws SettingsError or TlsFileError before a socket is opened.
+ * @throws TlsFileError before a socket is opened.
  * @public
  */
-export async function runProxyProcess(settingsPath: string): Promise<void> {
-  const text = await readFile(settingsPath, 'utf8');
-  const settings = parseSettings({ file: settingsPath, text });
+export async function runProxyProcess(settings: Settings): Promise<void> {
   const { instance, log } = settings;
   const logger = createLogger({ instance: instance.name, level: log.level });
   const proxy = createProxy({ settings, logger, keys: await readKeys(settings) });
--- a/tests/process/lib/workload.ts
+++ b/tests/process/lib/workload.ts
@@ -8,9 +8,6 @@
 export interface RecordedWrite {
   id: string;
   verdict: WriteVerdict;
-  /** Milliseconds on the clock of the test. */
-  startedAt: number;
-  finishedAt: number;
 }
 
 /** What the workload saw. */
@@ -64,11 +61,10 @@
   }
 
   async function writeOnce(proxy: TrialProxy, id: string): Promise<WriteVerdict> {
-    const startedAt = performance.now();
     const verdict = await withConnection(proxy, (connection) =>
       connection.query('INSERT INTO records (id, session, note) VALUES (?, ?, ?)', [id, id, 'x']),
     ).then(() => 'done' as const, toVerdict);
-    report.writes.push({ id, verdict, startedAt, finishedAt: performance.now() });
+    report.writes.push({ id, verdict });
     return verdict;
   }
 
--- a/tools/bench/src/lib/cluster/startDatabase.ts
+++ b/tools/bench/src/lib/cluster/startDatabase.ts
@@ -1,23 +1,14 @@
 import { join } from 'node:path';
 import type { Database, MemberStatus } from '@wisterialift/schema';
+import type { FaultSettings } from '@wisterialift/stand-in-database';
 import { requestJson } from './requestJson';
 import { startStandIn } from './startProgram';
 import type { ProgramProcess } from './startProgram';
 import { DATABASE_ACCOUNT } from './trialConfiguration';
 import type { TrialOptions } from './trialOptions';
 
-/** Faults that a database can be given; see the stand-in's control port. @public */
-export interface DatabaseFaults {
-  replicationLagMilliseconds: number;
-  applyLagMilliseconds: number;
-  cutFromGroup: boolean;
-  frozen: boolean;
-  answerDelayMilliseconds: number;
-  loseNextAnswers: number;
-  loseNextGroupAnswers: number;
-  refuseConnections: boolean;
-  serviceMilliseconds: number;
-}
+/** Faults that a database can be given. */
+export type DatabaseFaults = FaultSettings;
 
 /** What a database tells of itself at its control port. @public */
 export interface DatabaseHealth {
