--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -19,6 +19,8 @@
   '@wisterialift/telemetry',
   '@wisterialift/proxy',
   '@wisterialift/cli',
+  '@wisterialift/gateway',
+  '@wisterialift/platform-adapter',
 ];
 
 export default [
@@ -67,7 +69,7 @@
     },
   },
   {
-    files: ['packages/{core,schema}/src/**/*.ts'],
+    files: ['packages/{core,schema,pooling}/src/**/*.ts'],
     ignores: ['**/*.test.ts'],
     rules: {
       'no-restricted-imports': ['error', { patterns: inputOutputModules }],
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,36 @@
+export {
+  createGateway,
+  type Gateway,
+  type GatewayOptions,
+  type GatewayTimes,
+} from './lib/createGateway';
+export {
+  type Consistency,
+  type GatewayConfiguration,
+  type GroupLimits,
+  type Route,
+} from './lib/configuration/gatewayConfiguration';
+export { UpstreamLostError, UpstreamRefusedError } from './lib/errors/upstreamErrors';
+export {
+  type CallerAcceptor,
+  type CallerAnswer,
+  type CallerEvents,
+  type CallerLink,
+} from './lib/ports/callerPort';
+export { createProcessClock, type Clock } from './lib/ports/clock';
+export {
+  type ConfigurationPort,
+  type DirectoryEntry,
+  type DirectoryPort,
+  type OrderOutcome,
+  type PromotionOrders,
+  type PromotionStore,
+  type ReplaceOutcome,
+  type StoredRecord,
+} from './lib/ports/platformPort';
+export {
+  type UpstreamConnection,
+  type UpstreamDriver,
+  type UpstreamTarget,
+} from './lib/ports/upstreamPort';
+export { type AnswerSample } from './lib/sessions/callerSession';
--- /dev/null
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -0,0 +1,193 @@
+import type { Logger } from '@wisterialift/telemetry';
+import type { GatewayConfiguration } from './configuration/gatewayConfiguration';
+import { createGroupTask } from './groups/groupTask';
+import type { GroupTask } from './groups/groupTask';
+import type { CallerAcceptor } from './ports/callerPort';
+import type { Clock } from './ports/clock';
+import type {
+  ConfigurationPort,
+  DirectoryEntry,
+  DirectoryPort,
+  PromotionOrders,
+  PromotionStore,
+} from './ports/platformPort';
+import type { UpstreamDriver } from './ports/upstreamPort';
+import { createCallerSession } from './sessions/callerSession';
+import type { AnswerSample, CallerSession } from './sessions/callerSession';
+
+/** Times of a planned stop and of the directory, in milliseconds. @public */
+export interface GatewayTimes {
+  /** Time between the request to stop and the end of the process by force. */
+  stopGrace: number;
+  /** Time after the directory's return in which entries that lapsed meanwhile are back. */
+  missingGrace: number;
+}
+
+/** @public */
+export interface GatewayOptions {
+  instance: string;
+  dataCentre: string;
+  times: GatewayTimes;
+  clock: Clock;
+  logger: Logger;
+  driver: UpstreamDriver;
+  directory: DirectoryPort;
+  configuration: ConfigurationPort;
+  store: PromotionStore;
+  orders: PromotionOrders;
+  onAnswered: (sample: AnswerSample) => void;
+}
+
+/** What one instance does between callers and groups. @public */
+export interface Gateway {
+  acceptCaller: CallerAcceptor;
+  /** Whether new callers should be sent here. */
+  isReady: () => boolean;
+  /** Ends sessions between their transactions; resolves once the last has ended. */
+  drain: () => Promise<void>;
+  counters: () => Record<string, GroupTask['counters']>;
+  sessionCount: () => number;
+  close: () => void;
+}
+
+/**
+ * Time from the request to stop until idle sessions are ended. The balancer asks each second and
+ * takes two refusals; before that, a session that is ended would come back to this instance.
+ */
+const BALANCER_NOTICE_MILLISECONDS = 2_200;
+
+/** Part of the grace in which an open transaction may still end by itself. */
+const TRANSACTION_SHARE = 0.55;
+
+/** Part of the grace after which the process goes, whatever is still open. */
+const LAST_SHARE = 0.8;
+
+/** How often the clocks are compared to notice a suspension. */
+const CLOCK_CHECK_MILLISECONDS = 250;
+
+/** Difference between the clocks that a suspension or a step of the time of day makes. */
+const CLOCK_DRIFT_MILLISECONDS = 100;
+
+/** Creates the tasks of one instance. @public */
+export function createGateway(options: GatewayOptions): Gateway {
+  const { clock, logger, times } = options;
+  const groups = new Map<string, GroupTask>();
+  const sessions = new Set<CallerSession>();
+  let configuration: GatewayConfiguration | undefined;
+  let entries: DirectoryEntry[] = [];
+  let hasDirectory = false;
+  let isDraining = false;
+  let drift = driftOf(clock);
+
+  const clockTimer = setInterval(checkClocks, CLOCK_CHECK_MILLISECONDS);
+  options.configuration.follow(adoptConfiguration);
+  options.directory.follow((next) => {
+    entries = next;
+    hasDirectory = true;
+    for (const [group, task] of groups) task.updateMembers(entriesOf(group));
+  });
+
+  const entriesOf = (group: string) => entries.filter((entry) => entry.group === group);
+
+  /** Versions only rise: an older one may still arrive from a lagging reader. */
+  function adoptConfiguration(next: GatewayConfiguration): void {
+    if (configuration && next.version <= configuration.version) return;
+    logger.info('configurationAdopted', {
+      version: next.version,
+      former: configuration?.version,
+      routes: next.routes.size,
+    });
+    configuration = next;
+    for (const limits of next.groups.values()) {
+      const task = groups.get(limits.name);
+      if (task) task.updateLimits(limits);
+      else openGroup(limits.name, limits);
+    }
+  }
+
+  function openGroup(group: string, limits: { name: string; maximumConnections: number }): void {
+    const task = createGroupTask({
+      ...options,
+      group,
+      limits,
+      missingGrace: times.missingGrace,
+    });
+    groups.set(group, task);
+    if (hasDirectory) task.updateMembers(entriesOf(group));
+  }
+
+  /**
+   * Positions are remembered with the steady time at which they were seen. It stands still while the
+   * machine is suspended, so that an old position would pass for a fresh one; the time of day goes on.
+   */
+  function checkClocks(): void {
+    const present = driftOf(clock);
+    const change = Math.abs(present - drift);
+    drift = present;
+    if (change < CLOCK_DRIFT_MILLISECONDS) return;
+    logger.warn('clocksDisagree', { changeMilliseconds: Math.round(change) });
+    for (const task of groups.values()) task.forgetAges();
+  }
+
+  const acceptCaller: CallerAcceptor = (link) => {
+    const session = createCallerSession({
+      link,
+      clock,
+      logger,
+      findConfiguration: () => configuration,
+      findGroup: (group) => {
+        checkClocks();
+        return groups.get(group);
+      },
+      onEnd: () => sessions.delete(session),
+      onAnswered: options.onAnswered,
+    });
+    sessions.add(session);
+    return session.events;
+  };
+
+  function isReady(): boolean {
+    if (isDraining || !configuration || !hasDirectory) return false;
+    return [...groups.values()].some((task) => task.isUsable());
+  }
+
+  async function drain(): Promise<void> {
+    const startedAt = clock.now();
+    isDraining = true;
+    logger.info('drainStarted', { sessions: sessions.size });
+    await waitUntil(startedAt + BALANCER_NOTICE_MILLISECONDS, () => sessions.size === 0);
+    for (const session of [...sessions]) session.drain();
+    await waitUntil(startedAt + times.stopGrace * TRANSACTION_SHARE, () => sessions.size === 0);
+    for (const session of [...sessions]) session.abandonTransaction();
+    await waitUntil(startedAt + times.stopGrace * LAST_SHARE, () => !hasWork());
+    logger.info('drainEnded', { sessions: sessions.size });
+  }
+
+  const hasWork = () => [...sessions].some((session) => session.isTransactionOpen());
+
+  async function waitUntil(time: number, isDone: () => boolean): Promise<void> {
+    while (clock.now() < time && !isDone()) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, Math.min(50, time - clock.now()));
+      });
+      if (isDraining && clock.now() > time - 1) return;
+    }
+  }
+
+  return {
+    acceptCaller,
+    isReady,
+    drain,
+    counters: () => Object.fromEntries([...groups].map(([group, task]) => [group, task.counters])),
+    sessionCount: () => sessions.size,
+    close: () => {
+      clearInterval(clockTimer);
+      for (const task of groups.values()) task.close();
+    },
+  };
+}
+
+function driftOf(clock: Clock): number {
+  const { steady, wall } = clock.readings();
+  return wall - steady;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/groups/attempt.ts
@@ -0,0 +1,107 @@
+import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
+import { NoConnectionError, UpstreamLostError } from '../errors/upstreamErrors';
+import { markAsked, observeAnswer } from './groupContext';
+import type { AskedAt, GroupContext } from './groupContext';
+import { avoidMember } from './member';
+import type { Member } from './member';
+import type { StatementRequest } from './statementRequest';
+import { prepareConnection } from './upstreamPool';
+import type { PooledConnection } from './upstreamPool';
+
+/** How one attempt at a member ended. */
+export type AttemptOutcome =
+  | { type: 'answered'; answer: UpstreamAnswer; asked: AskedAt; connection: PooledConnection }
+  /** Nothing was sent. */
+  | { type: 'notSent'; cause: 'noConnection' | 'unreachable' | 'refused' }
+  /** It was sent, and no whole answer came. */
+  | { type: 'lost'; cause: 'timeout' | 'broken' };
+
+/**
+ * Runs one command of a caller at a member.
+ *
+ * The connection of an answered attempt belongs to the caller of this function; any other is closed
+ * or back in the pool.
+ */
+export async function attempt(
+  context: GroupContext,
+  member: Member,
+  options: { request: StatementRequest; command: UpstreamCommand; deadlineAt: number },
+): Promise<AttemptOutcome> {
+  const { request, command, deadlineAt } = options;
+  const acquired = await acquireConnection(context, member, request, deadlineAt);
+  if ('type' in acquired) return acquired;
+  const asked = markAsked(context);
+  const outcome = await runWithin(context, { connection: acquired, command, deadlineAt });
+  if (outcome.type === 'lost') {
+    member.pool.discard(acquired);
+    return outcome;
+  }
+  observeAnswer(context, member, asked, outcome.answer);
+  return { ...outcome, asked, connection: acquired };
+}
+
+async function acquireConnection(
+  context: GroupContext,
+  member: Member,
+  request: StatementRequest,
+  deadlineAt: number,
+): Promise<PooledConnection | AttemptOutcome> {
+  const { state: session } = request.session;
+  const { priority } = request.route;
+  let connection: PooledConnection;
+  try {
+    connection = await member.pool.acquire({ session, deadlineAt, priority });
+  } catch (error) {
+    if (error instanceof NoConnectionError) return { type: 'notSent', cause: 'noConnection' };
+    avoidMember(member, context.clock.now());
+    return { type: 'notSent', cause: 'unreachable' };
+  }
+  const preparation = prepareConnection(connection, session, request.prepared?.statement);
+  const prepared = await settleWithin(preparation, deadlineAt - context.clock.now());
+  if (prepared.type === 'value' && !prepared.value) return connection;
+  const { group, logger } = context;
+  const { memberId } = member.entry;
+  logger.warn('connectionNotPrepared', { group, memberId, requestId: request.id, prepared });
+  member.pool.discard(connection);
+  return { type: 'notSent', cause: 'refused' };
+}
+
+/** Runs a command, giving up on its answer at the deadline. */
+export async function runWithin(
+  context: GroupContext,
+  options: { connection: PooledConnection; command: UpstreamCommand; deadlineAt: number },
+): Promise<
+  { type: 'answered'; answer: UpstreamAnswer } | { type: 'lost'; cause: 'timeout' | 'broken' }
+> {
+  const { connection, command, deadlineAt } = options;
+  const settled = await settleWithin(
+    connection.link.run(command),
+    deadlineAt - context.clock.now(),
+  );
+  if (settled.type === 'value') return { type: 'answered', answer: settled.value };
+  return { type: 'lost', cause: settled.type === 'timeout' ? 'timeout' : 'broken' };
+}
+
+type Settled<Value> =
+  | { type: 'value'; value: Value }
+  | { type: 'error'; error: UpstreamLostError }
+  | { type: 'timeout' };
+
+function settleWithin<Value>(
+  promise: Promise<Value>,
+  milliseconds: number,
+): Promise<Settled<Value>> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => resolve({ type: 'timeout' }), Math.max(1, milliseconds));
+    promise.then(
+      (value) => {
+        clearTimeout(timer);
+        resolve({ type: 'value', value });
+      },
+      (error: UpstreamLostError) => {
+        clearTimeout(timer);
+        resolve({ type: 'error', error });
+      },
+    );
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -0,0 +1,82 @@
+import type { GroupEvidence, MemberReport, UpstreamAnswer } from '@wisterialift/pooling';
+import type { Logger } from '@wisterialift/telemetry';
+import type { Clock } from '../ports/clock';
+import type { UpstreamDriver } from '../ports/upstreamPort';
+import type { Member } from './member';
+import type { PrimaryBelief } from './primaryBelief';
+
+/** What the parts of a group's task share. */
+export interface GroupContext {
+  group: string;
+  members: Map<string, Member>;
+  evidence: GroupEvidence;
+  belief: PrimaryBelief;
+  clock: Clock;
+  logger: Logger;
+  driver: UpstreamDriver;
+  /** Something speaks against the primary; the promotion task looks into it. */
+  suspectPrimary: (cause: SuspicionCause, member: Member | undefined) => void;
+  counters: GroupCounters;
+}
+
+/** Why the primary is looked at. */
+export type SuspicionCause = 'unreachable' | 'silent' | 'absent' | 'leaving' | 'unconfirmed';
+
+export interface GroupCounters {
+  probes: number;
+  retries: number;
+  refusals: number;
+  promotions: number;
+}
+
+/** When a question was sent, for the evidence in its answer. */
+export interface AskedAt {
+  sequence: number;
+  at: number;
+}
+
+export function markAsked({ evidence, clock }: GroupContext): AskedAt {
+  return { sequence: evidence.nextSequence(), at: clock.now() };
+}
+
+/** Records what an answer proves of the member that gave it. */
+export function observeAnswer(
+  context: GroupContext,
+  member: Member,
+  asked: AskedAt,
+  { position }: UpstreamAnswer,
+): void {
+  const { evidence, belief, clock } = context;
+  const { memberId } = member.entry;
+  Object.assign(member, { answeredAt: clock.now(), failures: 0 });
+  if (!position) return;
+  Object.assign(member, { applied: position });
+  evidence.observe({
+    memberId,
+    askedSequence: asked.sequence,
+    askedAt: asked.at,
+    term: position.term,
+    position,
+    isPrimary: belief.isProved(memberId, position.term),
+  });
+}
+
+/** Records what a member told of itself. */
+export function observeReport(
+  context: GroupContext,
+  member: Member,
+  asked: AskedAt,
+  report: MemberReport,
+): void {
+  const { evidence, belief } = context;
+  const { memberId } = member.entry;
+  if (report.isPrimary) belief.provePrimary(memberId, report.term);
+  evidence.observe({
+    memberId,
+    askedSequence: asked.sequence,
+    askedAt: asked.at,
+    term: report.term,
+    position: report.received,
+    isPrimary: report.isPrimary,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -0,0 +1,185 @@
+import { createGroupEvidence } from '@wisterialift/pooling';
+import type { TermOrigin, UpstreamAnswer } from '@wisterialift/pooling';
+import type { Logger } from '@wisterialift/telemetry';
+import type { GroupLimits } from '../configuration/gatewayConfiguration';
+import type { Clock } from '../ports/clock';
+import type { DirectoryEntry, PromotionOrders, PromotionStore } from '../ports/platformPort';
+import type { UpstreamDriver } from '../ports/upstreamPort';
+import { createPromotionTask } from '../promotion/promotionTask';
+import { createEvidenceAsker } from './evidenceAsker';
+import { markAsked } from './groupContext';
+import type { AskedAt, GroupContext, GroupCounters } from './groupContext';
+import { avoidMember, createMember } from './member';
+import type { Member } from './member';
+import { createPrimaryBelief } from './primaryBelief';
+import { createPrimaryProof } from './primaryProof';
+import { createReadPath } from './readPath';
+import { toCommand } from './statementRequest';
+import type { StatementRequest } from './statementRequest';
+import { createTransactionOpener } from './transaction';
+import type { TransactionOpener } from './transaction';
+import { createUpstreamPool } from './upstreamPool';
+import { createWritePath } from './writePath';
+
+/** Serves the statements of one group and keeps it with a primary. */
+export interface GroupTask {
+  read: (request: StatementRequest) => Promise<UpstreamAnswer>;
+  write: (request: StatementRequest) => Promise<UpstreamAnswer>;
+  openTransaction: TransactionOpener['open'];
+  markArrival: () => AskedAt;
+  updateMembers: (entries: DirectoryEntry[]) => void;
+  updateLimits: (limits: GroupLimits) => void;
+  /** Whether a statement could be served now. */
+  isUsable: () => boolean;
+  /** Forgets what depends on the time that passed, after the process was suspended. */
+  forgetAges: () => void;
+  counters: GroupCounters;
+  close: () => void;
+}
+
+/** @public */
+export interface GroupTaskOptions {
+  group: string;
+  instance: string;
+  dataCentre: string;
+  limits: GroupLimits;
+  driver: UpstreamDriver;
+  store: PromotionStore;
+  orders: PromotionOrders;
+  clock: Clock;
+  logger: Logger;
+  /** How long a member's entry may be missing before the member counts as gone, in milliseconds. */
+  missingGrace: number;
+}
+
+/**
+ * Part of a member's connections that one instance opens at the most. Callers spread unevenly over
+ * the instances, so a fixed share would leave places unused; a refused connection lowers it.
+ */
+const CONNECTION_SHARE = 0.4;
+
+const UPKEEP_MILLISECONDS = 500;
+
+export function createGroupTask(options: GroupTaskOptions): GroupTask {
+  const { group, dataCentre, driver, clock, logger, missingGrace } = options;
+  const members = new Map<string, Member>();
+  const evidence = createGroupEvidence();
+  const belief = createPrimaryBelief(members);
+  const counters: GroupCounters = { probes: 0, retries: 0, refusals: 0, promotions: 0 };
+  let { limits } = options;
+
+  const context: GroupContext = {
+    group,
+    members,
+    evidence,
+    belief,
+    clock,
+    logger,
+    driver,
+    counters,
+    suspectPrimary: (cause, member) => promotion.suspect(cause, member),
+  };
+  const promotion = createPromotionTask(context, options);
+  const asker = createEvidenceAsker(context);
+  const proof = createPrimaryProof(context, asker);
+  const reads = createReadPath(context, proof);
+  const writes = createWritePath(context, {
+    proof,
+    readTermOrigin: (): Promise<TermOrigin | undefined> => promotion.readTermOrigin(),
+  });
+  const transactions = createTransactionOpener(context, { reads, writes, proof });
+  const upkeepTimer = setInterval(upkeep, UPKEEP_MILLISECONDS);
+
+  async function read(request: StatementRequest): Promise<UpstreamAnswer> {
+    const { answer, place } = await reads.place(request, (after) => toCommand(request, after));
+    place?.member.pool.release(place.connection);
+    return answer;
+  }
+
+  function updateMembers(entries: DirectoryEntry[]): void {
+    const listed = new Map(entries.map((entry) => [entry.memberId, entry]));
+    for (const entry of entries) addOrUpdate(entry);
+    for (const member of members.values()) {
+      if (!listed.has(member.entry.memberId) && member.missingSince === undefined) {
+        logger.warn('memberMissing', { group, memberId: member.entry.memberId });
+        member.missingSince = clock.now();
+      }
+    }
+    belief.notifyChange();
+    promotion.reviewDirectory();
+  }
+
+  function addOrUpdate(entry: DirectoryEntry): void {
+    const known = members.get(entry.memberId);
+    if (known && known.entry.address === entry.address) {
+      if (isChanged(known.entry, entry)) logger.info('memberChanged', { ...entry });
+      Object.assign(known, { entry, missingSince: undefined });
+      return;
+    }
+    known?.pool.close();
+    logger.info('memberAdded', { ...entry });
+    members.set(entry.memberId, openMember(entry));
+  }
+
+  function openMember(entry: DirectoryEntry): Member {
+    const pool = createUpstreamPool({
+      driver,
+      clock,
+      logger,
+      group,
+      memberId: entry.memberId,
+      address: entry.address,
+      maximumConnections: connectionsOf(limits),
+      onUnreachable: () => handleUnreachable(member),
+    });
+    const member = createMember({ entry, pool, isNear: entry.dataCentre === dataCentre });
+    return member;
+  }
+
+  function handleUnreachable(member: Member): void {
+    avoidMember(member, clock.now());
+    if (belief.find() === member) context.suspectPrimary('unreachable', member);
+  }
+
+  function upkeep(): void {
+    for (const [memberId, member] of members) {
+      member.pool.trim();
+      const missing = member.missingSince;
+      if (missing !== undefined && clock.now() - missing > missingGrace) {
+        logger.warn('memberGone', { group, memberId });
+        members.delete(memberId);
+        member.pool.close();
+      }
+    }
+    promotion.reviewDirectory();
+  }
+
+  return {
+    read,
+    write: writes.write,
+    openTransaction: transactions.open,
+    markArrival: () => markAsked(context),
+    updateMembers,
+    updateLimits: (next) => {
+      limits = next;
+      for (const member of members.values()) member.pool.setMaximum(connectionsOf(limits));
+    },
+    isUsable: () => members.size > 0 && belief.find() !== undefined,
+    forgetAges: evidence.forgetAges,
+    counters,
+    close: () => {
+      clearInterval(upkeepTimer);
+      asker.stop();
+      promotion.close();
+      for (const member of members.values()) member.pool.close();
+    },
+  };
+}
+
+function connectionsOf({ maximumConnections }: GroupLimits): number {
+  return Math.max(2, Math.floor(maximumConnections * CONNECTION_SHARE));
+}
+
+function isChanged(before: DirectoryEntry, after: DirectoryEntry): boolean {
+  return before.isPrimary !== after.isPrimary || before.isLeaving !== after.isLeaving;
+}
--- /dev/null
+++ b/packages/gateway/src/lib/groups/primaryProof.ts
@@ -0,0 +1,95 @@
+import type { EvidenceWait } from '@wisterialift/pooling';
+import type { Position } from '@wisterialift/schema';
+import type { EvidenceAsker } from './evidenceAsker';
+import type { AskedAt, GroupContext } from './groupContext';
+import type { Member } from './member';
+import { askMember } from './memberQuestions';
+
+/** Proves that what the primary answered counts. */
+export interface PrimaryProof {
+  /**
+   * Whether nothing that was acknowledged `maximumStaleness` ms before `arrived` is missing from what
+   * the member read in `term`.
+   *
+   * A primary that was replaced and does not know it answers as before; a caller would read a log
+   * that lacks what others were told is kept.
+   */
+  proveCurrent: (options: {
+    member: Member;
+    term: number;
+    arrived: AskedAt;
+    maximumStaleness: number;
+    deadlineAt: number;
+  }) => Promise<boolean>;
+  /** Waits until a commit of the primary is held by a second member, or by none ever. */
+  proveCopied: (options: {
+    member: Member;
+    position: Position;
+    deadlineAt: number;
+  }) => Promise<'copied' | 'superseded' | 'unknown'>;
+}
+
+/** Time limit of the question whether a member is the primary. */
+const ROLE_QUESTION_MILLISECONDS = 400;
+
+export function createPrimaryProof(context: GroupContext, asker: EvidenceAsker): PrimaryProof {
+  const { belief, clock, evidence, members } = context;
+
+  const hasOthers = ({ entry }: Member) =>
+    [...members.keys()].some((memberId) => memberId !== entry.memberId);
+
+  async function isPrimaryOf(member: Member, term: number): Promise<boolean> {
+    const { memberId } = member.entry;
+    if (belief.isProved(memberId, term)) return true;
+    await askMember(context, member, { type: 'status' }, ROLE_QUESTION_MILLISECONDS);
+    if (belief.isProved(memberId, term)) return true;
+    belief.denyPrimary(member);
+    return false;
+  }
+
+  /** Whether a replica was seen in the term recently enough for reads that may be old. */
+  function isProvedByAge(member: Member, term: number, since: number): boolean {
+    return [...members.keys()].some((memberId) => {
+      if (memberId === member.entry.memberId) return false;
+      const seen = evidence.lastSeen(memberId);
+      return seen !== undefined && seen.term === term && seen.askedAt >= since;
+    });
+  }
+
+  async function awaitEvidence(wait: EvidenceWait, deadlineAt: number) {
+    asker.start();
+    let timer: NodeJS.Timeout | undefined;
+    const limit = new Promise<undefined>((resolve) => {
+      timer = setTimeout(resolve, Math.max(0, deadlineAt - clock.now()), undefined);
+    });
+    const verdict = await Promise.race([wait.verdict, limit]);
+    clearTimeout(timer);
+    wait.cancel();
+    return verdict;
+  }
+
+  return {
+    proveCurrent: async ({ member, term, arrived, maximumStaleness, deadlineAt }) => {
+      if (!(await isPrimaryOf(member, term))) return false;
+      if (!hasOthers(member)) return true;
+      const isAged = maximumStaleness > 0;
+      if (isAged && isProvedByAge(member, term, arrived.at - maximumStaleness)) return true;
+      const { memberId: primaryId } = member.entry;
+      const wait = evidence.waitForTerm({ term, sequence: arrived.sequence, primaryId });
+      const verdict = await awaitEvidence(wait, deadlineAt);
+      if (verdict?.type === 'superseded') belief.denyPrimary(member);
+      return verdict?.type === 'proved';
+    },
+    proveCopied: async ({ member, position, deadlineAt }) => {
+      if (!hasOthers(member)) return 'copied';
+      const wait = evidence.waitForCopy({ position, primaryId: member.entry.memberId });
+      const verdict = await awaitEvidence(wait, deadlineAt);
+      if (!verdict) {
+        context.suspectPrimary('unconfirmed', member);
+        return 'unknown';
+      }
+      if (verdict.type === 'superseded') belief.denyPrimary(member);
+      return verdict.type === 'proved' ? 'copied' : 'superseded';
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/lib/groups/refusals.ts
@@ -0,0 +1,26 @@
+import type { FailureReason, UpstreamAnswer } from '@wisterialift/pooling';
+import type { GroupContext } from './groupContext';
+import type { StatementRequest } from './statementRequest';
+
+/** When to come back after a refusal: a change of primary or a busy spell is usually over by then. */
+export const COME_BACK_MILLISECONDS = 300;
+
+/** Builds a refusal of this instance's own, and logs what decided it. */
+export function refuse(
+  { clock, counters, evidence, group, logger, belief }: GroupContext,
+  request: StatementRequest,
+  reason: FailureReason,
+  detail: string,
+): UpstreamAnswer {
+  counters.refusals += 1;
+  logger.warn('statementRefused', {
+    group,
+    requestId: request.id,
+    reason,
+    detail,
+    waitedMilliseconds: Math.round(clock.now() - request.arrived.at),
+    primaryId: belief.find()?.entry.memberId,
+    term: evidence.highestTerm(),
+  });
+  return { outcome: 'refused', reason, detail, transaction: 'idle' };
+}
--- /dev/null
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -0,0 +1,242 @@
+import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
+import type { Position } from '@wisterialift/schema';
+import { attempt, runWithin } from './attempt';
+import { markAsked, observeAnswer } from './groupContext';
+import type { AskedAt, GroupContext } from './groupContext';
+import type { Member } from './member';
+import type { PrimaryProof } from './primaryProof';
+import type { ReadPath } from './readPath';
+import { COME_BACK_MILLISECONDS, refuse } from './refusals';
+import { toCommand } from './statementRequest';
+import type { StatementRequest } from './statementRequest';
+import { prepareConnection } from './upstreamPool';
+import type { PooledConnection } from './upstreamPool';
+import type { WritePath } from './writePath';
+
+/** A caller's transaction on one connection of one member. */
+export interface Transaction {
+  run: (request: StatementRequest) => Promise<UpstreamAnswer>;
+  commit: (request: StatementRequest) => Promise<UpstreamAnswer>;
+  /** Ends it without keeping anything; the connection is back in the pool afterwards. */
+  rollBack: () => void;
+}
+
+export interface TransactionOpener {
+  /**
+   * Begins a transaction for its first statement.
+   *
+   * @param options.began - when the caller began it; what it reads must not be older.
+   */
+  open: (
+    request: StatementRequest,
+    options: { isReadOnly: boolean; began: AskedAt },
+  ) => Promise<{ transaction: Transaction } | { refusal: UpstreamAnswer }>;
+}
+
+/** Pause before a statement that a busy member refused is sent again. */
+const BUSY_PAUSE_MILLISECONDS = 20;
+
+interface OpenedAt {
+  member: Member;
+  connection: PooledConnection;
+  /** Resolves with whether what it reads is current; nothing is answered before. */
+  isCurrent: Promise<boolean>;
+}
+
+export function createTransactionOpener(
+  context: GroupContext,
+  paths: { reads: ReadPath; writes: WritePath; proof: PrimaryProof },
+): TransactionOpener {
+  const { clock, logger, group } = context;
+  const { reads, writes, proof } = paths;
+
+  async function open(
+    request: StatementRequest,
+    { isReadOnly, began }: { isReadOnly: boolean; began: AskedAt },
+  ): Promise<{ transaction: Transaction } | { refusal: UpstreamAnswer }> {
+    const mayReadReplica = isReadOnly && request.route.consistency !== 'primary';
+    const opened = mayReadReplica
+      ? await openForReads(request)
+      : await openAtPrimary(request, { isReadOnly, began });
+    return 'refusal' in opened ? opened : { transaction: createTransaction(opened) };
+  }
+
+  async function openForReads(
+    request: StatementRequest,
+  ): Promise<OpenedAt | { refusal: UpstreamAnswer }> {
+    const toBegin = (after?: Position): UpstreamCommand => ({
+      type: 'begin',
+      isReadOnly: true,
+      after,
+    });
+    const { answer, place } = await reads.place(request, toBegin);
+    if (!place) return { refusal: answer };
+    return { ...place, isCurrent: Promise.resolve(true) };
+  }
+
+  async function openAtPrimary(
+    request: StatementRequest,
+    { isReadOnly, began }: { isReadOnly: boolean; began: AskedAt },
+  ): Promise<OpenedAt | { refusal: UpstreamAnswer }> {
+    const { deadlineAt } = request;
+    const command: UpstreamCommand = { type: 'begin', isReadOnly };
+    const ran = await writes.runAtPrimary(request, (member) =>
+      attempt(context, member, { request, command, deadlineAt }),
+    );
+    if (ran?.outcome.type !== 'answered') return { refusal: refuseBegin(request) };
+    const { member, outcome } = ran;
+    const { answer, connection } = outcome;
+    if (answer.outcome === 'refused' || !answer.position) {
+      member.pool.discard(connection);
+      return { refusal: refuseBegin(request) };
+    }
+    const isCurrent = proof.proveCurrent({
+      member,
+      term: answer.position.term,
+      arrived: began,
+      maximumStaleness: request.route.maximumStaleness,
+      deadlineAt,
+    });
+    return { member, connection, isCurrent };
+  }
+
+  function refuseBegin(request: StatementRequest): UpstreamAnswer {
+    const detail = `no member can take the transaction, come back in ${COME_BACK_MILLISECONDS} ms`;
+    return refuse(context, request, 'busy', detail);
+  }
+
+  function createTransaction({ member, connection, isCurrent }: OpenedAt): Transaction {
+    let hasWritten = false;
+    let isEnded = false;
+
+    function discard(): void {
+      isEnded = true;
+      member.pool.discard(connection);
+    }
+
+    async function runOnce(
+      request: StatementRequest,
+    ): Promise<{ type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' }> {
+      const { session, prepared, deadlineAt } = request;
+      const refused = await prepareWithin(request, session.state, prepared?.statement);
+      if (refused) return refused;
+      const asked = markAsked(context);
+      const command = toCommand(request);
+      const outcome = await runWithin(context, { connection, command, deadlineAt });
+      if (outcome.type === 'answered') observeAnswer(context, member, asked, outcome.answer);
+      return outcome;
+    }
+
+    async function prepareWithin(
+      request: StatementRequest,
+      ...[session, statement]: [
+        StatementRequest['session']['state'],
+        Parameters<typeof prepareConnection>[2],
+      ]
+    ): Promise<{ type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' } | undefined> {
+      try {
+        const answer = await prepareConnection(connection, session, statement);
+        return answer && { type: 'answered', answer };
+      } catch (error) {
+        logger.warn('transactionConnectionLost', {
+          group,
+          requestId: request.id,
+          memberId: member.entry.memberId,
+          error: error as Error,
+        });
+        return { type: 'lost' };
+      }
+    }
+
+    async function run(request: StatementRequest): Promise<UpstreamAnswer> {
+      if (isEnded) return refuseAborted(request, 'the transaction has ended');
+      const outcome = await runPatiently(request);
+      if (outcome.type === 'lost') {
+        discard();
+        context.suspectPrimary('silent', member);
+        // The connection is closed, and a member rolls back what a closed connection had begun.
+        return refuseAborted(request, 'the member did not answer within the transaction');
+      }
+      if (isWrite(request)) hasWritten = true;
+      if (!(await isCurrent)) {
+        rollBack();
+        return refuseAborted(request, 'the primary may have been replaced');
+      }
+      return outcome.answer;
+    }
+
+    /** Sends a statement again that a busy member did not run, while there is time. */
+    async function runPatiently(
+      request: StatementRequest,
+    ): Promise<{ type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' }> {
+      let outcome = await runOnce(request);
+      while (isBusy(outcome) && clock.now() + BUSY_PAUSE_MILLISECONDS < request.deadlineAt) {
+        await pause(BUSY_PAUSE_MILLISECONDS);
+        outcome = await runOnce(request);
+      }
+      return outcome;
+    }
+
+    async function commit(request: StatementRequest): Promise<UpstreamAnswer> {
+      if (isEnded) return refuseAborted(request, 'the transaction has ended');
+      const outcome = await runPatiently(request);
+      if (outcome.type === 'lost') {
+        discard();
+        context.suspectPrimary('silent', member);
+        if (!hasWritten) return refuseAborted(request, 'the member did not answer the commit');
+        return refuse(context, request, 'unknownOutcome', 'the primary did not answer the commit');
+      }
+      const { answer } = outcome;
+      isEnded = true;
+      if (answer.transaction === 'idle') member.pool.release(connection);
+      else member.pool.discard(connection);
+      if (!(await isCurrent)) return settleUnproved(request, answer);
+      return hasWritten ? writes.acknowledge(request, member, answer) : answer;
+    }
+
+    /** Without a proof for what it read, a transaction that wrote is still settled by its commit. */
+    function settleUnproved(request: StatementRequest, answer: UpstreamAnswer): UpstreamAnswer {
+      if (answer.outcome === 'refused') return answer;
+      if (!hasWritten) return refuseAborted(request, 'the primary may have been replaced');
+      return refuse(context, request, 'unknownOutcome', 'the primary may have been replaced');
+    }
+
+    function rollBack(): void {
+      if (isEnded) return;
+      isEnded = true;
+      connection.link.run({ type: 'rollback' }).then(
+        ({ transaction }) => {
+          if (transaction === 'idle') member.pool.release(connection);
+          else member.pool.discard(connection);
+        },
+        (error: Error) => {
+          logger.warn('rollbackNotAnswered', { group, memberId: member.entry.memberId, error });
+          member.pool.discard(connection);
+        },
+      );
+    }
+
+    function refuseAborted(request: StatementRequest, detail: string): UpstreamAnswer {
+      return { ...refuse(context, request, 'aborted', detail), transaction: 'failed' };
+    }
+
+    return { run, commit, rollBack };
+  }
+
+  return { open };
+}
+
+function isWrite({ text, prepared }: StatementRequest): boolean {
+  return prepared ? prepared.statement.access === 'write' : text.startsWith('WRITE');
+}
+
+function isBusy(outcome: { type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' }): boolean {
+  if (outcome.type !== 'answered' || outcome.answer.outcome !== 'refused') return false;
+  return outcome.answer.reason === 'busy' && outcome.answer.transaction === 'open';
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -0,0 +1,284 @@
+import {
+  applyPreparation,
+  countDifferences,
+  createConnectionState,
+  planPreparation,
+} from '@wisterialift/pooling';
+import type {
+  ConnectionState,
+  PreparedStatement,
+  SessionState,
+  UpstreamAnswer,
+} from '@wisterialift/pooling';
+import type { Logger } from '@wisterialift/telemetry';
+import {
+  NoConnectionError,
+  UpstreamLostError,
+  UpstreamRefusedError,
+} from '../errors/upstreamErrors';
+import type { Clock } from '../ports/clock';
+import type { UpstreamConnection, UpstreamDriver } from '../ports/upstreamPort';
+
+/** A connection and what was set on it. */
+export interface PooledConnection {
+  link: UpstreamConnection;
+  state: ConnectionState;
+  idleSince: number;
+}
+
+export interface AcquireOptions {
+  session: SessionState;
+  deadlineAt: number;
+  /** 0 goes first. */
+  priority: number;
+}
+
+export interface UpstreamPool {
+  /**
+   * @throws NoConnectionError where none is free in time.
+   * @throws UpstreamLostError where the member cannot be reached.
+   */
+  acquire: (options: AcquireOptions) => Promise<PooledConnection>;
+  release: (connection: PooledConnection) => void;
+  /** Closes a connection whose state or answer is not known any more. */
+  discard: (connection: PooledConnection) => void;
+  /** Connections in use, and requests that wait for one. */
+  load: () => number;
+  setMaximum: (connections: number) => void;
+  /** Closes idle connections that the load of the last seconds did not need. */
+  trim: () => void;
+  close: () => void;
+}
+
+export interface UpstreamPoolOptions {
+  driver: UpstreamDriver;
+  clock: Clock;
+  logger: Logger;
+  group: string;
+  memberId: string;
+  address: string;
+  maximumConnections: number;
+  onUnreachable: (error: UpstreamLostError) => void;
+}
+
+interface Waiter extends AcquireOptions {
+  grant: (connection: PooledConnection) => void;
+  fail: (error: Error) => void;
+}
+
+/**
+ * Time for opening a connection: a handshake of some tens of milliseconds and three round trips; a
+ * lost packet of the opening costs a second, and another member is asked sooner than that.
+ */
+const CONNECT_TIMEOUT_MILLISECONDS = 700;
+
+/** Idle connections kept without load; a new one costs its handshake and a place at the member. */
+const KEPT_IDLE = 2;
+
+/** Idle time after which a connection above those is closed, so that other instances get its place. */
+const IDLE_MILLISECONDS = 4_000;
+
+/** Pause after a refusal for want of places, about the time in which another instance frees one. */
+const REFUSED_PAUSE_MILLISECONDS = 60;
+
+/** Pause after which one more connection is tried again beyond the number that was refused. */
+const GROWTH_MILLISECONDS = 1_000;
+
+/** Creates the connections of this instance to one member. */
+export function createUpstreamPool(options: UpstreamPoolOptions): UpstreamPool {
+  const { driver, clock, logger, group, memberId, address, onUnreachable } = options;
+  const connections = new Set<PooledConnection>();
+  const idle: PooledConnection[] = [];
+  const waiters: Waiter[] = [];
+  let maximum = options.maximumConnections;
+  let allowed = maximum;
+  let refusedAt = -Infinity;
+  let opening = 0;
+  let isClosed = false;
+
+  function acquire(request: AcquireOptions): Promise<PooledConnection> {
+    const ready = takeIdle(request.session);
+    if (ready) return Promise.resolve(ready);
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(
+        () => {
+          removeWaiter(waiter);
+          reject(new NoConnectionError(`no connection to ${memberId} in time`));
+        },
+        Math.max(0, request.deadlineAt - clock.now()),
+      );
+      const waiter: Waiter = {
+        ...request,
+        grant: (connection) => {
+          clearTimeout(timer);
+          resolve(connection);
+        },
+        fail: (error) => {
+          clearTimeout(timer);
+          reject(error);
+        },
+      };
+      waiters.push(waiter);
+      openForWaiters();
+    });
+  }
+
+  /** The idle connection on which the session needs the fewest commands. */
+  function takeIdle(session: SessionState): PooledConnection | undefined {
+    let best: PooledConnection | undefined;
+    let bestDifferences = Infinity;
+    for (const candidate of idle) {
+      const differences = countDifferences(session, candidate.state);
+      if (candidate.link.isOpen() && differences < bestDifferences) {
+        best = candidate;
+        bestDifferences = differences;
+      }
+    }
+    if (best) idle.splice(idle.indexOf(best), 1);
+    return best;
+  }
+
+  function openForWaiters(): void {
+    growAllowance();
+    while (opening < waiters.length && connections.size + opening < allowed && !isClosed) {
+      opening += 1;
+      void openConnection();
+    }
+  }
+
+  function growAllowance(): void {
+    if (allowed >= maximum || clock.now() - refusedAt < GROWTH_MILLISECONDS) return;
+    allowed += 1;
+    refusedAt = clock.now();
+  }
+
+  async function openConnection(): Promise<void> {
+    try {
+      const target = {
+        group,
+        memberId,
+        address,
+        timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+      };
+      const link = await driver.connect(target);
+      opening -= 1;
+      if (isClosed) {
+        link.close();
+        return;
+      }
+      const connection = { link, state: createConnectionState(), idleSince: clock.now() };
+      connections.add(connection);
+      offer(connection);
+    } catch (error) {
+      opening -= 1;
+      handleOpenFailure(error as Error);
+    }
+  }
+
+  function handleOpenFailure(error: Error): void {
+    if (error instanceof UpstreamRefusedError && error.reason === 'tooManyConnections') {
+      // The other instances hold the rest of the places; asking again at once would only cost the
+      // member a place in its queue, so this instance lives with what it has for a while.
+      allowed = Math.max(1, connections.size);
+      refusedAt = clock.now();
+      logger.warn('connectionPlacesExhausted', { group, memberId, open: connections.size });
+      setTimeout(openForWaiters, REFUSED_PAUSE_MILLISECONDS);
+      return;
+    }
+    logger.warn('connectionNotOpened', { group, memberId, error });
+    const failure =
+      error instanceof UpstreamLostError ? error : new UpstreamLostError(error.message);
+    onUnreachable(failure);
+    if (connections.size > 0) return;
+    for (const waiter of waiters.splice(0)) waiter.fail(failure);
+  }
+
+  function offer(connection: PooledConnection): void {
+    const next = takeWaiter();
+    if (next) {
+      next.grant(connection);
+      return;
+    }
+    Object.assign(connection, { idleSince: clock.now() });
+    idle.push(connection);
+  }
+
+  /** Highest priority first, then the one that waits longest. */
+  function takeWaiter(): Waiter | undefined {
+    let best: Waiter | undefined;
+    for (const waiter of waiters) {
+      if (!best || waiter.priority < best.priority) best = waiter;
+    }
+    if (best) removeWaiter(best);
+    return best;
+  }
+
+  function removeWaiter(waiter: Waiter): void {
+    const index = waiters.indexOf(waiter);
+    if (index >= 0) waiters.splice(index, 1);
+  }
+
+  function release(connection: PooledConnection): void {
+    if (!connection.link.isOpen() || isClosed) {
+      discard(connection);
+      return;
+    }
+    offer(connection);
+  }
+
+  function discard(connection: PooledConnection): void {
+    connections.delete(connection);
+    const index = idle.indexOf(connection);
+    if (index >= 0) idle.splice(index, 1);
+    connection.link.close();
+    openForWaiters();
+  }
+
+  function trim(): void {
+    for (const connection of [...idle]) {
+      const isStale = clock.now() - connection.idleSince > IDLE_MILLISECONDS;
+      const isSpare = idle.length > KEPT_IDLE && isStale;
+      if (isSpare || !connection.link.isOpen()) discard(connection);
+    }
+  }
+
+  return {
+    acquire,
+    release,
+    discard,
+    load: () => connections.size - idle.length + waiters.length,
+    setMaximum: (value) => {
+      if (value === maximum) return;
+      maximum = value;
+      allowed = value;
+    },
+    trim,
+    close: () => {
+      isClosed = true;
+      for (const waiter of waiters.splice(0)) waiter.fail(new UpstreamLostError('the member left'));
+      for (const connection of idle.splice(0)) connection.link.close();
+    },
+  };
+}
+
+/**
+ * Gives a connection the state that a statement needs.
+ *
+ * The commands go out together and the statement after their answers, so that a statement never
+ * runs under other values than its session's.
+ *
+ * @returns the first refusal, or undefined where the connection is ready.
+ */
+export async function prepareConnection(
+  connection: PooledConnection,
+  session: SessionState,
+  statement?: PreparedStatement,
+): Promise<UpstreamAnswer | undefined> {
+  const commands = planPreparation({ session, connection: connection.state, statement });
+  if (commands.length === 0) return undefined;
+  const answers = await Promise.all(commands.map((command) => connection.link.run(command)));
+  const refused = answers.find(({ outcome }) => outcome === 'refused');
+  if (refused) return refused;
+  for (const command of commands) applyPreparation(connection.state, command);
+  return undefined;
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -11,3 +11,9 @@
 export { PlatformError } from './lib/errors/platformError';
 export { PlatformUnavailableError } from './lib/errors/platformUnavailableError';
 export { VersionConflictError } from './lib/errors/versionConflictError';
+export {
+  createHttpExchange,
+  type HttpAnswer,
+  type HttpCall,
+  type HttpExchange,
+} from './lib/httpExchange';
--- a/packages/platform/src/lib/httpExchange.ts
+++ b/packages/platform/src/lib/httpExchange.ts
@@ -6,10 +6,11 @@
 
 /** One call of the platform. */
 export interface HttpCall {
-  method: 'GET' | 'PUT' | 'DELETE';
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   /** Path and query, below the platform's address. */
   path: string;
   body?: unknown;
+  headers?: Record<string, string>;
   /** Time for the whole call, waiting included. */
   timeoutMilliseconds: number;
   signal?: AbortSignal;
@@ -64,9 +65,14 @@
   function startCall(call: HttpCall): StartedCall {
     const { method, signal, timeoutMilliseconds } = call;
     const text = call.body === undefined ? undefined : JSON.stringify(call.body);
-    const headers = text === undefined ? {} : { 'content-type': 'application/json' };
+    const headers = {
+      ...call.headers,
+      ...(text !== undefined && { 'content-type': 'application/json' }),
+    };
     const request = startRequest(`${base}${call.path}`, { method, agent, headers, signal });
     const timer = setTimeout(() => {
+      // A reset drops what a cut still holds up; a plain close would let it arrive later.
+      request.socket?.resetAndDestroy();
       request.destroy(new Error(`no answer within ${timeoutMilliseconds} ms`));
     }, timeoutMilliseconds);
     request.once('close', () => clearTimeout(timer));
--- /dev/null
+++ b/packages/pooling/src/index.ts
@@ -0,0 +1,38 @@
+export { type CallerStatement, type StatementAccess } from './lib/statements/callerStatement';
+export {
+  type FailureReason,
+  type MemberReport,
+  type TransactionState,
+  type UpstreamAnswer,
+  type UpstreamCommand,
+} from './lib/statements/upstreamCommand';
+export {
+  createGroupEvidence,
+  type EvidenceVerdict,
+  type EvidenceWait,
+  type GroupEvidence,
+  type Observation,
+} from './lib/evidence/groupEvidence';
+export {
+  applyPreparation,
+  countDifferences,
+  createConnectionState,
+  createSessionState,
+  planPreparation,
+  sharedStatementName,
+  type ConnectionState,
+  type PreparedStatement,
+  type SessionState,
+} from './lib/session/pooledSession';
+export { createLatencyEstimate, type LatencyEstimate } from './lib/placing/latencyEstimate';
+export { orderMembersForRead, type MemberLoad } from './lib/placing/chooseMember';
+export { chooseCandidate, type StoppedReplica } from './lib/promotion/chooseCandidate';
+export { settleWrite, type TermOrigin, type WriteFate } from './lib/promotion/settleWrite';
+export {
+  CLAIM_TAKEOVER_MILLISECONDS,
+  CLAIM_VALID_MILLISECONDS,
+  isClaimValid,
+  promotionRecordSchema,
+  type ClockReadings,
+  type PromotionRecord,
+} from './lib/promotion/promotionClaim';
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,4 +1,5 @@
 export { createLogger } from './lib/log/createLogger';
+export { createBoundedLogger, type BoundedLoggerOptions } from './lib/log/createBoundedLogger';
 export type { LogFields, LogLevel, Logger, LoggerOptions } from './lib/log/createLogger';
 export { createLatencyRecorder } from './lib/latency/latencyRecorder';
 export type { LatencyRecorder, LatencySeries, LatencySummary } from './lib/latency/latencyRecorder';
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,6 +6,7 @@
 /** Entry module of each program, by the name of its bundle. */
 const entryPoints = {
   wisterialift: 'packages/cli/src/main.ts',
+  'wisterialift-instance': 'platform/src/main.ts',
   'stand-in-platform': 'stand-ins/platform/src/main.ts',
   'stand-in-database': 'stand-ins/database/src/main.ts',
   bench: 'tools/bench/src/main.ts',
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 
 export default defineConfig({
   test: {
-    include: ['{packages,stand-ins,tools,tests}/**/*.test.ts'],
+    include: ['{packages,platform,stand-ins,tools,tests}/**/*.test.ts'],
     globalSetup: ['tests/build-before-tests.ts'],
     testTimeout: 30_000,
     hookTimeout: 30_000,
