Give connections back without an open transaction

Cause: a read-only transaction that was begun and then put aside (another term, a refused proof, a hedged second try) went back to the pool open, and the next session's statements ran inside it. Ruled out: pinning by the session (its own transactions never shared a connection). Change: every connection goes back through one function that rolls an open transaction back first.

--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -5,6 +5,7 @@
 import { attempt } from './attempt';
 import type { AttemptOutcome } from './attempt';
 import type { GroupContext } from './groupContext';
+import { giveBack } from './giveBack';
 import { avoidMember } from './member';
 import type { Member } from './member';
 import type { PrimaryProof } from './primaryProof';
@@ -70,7 +71,7 @@
       if (outcome.type === 'answered') {
         const { answer, connection } = outcome;
         if (verdict === 'accepted') return { answer, place: { ...choice, answer, connection } };
-        choice.member.pool.release(connection);
+        giveBack(context, { ...choice, connection, transaction: answer.transaction });
         if (verdict === 'final') return { answer };
       }
       counters.retries += 1;
@@ -145,7 +146,7 @@
       waitedMilliseconds: Math.round(patience),
     });
     counters.retries += 1;
-    return firstAnswered([firstRun, runAt(request, toReadCommand, second)]);
+    return firstAnswered(context, [firstRun, runAt(request, toReadCommand, second)]);
   }
 
   function hedgeAfter(member: Member): number {
@@ -251,6 +252,7 @@
 
 /** The first run with an answer; the connections of the others go back to their pools. */
 function firstAnswered(
+  context: GroupContext,
   runs: Promise<{ choice: Choice; outcome: AttemptOutcome }>[],
 ): Promise<{ choice: Choice; outcome: AttemptOutcome }> {
   return new Promise((resolve, reject) => {
@@ -265,15 +267,10 @@
           isResolved = true;
           resolve(result);
         } else if (outcome.type === 'answered') {
-          releaseIdle(choice.member, outcome.connection, outcome.answer);
+          const { transaction } = outcome.answer;
+          giveBack(context, { ...choice, connection: outcome.connection, transaction });
         }
       }, reject);
     }
   });
 }
-
-/** A hedged run may have begun a transaction, which nobody is going to use. */
-function releaseIdle(member: Member, connection: PooledConnection, answer: UpstreamAnswer): void {
-  if (answer.transaction === 'idle') member.pool.release(connection);
-  else member.pool.discard(connection);
-}
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -3,6 +3,7 @@
 import { attempt, runWithin } from './attempt';
 import { markAsked, observeAnswer } from './groupContext';
 import type { AskedAt, GroupContext } from './groupContext';
+import { giveBack } from './giveBack';
 import type { Member } from './member';
 import type { PrimaryProof } from './primaryProof';
 import type { ReadPath } from './readPath';
@@ -87,7 +88,7 @@
     const { member, outcome } = ran;
     const { answer, connection } = outcome;
     if (answer.outcome === 'refused' || !answer.position) {
-      member.pool.discard(connection);
+      giveBack(context, { member, connection, transaction: answer.transaction });
       return { refusal: refuseBegin(request) };
     }
     const isCurrent = proof.proveCurrent({
@@ -188,8 +189,7 @@
       }
       const { answer } = outcome;
       isEnded = true;
-      if (answer.transaction === 'idle') member.pool.release(connection);
-      else member.pool.discard(connection);
+      giveBack(context, { member, connection, transaction: answer.transaction });
       if (!(await isCurrent)) return settleUnproved(request, answer);
       return hasWritten ? writes.acknowledge(request, member, answer) : answer;
     }
@@ -204,16 +204,7 @@
     function rollBack(): void {
       if (isEnded) return;
       isEnded = true;
-      connection.link.run({ type: 'rollback' }).then(
-        ({ transaction }) => {
-          if (transaction === 'idle') member.pool.release(connection);
-          else member.pool.discard(connection);
-        },
-        (error: Error) => {
-          logger.warn('rollbackNotAnswered', { group, memberId: member.entry.memberId, error });
-          member.pool.discard(connection);
-        },
-      );
+      giveBack(context, { member, connection, transaction: 'open' });
     }
 
     function refuseAborted(request: StatementRequest, detail: string): UpstreamAnswer {
--- a/packages/gateway/src/lib/groups/writePath.ts
+++ b/packages/gateway/src/lib/groups/writePath.ts
@@ -4,6 +4,7 @@
 import { attempt } from './attempt';
 import type { AttemptOutcome } from './attempt';
 import type { GroupContext } from './groupContext';
+import { giveBack } from './giveBack';
 import type { Member } from './member';
 import type { PrimaryProof } from './primaryProof';
 import { COME_BACK_MILLISECONDS, refuse } from './refusals';
@@ -61,8 +62,9 @@
     if (outcome.type !== 'answered') {
       return refuse(context, request, 'unknownOutcome', 'the primary did not answer the write');
     }
-    member.pool.release(outcome.connection);
-    return acknowledge(request, member, outcome.answer);
+    const { answer, connection } = outcome;
+    giveBack(context, { member, connection, transaction: answer.transaction });
+    return acknowledge(request, member, answer);
   }
 
   function refuseForNow(request: StatementRequest): UpstreamAnswer {
@@ -110,7 +112,8 @@
       context.suspectPrimary('unreachable', member);
     }
     if (outcome.type === 'answered') {
-      member.pool.release(outcome.connection);
+      const { transaction } = outcome.answer;
+      giveBack(context, { member, connection: outcome.connection, transaction });
       const isReplica =
         outcome.answer.outcome === 'refused' && outcome.answer.reason === 'readOnly';
       if (isReplica) belief.denyPrimary(member);
--- /dev/null
+++ b/stand-ins/line-platform/src/index.ts
@@ -0,0 +1,15 @@
+export { startDutyServer, type DutyServer, type PromotionCall } from './lib/dutyServer';
+export { startLineDatabase, type LineDatabase, type StatementRun } from './lib/lineDatabase';
+export {
+  createLineGroup,
+  type LineGroup,
+  type LineGroupOptions,
+  type LineMember,
+  type LogEntry,
+  type MemberFaults,
+} from './lib/lineGroup';
+export {
+  startObjectStore,
+  type ObjectStoreServer,
+  type StoreFaults,
+} from './lib/objectStoreServer';
--- /dev/null
+++ b/stand-ins/line-platform/src/lib/objectStoreServer.ts
@@ -0,0 +1,188 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+interface StoredObject {
+  meta: {
+    name: string;
+    revision: number;
+    created: number;
+    finalizers: string[];
+    deleting: boolean;
+  };
+  spec: unknown;
+  status: unknown;
+}
+
+interface StoredEvent {
+  kind: string;
+  revision: number;
+  object: StoredObject;
+  deleted: boolean;
+}
+
+/** Faults that a test switches on. */
+export interface StoreFaults {
+  /** Answers 503 to everything, and no watch ends with a change. */
+  isDown: boolean;
+  /** Changes that are made and not answered. */
+  lostAnswers: number;
+}
+
+/** An object store with revisions, conditional changes and watches. */
+export interface ObjectStoreServer {
+  address: string;
+  faults: StoreFaults;
+  /** Calls that were made, by method. */
+  calls: string[];
+  put: (kind: string, name: string, spec: unknown) => void;
+  get: (kind: string, name: string) => unknown;
+  remove: (kind: string, name: string) => void;
+  /** Drops all history, so that watches from before end with 410. */
+  compact: () => void;
+  close: () => Promise<void>;
+}
+
+export async function startObjectStore(): Promise<ObjectStoreServer> {
+  const kinds = new Map<string, Map<string, StoredObject>>();
+  const faults: StoreFaults = { isDown: false, lostAnswers: 0 };
+  const calls: string[] = [];
+  const watchers = new Set<() => void>();
+  let events: StoredEvent[] = [];
+  let revision = 1;
+  let oldest = 0;
+
+  const objectsOf = (kind: string) => {
+    if (!kinds.has(kind)) kinds.set(kind, new Map());
+    return kinds.get(kind)!;
+  };
+
+  function put(kind: string, name: string, spec: unknown): StoredObject {
+    revision += 1;
+    const meta = { name, revision, created: revision, finalizers: [], deleting: false };
+    const object = { meta, spec, status: null };
+    objectsOf(kind).set(name, object);
+    publish({ kind, revision, object, deleted: false });
+    return object;
+  }
+
+  function remove(kind: string, name: string): void {
+    const object = objectsOf(kind).get(name);
+    if (!object) return;
+    revision += 1;
+    objectsOf(kind).delete(name);
+    publish({ kind, revision, object, deleted: true });
+  }
+
+  function publish(event: StoredEvent): void {
+    events.push(event);
+    for (const wake of [...watchers]) wake();
+  }
+
+  function answer(response: ServerResponse, code: number, body?: unknown): void {
+    response.writeHead(code, { 'content-type': 'application/json' });
+    response.end(body === undefined ? '' : JSON.stringify(body));
+  }
+
+  function change(response: ServerResponse, object: StoredObject): void {
+    if (faults.lostAnswers > 0) {
+      faults.lostAnswers -= 1;
+      response.socket?.destroy();
+      return;
+    }
+    answer(response, 200, object);
+  }
+
+  function watch(response: ServerResponse, kind: string, query: URLSearchParams): void {
+    const from = Number(query.get('watch'));
+    if (from < oldest) {
+      answer(response, 410);
+      return;
+    }
+    const found = () => events.filter((event) => event.kind === kind && event.revision > from);
+    const finish = () => {
+      watchers.delete(wake);
+      clearTimeout(timer);
+      const list = found().map(({ object, deleted }) => ({ object, deleted }));
+      answer(response, 200, { events: list, current_rev: revision });
+    };
+    const wake = () => {
+      if (!faults.isDown && found().length > 0) finish();
+    };
+    const timer = setTimeout(finish, Number(query.get('wait_ms') ?? 0));
+    response.on('close', () => {
+      watchers.delete(wake);
+      clearTimeout(timer);
+    });
+    watchers.add(wake);
+    wake();
+  }
+
+  async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://store');
+    const [, , , kind = '', name] = url.pathname.split('/');
+    calls.push(`${request.method} ${kind}`);
+    const body = await readBody(request);
+    if (faults.isDown) {
+      answer(response, 503);
+      return;
+    }
+    const present = name === undefined ? undefined : objectsOf(kind).get(name);
+    const handlers: Record<string, () => void> = {
+      GET: () => {
+        if (url.searchParams.has('watch')) watch(response, kind, url.searchParams);
+        else if (name === undefined) {
+          const items = [...objectsOf(kind).values()];
+          answer(response, 200, { items, has_more: false, current_rev: revision });
+        } else if (present) answer(response, 200, present);
+        else answer(response, 404);
+      },
+      POST: () => {
+        const taken = objectsOf(kind).get(body.meta.name);
+        if (taken) answer(response, 409, taken);
+        else change(response, put(kind, body.meta.name, body.spec));
+      },
+      PUT: () => {
+        if (!present) answer(response, 404);
+        else if (body.meta.revision !== undefined && body.meta.revision !== present.meta.revision) {
+          answer(response, 409, present);
+        } else change(response, put(kind, present.meta.name, body.spec));
+      },
+    };
+    handlers[request.method ?? '']?.();
+  }
+
+  const server = createServer((request, response) => void handle(request, response));
+  await new Promise<void>((resolve) => {
+    server.listen({ host: '127.0.0.1', port: 0 }, resolve);
+  });
+
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    faults,
+    calls,
+    put,
+    get: (kind, name) => objectsOf(kind).get(name)?.spec,
+    remove,
+    compact: () => {
+      oldest = revision + 1;
+      revision += 1;
+      events = [];
+      server.closeAllConnections();
+    },
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+async function readBody(
+  request: IncomingMessage,
+): Promise<{ meta: { name: string; revision?: number }; spec: unknown }> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString('utf8');
+  return text === '' ? { meta: { name: '' }, spec: undefined } : JSON.parse(text);
+}
