Take the steps of a transaction one after the other

Cause: a caller whose connection broke while its COMMIT ran had the connection given back twice, by the session's roll-back and by the commit's answer; two sessions then shared it. Ruled out: values lost by a reset, hedged reads (one member only in the trace). The test fails without the change and passes with it.

--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -109,6 +109,18 @@
   function createTransaction({ member, connection, isCurrent }: OpenedAt): Transaction {
     let hasWritten = false;
     let isEnded = false;
+    let work: Promise<unknown> = Promise.resolve();
+
+    /**
+     * Takes one step after the other. A caller may leave while its commit is at the member; a
+     * roll-back beside it would give the connection back a second time, and two sessions would share
+     * it.
+     */
+    function inOrder<Value>(step: () => Promise<Value>): Promise<Value> {
+      const next = work.then(step);
+      work = next.catch(() => undefined);
+      return next;
+    }
 
     function discard(): void {
       isEnded = true;
@@ -211,7 +223,11 @@
       return { ...refuse(context, request, 'aborted', detail), transaction: 'failed' };
     }
 
-    return { run, commit, rollBack };
+    return {
+      run: (request) => inOrder(() => run(request)),
+      commit: (request) => inOrder(() => commit(request)),
+      rollBack: () => void inOrder(async () => rollBack()),
+    };
   }
 
   return { open };
