Wait at a gate before each member, and at replicas that will have applied enough

Change: a gate in the order of priority before each member; the required log is that of the read's arrival, and a replica whose lag brings it there in time is waited for; denials carry their term; a promotion that was ordered lately is left to take effect.

--- a/packages/gateway/src/lib/groups/attempt.ts
+++ b/packages/gateway/src/lib/groups/attempt.ts
@@ -12,7 +12,7 @@
 export type AttemptOutcome =
   | { type: 'answered'; answer: UpstreamAnswer; asked: AskedAt; connection: PooledConnection }
   /** Nothing was sent. */
-  | { type: 'notSent'; cause: 'noConnection' | 'unreachable' | 'refused' }
+  | { type: 'notSent'; cause: 'noConnection' | 'noCapacity' | 'unreachable' | 'refused' }
   /** It was sent, and no whole answer came. */
   | { type: 'lost'; cause: 'timeout' | 'broken' };
 
@@ -26,6 +26,25 @@
   context: GroupContext,
   member: Member,
   options: { request: StatementRequest; command: UpstreamCommand; deadlineAt: number },
+): Promise<AttemptOutcome> {
+  const { request, command, deadlineAt } = options;
+  const { gate } = member;
+  const takesSlot = command.type !== 'begin';
+  const { priority } = request.route;
+  if (takesSlot && !(await gate.enter({ priority, deadlineAt }))) {
+    return { type: 'notSent', cause: 'noCapacity' };
+  }
+  try {
+    return await attemptNow(context, member, options);
+  } finally {
+    if (takesSlot) gate.leave();
+  }
+}
+
+async function attemptNow(
+  context: GroupContext,
+  member: Member,
+  options: { request: StatementRequest; command: UpstreamCommand; deadlineAt: number },
 ): Promise<AttemptOutcome> {
   const { request, command, deadlineAt } = options;
   const acquired = await acquireConnection(context, member, request, deadlineAt);
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -50,7 +50,9 @@
   const { memberId } = member.entry;
   Object.assign(member, { answeredAt: clock.now(), failures: 0 });
   if (!position) return;
-  Object.assign(member, { applied: position });
+  const passedAt = evidence.timeBeyond(position);
+  const lag = passedAt === undefined ? 0 : Math.max(0, asked.at - passedAt);
+  Object.assign(member, { applied: position, lag });
   evidence.observe({
     memberId,
     askedSequence: asked.sequence,
--- a/packages/gateway/src/lib/groups/groupTask.ts
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -56,7 +56,7 @@
  * Part of a member's connections that one instance opens at the most. Callers spread unevenly over
  * the instances, so a fixed share would leave places unused; a refused connection lowers it.
  */
-const CONNECTION_SHARE = 0.4;
+const CONNECTION_SHARE = 0.33;
 
 const UPKEEP_MILLISECONDS = 500;
 
@@ -132,7 +132,7 @@
       maximumConnections: connectionsOf(limits),
       onUnreachable: () => handleUnreachable(member),
     });
-    const member = createMember({ entry, pool, isNear: entry.dataCentre === dataCentre });
+    const member = createMember({ entry, pool, isNear: entry.dataCentre === dataCentre, clock });
     return member;
   }
 
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -1,17 +1,24 @@
 import { createLatencyEstimate } from '@wisterialift/pooling';
 import type { LatencyEstimate } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
+import type { Clock } from '../ports/clock';
 import type { DirectoryEntry } from '../ports/platformPort';
+import { createStatementGate } from './statementGate';
+import type { StatementGate } from './statementGate';
 import type { UpstreamPool } from './upstreamPool';
 
 /** One database of a group, as this instance knows it. */
 export interface Member {
   entry: DirectoryEntry;
   pool: UpstreamPool;
+  /** Statements of this instance that it works at. */
+  gate: StatementGate;
   /** Time that reads take there, its queue and the way included. */
   latency: LatencyEstimate;
   /** Log that it had applied when it answered last. */
   applied: Position | undefined;
+  /** How long after the primary it had applied that log, in milliseconds. */
+  lag: number;
   answeredAt: number;
   /** No statement goes there before this time. */
   avoidUntil: number;
@@ -27,18 +34,34 @@
 const FIRST_PAUSE_MILLISECONDS = 150;
 const LONGEST_PAUSE_MILLISECONDS = 1_000;
 
+/**
+ * Statements that one instance has a member work at, for each of its slots. Several instances share a
+ * member, whose queue holds about eight statements a slot before it sheds; at 1.5, seven instances
+ * fill it to that mark when all of them press, and one alone keeps all slots busy.
+ */
+const STATEMENTS_PER_SLOT = 1.5;
+
 export function createMember(options: {
   entry: DirectoryEntry;
   pool: UpstreamPool;
   isNear: boolean;
+  clock: Clock;
 }): Member {
-  const { entry, pool, isNear } = options;
+  const { entry, pool, isNear, clock } = options;
   const { sameDataCentre, otherDataCentre } = INITIAL_LATENCY_MILLISECONDS;
+  const latency = createLatencyEstimate(isNear ? sameDataCentre : otherDataCentre);
+  const gate = createStatementGate({
+    clock,
+    limit: Math.max(2, Math.ceil(entry.slots * STATEMENTS_PER_SLOT)),
+    expectedTime: () => latency.current(clock.now()),
+  });
   return {
     entry,
     pool,
-    latency: createLatencyEstimate(isNear ? sameDataCentre : otherDataCentre),
+    gate,
+    latency,
     applied: undefined,
+    lag: 0,
     answeredAt: -Infinity,
     avoidUntil: -Infinity,
     failures: 0,
--- a/packages/gateway/src/lib/groups/primaryBelief.ts
+++ b/packages/gateway/src/lib/groups/primaryBelief.ts
@@ -3,8 +3,8 @@
 /** Whom this instance takes for the primary, and what speaks against it. */
 export interface PrimaryBelief {
   find: () => Member | undefined;
-  /** A member answered that it is not the primary. */
-  denyPrimary: (member: Member) => void;
+  /** A member turned out not to be the primary of a term, or of any up to it. */
+  denyPrimary: (member: Member, term: number) => void;
   /** A member proved to be the primary of a term. */
   provePrimary: (memberId: string, term: number) => void;
   /** Whether the member is known to be the primary of that term. */
@@ -17,22 +17,27 @@
 /**
  * Forms the belief from the directory, the members' own answers and finished promotions.
  *
- * A proof of a higher term outweighs the directory, which lags; a denial holds until the member's
- * entry changes.
+ * A proof of a higher term outweighs the directory, which lags. A denial holds for its term, so that
+ * a late answer of a former term says nothing against a member that was promoted since.
+ * For the directory's word it holds until the member's entry changes.
  */
 export function createPrimaryBelief(members: Map<string, Member>): PrimaryBelief {
   const primaryOfTerm = new Map<number, string>();
-  const denials = new Map<string, number>();
+  const denials = new Map<string, { revision: number; term: number }>();
   const listeners = new Set<() => void>();
   let provedTerm = 0;
 
-  const isDenied = ({ entry }: Member) => denials.get(entry.memberId) === entry.revision;
+  const isListingDenied = ({ entry }: Member) =>
+    denials.get(entry.memberId)?.revision === entry.revision;
+
+  const isProofDenied = ({ entry }: Member) =>
+    (denials.get(entry.memberId)?.term ?? -1) >= provedTerm;
 
   /** The member whose entry says so; of several, the one whose entry changed last. */
   const findListed = (): Member | undefined => {
     let listed: Member | undefined;
     for (const member of members.values()) {
-      const isCandidate = member.entry.isPrimary && !isDenied(member);
+      const isCandidate = member.entry.isPrimary && !isListingDenied(member);
       if (isCandidate && (!listed || member.entry.revision > listed.entry.revision))
         listed = member;
     }
@@ -41,7 +46,7 @@
 
   const find = (): Member | undefined => {
     const proved = members.get(primaryOfTerm.get(provedTerm) ?? '');
-    if (proved && !isDenied(proved)) return proved;
+    if (proved && !isProofDenied(proved)) return proved;
     return findListed();
   };
 
@@ -51,17 +56,17 @@
 
   return {
     find,
-    denyPrimary: (member) => {
-      denials.set(member.entry.memberId, member.entry.revision);
+    denyPrimary: ({ entry }, term) => {
+      const known = denials.get(entry.memberId)?.term ?? -1;
+      denials.set(entry.memberId, { revision: entry.revision, term: Math.max(term, known) });
       notifyChange();
     },
     provePrimary: (memberId, term) => {
-      if (primaryOfTerm.get(term) === memberId) return;
+      const isDenied = (denials.get(memberId)?.term ?? -1) >= term;
+      if (primaryOfTerm.get(term) === memberId && !isDenied) return;
       primaryOfTerm.set(term, memberId);
-      if (term > provedTerm) {
-        provedTerm = term;
-        denials.delete(memberId);
-      }
+      provedTerm = Math.max(provedTerm, term);
+      denials.delete(memberId);
       notifyChange();
     },
     isProved: (memberId, term) => primaryOfTerm.get(term) === memberId,
--- a/packages/gateway/src/lib/groups/primaryProof.ts
+++ b/packages/gateway/src/lib/groups/primaryProof.ts
@@ -43,7 +43,7 @@
     if (belief.isProved(memberId, term)) return true;
     await askMember(context, member, { type: 'status' }, ROLE_QUESTION_MILLISECONDS);
     if (belief.isProved(memberId, term)) return true;
-    belief.denyPrimary(member);
+    belief.denyPrimary(member, term);
     return false;
   }
 
@@ -77,7 +77,7 @@
       const { memberId: primaryId } = member.entry;
       const wait = evidence.waitForTerm({ term, sequence: arrived.sequence, primaryId });
       const verdict = await awaitEvidence(wait, deadlineAt);
-      if (verdict?.type === 'superseded') belief.denyPrimary(member);
+      if (verdict?.type === 'superseded') belief.denyPrimary(member, term);
       return verdict?.type === 'proved';
     },
     proveCopied: async ({ member, position, deadlineAt }) => {
@@ -88,7 +88,7 @@
         context.suspectPrimary('unconfirmed', member);
         return 'unknown';
       }
-      if (verdict.type === 'superseded') belief.denyPrimary(member);
+      if (verdict.type === 'superseded') belief.denyPrimary(member, position.term);
       return verdict.type === 'proved' ? 'copied' : 'superseded';
     },
   };
--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -1,6 +1,6 @@
 import { orderMembersForRead } from '@wisterialift/pooling';
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
-import { isAtMost, maxPosition } from '@wisterialift/schema';
+import { isAtMost } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import { attempt } from './attempt';
 import type { AttemptOutcome } from './attempt';
@@ -9,7 +9,7 @@
 import { avoidMember } from './member';
 import type { Member } from './member';
 import type { PrimaryProof } from './primaryProof';
-import { refuse } from './refusals';
+import { COME_BACK_MILLISECONDS, refuse } from './refusals';
 import type { StatementRequest } from './statementRequest';
 import type { PooledConnection } from './upstreamPool';
 
@@ -41,20 +41,29 @@
 /** A busy member is left alone about as long as one of its statements takes. */
 const BUSY_PAUSE_MILLISECONDS = 30;
 
-/** A replica that was behind is taken for behind until it was seen further, or this long. */
-const BEHIND_MEMORY_MILLISECONDS = 400;
+/** Pause before a replica that was behind is asked again, where its lag is not known. */
+const LAGGING_PAUSE_MILLISECONDS = 25;
+
+interface RequiredLog {
+  position: Position;
+  /** When the primary was seen there. */
+  seenAt: number;
+}
 
 interface Choice {
   member: Member;
+  /** Milliseconds until the member can show what the read must see. */
+  wait: number;
   isPrimary: boolean;
   after: Position | undefined;
 }
 
-type Verdict = 'accepted' | 'retry' | 'final';
+type Verdict = 'accepted' | 'retry' | 'final' | 'refuse';
+
+const REFUSAL_DETAIL = `no member can show the read in time, come back in ${COME_BACK_MILLISECONDS} ms`;
 
 export function createReadPath(context: GroupContext, proof: PrimaryProof): ReadPath {
   const { belief, clock, counters, evidence, logger, members, group } = context;
-  const behindSince = new Map<Member, number>();
 
   async function place(
     request: StatementRequest,
@@ -62,7 +71,8 @@
   ): Promise<{ answer: UpstreamAnswer; place?: PlacedRead }> {
     while (clock.now() < request.deadlineAt) {
       const [first, second] = chooseMembers(request);
-      if (!first) {
+      if (!first || first.wait > 0) {
+        if (first && first.wait > timeLeft(request)) break;
         await belief.waitForChange(Math.min(RETRY_PAUSE_MILLISECONDS, timeLeft(request)));
         continue;
       }
@@ -74,9 +84,10 @@
         giveBack(context, { ...choice, connection, transaction: answer.transaction });
         if (verdict === 'final') return { answer };
       }
+      if (verdict === 'refuse') break;
       counters.retries += 1;
     }
-    return { answer: refuse(context, request, 'aborted', 'no member could show the read in time') };
+    return { answer: refuse(context, request, 'aborted', REFUSAL_DETAIL) };
   }
 
   const timeLeft = (request: StatementRequest) => request.deadlineAt - clock.now();
@@ -85,20 +96,18 @@
   function chooseMembers(request: StatementRequest): Choice[] {
     const now = clock.now();
     const primary = belief.find();
-    const { consistency } = request.route;
-    const after = requiredPosition(request);
-    const needsPrimary = consistency === 'primary' || after === undefined;
+    const required = requiredLog(request);
     const choices = [...members.values()]
-      .filter((member) => !needsPrimary || member === primary)
+      .filter((member) => required !== undefined || member === primary)
       .filter((member) => member.avoidUntil <= now && !isLeavingReplica(member, primary))
       .map((member) => ({
         memberId: member.entry.memberId,
         member,
         isPrimary: member === primary,
-        after: consistency === 'primary' ? undefined : after,
+        after: required?.position,
         latency: member.latency.current(now),
-        running: member.pool.load(),
-        isBehind: member !== primary && isBehind(member, after, now),
+        running: member.gate.load(),
+        wait: member === primary ? 0 : timeUntilApplied(member, required, now),
       }));
     return orderMembersForRead(choices).slice(0, 2);
   }
@@ -109,20 +118,30 @@
   }
 
   /** Log that the read must see, or undefined where only the primary can tell. */
-  function requiredPosition({ route, session }: StatementRequest): Position | undefined {
+  function requiredLog({ route, session, arrived }: StatementRequest): RequiredLog | undefined {
     if (route.consistency === 'primary') return undefined;
     const maximumAge = route.maximumStaleness - STALENESS_MARGIN_MILLISECONDS;
-    const floor = evidence.findFloor({ now: clock.now(), maximumAge });
+    const floor = evidence.findFloor({ now: arrived.at, maximumAge });
     if (!floor) return undefined;
-    const own = route.consistency === 'readYourWrites' ? session.lastCommit : undefined;
-    return own ? maxPosition(floor, own) : floor;
+    const { lastCommit } = session;
+    const needsOwn = route.consistency === 'readYourWrites' && lastCommit !== undefined;
+    if (needsOwn && !isAtMost(lastCommit.position, floor.position)) return lastCommit;
+    return { position: floor.position, seenAt: floor.askedAt };
   }
 
-  function isBehind(member: Member, after: Position | undefined, now: number): boolean {
-    if (!after) return false;
-    const since = behindSince.get(member);
-    if (since === undefined || now - since > BEHIND_MEMORY_MILLISECONDS) return false;
-    return !member.applied || !isAtMost(after, member.applied);
+  /**
+   * Time until a replica that lags as much as when it answered last has applied what the read needs.
+   *
+   * Waiting for it within the caller's time serves reads that the primary alone would have no slots
+   * for while all replicas lag beyond the stated age.
+   */
+  function timeUntilApplied(
+    { applied, lag }: Member,
+    required: RequiredLog | undefined,
+    now: number,
+  ): number {
+    if (!required || !applied || isAtMost(required.position, applied)) return 0;
+    return Math.max(0, required.seenAt + lag - now);
   }
 
   async function runHedged(
@@ -176,7 +195,8 @@
   ): Promise<Verdict> {
     if (outcome.type !== 'answered') {
       handleUnanswered(choice, outcome);
-      return 'retry';
+      const isFull = outcome.type === 'notSent' && outcome.cause === 'noCapacity';
+      return isFull ? 'refuse' : 'retry';
     }
     const { answer } = outcome;
     if (answer.outcome === 'refused') return judgeRefusal(request, choice, answer);
@@ -215,12 +235,12 @@
         return 'retry';
       },
       lagging: () => {
-        behindSince.set(member, now);
+        Object.assign(member, { avoidUntil: now + LAGGING_PAUSE_MILLISECONDS });
         if (isPrimary) forgetDiscardedCommit(request, answer);
         return 'retry';
       },
       readOnly: () => {
-        belief.denyPrimary(member);
+        belief.denyPrimary(member, answer.position?.term ?? evidence.highestTerm());
         return 'retry';
       },
       unknownStatement: () => 'retry',
@@ -232,7 +252,7 @@
   function forgetDiscardedCommit(request: StatementRequest, answer: UpstreamAnswer): void {
     const { session } = request;
     const term = answer.position?.term ?? 0;
-    if (!session.lastCommit || session.lastCommit.term >= term) return;
+    if (!session.lastCommit || session.lastCommit.position.term >= term) return;
     logger.warn('ownCommitDiscarded', { group, requestId: request.id, commit: session.lastCommit });
     session.lastCommit = undefined;
   }
--- a/packages/gateway/src/lib/groups/statementRequest.ts
+++ b/packages/gateway/src/lib/groups/statementRequest.ts
@@ -7,8 +7,8 @@
 /** What is known of a caller's session in its group. */
 export interface GroupSession {
   state: SessionState;
-  /** Position of the session's last acknowledged commit. */
-  lastCommit: Position | undefined;
+  /** The session's last acknowledged commit, and when its answer was there. */
+  lastCommit: { position: Position; seenAt: number } | undefined;
 }
 
 /** One statement, or the beginning of a transaction, on its way to a member. */
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -34,6 +34,9 @@
   ) => Promise<{ transaction: Transaction } | { refusal: UpstreamAnswer }>;
 }
 
+/** Before the priorities of callers, which start at 0. */
+const TRANSACTION_PRIORITY = -1;
+
 /** Pause before a statement that a busy member refused is sent again. */
 const BUSY_PAUSE_MILLISECONDS = 20;
 
@@ -133,9 +136,13 @@
       const { session, prepared, deadlineAt } = request;
       const refused = await prepareWithin(request, session.state, prepared?.statement);
       if (refused) return refused;
+      // The transaction holds a connection and locks, so its statements go before new ones.
+      const mayRun = await member.gate.enter({ priority: TRANSACTION_PRIORITY, deadlineAt });
+      if (!mayRun) return { type: 'lost' };
       const asked = markAsked(context);
       const command = toCommand(request);
-      const outcome = await runWithin(context, { connection, command, deadlineAt });
+      const running = runWithin(context, { connection, command, deadlineAt });
+      const outcome = await running.finally(member.gate.leave);
       if (outcome.type === 'answered') observeAnswer(context, member, asked, outcome.answer);
       return outcome;
     }
--- a/packages/gateway/src/lib/groups/writePath.ts
+++ b/packages/gateway/src/lib/groups/writePath.ts
@@ -94,6 +94,7 @@
         noteOutcome(member, outcome);
         return { member, outcome };
       }
+      if (outcome.type === 'notSent' && outcome.cause === 'noCapacity') return undefined;
       await handleNotRun(member, outcome);
       counters.retries += 1;
     }
@@ -116,7 +117,7 @@
       giveBack(context, { member, connection: outcome.connection, transaction });
       const isReplica =
         outcome.answer.outcome === 'refused' && outcome.answer.reason === 'readOnly';
-      if (isReplica) belief.denyPrimary(member);
+      if (isReplica) belief.denyPrimary(member, outcome.answer.position?.term ?? 0);
     }
     await belief.waitForChange(BUSY_PAUSE_MILLISECONDS);
   }
@@ -135,7 +136,7 @@
     const copied = await proof.proveCopied({ member, position, deadlineAt });
     const fate = copied === 'superseded' ? await settle(request, position) : copied;
     if (fate === 'copied' || fate === 'kept') {
-      request.session.lastCommit = position;
+      request.session.lastCommit = { position, seenAt: clock.now() };
       return answer;
     }
     if (fate === 'discarded') {
--- a/packages/gateway/src/lib/promotion/promotionTask.ts
+++ b/packages/gateway/src/lib/promotion/promotionTask.ts
@@ -144,7 +144,7 @@
   }
 
   async function promote(cause: SuspicionCause, primary: Member | undefined): Promise<void> {
-    const claim = await claimDuty();
+    const claim = await claimDuty(primary);
     if (!claim) return;
     const stopped = await stopReplicas(primary);
     if (!stopped) {
@@ -159,9 +159,9 @@
    *
    * A claim that another instance holds is left alone until it must have lapsed.
    */
-  async function claimDuty(): Promise<Claim | undefined> {
+  async function claimDuty(primary: Member | undefined): Promise<Claim | undefined> {
     const stored = await store.read(group);
-    if (stored && isHeldByOther(stored)) return undefined;
+    if (stored && (isHeldByOther(stored) || isReplacedAlready(stored, primary))) return undefined;
     const token = (stored?.record.token ?? 0) + 1;
     const record: PromotionRecord = { ...stored?.record, holder: instance, token, isClaimed: true };
     const claimedAt = clock.readings();
@@ -173,8 +173,25 @@
 
   function isHeldByOther({ record, revision }: StoredRecord): boolean {
     if (!record.isClaimed) return false;
+    return seenFor(revision) < CLAIM_TAKEOVER_MILLISECONDS;
+  }
+
+  /**
+   * Whether a promotion that was ordered lately replaces the suspect, and only has to take effect.
+   *
+   * Without this, each instance that had suspected the primary would order one after the other.
+   */
+  function isReplacedAlready(stored: StoredRecord, primary: Member | undefined): boolean {
+    const { started } = stored.record;
+    const suspectTerm = primary ? evidence.lastSeen(primary.entry.memberId)?.term : undefined;
+    if (!started || started.term <= (suspectTerm ?? evidence.highestTerm())) return false;
+    return seenFor(stored.revision) < FOLLOW_MILLISECONDS;
+  }
+
+  /** How long this instance has seen the record at that revision. */
+  function seenFor(revision: number): number {
     if (seenRevision?.revision !== revision) seenRevision = { revision, since: clock.now() };
-    return clock.now() - seenRevision.since < CLAIM_TAKEOVER_MILLISECONDS;
+    return clock.now() - seenRevision.since;
   }
 
   /**
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -6,6 +6,7 @@
   type UpstreamAnswer,
   type UpstreamCommand,
 } from './lib/statements/upstreamCommand';
+export { type FloorSample } from './lib/evidence/floorSamples';
 export {
   createGroupEvidence,
   type EvidenceVerdict,
--- a/packages/pooling/src/lib/evidence/floorSamples.ts
+++ b/packages/pooling/src/lib/evidence/floorSamples.ts
@@ -10,7 +10,9 @@
 export interface FloorSamples {
   add: (sample: FloorSample) => void;
   /** Oldest sample of `term` that was asked at or after `since`: the least that a read needs. */
-  find: (options: { since: number; term: number }) => Position | undefined;
+  find: (options: { since: number; term: number }) => FloorSample | undefined;
+  /** When the primary was first seen past a position; undefined where it was not. */
+  timeBeyond: (position: Position) => number | undefined;
   clear: () => void;
 }
 
@@ -33,7 +35,9 @@
       if (samples.length > LIMIT) samples.shift();
     },
     find: ({ since, term }) =>
-      samples.find((sample) => sample.askedAt >= since && sample.term === term)?.position,
+      samples.find((sample) => sample.askedAt >= since && sample.term === term),
+    timeBeyond: ({ term, index }) =>
+      samples.find((sample) => sample.term === term && sample.position.index > index)?.askedAt,
     clear: () => {
       samples = [];
     },
--- a/packages/pooling/src/lib/evidence/groupEvidence.ts
+++ b/packages/pooling/src/lib/evidence/groupEvidence.ts
@@ -1,5 +1,6 @@
 import type { Position } from '@wisterialift/schema';
 import { createFloorSamples } from './floorSamples';
+import type { FloorSample } from './floorSamples';
 
 /** What an answer of a member proved. @public */
 export interface Observation {
@@ -49,7 +50,9 @@
    */
   waitForTerm: (options: { term: number; sequence: number; primaryId: string }) => EvidenceWait;
   /** Oldest log end of the primary seen at most `maximumAge` ms ago, or undefined. */
-  findFloor: (options: { now: number; maximumAge: number }) => Position | undefined;
+  findFloor: (options: { now: number; maximumAge: number }) => FloorSample | undefined;
+  /** When the primary was first seen past a position, in steady milliseconds. */
+  timeBeyond: (position: Position) => number | undefined;
   /** Highest term that any member was seen in. */
   highestTerm: () => number;
   lastSeen: (memberId: string) => Observation | undefined;
@@ -130,6 +133,7 @@
       }),
     findFloor: ({ now, maximumAge }) =>
       samples.find({ since: now - maximumAge, term: highestTerm }),
+    timeBeyond: samples.timeBeyond,
     highestTerm: () => highestTerm,
     lastSeen: (memberId) => latest.get(memberId),
     hasWaits: () => waits.size > 0,
--- a/packages/pooling/src/lib/placing/chooseMember.ts
+++ b/packages/pooling/src/lib/placing/chooseMember.ts
@@ -5,8 +5,8 @@
   latency: number;
   /** Statements of this instance that the member works at. */
   running: number;
-  /** Whether the member is likely to refuse the read as too far behind. */
-  isBehind: boolean;
+  /** Milliseconds until it has applied what the read must see. */
+  wait: number;
 }
 
 /**
@@ -16,14 +16,11 @@
  */
 const RUNNING_SCALE = 2;
 
-/** A member that is behind costs a refused try of about one round trip, and often a second choice. */
-const BEHIND_FACTOR = 4;
-
 /** Orders members for a read, the best first. @public */
 export function orderMembersForRead<Member extends MemberLoad>(members: Member[]): Member[] {
   return [...members].sort((left, right) => costOf(left) - costOf(right));
 }
 
-function costOf({ latency, running, isBehind }: MemberLoad): number {
-  return latency * (1 + running / RUNNING_SCALE) * (isBehind ? BEHIND_FACTOR : 1);
+function costOf({ latency, running, wait }: MemberLoad): number {
+  return latency * (1 + running / RUNNING_SCALE) + wait;
 }
