--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -62,6 +62,9 @@
 /** Part of the grace after which the process goes, whatever is still open. */
 const LAST_SHARE = 0.8;
 
+/** How often a stop looks for sessions that can be ended, some of which have come meanwhile. */
+const DRAIN_STEP_MILLISECONDS = 50;
+
 /** How often the clocks are compared to notice a suspension. */
 const CLOCK_CHECK_MILLISECONDS = 250;
 
@@ -153,25 +156,19 @@
 
   async function drain(): Promise<void> {
     const startedAt = clock.now();
+    const elapsed = () => clock.now() - startedAt;
     isDraining = true;
     logger.info('drainStarted', { sessions: sessions.size });
-    await waitUntil(startedAt + BALANCER_NOTICE_MILLISECONDS, () => sessions.size === 0);
-    for (const session of [...sessions]) session.drain();
-    await waitUntil(startedAt + times.stopGrace * TRANSACTION_SHARE, () => sessions.size === 0);
-    for (const session of [...sessions]) session.abandonTransaction();
-    await waitUntil(startedAt + times.stopGrace * LAST_SHARE, () => !hasWork());
-    logger.info('drainEnded', { sessions: sessions.size });
-  }
-
-  const hasWork = () => [...sessions].some((session) => session.isTransactionOpen());
-
-  async function waitUntil(time: number, isDone: () => boolean): Promise<void> {
-    while (clock.now() < time && !isDone()) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, Math.min(50, time - clock.now()));
-      });
-      if (isDraining && clock.now() > time - 1) return;
+    while (elapsed() < times.stopGrace * LAST_SHARE && sessions.size > 0) {
+      if (elapsed() >= BALANCER_NOTICE_MILLISECONDS) {
+        for (const session of [...sessions]) session.drain();
+      }
+      if (elapsed() >= times.stopGrace * TRANSACTION_SHARE) {
+        for (const session of [...sessions]) session.abandonTransaction();
+      }
+      await pause(DRAIN_STEP_MILLISECONDS);
     }
+    logger.info('drainEnded', { sessions: sessions.size });
   }
 
   return {
@@ -191,3 +188,9 @@
   const { steady, wall } = clock.readings();
   return wall - steady;
 }
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
--- a/packages/gateway/src/lib/groups/groupTask.ts
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -6,6 +6,7 @@
 import type { DirectoryEntry, PromotionOrders, PromotionStore } from '../ports/platformPort';
 import type { UpstreamDriver } from '../ports/upstreamPort';
 import { createPromotionTask } from '../promotion/promotionTask';
+import { createFloorKeeper } from './floorKeeper';
 import { createEvidenceAsker } from './evidenceAsker';
 import { markAsked } from './groupContext';
 import type { AskedAt, GroupContext, GroupCounters } from './groupContext';
@@ -53,10 +54,15 @@
 }
 
 /**
- * Part of a member's connections that one instance opens at the most. Callers spread unevenly over
- * the instances, so a fixed share would leave places unused; a refused connection lowers it.
+ * Part of a member's connections that one instance opens at once, and at the most. Callers spread
+ * unevenly over the instances, so a fixed share would leave places unused. With a third at once, six
+ * instances that started together held all places of a primary, and others none for seconds.
  */
-const CONNECTION_SHARE = 0.33;
+const USUAL_CONNECTION_SHARE = 0.2;
+const LARGEST_CONNECTION_SHARE = 0.5;
+
+/** Fewer would let two open transactions stop all other statements. */
+const FEWEST_CONNECTIONS = 4;
 
 const UPKEEP_MILLISECONDS = 500;
 
@@ -82,7 +88,7 @@
   const promotion = createPromotionTask(context, options);
   const asker = createEvidenceAsker(context);
   const proof = createPrimaryProof(context, asker);
-  const reads = createReadPath(context, proof);
+  const reads = createReadPath(context, { proof, floors: createFloorKeeper(context) });
   const writes = createWritePath(context, {
     proof,
     readTermOrigin: (): Promise<TermOrigin | undefined> => promotion.readTermOrigin(),
@@ -129,7 +135,8 @@
       group,
       memberId: entry.memberId,
       address: entry.address,
-      maximumConnections: connectionsOf(limits),
+      usualConnections: connectionsOf(limits, USUAL_CONNECTION_SHARE),
+      maximumConnections: connectionsOf(limits, LARGEST_CONNECTION_SHARE),
       onUnreachable: () => handleUnreachable(member),
     });
     const member = createMember({ entry, pool, isNear: entry.dataCentre === dataCentre, clock });
@@ -162,7 +169,8 @@
     updateMembers,
     updateLimits: (next) => {
       limits = next;
-      for (const member of members.values()) member.pool.setMaximum(connectionsOf(limits));
+      const maximum = connectionsOf(limits, LARGEST_CONNECTION_SHARE);
+      for (const member of members.values()) member.pool.setMaximum(maximum);
     },
     isUsable: () => members.size > 0 && belief.find() !== undefined,
     forgetAges: evidence.forgetAges,
@@ -176,8 +184,8 @@
   };
 }
 
-function connectionsOf({ maximumConnections }: GroupLimits): number {
-  return Math.max(2, Math.floor(maximumConnections * CONNECTION_SHARE));
+function connectionsOf({ maximumConnections }: GroupLimits, share: number): number {
+  return Math.max(FEWEST_CONNECTIONS, Math.floor(maximumConnections * share));
 }
 
 function isChanged(before: DirectoryEntry, after: DirectoryEntry): boolean {
--- a/packages/gateway/src/lib/groups/primaryProof.ts
+++ b/packages/gateway/src/lib/groups/primaryProof.ts
@@ -21,6 +21,11 @@
     maximumStaleness: number;
     deadlineAt: number;
   }) => Promise<boolean>;
+  /**
+   * Whether answers of the primary have waited for evidence for so long that further ones would wait
+   * in vain; another instance may reach more members.
+   */
+  isStalled: () => boolean;
   /** Waits until a commit of the primary is held by a second member, or by none ever. */
   proveCopied: (options: {
     member: Member;
@@ -29,12 +34,21 @@
   }) => Promise<'copied' | 'superseded' | 'unknown'>;
 }
 
+/**
+ * Evidence comes within 100 ms as a rule, and within 650 ms where one question is lost and the other
+ * replica is asked. What waits longer speaks against the primary, which may be cut from its replicas.
+ */
+const STALL_MILLISECONDS = 900;
+
 /** Time limit of the question whether a member is the primary. */
 const ROLE_QUESTION_MILLISECONDS = 400;
 
 export function createPrimaryProof(context: GroupContext, asker: EvidenceAsker): PrimaryProof {
   const { belief, clock, evidence, members } = context;
 
+  /** Start times of the waits, the oldest first. */
+  const waitingSince = new Set<number>();
+
   const hasOthers = ({ entry }: Member) =>
     [...members.keys()].some((memberId) => memberId !== entry.memberId);
 
@@ -56,19 +70,33 @@
     });
   }
 
-  async function awaitEvidence(wait: EvidenceWait, deadlineAt: number) {
+  async function awaitEvidence(wait: EvidenceWait, member: Member, deadlineAt: number) {
     asker.start();
+    const startedAt = clock.now();
+    waitingSince.add(startedAt);
+    const alarm = setTimeout(
+      () => context.suspectPrimary('unconfirmed', member),
+      STALL_MILLISECONDS,
+    );
     let timer: NodeJS.Timeout | undefined;
     const limit = new Promise<undefined>((resolve) => {
       timer = setTimeout(resolve, Math.max(0, deadlineAt - clock.now()), undefined);
     });
     const verdict = await Promise.race([wait.verdict, limit]);
     clearTimeout(timer);
+    clearTimeout(alarm);
+    waitingSince.delete(startedAt);
     wait.cancel();
     return verdict;
   }
 
+  const isStalled = () => {
+    const [oldest] = waitingSince;
+    return oldest !== undefined && clock.now() - oldest > STALL_MILLISECONDS;
+  };
+
   return {
+    isStalled,
     proveCurrent: async ({ member, term, arrived, maximumStaleness, deadlineAt }) => {
       if (!(await isPrimaryOf(member, term))) return false;
       if (!hasOthers(member)) return true;
@@ -76,18 +104,15 @@
       if (isAged && isProvedByAge(member, term, arrived.at - maximumStaleness)) return true;
       const { memberId: primaryId } = member.entry;
       const wait = evidence.waitForTerm({ term, sequence: arrived.sequence, primaryId });
-      const verdict = await awaitEvidence(wait, deadlineAt);
+      const verdict = await awaitEvidence(wait, member, deadlineAt);
       if (verdict?.type === 'superseded') belief.denyPrimary(member, term);
       return verdict?.type === 'proved';
     },
     proveCopied: async ({ member, position, deadlineAt }) => {
       if (!hasOthers(member)) return 'copied';
       const wait = evidence.waitForCopy({ position, primaryId: member.entry.memberId });
-      const verdict = await awaitEvidence(wait, deadlineAt);
-      if (!verdict) {
-        context.suspectPrimary('unconfirmed', member);
-        return 'unknown';
-      }
+      const verdict = await awaitEvidence(wait, member, deadlineAt);
+      if (!verdict) return 'unknown';
       if (verdict.type === 'superseded') belief.denyPrimary(member, position.term);
       return verdict.type === 'proved' ? 'copied' : 'superseded';
     },
--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -1,9 +1,11 @@
+import { createRetryBudget } from '@wisterialift/core';
 import { orderMembersForRead } from '@wisterialift/pooling';
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import { isAtMost } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import { attempt } from './attempt';
 import type { AttemptOutcome } from './attempt';
+import type { FloorKeeper } from './floorKeeper';
 import type { GroupContext } from './groupContext';
 import { giveBack } from './giveBack';
 import { avoidMember } from './member';
@@ -35,6 +37,9 @@
 const HEDGE_FACTOR = 5;
 const HEDGE_FLOOR_MILLISECONDS = 250;
 
+/** Second tries may add a tenth to the load of an outage, and are free for a quiet instance. */
+const HEDGE_BUDGET = { share: 0.1, minimumTokens: 5 };
+
 /** Pause before members that all refused are tried again. */
 const RETRY_PAUSE_MILLISECONDS = 25;
 
@@ -62,15 +67,22 @@
 
 const REFUSAL_DETAIL = `no member can show the read in time, come back in ${COME_BACK_MILLISECONDS} ms`;
 
-export function createReadPath(context: GroupContext, proof: PrimaryProof): ReadPath {
+export function createReadPath(
+  context: GroupContext,
+  { proof, floors }: { proof: PrimaryProof; floors: FloorKeeper },
+): ReadPath {
   const { belief, clock, counters, evidence, logger, members, group } = context;
+  const hedgeBudget = createRetryBudget(HEDGE_BUDGET);
 
   async function place(
     request: StatementRequest,
     toReadCommand: (after?: Position) => UpstreamCommand,
   ): Promise<{ answer: UpstreamAnswer; place?: PlacedRead }> {
+    const mayUseReplicas = request.route.consistency !== 'primary';
+    if (mayUseReplicas && !requiredLog(request)) await floors.refresh();
     while (clock.now() < request.deadlineAt) {
       const [first, second] = chooseMembers(request);
+      if (!first && proof.isStalled()) break;
       if (!first || first.wait > 0) {
         if (first && first.wait > timeLeft(request)) break;
         await belief.waitForChange(Math.min(RETRY_PAUSE_MILLISECONDS, timeLeft(request)));
@@ -98,7 +110,7 @@
     const primary = belief.find();
     const required = requiredLog(request);
     const choices = [...members.values()]
-      .filter((member) => required !== undefined || member === primary)
+      .filter((member) => (member === primary ? !proof.isStalled() : required !== undefined))
       .filter((member) => member.avoidUntil <= now && !isLeavingReplica(member, primary))
       .map((member) => ({
         memberId: member.entry.memberId,
@@ -150,11 +162,13 @@
     first: Choice,
     second: Choice | undefined,
   ): Promise<{ choice: Choice; outcome: AttemptOutcome }> {
+    hedgeBudget.recordFirstTry(clock.now());
     const firstRun = runAt(request, toReadCommand, first);
-    if (!second) return firstRun;
+    if (!second || second.wait > 0) return firstRun;
     const patience = hedgeAfter(first.member);
     const early = await within(firstRun, Math.min(patience, timeLeft(request)));
     if (early) return early;
+    if (!hedgeBudget.tryRetry(clock.now())) return firstRun;
     // The answer was lost, or the member is slow; reads may run twice. The first run is not broken
     // off, since its answer may still come sooner.
     logger.info('readHedged', {
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -42,10 +42,8 @@
   release: (connection: PooledConnection) => void;
   /** Closes a connection whose state or answer is not known any more. */
   discard: (connection: PooledConnection) => void;
-  /** Connections in use, and requests that wait for one. */
-  load: () => number;
   setMaximum: (connections: number) => void;
-  /** Closes idle connections that the load of the last seconds did not need. */
+  /** Upkeep: opens what waits, closes idle connections that the last seconds did not need. */
   trim: () => void;
   close: () => void;
 }
@@ -57,6 +55,8 @@
   group: string;
   memberId: string;
   address: string;
+  /** Connections to begin with; requests that wait raise them up to the maximum. */
+  usualConnections: number;
   maximumConnections: number;
   onUnreachable: (error: UpstreamLostError) => void;
 }
@@ -76,13 +76,16 @@
 const KEPT_IDLE = 2;
 
 /** Idle time after which a connection above those is closed, so that other instances get its place. */
-const IDLE_MILLISECONDS = 4_000;
+const IDLE_MILLISECONDS = 1_500;
 
 /** Pause after a refusal for want of places, about the time in which another instance frees one. */
 const REFUSED_PAUSE_MILLISECONDS = 60;
 
-/** Pause after which one more connection is tried again beyond the number that was refused. */
-const GROWTH_MILLISECONDS = 1_000;
+/** A member without places refuses for about this long; its own instances free some meanwhile. */
+const FULL_MILLISECONDS = 1_000;
+
+/** While requests wait and the member has places, one more connection is allowed at this pace. */
+const GROWTH_MILLISECONDS = 200;
 
 /** Creates the connections of this instance to one member. */
 export function createUpstreamPool(options: UpstreamPoolOptions): UpstreamPool {
@@ -91,8 +94,10 @@
   const idle: PooledConnection[] = [];
   const waiters: Waiter[] = [];
   let maximum = options.maximumConnections;
-  let allowed = maximum;
+  let allowed = options.usualConnections;
   let refusedAt = -Infinity;
+  let grownAt = -Infinity;
+  let pausedUntil = -Infinity;
   let opening = 0;
   let isClosed = false;
 
@@ -127,7 +132,8 @@
   function takeIdle(session: SessionState): PooledConnection | undefined {
     let best: PooledConnection | undefined;
     let bestDifferences = Infinity;
-    for (const candidate of idle) {
+    // The one used last goes first: one that is idle for long may have gone silent meanwhile.
+    for (const candidate of idle.toReversed()) {
       const differences = countDifferences(session, candidate.state);
       if (candidate.link.isOpen() && differences < bestDifferences) {
         best = candidate;
@@ -139,6 +145,7 @@
   }
 
   function openForWaiters(): void {
+    if (clock.now() < pausedUntil) return;
     growAllowance();
     while (opening < waiters.length && connections.size + opening < allowed && !isClosed) {
       opening += 1;
@@ -147,9 +154,12 @@
   }
 
   function growAllowance(): void {
-    if (allowed >= maximum || clock.now() - refusedAt < GROWTH_MILLISECONDS) return;
+    const now = clock.now();
+    const isNeeded = waiters.length > 0 && connections.size + opening >= allowed;
+    if (!isNeeded || allowed >= maximum) return;
+    if (now - refusedAt < FULL_MILLISECONDS || now - grownAt < GROWTH_MILLISECONDS) return;
     allowed += 1;
-    refusedAt = clock.now();
+    grownAt = now;
   }
 
   async function openConnection(): Promise<void> {
@@ -181,6 +191,7 @@
       // member a place in its queue, so this instance lives with what it has for a while.
       allowed = Math.max(1, connections.size);
       refusedAt = clock.now();
+      pausedUntil = clock.now() + REFUSED_PAUSE_MILLISECONDS;
       logger.warn('connectionPlacesExhausted', { group, memberId, open: connections.size });
       setTimeout(openForWaiters, REFUSED_PAUSE_MILLISECONDS);
       return;
@@ -235,6 +246,7 @@
   }
 
   function trim(): void {
+    openForWaiters();
     for (const connection of [...idle]) {
       const isStale = clock.now() - connection.idleSince > IDLE_MILLISECONDS;
       const isSpare = idle.length > KEPT_IDLE && isStale;
@@ -246,11 +258,9 @@
     acquire,
     release,
     discard,
-    load: () => connections.size - idle.length + waiters.length,
     setMaximum: (value) => {
-      if (value === maximum) return;
       maximum = value;
-      allowed = value;
+      allowed = Math.min(allowed, value);
     },
     trim,
     close: () => {
--- a/packages/gateway/src/lib/groups/writePath.ts
+++ b/packages/gateway/src/lib/groups/writePath.ts
@@ -80,7 +80,7 @@
     request: StatementRequest,
     run: (member: Member) => Promise<AttemptOutcome>,
   ): Promise<{ member: Member; outcome: AttemptOutcome } | undefined> {
-    while (clock.now() < request.deadlineAt) {
+    while (clock.now() < request.deadlineAt && !proof.isStalled()) {
       const member = belief.find();
       if (!member || member.avoidUntil > clock.now()) {
         if (!member) context.suspectPrimary('absent', undefined);
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -16,7 +16,6 @@
   drain: () => void;
   /** Gives up a transaction that is still open, for a process that has to stop. */
   abandonTransaction: () => void;
-  isTransactionOpen: () => boolean;
 }
 
 export interface CallerSessionOptions {
@@ -320,6 +319,5 @@
       endIfDrained();
     },
     abandonTransaction,
-    isTransactionOpen: () => transaction !== undefined || pending > 0,
   };
 }
