--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -24,7 +24,7 @@
 ];
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/generated/**', 'coverage/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', '**/generated/**', 'coverage/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,7 +10,8 @@
   type GroupLimits,
   type Route,
 } from './lib/configuration/gatewayConfiguration';
-export { UpstreamLostError, UpstreamRefusedError } from './lib/errors/upstreamErrors';
+export { UpstreamLostError } from './lib/errors/upstreamLostError';
+export { UpstreamRefusedError } from './lib/errors/upstreamRefusedError';
 export {
   type CallerAcceptor,
   type CallerAnswer,
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -82,6 +82,8 @@
   let isDraining = false;
   let drift = driftOf(clock);
 
+  const entriesOf = (group: string) => entries.filter((entry) => entry.group === group);
+
   const clockTimer = setInterval(checkClocks, CLOCK_CHECK_MILLISECONDS);
   options.configuration.follow(adoptConfiguration);
   options.directory.follow((next) => {
@@ -90,8 +92,6 @@
     for (const [group, task] of groups) task.updateMembers(entriesOf(group));
   });
 
-  const entriesOf = (group: string) => entries.filter((entry) => entry.group === group);
-
   /** Versions only rise: an older one may still arrive from a lagging reader. */
   function adoptConfiguration(next: GatewayConfiguration): void {
     if (configuration && next.version <= configuration.version) return;
--- /dev/null
+++ b/packages/gateway/src/lib/errors/upstreamRefusedError.ts
@@ -0,0 +1,13 @@
+import type { FailureReason } from '@wisterialift/pooling';
+
+/** A member refused a connection. @public */
+export class UpstreamRefusedError extends Error {
+  override readonly name = 'UpstreamRefusedError';
+
+  constructor(
+    readonly reason: FailureReason,
+    detail: string,
+  ) {
+    super(`the member refused the connection: ${reason} ${detail}`);
+  }
+}
--- a/packages/gateway/src/lib/groups/attempt.ts
+++ b/packages/gateway/src/lib/groups/attempt.ts
@@ -1,5 +1,6 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
-import { NoConnectionError, UpstreamLostError } from '../errors/upstreamErrors';
+import { NoConnectionError } from '../errors/noConnectionError';
+import { UpstreamLostError } from '../errors/upstreamLostError';
 import { markAsked, observeAnswer } from './groupContext';
 import type { AskedAt, GroupContext } from './groupContext';
 import { avoidMember } from './member';
--- a/packages/gateway/src/lib/groups/evidenceAsker.ts
+++ b/packages/gateway/src/lib/groups/evidenceAsker.ts
@@ -28,7 +28,9 @@
   let round = 0;
 
   const schedule = (milliseconds: number) => {
-    timer = setTimeout(() => void ask(), milliseconds);
+    timer = setTimeout(() => {
+      void ask();
+    }, milliseconds);
   };
 
   async function ask(): Promise<void> {
--- a/packages/gateway/src/lib/groups/groupTask.ts
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -73,6 +73,7 @@
   const belief = createPrimaryBelief(members);
   const counters: GroupCounters = { probes: 0, retries: 0, refusals: 0, promotions: 0 };
   let { limits } = options;
+  let onSuspicion: GroupContext['suspectPrimary'] = () => undefined;
 
   const context: GroupContext = {
     group,
@@ -83,9 +84,10 @@
     logger,
     driver,
     counters,
-    suspectPrimary: (cause, member) => promotion.suspect(cause, member),
+    suspectPrimary: (cause, member) => onSuspicion(cause, member),
   };
   const promotion = createPromotionTask(context, options);
+  onSuspicion = promotion.suspect;
   const asker = createEvidenceAsker(context);
   const proof = createPrimaryProof(context, asker);
   const reads = createReadPath(context, { proof, floors: createFloorKeeper(context) });
@@ -137,13 +139,14 @@
       address: entry.address,
       usualConnections: connectionsOf(limits, USUAL_CONNECTION_SHARE),
       maximumConnections: connectionsOf(limits, LARGEST_CONNECTION_SHARE),
-      onUnreachable: () => handleUnreachable(member),
+      onUnreachable: () => handleUnreachable(entry.memberId),
     });
-    const member = createMember({ entry, pool, isNear: entry.dataCentre === dataCentre, clock });
-    return member;
+    return createMember({ entry, pool, isNear: entry.dataCentre === dataCentre, clock });
   }
 
-  function handleUnreachable(member: Member): void {
+  function handleUnreachable(memberId: string): void {
+    const member = members.get(memberId);
+    if (!member) return;
     avoidMember(member, clock.now());
     if (belief.find() === member) context.suspectPrimary('unreachable', member);
   }
--- a/packages/gateway/src/lib/groups/primaryBelief.ts
+++ b/packages/gateway/src/lib/groups/primaryBelief.ts
@@ -38,8 +38,9 @@
     let listed: Member | undefined;
     for (const member of members.values()) {
       const isCandidate = member.entry.isPrimary && !isListingDenied(member);
-      if (isCandidate && (!listed || member.entry.revision > listed.entry.revision))
+      if (isCandidate && (!listed || member.entry.revision > listed.entry.revision)) {
         listed = member;
+      }
     }
     return listed;
   };
@@ -72,12 +73,13 @@
     isProved: (memberId, term) => primaryOfTerm.get(term) === memberId,
     waitForChange: (milliseconds) =>
       new Promise((resolve) => {
+        let timer: NodeJS.Timeout | undefined;
         const finish = () => {
           clearTimeout(timer);
           listeners.delete(finish);
           resolve();
         };
-        const timer = setTimeout(finish, Math.max(0, milliseconds));
+        timer = setTimeout(finish, Math.max(0, milliseconds));
         listeners.add(finish);
       }),
     notifyChange,
--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -63,6 +63,12 @@
   after: Position | undefined;
 }
 
+/** A run and where it was. */
+interface RunAt {
+  choice: Choice;
+  outcome: AttemptOutcome;
+}
+
 type Verdict = 'accepted' | 'retry' | 'final' | 'refuse';
 
 const REFUSAL_DETAIL = `no member can show the read in time, come back in ${COME_BACK_MILLISECONDS} ms`;
@@ -74,6 +80,8 @@
   const { belief, clock, counters, evidence, logger, members, group } = context;
   const hedgeBudget = createRetryBudget(HEDGE_BUDGET);
 
+  const timeLeft = (request: StatementRequest) => request.deadlineAt - clock.now();
+
   async function place(
     request: StatementRequest,
     toReadCommand: (after?: Position) => UpstreamCommand,
@@ -102,8 +110,6 @@
     return { answer: refuse(context, request, 'aborted', REFUSAL_DETAIL) };
   }
 
-  const timeLeft = (request: StatementRequest) => request.deadlineAt - clock.now();
-
   /** The best two members for a read; the second is the one to fall back on. */
   function chooseMembers(request: StatementRequest): Choice[] {
     const now = clock.now();
@@ -161,7 +167,7 @@
     toReadCommand: (after?: Position) => UpstreamCommand,
     first: Choice,
     second: Choice | undefined,
-  ): Promise<{ choice: Choice; outcome: AttemptOutcome }> {
+  ): Promise<RunAt> {
     hedgeBudget.recordFirstTry(clock.now());
     const firstRun = runAt(request, toReadCommand, first);
     if (!second || second.wait > 0) return firstRun;
@@ -190,7 +196,7 @@
     request: StatementRequest,
     toReadCommand: (after?: Position) => UpstreamCommand,
     choice: Choice,
-  ): Promise<{ choice: Choice; outcome: AttemptOutcome }> {
+  ): Promise<RunAt> {
     const startedAt = clock.now();
     const command = toReadCommand(choice.after);
     const { deadlineAt } = request;
@@ -285,26 +291,22 @@
 }
 
 /** The first run with an answer; the connections of the others go back to their pools. */
-function firstAnswered(
-  context: GroupContext,
-  runs: Promise<{ choice: Choice; outcome: AttemptOutcome }>[],
-): Promise<{ choice: Choice; outcome: AttemptOutcome }> {
+function firstAnswered(context: GroupContext, runs: Promise<RunAt>[]): Promise<RunAt> {
   return new Promise((resolve, reject) => {
     let pending = runs.length;
     let isResolved = false;
-    for (const run of runs) {
-      run.then((result) => {
-        pending -= 1;
-        const { choice, outcome } = result;
-        const isCompleted = outcome.type === 'answered' && outcome.answer.outcome === 'completed';
-        if (!isResolved && (isCompleted || pending === 0)) {
-          isResolved = true;
-          resolve(result);
-        } else if (outcome.type === 'answered') {
-          const { transaction } = outcome.answer;
-          giveBack(context, { ...choice, connection: outcome.connection, transaction });
-        }
-      }, reject);
-    }
+    const settle = (result: RunAt) => {
+      pending -= 1;
+      const { choice, outcome } = result;
+      const isCompleted = outcome.type === 'answered' && outcome.answer.outcome === 'completed';
+      if (!isResolved && (isCompleted || pending === 0)) {
+        isResolved = true;
+        resolve(result);
+      } else if (outcome.type === 'answered') {
+        const { transaction } = outcome.answer;
+        giveBack(context, { ...choice, connection: outcome.connection, transaction });
+      }
+    };
+    for (const run of runs) run.then(settle, reject);
   });
 }
--- a/packages/gateway/src/lib/groups/refusals.ts
+++ b/packages/gateway/src/lib/groups/refusals.ts
@@ -7,11 +7,12 @@
 
 /** Builds a refusal of this instance's own, and logs what decided it. */
 export function refuse(
-  { clock, counters, evidence, group, logger, belief }: GroupContext,
+  context: GroupContext,
   request: StatementRequest,
   reason: FailureReason,
   detail: string,
 ): UpstreamAnswer {
+  const { clock, counters, evidence, group, logger, belief } = context;
   counters.refusals += 1;
   logger.warn('statementRefused', {
     group,
--- a/packages/gateway/src/lib/groups/statementGate.ts
+++ b/packages/gateway/src/lib/groups/statementGate.ts
@@ -60,6 +60,7 @@
       const timeLeft = deadlineAt - clock.now();
       if (expectedWait(priority) > timeLeft) return Promise.resolve(false);
       return new Promise((resolve) => {
+        let timer: NodeJS.Timeout | undefined;
         const waiter: Waiter = {
           priority,
           settle: (mayRun) => {
@@ -67,7 +68,7 @@
             resolve(mayRun);
           },
         };
-        const timer = setTimeout(() => {
+        timer = setTimeout(() => {
           waiters.splice(waiters.indexOf(waiter), 1);
           resolve(false);
         }, timeLeft);
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -233,7 +233,9 @@
     return {
       run: (request) => inOrder(() => run(request)),
       commit: (request) => inOrder(() => commit(request)),
-      rollBack: () => void inOrder(async () => rollBack()),
+      rollBack: () => {
+        void inOrder(async () => rollBack());
+      },
     };
   }
 
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -11,11 +11,9 @@
   UpstreamAnswer,
 } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
-import {
-  NoConnectionError,
-  UpstreamLostError,
-  UpstreamRefusedError,
-} from '../errors/upstreamErrors';
+import { NoConnectionError } from '../errors/noConnectionError';
+import { UpstreamLostError } from '../errors/upstreamLostError';
+import { UpstreamRefusedError } from '../errors/upstreamRefusedError';
 import type { Clock } from '../ports/clock';
 import type { UpstreamConnection, UpstreamDriver } from '../ports/upstreamPort';
 
@@ -105,13 +103,7 @@
     const ready = takeIdle(request.session);
     if (ready) return Promise.resolve(ready);
     return new Promise((resolve, reject) => {
-      const timer = setTimeout(
-        () => {
-          removeWaiter(waiter);
-          reject(new NoConnectionError(`no connection to ${memberId} in time`));
-        },
-        Math.max(0, request.deadlineAt - clock.now()),
-      );
+      let timer: NodeJS.Timeout | undefined;
       const waiter: Waiter = {
         ...request,
         grant: (connection) => {
@@ -123,6 +115,13 @@
           reject(error);
         },
       };
+      timer = setTimeout(
+        () => {
+          removeWaiter(waiter);
+          reject(new NoConnectionError(`no connection to ${memberId} in time`));
+        },
+        Math.max(0, request.deadlineAt - clock.now()),
+      );
       waiters.push(waiter);
       openForWaiters();
     });
--- a/packages/gateway/src/lib/promotion/promotionTask.ts
+++ b/packages/gateway/src/lib/promotion/promotionTask.ts
@@ -64,6 +64,10 @@
   let isClosed = false;
   let seenRevision: { revision: number; since: number } | undefined;
 
+  const isSilent = (member: Member) => clock.now() - member.answeredAt > SILENCE_MILLISECONDS;
+
+  const isGone = (member: Member) => member.missingSince !== undefined;
+
   function suspect(cause: SuspicionCause, member: Member | undefined): void {
     if (isBusy || isClosed || members.size === 0) return;
     if (cause === 'silent' && member && !isSilent(member)) return;
@@ -76,8 +80,6 @@
     });
   }
 
-  const isSilent = (member: Member) => clock.now() - member.answeredAt > SILENCE_MILLISECONDS;
-
   function reviewDirectory(): void {
     const primary = belief.find();
     if (!primary) {
@@ -117,10 +119,10 @@
     return after.some(({ report, member: asked }) => report?.isPrimary && asked !== member);
   }
 
-  const isBeingReplaced = async () => {
+  async function isBeingReplaced(): Promise<boolean> {
     const stored = await store.read(group);
     return stored !== undefined && isHeldByOther(stored);
-  };
+  }
 
   function askAll(primary: Member | undefined) {
     const asked = [...members.values()].filter((member) => member.missingSince === undefined);
@@ -216,8 +218,6 @@
     return replicas.flatMap((member, index) => toStopped(member, reports[index]?.received));
   }
 
-  const isGone = (member: Member) => member.missingSince !== undefined;
-
   function toStopped(member: Member, received: Position | undefined): StoppedReplica[] {
     if (!received) return [];
     const { memberId, isLeaving, dataCentre: place } = member.entry;
@@ -260,8 +260,9 @@
   async function release(claim: Claim, started?: PromotionRecord['started']): Promise<void> {
     const record = { ...claim.record, isClaimed: false, ...(started && { started }) };
     const outcome = await store.replace({ group, record, revision: claim.revision });
-    if (outcome.type !== 'replaced')
+    if (outcome.type !== 'replaced') {
       logger.warn('dutyNotReleased', { group, outcome: outcome.type });
+    }
   }
 
   /** Waits until the promoted member leads, then tells the old primary, which may not know. */
--- a/packages/pooling/src/lib/evidence/groupEvidence.ts
+++ b/packages/pooling/src/lib/evidence/groupEvidence.ts
@@ -112,8 +112,9 @@
     observe: (observation) => {
       const previous = latest.get(observation.memberId);
       highestTerm = Math.max(highestTerm, observation.term);
-      if (!previous || isNewer(observation, previous))
+      if (!previous || isNewer(observation, previous)) {
         latest.set(observation.memberId, observation);
+      }
       if (observation.isPrimary) samples.add(observation);
       settleWaits(observation);
     },
--- a/stand-ins/line-platform/src/lib/lineDatabase.ts
+++ b/stand-ins/line-platform/src/lib/lineDatabase.ts
@@ -114,7 +114,7 @@
   });
 
   function read(item: string): Reply {
-    const pending = transaction?.writes.findLast((write) => write.item === item)?.value;
+    const pending = transaction?.writes.findLast((entry) => entry.item === item)?.value;
     const kept = member.log
       .slice(0, member.applied)
       .findLast((entry) => entry.item === item)?.value;
--- a/stand-ins/line-platform/src/lib/lineGroup.ts
+++ b/stand-ins/line-platform/src/lib/lineGroup.ts
@@ -95,7 +95,7 @@
       const isRolledBack = member.log.some((entry, at) => primary.log[at]?.term !== entry.term);
       Object.assign(member, { term: primary.term, log: [...primary.log] });
       if (isRolledBack) member.applied = Math.min(member.applied, primary.log.length);
-      const length = member.log.length;
+      const { length } = member.log;
       setTimeout(() => {
         member.applied = Math.max(member.applied, Math.min(length, member.log.length));
       }, member.faults.applyDelay);
@@ -133,8 +133,9 @@
       return true;
     },
     pause: (member, term) => {
-      if (member.role === 'replica' && term > member.term)
+      if (member.role === 'replica' && term > member.term) {
         Object.assign(member, { heldTerm: term });
+      }
     },
     demote: (member, term) => {
       if (member.role !== 'primary' || member.term >= term) return;
--- a/stand-ins/line-platform/src/lib/objectStoreServer.ts
+++ b/stand-ins/line-platform/src/lib/objectStoreServer.ts
@@ -100,20 +100,21 @@
       return;
     }
     const found = () => events.filter((event) => event.kind === kind && event.revision > from);
-    const finish = () => {
-      watchers.delete(wake);
-      clearTimeout(timer);
+    let timer: NodeJS.Timeout | undefined;
+    const finish = (): void => {
+      stop();
       const list = found().map(({ object, deleted }) => ({ object, deleted }));
       answer(response, 200, { events: list, current_rev: revision });
     };
-    const wake = () => {
+    const wake = (): void => {
       if (!faults.isDown && found().length > 0) finish();
     };
-    const timer = setTimeout(finish, Number(query.get('wait_ms') ?? 0));
-    response.on('close', () => {
+    function stop(): void {
       watchers.delete(wake);
       clearTimeout(timer);
-    });
+    }
+    timer = setTimeout(finish, Number(query.get('wait_ms') ?? 0));
+    response.on('close', stop);
     watchers.add(wake);
     wake();
   }
@@ -152,7 +153,9 @@
     handlers[request.method ?? '']?.();
   }
 
-  const server = createServer((request, response) => void handle(request, response));
+  const server = createServer((request, response) => {
+    void handle(request, response);
+  });
   await new Promise<void>((resolve) => {
     server.listen({ host: '127.0.0.1', port: 0 }, resolve);
   });
