--- a/packages/gateway/src/lib/groups/evidenceAsker.ts
+++ b/packages/gateway/src/lib/groups/evidenceAsker.ts
@@ -4,49 +4,58 @@
 
 /** Asks for evidence that does not come by itself. */
 export interface EvidenceAsker {
-  /** Starts the wait for evidence, unless it runs. */
-  start: () => void;
+  /**
+   * Asks once a wait has lasted `patience` ms, and again until it ends.
+   *
+   * @returns ends the wait.
+   */
+  watch: (patience: number) => () => void;
   stop: () => void;
 }
 
-/**
- * Time in which evidence usually rides on answers to reads. A question costs a place at a member and
- * a price, while callers' goals are 500 ms and more.
- */
-const PATIENCE_MILLISECONDS = 100;
-
 /** Pause between questions that did not bring the evidence; the replica may lag. */
 const REPEAT_MILLISECONDS = 150;
 
 /** Time limit of a question; another replica is asked after it. */
 const QUESTION_TIMEOUT_MILLISECONDS = 400;
 
+interface Wait {
+  dueAt: number;
+  questions: number;
+}
+
 /** One question serves all statements that wait when it is sent. */
 export function createEvidenceAsker(context: GroupContext): EvidenceAsker {
-  const { evidence, belief, members, clock } = context;
+  const { belief, members, clock } = context;
+  const waits = new Set<Wait>();
   let timer: NodeJS.Timeout | undefined;
-  let round = 0;
+  let isAsking = false;
 
-  const schedule = (milliseconds: number) => {
-    timer = setTimeout(() => {
-      void ask();
-    }, milliseconds);
-  };
+  function schedule(): void {
+    clearTimeout(timer);
+    if (isAsking || waits.size === 0) return;
+    const dueAt = Math.min(...[...waits].map((wait) => wait.dueAt));
+    timer = setTimeout(
+      () => {
+        void ask();
+      },
+      Math.max(0, dueAt - clock.now()),
+    );
+  }
 
   async function ask(): Promise<void> {
-    if (!evidence.hasWaits()) {
-      timer = undefined;
-      round = 0;
-      return;
-    }
-    const member = nextReplica();
-    round += 1;
+    const served = [...waits];
+    const member = nextReplica(Math.max(...served.map((wait) => wait.questions)));
+    isAsking = true;
     if (member) await askMember(context, member, { type: 'status' }, QUESTION_TIMEOUT_MILLISECONDS);
-    schedule(REPEAT_MILLISECONDS);
+    isAsking = false;
+    const dueAt = clock.now() + REPEAT_MILLISECONDS;
+    for (const wait of served) Object.assign(wait, { dueAt, questions: wait.questions + 1 });
+    schedule();
   }
 
   /** The replicas in turn, the one that answers soonest first. */
-  function nextReplica(): Member | undefined {
+  function nextReplica(round: number): Member | undefined {
     const primary = belief.find();
     const replicas = [...members.values()]
       .filter((member) => member !== primary && member.missingSince === undefined)
@@ -59,8 +68,14 @@
   }
 
   return {
-    start: () => {
-      if (timer === undefined) schedule(PATIENCE_MILLISECONDS);
+    watch: (patience) => {
+      const wait: Wait = { dueAt: clock.now() + patience, questions: 0 };
+      waits.add(wait);
+      schedule();
+      return () => {
+        waits.delete(wait);
+        schedule();
+      };
     },
     stop: () => clearTimeout(timer),
   };
--- a/packages/gateway/src/lib/groups/primaryProof.ts
+++ b/packages/gateway/src/lib/groups/primaryProof.ts
@@ -1,5 +1,6 @@
 import type { EvidenceWait } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
+import type { Route } from '../configuration/gatewayConfiguration';
 import type { EvidenceAsker } from './evidenceAsker';
 import type { AskedAt, GroupContext } from './groupContext';
 import type { Member } from './member';
@@ -19,6 +20,8 @@
     term: number;
     arrived: AskedAt;
     maximumStaleness: number;
+    /** Milliseconds for evidence to come by itself; see `patienceOf`. */
+    patience: number;
     deadlineAt: number;
   }) => Promise<boolean>;
   /**
@@ -30,6 +33,7 @@
   proveCopied: (options: {
     member: Member;
     position: Position;
+    patience: number;
     deadlineAt: number;
   }) => Promise<'copied' | 'superseded' | 'unknown'>;
 }
@@ -40,6 +44,26 @@
  */
 const STALL_MILLISECONDS = 900;
 
+/**
+ * Part of a route's goal in which evidence may come by itself before it is asked for. At a fifth, a
+ * transaction that waits twice keeps over half of its goal for its statements.
+ */
+const PATIENCE_SHARE = 0.2;
+
+/** Evidence that has not come after this time is not about to: a read comes each 250 ms or so. */
+const LONGEST_PATIENCE_MILLISECONDS = 300;
+
+/** Milliseconds that the statements of a route wait for evidence before a question is spent on it. */
+export function patienceOf({ goal }: Route): number {
+  return Math.min(LONGEST_PATIENCE_MILLISECONDS, goal * PATIENCE_SHARE);
+}
+
+interface EvidenceOptions {
+  member: Member;
+  patience: number;
+  deadlineAt: number;
+}
+
 /** Time limit of the question whether a member is the primary. */
 const ROLE_QUESTION_MILLISECONDS = 400;
 
@@ -70,8 +94,9 @@
     });
   }
 
-  async function awaitEvidence(wait: EvidenceWait, member: Member, deadlineAt: number) {
-    asker.start();
+  async function awaitEvidence(wait: EvidenceWait, options: EvidenceOptions) {
+    const { member, patience, deadlineAt } = options;
+    const stopAsking = asker.watch(patience);
     const startedAt = clock.now();
     waitingSince.add(startedAt);
     const alarm = setTimeout(
@@ -86,6 +111,7 @@
     clearTimeout(timer);
     clearTimeout(alarm);
     waitingSince.delete(startedAt);
+    stopAsking();
     wait.cancel();
     return verdict;
   }
@@ -97,21 +123,21 @@
 
   return {
     isStalled,
-    proveCurrent: async ({ member, term, arrived, maximumStaleness, deadlineAt }) => {
+    proveCurrent: async ({ member, term, arrived, maximumStaleness, patience, deadlineAt }) => {
       if (!(await isPrimaryOf(member, term))) return false;
       if (!hasOthers(member)) return true;
       const isAged = maximumStaleness > 0;
       if (isAged && isProvedByAge(member, term, arrived.at - maximumStaleness)) return true;
       const { memberId: primaryId } = member.entry;
       const wait = evidence.waitForTerm({ term, sequence: arrived.sequence, primaryId });
-      const verdict = await awaitEvidence(wait, member, deadlineAt);
+      const verdict = await awaitEvidence(wait, { member, patience, deadlineAt });
       if (verdict?.type === 'superseded') belief.denyPrimary(member, term);
       return verdict?.type === 'proved';
     },
-    proveCopied: async ({ member, position, deadlineAt }) => {
+    proveCopied: async ({ member, position, patience, deadlineAt }) => {
       if (!hasOthers(member)) return 'copied';
       const wait = evidence.waitForCopy({ position, primaryId: member.entry.memberId });
-      const verdict = await awaitEvidence(wait, member, deadlineAt);
+      const verdict = await awaitEvidence(wait, { member, patience, deadlineAt });
       if (!verdict) return 'unknown';
       if (verdict.type === 'superseded') belief.denyPrimary(member, position.term);
       return verdict.type === 'proved' ? 'copied' : 'superseded';
--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -10,6 +10,7 @@
 import { giveBack } from './giveBack';
 import { avoidMember } from './member';
 import type { Member } from './member';
+import { patienceOf } from './primaryProof';
 import type { PrimaryProof } from './primaryProof';
 import { COME_BACK_MILLISECONDS, refuse } from './refusals';
 import type { StatementRequest } from './statementRequest';
@@ -228,6 +229,7 @@
       term,
       arrived: request.arrived,
       maximumStaleness: request.route.maximumStaleness - STALENESS_MARGIN_MILLISECONDS,
+      patience: patienceOf(request.route),
       deadlineAt: request.deadlineAt,
     });
     return isCurrent ? 'accepted' : 'retry';
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -5,6 +5,7 @@
 import type { AskedAt, GroupContext } from './groupContext';
 import { giveBack } from './giveBack';
 import type { Member } from './member';
+import { patienceOf } from './primaryProof';
 import type { PrimaryProof } from './primaryProof';
 import type { ReadPath } from './readPath';
 import { COME_BACK_MILLISECONDS, refuse } from './refusals';
@@ -99,6 +100,7 @@
       term: answer.position.term,
       arrived: began,
       maximumStaleness: request.route.maximumStaleness,
+      patience: patienceOf(request.route),
       deadlineAt,
     });
     return { member, connection, isCurrent };
--- a/packages/gateway/src/lib/groups/writePath.ts
+++ b/packages/gateway/src/lib/groups/writePath.ts
@@ -6,6 +6,7 @@
 import type { GroupContext } from './groupContext';
 import { giveBack } from './giveBack';
 import type { Member } from './member';
+import { patienceOf } from './primaryProof';
 import type { PrimaryProof } from './primaryProof';
 import { COME_BACK_MILLISECONDS, refuse } from './refusals';
 import { toCommand } from './statementRequest';
@@ -132,8 +133,9 @@
       return refuse(context, request, 'unknownOutcome', 'the primary told no position');
     }
     const { position } = answer;
+    const patience = patienceOf(request.route);
     const deadlineAt = Math.max(request.deadlineAt, request.arrived.at + HOLD_MILLISECONDS);
-    const copied = await proof.proveCopied({ member, position, deadlineAt });
+    const copied = await proof.proveCopied({ member, position, patience, deadlineAt });
     const fate = copied === 'superseded' ? await settle(request, position) : copied;
     if (fate === 'copied' || fate === 'kept') {
       request.session.lastCommit = { position, seenAt: clock.now() };
