--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -34,4 +34,5 @@
   type UpstreamDriver,
   type UpstreamTarget,
 } from './lib/ports/upstreamPort';
+export { type GatewayMetrics } from './lib/metrics/gatewayMetrics';
 export { type AnswerSample } from './lib/sessions/callerSession';
--- /dev/null
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -0,0 +1,78 @@
+import { createLatencyRecorder } from '@wisterialift/telemetry';
+import { Counter, Gauge, Registry } from 'prom-client';
+import type { Gateway } from '../createGateway';
+import type { AnswerSample } from '../sessions/callerSession';
+
+/** Counters and latency histograms of one instance. @public */
+export interface GatewayMetrics {
+  record: (sample: AnswerSample) => void;
+  /** The text that a collector of metrics reads. */
+  render: () => Promise<string>;
+}
+
+/** What the counters of a group mean. */
+const GROUP_COUNTERS = {
+  probes: 'questions to members that no caller asked for',
+  retries: 'tries of statements after the first',
+  refusals: 'statements refused by this instance',
+  promotions: 'orders to promote a member',
+} as const;
+
+/** @public */
+export function createGatewayMetrics(gateway: Gateway): GatewayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const latencies = createLatencyRecorder();
+  const answers = new Counter({
+    name: 'wisterialift_answers_total',
+    help: 'answers to statements of callers',
+    labelNames: ['group', 'kind', 'statement', 'outcome'],
+    registers,
+  });
+  const latency = new Gauge({
+    name: 'wisterialift_answer_milliseconds',
+    help: 'time from a statement to its answer',
+    labelNames: ['group', 'kind', 'statement', 'quantile'],
+    registers,
+    collect: () => collectLatencies(),
+  });
+  const sessions: Gauge = new Gauge({
+    name: 'wisterialift_sessions',
+    help: 'sessions of callers',
+    registers,
+    collect: () => {
+      sessions.set(gateway.sessionCount());
+    },
+  });
+  for (const name of Object.keys(GROUP_COUNTERS) as (keyof typeof GROUP_COUNTERS)[]) {
+    const gauge = new Gauge({
+      name: `wisterialift_${name}_total`,
+      help: GROUP_COUNTERS[name],
+      labelNames: ['group'],
+      registers,
+      collect: () => {
+        for (const [group, counters] of Object.entries(gateway.counters())) {
+          gauge.set({ group }, counters[name]);
+        }
+      },
+    });
+  }
+
+  function collectLatencies(): void {
+    for (const summary of latencies.summaries()) {
+      const { group, kind, access: statement, p50Milliseconds, p99Milliseconds } = summary;
+      latency.set({ group, kind, statement, quantile: '0.5' }, p50Milliseconds);
+      latency.set({ group, kind, statement, quantile: '0.99' }, p99Milliseconds);
+    }
+  }
+
+  return {
+    record: ({ route, type, outcome, milliseconds }) => {
+      const group = route?.group ?? 'none';
+      const kind = route?.consistency ?? 'none';
+      answers.inc({ group, kind, statement: type, outcome });
+      latencies.record({ group, kind, access: type }, milliseconds);
+    },
+    render: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/metrics.ts
@@ -0,0 +1,1 @@
+export { createGatewayMetrics, type GatewayMetrics } from './lib/metrics/gatewayMetrics';
--- a/stand-ins/line-platform/src/lib/objectStoreServer.ts
+++ b/stand-ins/line-platform/src/lib/objectStoreServer.ts
@@ -25,6 +25,8 @@
 export interface StoreFaults {
   /** Answers 503 to everything, and no watch ends with a change. */
   isDown: boolean;
+  /** Changes are made and no watch hears of them. */
+  isSilent: boolean;
   /** Changes that are made and not answered. */
   lostAnswers: number;
 }
@@ -33,19 +35,19 @@
 export interface ObjectStoreServer {
   address: string;
   faults: StoreFaults;
-  /** Calls that were made, by method. */
+  /** Calls that were made: method, kind and query. */
   calls: string[];
   put: (kind: string, name: string, spec: unknown) => void;
   get: (kind: string, name: string) => unknown;
   remove: (kind: string, name: string) => void;
-  /** Drops all history, so that watches from before end with 410. */
+  /** Drops all history; watches that wait hear nothing of it, and of no change before it. */
   compact: () => void;
   close: () => Promise<void>;
 }
 
 export async function startObjectStore(): Promise<ObjectStoreServer> {
   const kinds = new Map<string, Map<string, StoredObject>>();
-  const faults: StoreFaults = { isDown: false, lostAnswers: 0 };
+  const faults: StoreFaults = { isDown: false, isSilent: false, lostAnswers: 0 };
   const calls: string[] = [];
   const watchers = new Set<() => void>();
   let events: StoredEvent[] = [];
@@ -103,11 +105,15 @@
     let timer: NodeJS.Timeout | undefined;
     const finish = (): void => {
       stop();
+      if (from < oldest) {
+        answer(response, 410);
+        return;
+      }
       const list = found().map(({ object, deleted }) => ({ object, deleted }));
       answer(response, 200, { events: list, current_rev: revision });
     };
     const wake = (): void => {
-      if (!faults.isDown && found().length > 0) finish();
+      if (!faults.isDown && !faults.isSilent && found().length > 0) finish();
     };
     function stop(): void {
       watchers.delete(wake);
@@ -122,7 +128,7 @@
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
     const [, , , kind = '', name] = url.pathname.split('/');
-    calls.push(`${request.method} ${kind}`);
+    calls.push(`${request.method} ${kind}${url.search}`);
     const body = await readBody(request);
     if (faults.isDown) {
       answer(response, 503);
@@ -171,7 +177,6 @@
       oldest = revision + 1;
       revision += 1;
       events = [];
-      server.closeAllConnections();
     },
     close: () =>
       new Promise((resolve) => {
