Promote nothing beside a successor, and take no member's own word for its term

Change: a member that was the primary of a term needs evidence of another one; a look and the stop end with any other primary; replicas are resumed when a promotion is given up under the claim.

--- a/packages/gateway/src/lib/groups/memberQuestions.ts
+++ b/packages/gateway/src/lib/groups/memberQuestions.ts
@@ -15,7 +15,7 @@
 export async function askMember(
   context: GroupContext,
   member: Member,
-  command: Extract<UpstreamCommand, { type: 'status' | 'pause' | 'demote' }>,
+  command: Extract<UpstreamCommand, { type: 'status' | 'pause' | 'resume' | 'demote' }>,
   timeoutMilliseconds: number,
 ): Promise<MemberReport | undefined> {
   const { clock, counters, driver, logger, group } = context;
--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -223,7 +223,10 @@
     if (answer.outcome === 'refused') return judgeRefusal(request, choice, answer);
     if (!answer.position) return 'retry';
     const { term } = answer.position;
-    if (!choice.isPrimary) return term === choice.after?.term ? 'accepted' : 'retry';
+    // A member that was the primary of that term, and is not believed to be it any more, proves no
+    // more than the primary would: the position that it was asked for came from itself.
+    const isOwnWord = choice.isPrimary || belief.isProved(choice.member.entry.memberId, term);
+    if (!isOwnWord) return term === choice.after?.term ? 'accepted' : 'retry';
     const isCurrent = await proof.proveCurrent({
       member: choice.member,
       term,
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -70,8 +70,11 @@
  */
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
 
-/** Idle connections kept without load; a new one costs its handshake and a place at the member. */
-const KEPT_IDLE = 2;
+/**
+ * Idle connections kept without load. A new one costs its handshake; each kept one costs a place,
+ * which a member holds for seconds more when the instance loses power.
+ */
+const KEPT_IDLE = 1;
 
 /** Idle time after which a connection above those is closed, so that other instances get its place. */
 const IDLE_MILLISECONDS = 1_500;
--- a/packages/gateway/src/lib/promotion/promotionTask.ts
+++ b/packages/gateway/src/lib/promotion/promotionTask.ts
@@ -1,6 +1,7 @@
 import { CLAIM_TAKEOVER_MILLISECONDS, chooseCandidate, isClaimValid } from '@wisterialift/pooling';
 import type {
   ClockReadings,
+  MemberReport,
   PromotionRecord,
   StoppedReplica,
   TermOrigin,
@@ -42,6 +43,9 @@
 /** Silence of the primary towards all statements of this instance that is worth a look. */
 const SILENCE_MILLISECONDS = 600;
 
+/** Causes that a primary which answers does not refute. */
+const CAUSES_BESIDE_LIFE: ReadonlySet<SuspicionCause> = new Set(['unconfirmed', 'leaving']);
+
 /** Pause after a look that cleared the primary or a promotion that did not come about. */
 const PAUSE_MILLISECONDS = 400;
 
@@ -102,29 +106,40 @@
 
   /** Looks again with fresh questions; one sign of life of a primary that stays clears it. */
   async function isCleared(cause: SuspicionCause, member: Member | undefined): Promise<boolean> {
-    if (cause === 'leaving') return isBeingReplaced();
     const before = await askAll(member);
-    const primary = before.find(({ report }) => report?.isPrimary);
-    const isReplaced = primary && primary.member !== member;
-    if (isReplaced || (primary && cause !== 'unconfirmed')) {
-      logger.info('primaryCleared', { group, cause, memberId: primary.member.entry.memberId });
+    const leaders = before.filter(({ report }) => report?.isPrimary);
+    const successor = leaders.find(({ isSuspect }) => !isSuspect);
+    const [cleared] = successor || CAUSES_BESIDE_LIFE.has(cause) ? [successor] : leaders;
+    if (cleared) {
+      logger.info('primaryCleared', { group, cause, memberId: cleared.member.entry.memberId });
       return true;
     }
+    if (cause === 'leaving') return !canStopAll(before);
     await pause(STANDSTILL_MILLISECONDS);
     const after = await askAll(member);
     if (hasMoved(before, after)) {
       logger.info('primaryCleared', { group, cause, detail: 'the replicas receive its log' });
       return true;
     }
-    return after.some(({ report, member: asked }) => report?.isPrimary && asked !== member);
+    const isReplacedSince = after.some((look) => look.report?.isPrimary && !look.isSuspect);
+    return isReplacedSince || !canStopAll(after);
   }
 
-  async function isBeingReplaced(): Promise<boolean> {
-    const stored = await store.read(group);
-    return stored !== undefined && isHeldByOther(stored);
+  /**
+   * Whether all replicas answered, so that a promotion would not end half way.
+   *
+   * A replica that was stopped for a promotion which another one's silence then ended receives
+   * nothing any more, and a primary that lives finds nobody to copy its commits.
+   */
+  function canStopAll(look: Look): boolean {
+    const silent = look.filter(({ isSuspect, report }) => !isSuspect && !report);
+    if (silent.length === 0) return true;
+    const memberIds = silent.map(({ member }) => member.entry.memberId);
+    logger.warn('replicasSilent', { group, memberIds });
+    return false;
   }
 
-  function askAll(primary: Member | undefined) {
+  function askAll(primary: Member | undefined): Promise<Look> {
     const asked = [...members.values()].filter((member) => member.missingSince === undefined);
     return Promise.all(
       asked.map(async (member) => ({
@@ -135,8 +150,6 @@
     );
   }
 
-  type Look = Awaited<ReturnType<typeof askAll>>;
-
   function hasMoved(before: Look, after: Look): boolean {
     return after.some(({ member, isSuspect, report }) => {
       const earlier = before.find((look) => look.member === member)?.report;
@@ -150,7 +163,7 @@
     if (!claim) return;
     const stopped = await stopReplicas(primary);
     if (!stopped) {
-      await release(claim);
+      await giveUp(claim, primary);
       return;
     }
     await orderCandidate({ cause, primary, claim, stopped });
@@ -185,8 +198,7 @@
    */
   function isReplacedAlready(stored: StoredRecord, primary: Member | undefined): boolean {
     const { started } = stored.record;
-    const suspectTerm = primary ? evidence.lastSeen(primary.entry.memberId)?.term : undefined;
-    if (!started || started.term <= (suspectTerm ?? evidence.highestTerm())) return false;
+    if (!started || started.primaryId === primary?.entry.memberId) return false;
     return seenFor(stored.revision) < FOLLOW_MILLISECONDS;
   }
 
@@ -209,10 +221,13 @@
     const reports = await Promise.all(
       replicas.map((member) => askMember(context, member, command, QUESTION_MILLISECONDS)),
     );
+    // A primary takes no order to stop. Whoever promoted it did so after this instance had looked, and
+    // promoting another now would discard what it acknowledges meanwhile.
+    const isReplaced = reports.some((report) => report?.isPrimary);
     const unanswered = replicas.filter((member, index) => !reports[index] && !isGone(member));
-    if (unanswered.length > 0 || replicas.length === 0) {
+    if (isReplaced || unanswered.length > 0 || replicas.length === 0) {
       const memberIds = unanswered.map(({ entry }) => entry.memberId);
-      logger.warn('replicasNotStopped', { group, memberIds });
+      logger.warn('replicasNotStopped', { group, isReplaced, memberIds });
       return undefined;
     }
     return replicas.flatMap((member, index) => toStopped(member, reports[index]?.received));
@@ -234,7 +249,7 @@
     const candidate = chooseCandidate(stopped);
     if (!candidate || !isClaimValid(claim.claimedAt, clock.readings())) {
       logger.warn('promotionGivenUp', { group, cause, token: claim.record.token });
-      await release(claim);
+      await giveUp(claim, primary);
       return;
     }
     const { memberId, received: origin } = candidate;
@@ -257,6 +272,24 @@
     await followPromotion(memberId, { term, primary });
   }
 
+  /**
+   * Lets the replicas receive again after a promotion that was not ordered, and gives the duty back.
+   *
+   * Only under the claim: a replica that is resumed after another promoter has stopped it could
+   * confirm a commit that this promoter does not know of.
+   */
+  async function giveUp(claim: Claim, primary: Member | undefined): Promise<void> {
+    const replicas = [...members.values()].filter((member) => member !== primary);
+    if (isClaimValid(claim.claimedAt, clock.readings())) {
+      await Promise.all(
+        replicas.map((member) =>
+          askMember(context, member, { type: 'resume' }, QUESTION_MILLISECONDS),
+        ),
+      );
+    }
+    await release(claim);
+  }
+
   async function release(claim: Claim, started?: PromotionRecord['started']): Promise<void> {
     const record = { ...claim.record, isClaimed: false, ...(started && { started }) };
     const outcome = await store.replace({ group, record, revision: claim.revision });
@@ -304,6 +337,9 @@
   };
 }
 
+/** What each member that the directory lists answered. */
+type Look = { member: Member; isSuspect: boolean; report: MemberReport | undefined }[];
+
 interface Claim {
   record: PromotionRecord;
   revision: number;
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -47,6 +47,10 @@
   lastUsed: number;
 }
 
+/** Callers give a session up that has not started within two seconds. */
+const START_WAIT_MILLISECONDS = 1_500;
+const START_STEP_MILLISECONDS = 20;
+
 type Handler<Type extends CallerStatement['type']> = (
   statement: CallerStatement & { type: Type },
 ) => Promise<CallerAnswer> | CallerAnswer;
@@ -95,7 +99,7 @@
     database = name;
     const configuration = findConfiguration();
     if (!configuration) {
-      refuseStart('busy', 'no configuration is known yet');
+      void startLater(name, clock.now() + START_WAIT_MILLISECONDS);
       return;
     }
     if (!configuration.routes.has(name)) {
@@ -105,6 +109,18 @@
     link.accept();
   }
 
+  /** Right after a start of the process the configuration is a call away; a refusal costs a try. */
+  async function startLater(name: string, until: number): Promise<void> {
+    while (!isEnded && !findConfiguration() && clock.now() < until) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, START_STEP_MILLISECONDS);
+      });
+    }
+    if (isEnded) return;
+    if (findConfiguration()) onStart(name);
+    else refuseStart('busy', 'no configuration is known yet, come back later');
+  }
+
   function refuseStart(reason: FailureReason, detail: string): void {
     logger.info('sessionRefused', {
       database,
--- a/packages/pooling/src/lib/evidence/groupEvidence.ts
+++ b/packages/pooling/src/lib/evidence/groupEvidence.ts
@@ -53,6 +53,8 @@
   findFloor: (options: { now: number; maximumAge: number }) => FloorSample | undefined;
   /** When the primary was first seen past a position, in steady milliseconds. */
   timeBeyond: (position: Position) => number | undefined;
+  /** Adds a position that shows all that was acknowledged before `askedAt`. */
+  addFloor: (floor: { askedAt: number; position: Position }) => void;
   /** Highest term that any member was seen in. */
   highestTerm: () => number;
   lastSeen: (memberId: string) => Observation | undefined;
@@ -134,6 +136,10 @@
       }),
     findFloor: ({ now, maximumAge }) =>
       samples.find({ since: now - maximumAge, term: highestTerm }),
+    addFloor: ({ askedAt, position }) => {
+      highestTerm = Math.max(highestTerm, position.term);
+      samples.add({ askedAt, term: position.term, position });
+    },
     timeBeyond: samples.timeBeyond,
     highestTerm: () => highestTerm,
     lastSeen: (memberId) => latest.get(memberId),
--- a/packages/pooling/src/lib/statements/upstreamCommand.ts
+++ b/packages/pooling/src/lib/statements/upstreamCommand.ts
@@ -16,6 +16,8 @@
   | { type: 'status' }
   /** Stops a replica from receiving the log until the member is promoted, resumed or restarted. */
   | { type: 'pause'; term: number }
+  /** Lets a stopped replica receive again. */
+  | { type: 'resume' }
   /** Makes a primary of a lower term a replica. */
   | { type: 'demote'; term: number };
 
--- a/stand-ins/line-platform/src/lib/lineDatabase.ts
+++ b/stand-ins/line-platform/src/lib/lineDatabase.ts
@@ -200,6 +200,10 @@
       group.pause(member, Number(term));
       return report();
     },
+    RESUME: () => {
+      Object.assign(member, { heldTerm: 0 });
+      return report();
+    },
     DEMOTE: ([term]) => {
       group.demote(member, Number(term));
       return report();
