Take no read-only begin for the proof of a primary, and no callers late in a planned stop

Change: only a write or a plain begin proves; the listener closes once callers are sent elsewhere, and the process waits to the end of the grace for statements in work.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -43,8 +43,12 @@
   acceptCaller: CallerAcceptor;
   /** Whether new callers should be sent here. */
   isReady: () => boolean;
-  /** Ends sessions between their transactions; resolves once the last has ended. */
-  drain: () => Promise<void>;
+  /**
+   * Ends sessions between their transactions; resolves once the last has ended.
+   *
+   * @param stopAccepting - called once new callers are sent elsewhere.
+   */
+  drain: (stopAccepting: () => void) => Promise<void>;
   counters: () => Record<string, GroupTask['counters']>;
   sessionCount: () => number;
   close: () => void;
@@ -59,8 +63,11 @@
 /** Part of the grace in which an open transaction may still end by itself. */
 const TRANSACTION_SHARE = 0.55;
 
-/** Part of the grace after which the process goes, whatever is still open. */
-const LAST_SHARE = 0.8;
+/**
+ * Part of the grace after which the process goes, whatever is still open. Sessions that came before
+ * the listener closed may have a statement in work until then.
+ */
+const LAST_SHARE = 0.95;
 
 /** How often a stop looks for sessions that can be ended, some of which have come meanwhile. */
 const DRAIN_STEP_MILLISECONDS = 50;
@@ -154,13 +161,16 @@
     return [...groups.values()].some((task) => task.isUsable());
   }
 
-  async function drain(): Promise<void> {
+  async function drain(stopAccepting: () => void): Promise<void> {
     const startedAt = clock.now();
     const elapsed = () => clock.now() - startedAt;
     isDraining = true;
     logger.info('drainStarted', { sessions: sessions.size });
-    while (elapsed() < times.stopGrace * LAST_SHARE && sessions.size > 0) {
+    let isAccepting = true;
+    while (elapsed() < times.stopGrace * LAST_SHARE && (isAccepting || sessions.size > 0)) {
       if (elapsed() >= BALANCER_NOTICE_MILLISECONDS) {
+        if (isAccepting) stopAccepting();
+        isAccepting = false;
         for (const session of [...sessions]) session.drain();
       }
       if (elapsed() >= times.stopGrace * TRANSACTION_SHARE) {
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -85,9 +85,10 @@
   ): Promise<OpenedAt | { refusal: UpstreamAnswer }> {
     const { deadlineAt } = request;
     const command: UpstreamCommand = { type: 'begin', isReadOnly };
-    const ran = await writes.runAtPrimary(request, (member) =>
-      attempt(context, member, { request, command, deadlineAt }),
-    );
+    const ran = await writes.runAtPrimary(request, {
+      provesPrimary: !isReadOnly,
+      run: (member) => attempt(context, member, { request, command, deadlineAt }),
+    });
     if (ran?.outcome.type !== 'answered') return { refusal: refuseBegin(request) };
     const { member, outcome } = ran;
     const { answer, connection } = outcome;
--- a/packages/gateway/src/lib/groups/writePath.ts
+++ b/packages/gateway/src/lib/groups/writePath.ts
@@ -15,10 +15,18 @@
 export interface WritePath {
   /** Runs one write outside of a transaction. */
   write: (request: StatementRequest) => Promise<UpstreamAnswer>;
-  /** Runs attempts at the primary until one was answered with anything but "did not run". */
+  /**
+   * Runs attempts at the primary until one was answered with anything but "did not run".
+   *
+   * @param options.provesPrimary - whether only a primary completes the command. A replica begins a
+   *   read-only transaction as well; taken for a primary by that, its log would pass for the newest.
+   */
   runAtPrimary: (
     request: StatementRequest,
-    run: (member: Member) => Promise<AttemptOutcome>,
+    options: {
+      provesPrimary: boolean;
+      run: (member: Member) => Promise<AttemptOutcome>;
+    },
   ) => Promise<{ member: Member; outcome: AttemptOutcome } | undefined>;
   /** Holds the answer to a commit until it cannot be lost, or says what became of it. */
   acknowledge: (
@@ -55,9 +63,10 @@
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
     const command = toCommand(request);
     const { deadlineAt } = request;
-    const ran = await runAtPrimary(request, (member) =>
-      attempt(context, member, { request, command, deadlineAt }),
-    );
+    const ran = await runAtPrimary(request, {
+      provesPrimary: true,
+      run: (member) => attempt(context, member, { request, command, deadlineAt }),
+    });
     if (!ran) return refuseForNow(request);
     const { member, outcome } = ran;
     if (outcome.type !== 'answered') {
@@ -79,7 +88,7 @@
 
   async function runAtPrimary(
     request: StatementRequest,
-    run: (member: Member) => Promise<AttemptOutcome>,
+    { provesPrimary, run }: Parameters<WritePath['runAtPrimary']>[1],
   ): Promise<{ member: Member; outcome: AttemptOutcome } | undefined> {
     while (clock.now() < request.deadlineAt && !proof.isStalled()) {
       const member = belief.find();
@@ -92,7 +101,8 @@
       }
       const outcome = await run(member);
       if (!isNotRun(outcome)) {
-        noteOutcome(member, outcome);
+        if (outcome.type === 'lost') context.suspectPrimary('silent', member);
+        if (provesPrimary) noteProof(member, outcome);
         return { member, outcome };
       }
       if (outcome.type === 'notSent' && outcome.cause === 'noCapacity') return undefined;
@@ -102,8 +112,7 @@
     return undefined;
   }
 
-  function noteOutcome(member: Member, outcome: AttemptOutcome): void {
-    if (outcome.type === 'lost') context.suspectPrimary('silent', member);
+  function noteProof(member: Member, outcome: AttemptOutcome): void {
     if (outcome.type !== 'answered' || outcome.answer.outcome !== 'completed') return;
     const { position } = outcome.answer;
     if (position) belief.provePrimary(member.entry.memberId, position.term);
