--- a/packages/core/src/test/ballot.test.ts
+++ b/packages/core/src/test/ballot.test.ts
@@ -7,8 +7,9 @@
     for (const [member, index] of Object.entries(logEnds)) {
       const logEnd = { term: 1, index };
       ballot.grants.set(member, {
+        member,
         role: 'replica',
-        term: 2,
+        currentTerm: 2,
         logEnd,
         applied: logEnd,
         termStarts: [],
