Break the two import circles of the own form

failoverController and memberAttachment share the orders, now in a file of their own; statementRun and taskMessages: the messages to callers and to groups are two files.

--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -1,5 +1,6 @@
 import { createFailoverController } from '../failover/failoverController';
-import type { ControlOrder, FailoverTimes } from '../failover/failoverController';
+import type { ControlOrder } from '../failover/controlOrder';
+import type { FailoverTimes } from '../failover/failoverController';
 import { createPrimaryDetector } from '../failover/primaryDetector';
 import { createMemberPlaces } from './memberPlaces';
 import { createMemberTable } from './memberTable';
--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -4,6 +4,7 @@
 import type { EngineEffect, EngineRecord } from '../engine/messages';
 import { chooseCandidate, emptyBallot } from './ballot';
 import type { Ballot } from './ballot';
+import type { ControlOrder } from './controlOrder';
 import { createFailoverLifecycle } from './failoverMachine';
 import type { FailoverPhase, Suspicion } from './failoverMachine';
 import { createMemberAttachment } from './memberAttachment';
@@ -42,12 +43,6 @@
   reason: 'timeout' | 'unreachable' | 'refused';
 }
 
-/** @internal */
-export type ControlOrder =
-  | { type: 'fence'; member: string; term: number }
-  | { type: 'promote'; member: string; term: number }
-  | { type: 'follow'; member: string; term: number; primary: string };
-
 /** Times of a change of primary, in milliseconds. @internal */
 export interface FailoverTimes extends TurnTimes {
   /** Between two looks for a failed primary while the group is well. */
--- a/packages/core/src/lib/failover/memberAttachment.ts
+++ b/packages/core/src/lib/failover/memberAttachment.ts
@@ -1,6 +1,6 @@
 import { termOf } from '../engine/memberTable';
 import type { Member, MemberTable } from '../engine/memberTable';
-import type { ControlOrder } from './failoverController';
+import type { ControlOrder } from './controlOrder';
 
 /** Tells members whom to follow. @internal */
 export interface MemberAttachment {
--- a/packages/proxy/src/lib/statements/caller/callerRequests.ts
+++ b/packages/proxy/src/lib/statements/caller/callerRequests.ts
@@ -8,7 +8,7 @@
   type RequestKind,
 } from '@wisterialift/schema';
 import { createMailbox } from '../mailbox';
-import type { CallerMessage } from '../taskMessages';
+import type { CallerMessage } from '../callerMessages';
 import { FIRST_SEQUENCE, type AnswerWriter } from './answerWriter';
 import { callerError, outcomeError } from './callerErrors';
 import { unknownKind, type CallerSession } from './callerSession';
--- a/packages/proxy/src/lib/statements/caller/callerTypes.ts
+++ b/packages/proxy/src/lib/statements/caller/callerTypes.ts
@@ -1,7 +1,7 @@
 import type { Access, Statement } from '@wisterialift/core';
 import type { CompletedAnswer, SqlError, UpstreamStatement } from '@wisterialift/mysql';
 import type { Outcome } from '@wisterialift/schema';
-import type { GroupPort } from '../taskMessages';
+import type { GroupPort } from '../groupMessages';
 import type { PreparedDescriptions } from './preparedDescriptions';
 
 /** How one request ended, for counts and latencies. @public */
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -10,7 +10,7 @@
 import type { CompletedAnswer, ControlQuestion } from '@wisterialift/mysql';
 import type { UpstreamGroup } from '@wisterialift/schema';
 import { createMailbox } from '../mailbox';
-import type { GroupMessage, GroupPort, TransactionStatement } from '../taskMessages';
+import type { GroupMessage, GroupPort, TransactionStatement } from '../groupMessages';
 import {
   TRANSACTION_DISCARDED,
   resultOf,
--- a/packages/proxy/src/lib/statements/group/statementRun.ts
+++ b/packages/proxy/src/lib/statements/group/statementRun.ts
@@ -1,6 +1,6 @@
 import type { Access } from '@wisterialift/core';
 import type { CompletedAnswer, UpstreamStatement } from '@wisterialift/mysql';
-import type { CallerPort } from '../taskMessages';
+import type { CallerPort } from '../callerMessages';
 import type { Lease } from './upstreamPool';
 
 /** A statement of a caller on its way through a group task. @internal */
--- a/packages/proxy/src/lib/statements/group/transactionTable.ts
+++ b/packages/proxy/src/lib/statements/group/transactionTable.ts
@@ -1,4 +1,4 @@
-import type { CallerPort } from '../taskMessages';
+import type { CallerPort } from '../callerMessages';
 import type { Lease } from './upstreamPool';
 
 /** A transaction that a database has open, with the connection that it keeps until its end. @internal */
--- a/packages/proxy/src/lib/statements/taskMessages.ts
+++ b/packages/proxy/src/lib/statements/groupMessages.ts
@@ -1,21 +1,10 @@
 import type { EngineEvent, EngineRequest } from '@wisterialift/core';
 import type { CompletedAnswer, UpstreamStatement } from '@wisterialift/mysql';
-import type { Outcome, UpstreamGroup } from '@wisterialift/schema';
-import type { Mailbox } from './mailbox';
+import type { UpstreamGroup } from '@wisterialift/schema';
+import type { CallerPort } from './callerMessages';
 import type { StatementRun } from './group/statementRun';
 import type { Lease, LeaseFailure } from './group/upstreamPool';
-
-/** What a caller task is told about its statements. @internal */
-export type CallerMessage =
-  /** A part of the answer that goes on. */
-  | { type: 'answerContinued'; requestId: string; frames: Buffer[]; nextSequence: number }
-  /** The final answer; `answer` comes with `done` alone. */
-  | { type: 'requestAnswered'; requestId: string; outcome: Outcome; answer?: CompletedAnswer }
-  /** The connection of an open transaction broke between two statements. */
-  | { type: 'transactionLost'; transactionId: string };
-
-/** @internal */
-export type CallerPort = Mailbox<CallerMessage>;
+import type { Mailbox } from './mailbox';
 
 /** What a group task is asked to do, and what its connections tell it. @internal */
 export type GroupMessage =
