Use one pause, the runtime's, and drop what nothing reads

Behaviour is the same; formatter, linter, types and the 81 tests of the adapter and of pooling pass.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GatewayConfiguration } from './configuration/gatewayConfiguration';
 import { createGroupTask } from './groups/groupTask';
@@ -198,9 +199,3 @@
   const { steady, wall } = clock.readings();
   return wall - steady;
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -77,7 +77,3 @@
     failures: Math.min(member.failures + 1, 8),
   });
 }
-
-export function noteAnswer(member: Member, now: number): void {
-  Object.assign(member, { answeredAt: now, failures: 0, avoidUntil: -Infinity });
-}
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import { attempt, runWithin } from './attempt';
@@ -253,9 +254,3 @@
   if (outcome.type !== 'answered' || outcome.answer.outcome !== 'refused') return false;
   return outcome.answer.reason === 'busy' && outcome.answer.transaction === 'open';
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
--- a/packages/gateway/src/lib/promotion/promotionTask.ts
+++ b/packages/gateway/src/lib/promotion/promotionTask.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { CLAIM_TAKEOVER_MILLISECONDS, chooseCandidate, isClaimValid } from '@wisterialift/pooling';
 import type {
   ClockReadings,
@@ -345,9 +346,3 @@
   revision: number;
   claimedAt: ClockReadings;
 }
-
-function pause(milliseconds: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, milliseconds);
-  });
-}
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { createSessionState } from '@wisterialift/pooling';
 import type { CallerStatement, FailureReason, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
@@ -44,7 +45,6 @@
   began: AskedAt;
   upstream?: Transaction;
   isFailed: boolean;
-  lastUsed: number;
 }
 
 /** Callers give a session up that has not started within two seconds. */
@@ -112,9 +112,7 @@
   /** Right after a start of the process the configuration is a call away; a refusal costs a try. */
   async function startLater(name: string, until: number): Promise<void> {
     while (!isEnded && !findConfiguration() && clock.now() < until) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, START_STEP_MILLISECONDS);
-      });
+      await pause(START_STEP_MILLISECONDS);
     }
     if (isEnded) return;
     if (findConfiguration()) onStart(name);
@@ -176,7 +174,6 @@
       isReadOnly,
       began: task.markArrival(),
       isFailed: false,
-      lastUsed: clock.now(),
     };
     return complete();
   }
