Count a copy only where reads show the term, at all members but one

Cause: a replica that has received an entry of a new term and not applied it reports the new term and answers reads in the former one. Its report confirmed a commit while its reads went on to vouch for the former term, so a read of a replaced primary could be taken for current. With four members (one joins, one leaves) a second replica could vouch even where the first had applied the entry. Ruled out: vouching by reports only, which costs a question for each proof of a read. Change: a commit is acknowledged once a member holds it that was seen to have applied an entry of the term, and all other members but one were seen so; it costs a wait once a term. What a member proved is forgotten when it starts anew or goes. Conclusion: the proof holds for any number of members that the instance knows.

--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -1,4 +1,5 @@
 import type { GroupEvidence, MemberReport, UpstreamAnswer } from '@wisterialift/pooling';
+import type { Position } from '@wisterialift/schema';
 import type { Logger } from '@wisterialift/telemetry';
 import type { Clock } from '../ports/clock';
 import type { UpstreamDriver } from '../ports/upstreamPort';
@@ -59,6 +60,7 @@
     askedAt: asked.at,
     term: position.term,
     position,
+    applied: position,
     isPrimary: belief.isProved(memberId, position.term),
   });
 }
@@ -68,7 +70,7 @@
   context: GroupContext,
   member: Member,
   asked: AskedAt,
-  report: MemberReport,
+  { report, applied }: { report: MemberReport; applied: Position },
 ): void {
   const { evidence, belief } = context;
   const { memberId } = member.entry;
@@ -79,6 +81,7 @@
     askedAt: asked.at,
     term: report.term,
     position: report.received,
+    applied,
     isPrimary: report.isPrimary,
   });
 }
--- a/packages/gateway/src/lib/groups/groupTask.ts
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -124,7 +124,10 @@
       Object.assign(known, { entry, missingSince: undefined });
       return;
     }
-    known?.pool.close();
+    if (known) {
+      known.pool.close();
+      evidence.forgetMember(entry.memberId);
+    }
     logger.info('memberAdded', { ...entry });
     members.set(entry.memberId, openMember(entry));
   }
@@ -158,6 +161,7 @@
       if (missing !== undefined && clock.now() - missing > missingGrace) {
         logger.warn('memberGone', { group, memberId });
         members.delete(memberId);
+        evidence.forgetMember(memberId);
         member.pool.close();
       }
     }
--- a/packages/gateway/src/lib/groups/memberQuestions.ts
+++ b/packages/gateway/src/lib/groups/memberQuestions.ts
@@ -34,12 +34,12 @@
     const answer = await connection.link.run(command).finally(() => clearTimeout(timer));
     member.pool.release(connection);
     const report = driver.readReport(answer);
-    if (!report) {
+    if (!report || !answer.position) {
       logger.warn('questionNotAnswered', { group, memberId, command: command.type, answer });
       return undefined;
     }
     Object.assign(member, { answeredAt: clock.now(), failures: 0 });
-    observeReport(context, member, asked, report);
+    observeReport(context, member, asked, { report, applied: answer.position });
     return report;
   } catch (error) {
     logger.warn('questionFailed', {
--- a/packages/gateway/src/lib/groups/primaryProof.ts
+++ b/packages/gateway/src/lib/groups/primaryProof.ts
@@ -136,7 +136,11 @@
     },
     proveCopied: async ({ member, position, patience, deadlineAt }) => {
       if (!hasOthers(member)) return 'copied';
-      const wait = evidence.waitForCopy({ position, primaryId: member.entry.memberId });
+      const wait = evidence.waitForCopy({
+        position,
+        primaryId: member.entry.memberId,
+        memberIds: () => [...members.keys()],
+      });
       const verdict = await awaitEvidence(wait, { member, patience, deadlineAt });
       if (!verdict) return 'unknown';
       if (verdict.type === 'superseded') belief.denyPrimary(member, position.term);
--- a/packages/pooling/src/lib/evidence/groupEvidence.ts
+++ b/packages/pooling/src/lib/evidence/groupEvidence.ts
@@ -1,3 +1,4 @@
+import { comparePositions } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import { createFloorSamples } from './floorSamples';
 import type { FloorSample } from './floorSamples';
@@ -12,6 +13,8 @@
   term: number;
   /** Log that the member holds in that term. */
   position: Position;
+  /** Log that it has applied, which is what its reads show; it may end in a former term. */
+  applied: Position;
   /** Whether the member answered as the primary of that term. */
   isPrimary: boolean;
 }
@@ -34,19 +37,31 @@
   nextSequence: () => number;
   observe: (observation: Observation) => void;
   /**
-   * Waits until a member other than the primary holds `position` in its own term.
+   * Waits until a member other than the primary holds `position` in its own term, and all other
+   * members but one were seen to have applied an entry of that term.
    *
    * A promoter stops all replicas before it reads their logs, so a position that a replica holds is
-   * in the log that the next term starts from, and the commit may be acknowledged.
+   * in the log that the next term starts from. The second condition costs a wait once a term; it
+   * guards reads of a replaced primary, see `waitForTerm`.
    */
-  waitForCopy: (options: { position: Position; primaryId: string }) => EvidenceWait;
+  waitForCopy: (options: {
+    position: Position;
+    primaryId: string;
+    /** The members that the group has at the moment, the primary included. */
+    memberIds: () => string[];
+  }) => EvidenceWait;
   /**
    * Waits until a member other than the primary answers in `term` to a question that was sent after
    * `sequence`.
    *
-   * A commit of a later term is acknowledged only once a second member is in that term. A replica
-   * that is still in `term` was therefore not the one, and the primary answered in `term` itself; so
-   * no later commit had been acknowledged by `sequence`, and what the primary read is current.
+   * A commit of a later term is acknowledged only once all members but two at the most, one of which
+   * leads that term, show it in what they read. The replica and the primary both answered with logs
+   * of `term`, so neither of them leads nor shows the later one: no commit of a later term had been
+   * acknowledged by `sequence`, and what the primary read is current.
+   *
+   * It is the applied log that counts on both sides. A replica that has received an entry of the
+   * later term and not applied it answers reads in the former term still, and a caller would read
+   * past a commit that was acknowledged on the strength of the received entry alone.
    */
   waitForTerm: (options: { term: number; sequence: number; primaryId: string }) => EvidenceWait;
   /** Oldest log end of the primary seen at most `maximumAge` ms ago, or undefined. */
@@ -59,12 +74,15 @@
   highestTerm: () => number;
   lastSeen: (memberId: string) => Observation | undefined;
   hasWaits: () => boolean;
+  /** Forgets what a member proved that started anew or went for good: it may hold nothing now. */
+  forgetMember: (memberId: string) => void;
   /** Forgets ages after the process stood still for an unknown time. */
   forgetAges: () => void;
 }
 
 interface Wait {
-  check: (observation: Observation) => EvidenceVerdict | undefined;
+  /** Decides by all that was seen so far. */
+  check: () => EvidenceVerdict | undefined;
   settle: (verdict: EvidenceVerdict) => void;
 }
 
@@ -78,6 +96,8 @@
 export function createGroupEvidence(): GroupEvidence {
   const samples = createFloorSamples();
   const latest = new Map<string, Observation>();
+  const held = new Map<string, Position>();
+  const appliedTerms = new Map<string, number>();
   const waits = new Set<Wait>();
   let sequence = 0;
   let highestTerm = 0;
@@ -85,9 +105,9 @@
   const startWait = (check: Wait['check']): EvidenceWait => {
     let wait: Wait | undefined;
     const verdict = new Promise<EvidenceVerdict>((resolve) => {
-      const seen = [...latest.values()].map(check).find((found) => found !== undefined);
-      if (seen) {
-        resolve(seen);
+      const decided = check();
+      if (decided) {
+        resolve(decided);
         return;
       }
       wait = { check, settle: resolve };
@@ -96,9 +116,9 @@
     return { verdict, cancel: () => wait && waits.delete(wait) };
   };
 
-  const settleWaits = (observation: Observation) => {
+  const settleWaits = () => {
     for (const wait of waits) {
-      const verdict = wait.check(observation);
+      const verdict = wait.check();
       if (verdict) {
         waits.delete(wait);
         wait.settle(verdict);
@@ -106,6 +126,29 @@
     }
   };
 
+  /** A term never shrinks a log, so the furthest end that was seen in it is held still. */
+  const recordHeld = ({ memberId, term, position }: Observation) => {
+    const known = held.get(memberId);
+    const isFurther = known === undefined || comparePositions(position, known) > 0;
+    if (term === position.term && isFurther) held.set(memberId, position);
+  };
+
+  const recordApplied = ({ memberId, applied }: Observation) => {
+    const known = appliedTerms.get(memberId) ?? -Infinity;
+    appliedTerms.set(memberId, Math.max(known, applied.term));
+  };
+
+  const hasApplied = (memberId: string, term: number) =>
+    (appliedTerms.get(memberId) ?? -Infinity) >= term;
+
+  const isCopy = (memberId: string, { term, index }: Position) => {
+    const known = held.get(memberId);
+    return hasApplied(memberId, term) && known?.term === term && known.index >= index;
+  };
+
+  const superseding = (term: number): EvidenceVerdict | undefined =>
+    highestTerm > term ? { type: 'superseded', term: highestTerm } : undefined;
+
   return {
     nextSequence: () => {
       sequence += 1;
@@ -117,22 +160,33 @@
       if (!previous || isNewer(observation, previous)) {
         latest.set(observation.memberId, observation);
       }
+      recordHeld(observation);
+      recordApplied(observation);
       if (observation.isPrimary) samples.add(observation);
-      settleWaits(observation);
+      settleWaits();
     },
-    waitForCopy: ({ position, primaryId }) =>
-      startWait((seen) => {
-        if (seen.term > position.term) return { type: 'superseded', term: seen.term };
-        const isCopy = seen.memberId !== primaryId && !seen.isPrimary;
-        const holds = seen.term === position.term && seen.position.index >= position.index;
-        return isCopy && holds ? { type: 'proved' } : undefined;
+    waitForCopy: ({ position, primaryId, memberIds }) =>
+      startWait(() => {
+        const superseded = superseding(position.term);
+        if (superseded) return superseded;
+        const others = memberIds().filter((memberId) => memberId !== primaryId);
+        const following = others.filter((memberId) => hasApplied(memberId, position.term));
+        if (following.length < others.length - 1) return undefined;
+        const isCopied = following.some((memberId) => isCopy(memberId, position));
+        return isCopied ? { type: 'proved' } : undefined;
       }),
     waitForTerm: ({ term, sequence: after, primaryId }) =>
-      startWait((seen) => {
-        if (seen.term > term) return { type: 'superseded', term: seen.term };
-        const isOther = seen.memberId !== primaryId && !seen.isPrimary;
-        const isFresh = seen.term === term && seen.askedSequence > after;
-        return isOther && isFresh ? { type: 'proved' } : undefined;
+      startWait(() => {
+        const superseded = superseding(term);
+        if (superseded) return superseded;
+        const isVouched = [...latest.values()].some(
+          (seen) =>
+            seen.memberId !== primaryId &&
+            !seen.isPrimary &&
+            seen.term === term &&
+            seen.askedSequence > after,
+        );
+        return isVouched ? { type: 'proved' } : undefined;
       }),
     findFloor: ({ now, maximumAge }) =>
       samples.find({ since: now - maximumAge, term: highestTerm }),
@@ -143,6 +197,11 @@
     timeBeyond: samples.timeBeyond,
     highestTerm: () => highestTerm,
     lastSeen: (memberId) => latest.get(memberId),
+    forgetMember: (memberId) => {
+      latest.delete(memberId);
+      held.delete(memberId);
+      appliedTerms.delete(memberId);
+    },
     hasWaits: () => waits.size > 0,
     forgetAges: () => samples.clear(),
   };
--- a/packages/pooling/src/test/evidence.test.ts
+++ b/packages/pooling/src/test/evidence.test.ts
@@ -1,16 +1,18 @@
 import { describe, expect, it } from 'vitest';
+import type { Position } from '@wisterialift/schema';
 import { createGroupEvidence } from '../index';
 import type { EvidenceVerdict, EvidenceWait, GroupEvidence, Observation } from '../index';
 
 /** An answer of a member, asked after everything before it. */
 function see(evidence: GroupEvidence, seen: Partial<Observation> & { memberId: string }): void {
-  const { term = 1 } = seen;
+  const { term = 1, position = { term, index: 1 } } = seen;
   evidence.observe({
     askedSequence: evidence.nextSequence(),
     askedAt: 0,
     isPrimary: false,
-    position: { term, index: 1 },
+    applied: position,
     ...seen,
+    position,
     term,
   });
 }
@@ -19,6 +21,13 @@
   return Promise.race([wait.verdict, Promise.resolve().then(() => 'open' as const)]);
 }
 
+const MEMBERS = ['a', 'b', 'c'];
+
+/** Waits for a copy of what `a` committed. */
+function waitForCopy(evidence: GroupEvidence, position: Position, members = MEMBERS): EvidenceWait {
+  return evidence.waitForCopy({ position, primaryId: 'a', memberIds: () => members });
+}
+
 describe('waiting for a copy of a commit', () => {
   const position = { term: 1, index: 5 };
 
@@ -33,7 +42,7 @@
     ],
   ])('%s', async (_, seen, verdict) => {
     const evidence = createGroupEvidence();
-    const wait = evidence.waitForCopy({ position, primaryId: 'a' });
+    const wait = waitForCopy(evidence, position);
     see(evidence, seen);
     expect(await verdictOf(wait)).toEqual(verdict);
   });
@@ -41,12 +50,47 @@
   it('ends with what was seen before it began', async () => {
     const evidence = createGroupEvidence();
     see(evidence, { memberId: 'b', position });
-    expect(await verdictOf(evidence.waitForCopy({ position, primaryId: 'a' }))).toEqual({
+    expect(await verdictOf(waitForCopy(evidence, position))).toEqual({
       type: 'proved',
     });
   });
 });
 
+describe('the first commit of a term', () => {
+  const position = { term: 2, index: 57 };
+
+  it('is not acknowledged while the replica that holds it reads in the former term', async () => {
+    // A fire officer read a history without a test that a technician had seen confirmed.
+    // A replica had received the entry of the new term and not applied it. Its report confirmed the
+    // commit, and its reads went on to vouch for the former term and its replaced primary.
+    const evidence = createGroupEvidence();
+    const applied = { term: 1, index: 55 };
+    const wait = waitForCopy(evidence, position);
+    see(evidence, { memberId: 'b', term: 2, position, applied });
+    expect(await verdictOf(wait)).toBe('open');
+    see(evidence, { memberId: 'b', term: 2, position: { term: 2, index: 56 } });
+    expect(await verdictOf(wait)).toEqual({ type: 'proved' });
+  });
+
+  it('waits for a second replica of four members, which could vouch as well', async () => {
+    // The same while a new database had joined a group whose former primary was about to leave: one
+    // replica confirmed the commit, and the other one, far behind, vouched for the former primary.
+    const evidence = createGroupEvidence();
+    const wait = waitForCopy(evidence, position, ['a', 'b', 'c', 'd']);
+    see(evidence, { memberId: 'b', term: 2, position });
+    expect(await verdictOf(wait)).toBe('open');
+    see(evidence, { memberId: 'c', term: 2, position: { term: 2, index: 1 } });
+    expect(await verdictOf(wait)).toEqual({ type: 'proved' });
+  });
+
+  it('counts no member that started anew', async () => {
+    const evidence = createGroupEvidence();
+    see(evidence, { memberId: 'b', term: 2, position });
+    evidence.forgetMember('b');
+    expect(await verdictOf(waitForCopy(evidence, position))).toBe('open');
+  });
+});
+
 describe('waiting for the term of a read', () => {
   it('takes only an answer to a question that was sent after the read arrived', async () => {
     // A caller read from a primary that had been replaced a moment before.
