Let a few instances hold the connections of a group for the others

Cause: 66 instances share 60 places at a database; each opened its own, callers waited for places that idle instances held, and each instance saw too few answers for evidence to ride on. Ruled out: shares of less than one connection, and relaying whole sessions (a holder's stop would close them). Change: instances enter themselves in the platform's store; where a group's members take fewer than four connections an instance, the first of each data centre by weighted rendezvous hashing hold them and run the statements of the others' callers, one stream between two instances. Sessions stay where their callers are; a statement carries the session's values, last commit and route, a newer route wins on both sides.

--- a/packages/core/src/lib/membership/rendezvous.ts
+++ b/packages/core/src/lib/membership/rendezvous.ts
@@ -13,15 +13,26 @@
  * Every instance that knows the same names finds the same order without a message. An instance that
  * comes or goes moves only the keys that it comes first for.
  *
+ * @param options.weightOf - share of the keys that a name should come first for, relative to the
+ *   others'; 1 for each without it. Weighted as in logarithmic rendezvous hashing: a weight that
+ *   changes moves keys to or from that name only.
+ *
  * @example
  * orderByRendezvous({ key: 'archivio-1', names: ['p1', 'p2', 'p3'] })[0]; // who acts first
  *
  * @public
  */
-export function orderByRendezvous(options: { key: string; names: readonly string[] }): string[] {
-  const { key, names } = options;
+export function orderByRendezvous(options: {
+  key: string;
+  names: readonly string[];
+  weightOf?: (name: string) => number;
+}): string[] {
+  const { key, names, weightOf = () => 1 } = options;
   return names
-    .map((name) => ({ name, weight: hashText(`${key}\n${name}`) }))
+    .map((name) => ({
+      name,
+      weight: weightOf(name) / -Math.log(unitOf(hashText(`${key}\n${name}`))),
+    }))
     .sort(compareWeights)
     .map(({ name }) => name);
 }
@@ -37,6 +48,11 @@
   return left.name < right.name ? -1 : 1;
 }
 
+/** Number between 0 and 1, both left out. */
+function unitOf(hash: number): number {
+  return (hash + 0.5) / 2 ** 32;
+}
+
 function hashText(text: string): number {
   let hash = FNV_OFFSET;
   for (let index = 0; index < text.length; index += 1) {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,6 +18,11 @@
   type CallerEvents,
   type CallerLink,
 } from './lib/ports/callerPort';
+export {
+  type InstanceEntry,
+  type InstanceRegistry,
+  type RelayTransport,
+} from './lib/ports/instancePort';
 export { createProcessClock, type Clock } from './lib/ports/clock';
 export {
   type ConfigurationPort,
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,10 +1,13 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GatewayConfiguration } from './configuration/gatewayConfiguration';
+import { createRouteBook } from './configuration/routeBook';
+import type { GroupAccess } from './groups/groupAccess';
 import { createGroupTask } from './groups/groupTask';
 import type { GroupTask } from './groups/groupTask';
 import type { CallerAcceptor } from './ports/callerPort';
 import type { Clock } from './ports/clock';
+import type { InstanceRegistry, RelayTransport } from './ports/instancePort';
 import type {
   ConfigurationPort,
   DirectoryEntry,
@@ -13,6 +16,9 @@
   PromotionStore,
 } from './ports/platformPort';
 import type { UpstreamDriver } from './ports/upstreamPort';
+import { createHolderBook } from './relay/holderBook';
+import { createRelayedGroup } from './relay/relayedGroup';
+import { createRelayService } from './relay/relayService';
 import { createCallerSession } from './sessions/callerSession';
 import type { AnswerSample, CallerSession } from './sessions/callerSession';
 
@@ -36,6 +42,8 @@
   configuration: ConfigurationPort;
   store: PromotionStore;
   orders: PromotionOrders;
+  registry: InstanceRegistry;
+  transport: RelayTransport;
   onAnswered: (sample: AnswerSample) => void;
 }
 
@@ -81,10 +89,11 @@
 
 /** Creates the tasks of one instance. @public */
 export function createGateway(options: GatewayOptions): Gateway {
-  const { clock, logger, times } = options;
+  const { clock, logger, registry, times, transport } = options;
   const groups = new Map<string, GroupTask>();
+  const accesses = new Map<string, GroupAccess>();
   const sessions = new Set<CallerSession>();
-  let configuration: GatewayConfiguration | undefined;
+  const book = createRouteBook();
   let entries: DirectoryEntry[] = [];
   let hasDirectory = false;
   let isDraining = false;
@@ -92,7 +101,19 @@
 
   const entriesOf = (group: string) => entries.filter((entry) => entry.group === group);
 
+  const relay = createRelayService({
+    book,
+    findGroup: (group) => groups.get(group),
+    clock,
+    logger,
+  });
+  const holders = createHolderBook({
+    ...options,
+    onShared: () => transport.listen(relay.accept),
+  });
+
   const clockTimer = setInterval(checkClocks, CLOCK_CHECK_MILLISECONDS);
+  registry.follow(holders.updateInstances);
   options.configuration.follow(adoptConfiguration);
   options.directory.follow((next) => {
     entries = next;
@@ -102,14 +123,15 @@
 
   /** Versions only rise: an older one may still arrive from a lagging reader. */
   function adoptConfiguration(next: GatewayConfiguration): void {
-    if (configuration && next.version <= configuration.version) return;
+    const former = book.current()?.version;
+    if (!book.adopt(next)) return;
     logger.info('configurationAdopted', {
       version: next.version,
-      former: configuration?.version,
+      former,
       routes: next.routes.size,
     });
-    configuration = next;
     for (const limits of next.groups.values()) {
+      holders.updateLimits(limits.name, limits.maximumConnections);
       const task = groups.get(limits.name);
       if (task) task.updateLimits(limits);
       else openGroup(limits.name, limits);
@@ -121,9 +143,12 @@
       ...options,
       group,
       limits,
+      isHolder: () => holders.isHolder(group),
       missingGrace: times.missingGrace,
     });
     groups.set(group, task);
+    const access = createRelayedGroup({ group, local: task, holders, book, clock, logger });
+    accesses.set(group, access);
     if (hasDirectory) task.updateMembers(entriesOf(group));
   }
 
@@ -145,10 +170,10 @@
       link,
       clock,
       logger,
-      findConfiguration: () => configuration,
+      book,
       findGroup: (group) => {
         checkClocks();
-        return groups.get(group);
+        return accesses.get(group);
       },
       onEnd: () => sessions.delete(session),
       onAnswered: options.onAnswered,
@@ -158,7 +183,7 @@
   };
 
   function isReady(): boolean {
-    if (isDraining || !configuration || !hasDirectory) return false;
+    if (isDraining || !book.current() || !hasDirectory || !holders.isKnown()) return false;
     return [...groups.values()].some((task) => task.isUsable());
   }
 
@@ -166,9 +191,11 @@
     const startedAt = clock.now();
     const elapsed = () => clock.now() - startedAt;
     isDraining = true;
-    logger.info('drainStarted', { sessions: sessions.size });
+    logger.info('drainStarted', { sessions: sessions.size, relayed: relay.load() });
+    relay.leave();
     let isAccepting = true;
-    while (elapsed() < times.stopGrace * LAST_SHARE && (isAccepting || sessions.size > 0)) {
+    const hasWork = () => isAccepting || sessions.size > 0 || relay.load() > 0;
+    while (elapsed() < times.stopGrace * LAST_SHARE && hasWork()) {
       if (elapsed() >= BALANCER_NOTICE_MILLISECONDS) {
         if (isAccepting) stopAccepting();
         isAccepting = false;
@@ -176,6 +203,7 @@
       }
       if (elapsed() >= times.stopGrace * TRANSACTION_SHARE) {
         for (const session of [...sessions]) session.abandonTransaction();
+        relay.abandonTransactions();
       }
       await pause(DRAIN_STEP_MILLISECONDS);
     }
@@ -190,6 +218,8 @@
     sessionCount: () => sessions.size,
     close: () => {
       clearInterval(clockTimer);
+      holders.close();
+      transport.close();
       for (const task of groups.values()) task.close();
     },
   };
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -28,6 +28,7 @@
   retries: number;
   refusals: number;
   promotions: number;
+  relayed: number;
 }
 
 /** When a question was sent, for the evidence in its answer. */
--- a/packages/gateway/src/lib/groups/groupTask.ts
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -9,7 +9,8 @@
 import { createFloorKeeper } from './floorKeeper';
 import { createEvidenceAsker } from './evidenceAsker';
 import { markAsked } from './groupContext';
-import type { AskedAt, GroupContext, GroupCounters } from './groupContext';
+import type { GroupAccess } from './groupAccess';
+import type { GroupContext, GroupCounters } from './groupContext';
 import { avoidMember, createMember } from './member';
 import type { Member } from './member';
 import { createPrimaryBelief } from './primaryBelief';
@@ -18,16 +19,11 @@
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 import { createTransactionOpener } from './transaction';
-import type { TransactionOpener } from './transaction';
 import { createUpstreamPool } from './upstreamPool';
 import { createWritePath } from './writePath';
 
 /** Serves the statements of one group and keeps it with a primary. */
-export interface GroupTask {
-  read: (request: StatementRequest) => Promise<UpstreamAnswer>;
-  write: (request: StatementRequest) => Promise<UpstreamAnswer>;
-  openTransaction: TransactionOpener['open'];
-  markArrival: () => AskedAt;
+export interface GroupTask extends GroupAccess {
   updateMembers: (entries: DirectoryEntry[]) => void;
   updateLimits: (limits: GroupLimits) => void;
   /** Whether a statement could be served now. */
@@ -49,6 +45,8 @@
   orders: PromotionOrders;
   clock: Clock;
   logger: Logger;
+  /** Whether this instance keeps connections to the members for itself or for others. */
+  isHolder: () => boolean;
   /** How long a member's entry may be missing before the member counts as gone, in milliseconds. */
   missingGrace: number;
 }
@@ -67,11 +65,17 @@
 const UPKEEP_MILLISECONDS = 500;
 
 export function createGroupTask(options: GroupTaskOptions): GroupTask {
-  const { group, dataCentre, driver, clock, logger, missingGrace } = options;
+  const { group, dataCentre, driver, clock, isHolder, logger, missingGrace } = options;
   const members = new Map<string, Member>();
   const evidence = createGroupEvidence();
   const belief = createPrimaryBelief(members);
-  const counters: GroupCounters = { probes: 0, retries: 0, refusals: 0, promotions: 0 };
+  const counters: GroupCounters = {
+    probes: 0,
+    retries: 0,
+    refusals: 0,
+    promotions: 0,
+    relayed: 0,
+  };
   let { limits } = options;
   let onSuspicion: GroupContext['suspectPrimary'] = () => undefined;
 
@@ -114,7 +118,7 @@
       }
     }
     belief.notifyChange();
-    promotion.reviewDirectory();
+    reviewDirectory();
   }
 
   function addOrUpdate(entry: DirectoryEntry): void {
@@ -142,6 +146,7 @@
       address: entry.address,
       usualConnections: connectionsOf(limits, USUAL_CONNECTION_SHARE),
       maximumConnections: connectionsOf(limits, LARGEST_CONNECTION_SHARE),
+      isHolder,
       onUnreachable: () => handleUnreachable(entry.memberId),
     });
     return createMember({ entry, pool, isNear: entry.dataCentre === dataCentre, clock });
@@ -165,7 +170,16 @@
         member.pool.close();
       }
     }
-    promotion.reviewDirectory();
+    reviewDirectory();
+  }
+
+  /**
+   * Only holders look after the primary unasked. A look costs questions to all members and connections
+   * that an instance without callers of its own there does not have; of 66 that looked at once, most
+   * found no place.
+   */
+  function reviewDirectory(): void {
+    if (isHolder()) promotion.reviewDirectory();
   }
 
   return {
--- a/packages/gateway/src/lib/groups/statementRequest.ts
+++ b/packages/gateway/src/lib/groups/statementRequest.ts
@@ -18,12 +18,19 @@
   prepared?: { statement: PreparedStatement; argumentsText: string };
   session: GroupSession;
   route: Route;
+  /** Version of the configuration that the route is of. */
+  version: number;
   /** When the caller's first byte had arrived. */
   arrived: AskedAt;
   /** Steady time by which it must be answered. */
   deadlineAt: number;
 }
 
+/** Whether a statement within a transaction writes. */
+export function isWrite({ text, prepared }: StatementRequest): boolean {
+  return prepared ? prepared.statement.access === 'write' : text.startsWith('WRITE');
+}
+
 /** The command that runs a statement as its caller wrote it. */
 export function toCommand(
   { id, text, prepared }: StatementRequest,
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -3,37 +3,22 @@
 import type { Position } from '@wisterialift/schema';
 import { attempt, runWithin } from './attempt';
 import { markAsked, observeAnswer } from './groupContext';
-import type { AskedAt, GroupContext } from './groupContext';
+import type { GroupAccess, OpenOptions, Transaction } from './groupAccess';
+import type { GroupContext } from './groupContext';
 import { giveBack } from './giveBack';
 import type { Member } from './member';
 import { patienceOf } from './primaryProof';
 import type { PrimaryProof } from './primaryProof';
 import type { ReadPath } from './readPath';
 import { COME_BACK_MILLISECONDS, refuse } from './refusals';
-import { toCommand } from './statementRequest';
+import { isWrite, toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 import { prepareConnection } from './upstreamPool';
 import type { PooledConnection } from './upstreamPool';
 import type { WritePath } from './writePath';
 
-/** A caller's transaction on one connection of one member. */
-export interface Transaction {
-  run: (request: StatementRequest) => Promise<UpstreamAnswer>;
-  commit: (request: StatementRequest) => Promise<UpstreamAnswer>;
-  /** Ends it without keeping anything; the connection is back in the pool afterwards. */
-  rollBack: () => void;
-}
-
 export interface TransactionOpener {
-  /**
-   * Begins a transaction for its first statement.
-   *
-   * @param options.began - when the caller began it; what it reads must not be older.
-   */
-  open: (
-    request: StatementRequest,
-    options: { isReadOnly: boolean; began: AskedAt },
-  ) => Promise<{ transaction: Transaction } | { refusal: UpstreamAnswer }>;
+  open: GroupAccess['openTransaction'];
 }
 
 /** Before the priorities of callers, which start at 0. */
@@ -58,7 +43,7 @@
 
   async function open(
     request: StatementRequest,
-    { isReadOnly, began }: { isReadOnly: boolean; began: AskedAt },
+    { isReadOnly, began }: OpenOptions,
   ): Promise<{ transaction: Transaction } | { refusal: UpstreamAnswer }> {
     const mayReadReplica = isReadOnly && request.route.consistency !== 'primary';
     const opened = mayReadReplica
@@ -82,7 +67,7 @@
 
   async function openAtPrimary(
     request: StatementRequest,
-    { isReadOnly, began }: { isReadOnly: boolean; began: AskedAt },
+    { isReadOnly, began }: OpenOptions,
   ): Promise<OpenedAt | { refusal: UpstreamAnswer }> {
     const { deadlineAt } = request;
     const command: UpstreamCommand = { type: 'begin', isReadOnly };
@@ -246,10 +231,6 @@
   return { open };
 }
 
-function isWrite({ text, prepared }: StatementRequest): boolean {
-  return prepared ? prepared.statement.access === 'write' : text.startsWith('WRITE');
-}
-
 function isBusy(outcome: { type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' }): boolean {
   if (outcome.type !== 'answered' || outcome.answer.outcome !== 'refused') return false;
   return outcome.answer.reason === 'busy' && outcome.answer.transaction === 'open';
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -56,6 +56,8 @@
   /** Connections to begin with; requests that wait raise them up to the maximum. */
   usualConnections: number;
   maximumConnections: number;
+  /** Whether idle connections are worth keeping. */
+  isHolder: () => boolean;
   onUnreachable: (error: UpstreamLostError) => void;
 }
 
@@ -251,7 +253,7 @@
     openForWaiters();
     for (const connection of [...idle]) {
       const isStale = clock.now() - connection.idleSince > IDLE_MILLISECONDS;
-      const isSpare = idle.length > KEPT_IDLE && isStale;
+      const isSpare = idle.length > (options.isHolder() ? KEPT_IDLE : 0) && isStale;
       if (isSpare || !connection.link.isOpen()) discard(connection);
     }
   }
--- a/packages/gateway/src/lib/groups/writePath.ts
+++ b/packages/gateway/src/lib/groups/writePath.ts
@@ -44,7 +44,7 @@
  * takes about that long, and settles the commit as kept or discarded; before it, the caller could
  * only be told that the outcome is unknown, and would have to give the operation up.
  */
-const HOLD_MILLISECONDS = 3_500;
+export const HOLD_MILLISECONDS = 3_500;
 
 const NOT_RUN_REASONS: ReadonlySet<FailureReason> = new Set([
   'busy',
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -16,6 +16,7 @@
   retries: 'tries of statements after the first',
   refusals: 'statements refused by this instance',
   promotions: 'orders to promote a member',
+  relayed: 'statements that another instance ran for callers of this one',
 } as const;
 
 /** @public */
--- /dev/null
+++ b/packages/gateway/src/lib/relay/peerLink.ts
@@ -0,0 +1,193 @@
+import type {
+  RelayAnswer,
+  RelayResponse,
+  RelayStatement,
+  RelayStream,
+} from '@wisterialift/peer/relay';
+import type { Clock } from '../ports/clock';
+import type { RelayTransport } from '../ports/instancePort';
+
+/** How a statement at another instance ended. */
+export type RelayOutcome =
+  | { type: 'answered'; answer: RelayAnswer }
+  /** It did not leave this instance. */
+  | { type: 'notSent' }
+  /** It was sent, and the stream ended without an answer. */
+  | { type: 'lost' };
+
+/** A stream to another instance and the statements in work there. */
+export interface PeerLink {
+  /** @param answerBy - steady time after which the answer is not waited for. */
+  run: (statement: RelayStatement, answerBy: number) => Promise<RelayOutcome>;
+  /** Number for a transaction that is to begin there. */
+  nextTransaction: () => number;
+  rollBack: (transaction: number) => void;
+  /** Whether statements may be placed there; also while it is being opened. */
+  isUsable: () => boolean;
+  isOpen: () => boolean;
+  /** Statements in work there. */
+  load: () => number;
+  close: () => void;
+}
+
+export interface PeerLinkOptions {
+  transport: RelayTransport;
+  address: string;
+  clock: Clock;
+  onOpen: () => void;
+  onLost: (error: Error) => void;
+}
+
+/** Time for opening a stream: a connection with a lost packet takes a second, and others are nearer. */
+const OPEN_MILLISECONDS = 500;
+
+/** How often a link with statements in work looks whether the other instance lives. */
+const CHECK_MILLISECONDS = 100;
+
+/** Silence after which it is asked. Most answers take less, so links with traffic ask nothing. */
+const SILENCE_MILLISECONDS = 200;
+
+/**
+ * Time for the answer to that question. An instance with a small share of a processor stands still for
+ * 100 ms at a time and answers after it; a round trip between far data centres takes 50 ms.
+ */
+const ALIVE_MILLISECONDS = 450;
+
+/** A check that comes this late shows that this instance stood still, and not the other one. */
+const STALL_MILLISECONDS = 150;
+
+type State = 'opening' | 'open' | 'leaving' | 'lost';
+
+interface Pending {
+  settle: (outcome: RelayOutcome) => void;
+}
+
+/** Opens a stream to another instance. */
+export function createPeerLink(options: PeerLinkOptions): PeerLink {
+  const { transport, address, clock, onOpen, onLost } = options;
+  const pending = new Map<number, Pending>();
+  const openers: (() => void)[] = [];
+  let state: State = 'opening';
+  let numbers = 0;
+  let transactions = 0;
+  let heardAt = clock.now();
+  let askedAt: number | undefined;
+  let checkedAt = clock.now();
+  let checkTimer: NodeJS.Timeout | undefined;
+
+  const stream: RelayStream = transport.open(address, {
+    onResponse: receive,
+    onLost: lose,
+  });
+  const openTimer = setTimeout(() => {
+    lose(new Error(`${address} did not open a stream in time`));
+  }, OPEN_MILLISECONDS);
+
+  function receive({ number, answer, isLeaving }: RelayResponse): void {
+    heardAt = clock.now();
+    askedAt = undefined;
+    if (state === 'opening') {
+      finishOpening('open');
+      onOpen();
+    }
+    if (isLeaving) state = 'leaving';
+    if (answer) settle(number, { type: 'answered', answer });
+  }
+
+  function finishOpening(next: State): void {
+    clearTimeout(openTimer);
+    state = next;
+    for (const resume of openers.splice(0)) resume();
+  }
+
+  function settle(number: number, outcome: RelayOutcome): void {
+    const waiting = pending.get(number);
+    pending.delete(number);
+    waiting?.settle(outcome);
+    if (pending.size === 0) clearInterval(checkTimer);
+  }
+
+  function lose(error: Error): void {
+    if (state === 'lost') return;
+    finishOpening('lost');
+    clearInterval(checkTimer);
+    for (const number of [...pending.keys()]) settle(number, { type: 'lost' });
+    stream.close();
+    onLost(error);
+  }
+
+  /**
+   * A stream to an instance that lost power or was cut off just goes silent, and so does one whose
+   * connection died; every statement there would wait for its time limit.
+   */
+  function check(): void {
+    const now = clock.now();
+    const hasStalled = now - checkedAt > CHECK_MILLISECONDS + STALL_MILLISECONDS;
+    checkedAt = now;
+    if (hasStalled) {
+      askedAt = undefined;
+      heardAt = now;
+    } else if (askedAt !== undefined && now - askedAt > ALIVE_MILLISECONDS) {
+      lose(new Error(`${address} has gone silent`));
+    } else if (askedAt === undefined && now - heardAt > SILENCE_MILLISECONDS) {
+      askedAt = now;
+      numbers += 1;
+      stream.send({ number: numbers, statement: undefined, rolledBackTransaction: 0 });
+    }
+  }
+
+  function waitUntilOpen(): Promise<void> {
+    if (state !== 'opening') return Promise.resolve();
+    return new Promise((resolve) => {
+      openers.push(resolve);
+    });
+  }
+
+  function startChecks(): void {
+    if (pending.size > 1) return;
+    heardAt = clock.now();
+    checkedAt = heardAt;
+    askedAt = undefined;
+    clearInterval(checkTimer);
+    checkTimer = setInterval(check, CHECK_MILLISECONDS);
+  }
+
+  async function run(statement: RelayStatement, answerBy: number): Promise<RelayOutcome> {
+    await waitUntilOpen();
+    if (state === 'lost') return { type: 'notSent' };
+    numbers += 1;
+    const number = numbers;
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () => settle(number, { type: 'lost' }),
+        Math.max(0, answerBy - clock.now()),
+      );
+      pending.set(number, {
+        settle: (outcome) => {
+          clearTimeout(timer);
+          resolve(outcome);
+        },
+      });
+      startChecks();
+      stream.send({ number, statement, rolledBackTransaction: 0 });
+    });
+  }
+
+  return {
+    run,
+    nextTransaction: () => {
+      transactions += 1;
+      return transactions;
+    },
+    rollBack: (transaction) => {
+      if (state === 'lost') return;
+      stream.send({ number: 0, statement: undefined, rolledBackTransaction: transaction });
+    },
+    isOpen: () => state === 'open',
+    isUsable: () => state === 'opening' || state === 'open',
+    load: () => pending.size,
+    close: () => {
+      if (state !== 'lost') lose(new Error('the instance closes the stream'));
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -0,0 +1,206 @@
+import type {
+  RelayAcceptor,
+  RelayRequest,
+  RelayResponse,
+  RelayStatement,
+} from '@wisterialift/peer/relay';
+import type { UpstreamAnswer } from '@wisterialift/pooling';
+import type { Logger } from '@wisterialift/telemetry';
+import type { Route } from '../configuration/gatewayConfiguration';
+import type { RouteBook, VersionedRoute } from '../configuration/routeBook';
+import type { GroupAccess, Transaction } from '../groups/groupAccess';
+import type { StatementRequest } from '../groups/statementRequest';
+import type { Clock } from '../ports/clock';
+import { decodeAction, decodeRoute, decodeStatement, encodeAnswer } from './relayMessages';
+import type { RelayAction } from './relayMessages';
+
+/** Runs statements of other instances' callers over this instance's connections. */
+export interface RelayService {
+  accept: RelayAcceptor;
+  /** Asks the other instances to place new statements elsewhere. */
+  leave: () => void;
+  /** Rolls back the transactions that are still open, for a process that has to stop. */
+  abandonTransactions: () => void;
+  /** Statements in work and transactions that are open. */
+  load: () => number;
+}
+
+export interface RelayServiceOptions {
+  book: RouteBook;
+  /** The connections of this instance to a group. */
+  findGroup: (group: string) => GroupAccess | undefined;
+  clock: Clock;
+  logger: Logger;
+}
+
+type Respond = (response: RelayResponse) => void;
+
+/** A transaction that another instance began here. */
+interface RelayedTransaction {
+  /** Undefined until a member has begun it. */
+  transaction: Transaction | undefined;
+  isEnded: boolean;
+}
+
+/** The transactions of one stream by the numbers that its sender gave. */
+type StreamTransactions = Map<number, RelayedTransaction>;
+
+/** Runs one statement; `transactions` are those of the stream that it came over. */
+type Handler = (options: {
+  statement: RelayStatement;
+  request: StatementRequest;
+  task: GroupAccess;
+  transactions: StreamTransactions;
+}) => Promise<UpstreamAnswer>;
+
+export function createRelayService(options: RelayServiceOptions): RelayService {
+  const { book, findGroup, clock, logger } = options;
+  const streams = new Map<Respond, StreamTransactions>();
+  let running = 0;
+  let isLeaving = false;
+
+  const handlers: Record<RelayAction, Handler> = {
+    read: ({ request, task }) => task.read(request),
+    write: ({ request, task }) => task.write(request),
+    run: async (step) => {
+      const found = await findTransaction(step);
+      if ('refusal' in found) return found.refusal;
+      const answer = await found.transaction.run(step.request);
+      if (answer.transaction !== 'open') end(step.transactions, step.statement.transaction);
+      return answer;
+    },
+    commit: async (step) => {
+      const found = await findTransaction(step);
+      step.transactions.delete(step.statement.transaction);
+      return 'refusal' in found ? found.refusal : found.transaction.commit(step.request);
+    },
+  };
+
+  /** Finds the transaction of a statement, or begins it with the first one. */
+  async function findTransaction({
+    statement,
+    request,
+    task,
+    transactions,
+  }: Parameters<Handler>[0]): Promise<{ transaction: Transaction } | { refusal: UpstreamAnswer }> {
+    const { transaction: number, isFirst, isReadOnly } = statement;
+    const known = transactions.get(number)?.transaction;
+    if (known) return { transaction: known };
+    if (!isFirst) return { refusal: refuseEnded() };
+    const relayed: RelayedTransaction = { transaction: undefined, isEnded: false };
+    transactions.set(number, relayed);
+    const opened = await task.openTransaction(request, { isReadOnly, began: request.arrived });
+    if ('refusal' in opened) {
+      transactions.delete(number);
+      return opened;
+    }
+    relayed.transaction = opened.transaction;
+    // The sender may have rolled back, or be gone, while the member began it.
+    if (relayed.isEnded) opened.transaction.rollBack();
+    return opened;
+  }
+
+  function end(transactions: StreamTransactions, number: number): void {
+    const relayed = transactions.get(number);
+    if (!relayed) return;
+    relayed.isEnded = true;
+    relayed.transaction?.rollBack();
+    transactions.delete(number);
+  }
+
+  function endAll(transactions: StreamTransactions): void {
+    for (const number of [...transactions.keys()]) end(transactions, number);
+  }
+
+  async function handle(
+    statement: RelayStatement,
+    transactions: StreamTransactions,
+  ): Promise<RelayResponse['answer']> {
+    const action = decodeAction(statement);
+    const sent = decodeRoute(statement.route);
+    const newest = book.learn(sent);
+    const newerRoute = newest.version > sent.version ? newest : undefined;
+    const now = () => clock.now();
+    const access = findAccess(newest);
+    if ('refusal' in access) {
+      return encodeAnswer(access.refusal, { lastCommit: undefined, newerRoute, now: now() });
+    }
+    const { task, route } = access;
+    const arrived = task.markArrival();
+    const request = decodeStatement(statement, { route, version: newest.version, arrived });
+    const answer = await handlers[action]({ statement, request, task, transactions });
+    const { lastCommit } = request.session;
+    return encodeAnswer(answer, { lastCommit, newerRoute, now: now() });
+  }
+
+  function findAccess({
+    database,
+    route,
+  }: VersionedRoute): { task: GroupAccess; route: Route } | { refusal: UpstreamAnswer } {
+    if (!route) return { refusal: refuseHere('unknownDatabase', `no route leads to ${database}`) };
+    const task = findGroup(route.group);
+    if (task) return { task, route };
+    return { refusal: refuseHere('busy', `no database of ${route.group} is known here yet`) };
+  }
+
+  function refuseHere(reason: 'unknownDatabase' | 'busy', detail: string): UpstreamAnswer {
+    return { outcome: 'refused', reason, detail, transaction: 'idle' };
+  }
+
+  /** What it had done was rolled back when it ended. */
+  function refuseEnded(): UpstreamAnswer {
+    const detail = 'the transaction has ended';
+    return { outcome: 'refused', reason: 'aborted', detail, transaction: 'failed' };
+  }
+
+  async function respondTo(
+    { number, statement, rolledBackTransaction }: RelayRequest,
+    { respond, transactions }: { respond: Respond; transactions: StreamTransactions },
+  ): Promise<void> {
+    if (rolledBackTransaction > 0) {
+      end(transactions, rolledBackTransaction);
+    } else if (!statement) {
+      respond({ number, answer: undefined, isLeaving });
+    } else {
+      running += 1;
+      const answer = await handle(statement, transactions).finally(() => {
+        running -= 1;
+      });
+      respond({ number, answer, isLeaving });
+    }
+  }
+
+  const accept: RelayAcceptor = (respond) => {
+    const transactions: StreamTransactions = new Map();
+    streams.set(respond, transactions);
+    respond({ number: 0, answer: undefined, isLeaving });
+    return {
+      onRequest: (request) => {
+        respondTo(request, { respond, transactions }).catch((error: Error) => {
+          // Left without an answer: nothing is known of the statement, and the sender gives up on it.
+          logger.error('relayedStatementFailed', { requestId: request.statement?.id, error });
+        });
+      },
+      onEnd: () => {
+        streams.delete(respond);
+        endAll(transactions);
+      },
+    };
+  };
+
+  return {
+    accept,
+    leave: () => {
+      isLeaving = true;
+      for (const respond of streams.keys()) respond({ number: 0, answer: undefined, isLeaving });
+    },
+    abandonTransactions: () => {
+      for (const transactions of streams.values()) endAll(transactions);
+    },
+    load: () => {
+      let open = 0;
+      for (const transactions of streams.values()) open += transactions.size;
+      return running + open;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -0,0 +1,167 @@
+import type { UpstreamAnswer } from '@wisterialift/pooling';
+import type { Logger } from '@wisterialift/telemetry';
+import type { RouteBook } from '../configuration/routeBook';
+import type { GroupAccess, OpenOptions, Transaction } from '../groups/groupAccess';
+import type { GroupTask } from '../groups/groupTask';
+import { COME_BACK_MILLISECONDS } from '../groups/refusals';
+import { isWrite } from '../groups/statementRequest';
+import type { StatementRequest } from '../groups/statementRequest';
+import { HOLD_MILLISECONDS } from '../groups/writePath';
+import type { Clock } from '../ports/clock';
+import type { HolderBook } from './holderBook';
+import type { PeerLink, RelayOutcome } from './peerLink';
+import { decodeAnswer, decodeCommit, decodeRoute, encodeStatement } from './relayMessages';
+import type { RelayAction, RelayedTransaction } from './relayMessages';
+
+export interface RelayedGroupOptions {
+  group: string;
+  /** Runs what no holder takes over this instance's own connections. */
+  local: GroupTask;
+  holders: HolderBook;
+  book: RouteBook;
+  clock: Clock;
+  logger: Logger;
+}
+
+/**
+ * Time beyond a statement's own limit until its answer is given up. The holder ends every statement by
+ * its limit itself, so only an answer that was lost takes longer.
+ */
+const ANSWER_MARGIN_MILLISECONDS = 500;
+
+type Answered = { type: 'answered'; answer: UpstreamAnswer } | { type: 'notSent' | 'lost' };
+
+/** Serves a group's callers through the instances that hold the connections to its members. */
+export function createRelayedGroup(options: RelayedGroupOptions): GroupAccess {
+  const { group, local, holders, book, clock, logger } = options;
+
+  async function send(
+    link: PeerLink,
+    request: StatementRequest,
+    sent: { action: RelayAction; transaction?: RelayedTransaction },
+  ): Promise<Answered> {
+    local.counters.relayed += 1;
+    const statement = encodeStatement(request, { ...sent, now: clock.now() });
+    const limit = Math.max(request.deadlineAt, request.arrived.at + HOLD_MILLISECONDS);
+    const outcome = await link.run(statement, limit + ANSWER_MARGIN_MILLISECONDS);
+    if (outcome.type !== 'answered') {
+      logger.warn('relayFailed', { group, requestId: request.id, ...sent, outcome: outcome.type });
+      return outcome;
+    }
+    return { type: 'answered', answer: takeAnswer(request, outcome) };
+  }
+
+  function takeAnswer(
+    request: StatementRequest,
+    { answer: sent }: RelayOutcome & { type: 'answered' },
+  ): UpstreamAnswer {
+    const answer = decodeAnswer(sent);
+    request.session.lastCommit = decodeCommit(sent.lastCommit, clock.now());
+    if (sent.route) book.learn(decodeRoute(sent.route));
+    if (answer.outcome === 'refused') {
+      logger.info('relayRefused', { group, requestId: request.id, reason: answer.reason });
+    }
+    return answer;
+  }
+
+  function refuse(
+    request: StatementRequest,
+    reason: 'aborted' | 'unknownOutcome',
+    detail: string,
+  ): UpstreamAnswer {
+    logger.warn('statementRefused', {
+      group,
+      requestId: request.id,
+      reason,
+      detail,
+      waitedMilliseconds: Math.round(clock.now() - request.arrived.at),
+    });
+    return { outcome: 'refused', reason, detail, transaction: 'idle' };
+  }
+
+  /** A read whose answer was lost runs again elsewhere while there is time. */
+  async function read(request: StatementRequest): Promise<UpstreamAnswer> {
+    while (clock.now() < request.deadlineAt) {
+      const link = holders.choose(group);
+      if (!link) return local.read(request);
+      const outcome = await send(link, request, { action: 'read' });
+      if (outcome.type === 'answered') return outcome.answer;
+    }
+    const detail = `no instance could run the read, come back in ${COME_BACK_MILLISECONDS} ms`;
+    return refuse(request, 'aborted', detail);
+  }
+
+  /** A write that may have been sent is never sent again. */
+  async function write(request: StatementRequest): Promise<UpstreamAnswer> {
+    for (;;) {
+      const link = holders.choose(group);
+      if (!link) return local.write(request);
+      const outcome = await send(link, request, { action: 'write' });
+      if (outcome.type === 'answered') return outcome.answer;
+      if (outcome.type === 'lost') {
+        return refuse(request, 'unknownOutcome', 'the instance that ran the write was lost');
+      }
+    }
+  }
+
+  async function openTransaction(
+    request: StatementRequest,
+    opening: OpenOptions,
+  ): ReturnType<GroupAccess['openTransaction']> {
+    const link = holders.choose(group);
+    if (!link) return local.openTransaction(request, opening);
+    return { transaction: createRelayedTransaction(link, opening) };
+  }
+
+  /** It begins at the holder with its first statement, so that beginning costs no message. */
+  function createRelayedTransaction(
+    link: PeerLink,
+    { isReadOnly }: { isReadOnly: boolean },
+  ): Transaction {
+    const number = link.nextTransaction();
+    let isFirst = true;
+    let hasWritten = false;
+    let isEnded = false;
+
+    async function step(request: StatementRequest, action: RelayAction): Promise<Answered> {
+      const transaction = { number, isFirst, isReadOnly };
+      isFirst = false;
+      return send(link, request, { action, transaction });
+    }
+
+    async function run(request: StatementRequest): Promise<UpstreamAnswer> {
+      if (isEnded) return refuseFailed(request, 'the transaction has ended');
+      if (isWrite(request)) hasWritten = true;
+      const outcome = await step(request, 'run');
+      if (outcome.type === 'answered') return outcome.answer;
+      // The holder rolls back what a stream leaves open, and a member what a holder leaves open.
+      isEnded = true;
+      return refuseFailed(request, 'the instance that ran the transaction was lost');
+    }
+
+    function refuseFailed(request: StatementRequest, detail: string): UpstreamAnswer {
+      return { ...refuse(request, 'aborted', detail), transaction: 'failed' };
+    }
+
+    async function commit(request: StatementRequest): Promise<UpstreamAnswer> {
+      if (isEnded) return refuse(request, 'aborted', 'the transaction has ended');
+      isEnded = true;
+      const outcome = await step(request, 'commit');
+      if (outcome.type === 'answered') return outcome.answer;
+      const isKnown = outcome.type === 'notSent' || !hasWritten;
+      const detail = 'the instance that ran the commit was lost';
+      return refuse(request, isKnown ? 'aborted' : 'unknownOutcome', detail);
+    }
+
+    return {
+      run,
+      commit,
+      rollBack: () => {
+        if (!isEnded && !isFirst) link.rollBack(number);
+        isEnded = true;
+      },
+    };
+  }
+
+  return { read, write, openTransaction, markArrival: local.markArrival };
+}
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -2,11 +2,11 @@
 import { createSessionState } from '@wisterialift/pooling';
 import type { CallerStatement, FailureReason, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
-import type { GatewayConfiguration, Route } from '../configuration/gatewayConfiguration';
+import type { Route } from '../configuration/gatewayConfiguration';
+import type { RouteBook } from '../configuration/routeBook';
+import type { GroupAccess, Transaction } from '../groups/groupAccess';
 import type { AskedAt } from '../groups/groupContext';
-import type { GroupTask } from '../groups/groupTask';
 import type { GroupSession, StatementRequest } from '../groups/statementRequest';
-import type { Transaction } from '../groups/transaction';
 import type { CallerAnswer, CallerEvents, CallerLink } from '../ports/callerPort';
 import type { Clock } from '../ports/clock';
 
@@ -23,8 +23,8 @@
   link: CallerLink;
   clock: Clock;
   logger: Logger;
-  findConfiguration: () => GatewayConfiguration | undefined;
-  findGroup: (group: string) => GroupTask | undefined;
+  book: RouteBook;
+  findGroup: (group: string) => GroupAccess | undefined;
   onEnd: () => void;
   onAnswered: (sample: AnswerSample) => void;
 }
@@ -40,7 +40,8 @@
 /** A transaction of the caller; it gets a connection with its first statement. */
 interface OpenTransaction {
   route: Route;
-  task: GroupTask;
+  version: number;
+  task: GroupAccess;
   isReadOnly: boolean;
   began: AskedAt;
   upstream?: Transaction;
@@ -56,7 +57,7 @@
 ) => Promise<CallerAnswer> | CallerAnswer;
 
 export function createCallerSession(options: CallerSessionOptions): CallerSession {
-  const { link, clock, logger, findConfiguration, findGroup, onEnd, onAnswered } = options;
+  const { link, clock, logger, book, findGroup, onEnd, onAnswered } = options;
   const session: GroupSession = { state: createSessionState(), lastCommit: undefined };
   let database = '';
   let transaction: OpenTransaction | undefined;
@@ -97,12 +98,12 @@
 
   function onStart(name: string): void {
     database = name;
-    const configuration = findConfiguration();
-    if (!configuration) {
+    const found = book.find(name);
+    if (!found) {
       void startLater(name, clock.now() + START_WAIT_MILLISECONDS);
       return;
     }
-    if (!configuration.routes.has(name)) {
+    if (!found.route) {
       refuseStart('unknownDatabase', `no route leads to ${name}`);
       return;
     }
@@ -111,11 +112,11 @@
 
   /** Right after a start of the process the configuration is a call away; a refusal costs a try. */
   async function startLater(name: string, until: number): Promise<void> {
-    while (!isEnded && !findConfiguration() && clock.now() < until) {
+    while (!isEnded && !book.current() && clock.now() < until) {
       await pause(START_STEP_MILLISECONDS);
     }
     if (isEnded) return;
-    if (findConfiguration()) onStart(name);
+    if (book.current()) onStart(name);
     else refuseStart('busy', 'no configuration is known yet, come back later');
   }
 
@@ -124,7 +125,7 @@
       database,
       reason,
       detail,
-      version: findConfiguration()?.version,
+      version: book.current()?.version,
     });
     link.refuse(reason, detail);
     finish();
@@ -139,7 +140,7 @@
   }
 
   async function answerStatement(statement: CallerStatement, arrivedAt: number): Promise<void> {
-    const route = transaction?.route ?? findConfiguration()?.routes.get(database);
+    const route = transaction?.route ?? book.find(database)?.route;
     const answer = await handle(statement);
     pending -= 1;
     const outcome = answer.outcome === 'refused' ? answer.reason : 'completed';
@@ -167,9 +168,10 @@
     if (transaction) return refuseHere('malformed', 'a transaction is open already');
     const found = findTask();
     if ('refusal' in found) return found.refusal;
-    const { route, task } = found;
+    const { route, version, task } = found;
     transaction = {
       route,
+      version,
       task,
       isReadOnly,
       began: task.markArrival(),
@@ -178,11 +180,15 @@
     return complete();
   }
 
-  function findTask(): { route: Route; task: GroupTask } | { refusal: CallerAnswer } {
-    const route = findConfiguration()?.routes.get(database);
-    if (!route) return { refusal: refuseHere('unknownDatabase', `no route leads to ${database}`) };
+  function findTask():
+    { route: Route; version: number; task: GroupAccess } | { refusal: CallerAnswer } {
+    const found = book.find(database);
+    if (!found?.route) {
+      return { refusal: refuseHere('unknownDatabase', `no route leads to ${database}`) };
+    }
+    const { route, version } = found;
     const task = findGroup(route.group);
-    if (task) return { route, task };
+    if (task) return { route, version, task };
     return {
       refusal: refuseHere('busy', `no database of ${route.group} is known, come back later`),
     };
@@ -195,8 +201,8 @@
     if (transaction) return runInTransaction(transaction, statement, prepared);
     const found = findTask();
     if ('refusal' in found) return found.refusal;
-    const { route, task } = found;
-    const request = toRequest(statement, route, task, prepared);
+    const { task } = found;
+    const request = toRequest(statement, found, prepared);
     const isWrite = (prepared?.statement.access ?? statement.type) === 'write';
     const answer = await (isWrite ? task.write(request) : task.read(request));
     return toCallerAnswer(answer, 'idle');
@@ -204,12 +210,12 @@
 
   function toRequest(
     { id, text }: CallerStatement,
-    route: Route,
-    task: GroupTask,
+    { route, version, task }: { route: Route; version: number; task: GroupAccess },
     prepared?: StatementRequest['prepared'],
   ): StatementRequest {
     const deadlineAt = clock.now() + route.timeout;
-    return { id, text, prepared, session, route, arrived: task.markArrival(), deadlineAt };
+    const arrived = task.markArrival();
+    return { id, text, prepared, session, route, version, arrived, deadlineAt };
   }
 
   async function runInTransaction(
@@ -217,8 +223,7 @@
     statement: CallerStatement,
     prepared?: StatementRequest['prepared'],
   ): Promise<CallerAnswer> {
-    const { route, task } = open;
-    const request = toRequest(statement, route, task, prepared);
+    const request = toRequest(statement, open, prepared);
     const opened = await openUpstream(open, request);
     if (opened) return failTransaction(open, opened);
     const answer = await open.upstream!.run(request);
@@ -253,7 +258,7 @@
       transaction = undefined;
       return refuseHere('aborted', 'the transaction had failed and was rolled back');
     }
-    const request = toRequest(statement, open.route, open.task);
+    const request = toRequest(statement, open);
     const refused = await openUpstream(open, request);
     const answer = refused ?? (await open.upstream!.commit(request));
     transaction = undefined;
@@ -297,7 +302,7 @@
    */
   function watchIdleTransaction(): void {
     const open = transaction;
-    const idle = findConfiguration()?.transactionIdle;
+    const idle = book.current()?.transactionIdle;
     if (!open?.upstream || open.isFailed || !idle) return;
     idleTimer = setTimeout(() => {
       logger.info('transactionIdle', { database, idleMilliseconds: idle });
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -26,6 +26,7 @@
   type SessionState,
 } from './lib/session/pooledSession';
 export { createLatencyEstimate, type LatencyEstimate } from './lib/placing/latencyEstimate';
+export { planHolders, type HolderCandidate, type HolderPlan } from './lib/placing/planHolders';
 export { orderMembersForRead, type MemberLoad } from './lib/placing/chooseMember';
 export { chooseCandidate, type StoppedReplica } from './lib/promotion/chooseCandidate';
 export { settleWrite, type TermOrigin, type WriteFate } from './lib/promotion/settleWrite';
--- a/stand-ins/line-platform/src/lib/objectStoreServer.ts
+++ b/stand-ins/line-platform/src/lib/objectStoreServer.ts
@@ -155,6 +155,16 @@
           answer(response, 409, present);
         } else change(response, put(kind, present.meta.name, body.spec));
       },
+      DELETE: () => {
+        const revisionAsked = url.searchParams.get('revision');
+        if (!present) answer(response, 404);
+        else if (revisionAsked !== null && Number(revisionAsked) !== present.meta.revision) {
+          answer(response, 409, present);
+        } else {
+          remove(kind, present.meta.name);
+          answer(response, 200, present);
+        }
+      },
     };
     handlers[request.method ?? '']?.();
   }
