--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -115,11 +115,17 @@
   const clockTimer = setInterval(checkClocks, CLOCK_CHECK_MILLISECONDS);
   registry.follow(holders.updateInstances);
   options.configuration.follow(adoptConfiguration);
-  options.directory.follow((next) => {
+  options.directory.follow({
+    onChange: adoptDirectory,
+    // An instance that sends nothing to members itself needs to know of none at once.
+    isPrompt: () => groups.size === 0 || [...groups.keys()].some(holders.isHolder),
+  });
+
+  function adoptDirectory(next: DirectoryEntry[]): void {
     entries = next;
     hasDirectory = true;
     for (const [group, task] of groups) task.updateMembers(entriesOf(group));
-  });
+  }
 
   /** Versions only rise: an older one may still arrive from a lagging reader. */
   function adoptConfiguration(next: GatewayConfiguration): void {
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -18,10 +18,16 @@
 
 /** Tells which members there are, and which configuration is in force. @public */
 export interface DirectoryPort {
-  /** Calls back with the whole directory at each change. */
-  follow: (onChange: (entries: DirectoryEntry[]) => void) => void;
-  /** Whether the directory was read within the time that its changes must be known in. */
-  isCurrent: () => boolean;
+  /**
+   * Calls back with the whole directory at each change.
+   *
+   * @param options.isPrompt - whether changes must be known as soon as the platform's bounds ask;
+   *   otherwise a look now and then, which may be seconds old, is enough.
+   */
+  follow: (options: {
+    onChange: (entries: DirectoryEntry[]) => void;
+    isPrompt: () => boolean;
+  }) => void;
 }
 
 /** @public */
