Soak the platform's form under random faults, with real processes

Instances run as processes; databases, store and orders are stand-ins behind loopback links that delay, reset, hold one way or both. Signals, crashes, lost answers, lag and changes of the configuration come from a seed, in series and overlapping. Callers' answers are held against the group's log.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,6 +12,7 @@
   bench: 'tools/bench/src/main.ts',
   demo: 'tools/demo/src/main.ts',
   fuzz: 'tools/fuzz/src/main.ts',
+  soak: 'tools/soak/src/main.ts',
 };
 
 /**
--- a/stand-ins/line-platform/src/index.ts
+++ b/stand-ins/line-platform/src/index.ts
@@ -2,6 +2,7 @@
 export { startDutyServer, type DutyServer, type PromotionCall } from './lib/dutyServer';
 export { startLineDatabase, type LineDatabase, type StatementRun } from './lib/lineDatabase';
 export {
+  NO_FAULTS,
   createLineGroup,
   type LineGroup,
   type LineGroupOptions,
--- a/stand-ins/line-platform/src/lib/lineGroup.ts
+++ b/stand-ins/line-platform/src/lib/lineGroup.ts
@@ -53,7 +53,8 @@
   applyDelay?: number;
 }
 
-const NO_FAULTS: MemberFaults = {
+/** @public */
+export const NO_FAULTS: MemberFaults = {
   busyAnswers: 0,
   lostAnswers: 0,
   isDeaf: false,
--- a/tools/bench/src/index.ts
+++ b/tools/bench/src/index.ts
@@ -15,4 +15,5 @@
 } from './lib/cluster/startDatabase';
 export { type PlatformFaults, type TrialPlatform } from './lib/cluster/startPlatform';
 export { type TrialProxy } from './lib/cluster/startProxy';
+export { findFreePorts } from './lib/cluster/freePorts';
 export { ProgramError, startProgram, type ProgramProcess } from './lib/cluster/startProgram';
--- a/tools/fuzz/src/index.ts
+++ b/tools/fuzz/src/index.ts
@@ -11,4 +11,5 @@
   type HistoryPlan,
 } from './lib/history/historyPlan';
 export { runHistory, type HistoryResult } from './lib/history/runHistory';
+export { createRandom, type Random } from './lib/simulation/random';
 export { runConfigurationFuzz, runGroupFuzz, type FuzzSummary } from './lib/runFuzz';
--- /dev/null
+++ b/tools/soak/src/lib/faults/faultPlan.ts
@@ -0,0 +1,58 @@
+import { createRandom } from '@wisterialift/fuzz';
+import type { Random } from '@wisterialift/fuzz';
+import { FAULT_NAMES } from './faultHandlers';
+import type { FaultName } from './faultHandlers';
+
+/** One fault of a run; times in milliseconds. */
+export interface PlannedFault {
+  name: FaultName;
+  /** From the start of the load. */
+  at: number;
+  duration: number;
+  /** Chooses whom it strikes. */
+  target: number;
+}
+
+/** What a seed makes of a run. */
+export interface FaultPlan {
+  seed: number;
+  maximumConnections: number;
+  faults: PlannedFault[];
+}
+
+/** Pause between faults at the most; they last up to three seconds, so most overlap. */
+const LONGEST_PAUSE_MILLISECONDS = 1_500;
+const DURATION_MILLISECONDS = { shortest: 200, longest: 3_000 };
+
+/** A fault that strikes again at once is a series, as of signals to one process after the other. */
+const SERIES_CHANCE = 0.3;
+
+/** Connections that a database takes: enough for every instance, or so few that one holds them. */
+const CONNECTION_LIMITS = [30, 8];
+
+/** @param length - of the load, in milliseconds. */
+export function createFaultPlan(seed: number, length: number): FaultPlan {
+  const random = createRandom(seed);
+  const faults: PlannedFault[] = [];
+  let at = 500;
+  while (at < length) {
+    const fault = drawFault(random, at);
+    faults.push(fault);
+    while (random.chance(SERIES_CHANCE)) {
+      at += random.between(0, 300);
+      faults.push({ ...fault, at, target: random.between(0, 99) });
+    }
+    at += random.between(0, LONGEST_PAUSE_MILLISECONDS);
+  }
+  return { seed, maximumConnections: random.pick(CONNECTION_LIMITS), faults };
+}
+
+function drawFault(random: Random, at: number): PlannedFault {
+  const { shortest, longest } = DURATION_MILLISECONDS;
+  return {
+    name: random.pick(FAULT_NAMES),
+    at,
+    duration: random.between(shortest, longest),
+    target: random.between(0, 99),
+  };
+}
--- /dev/null
+++ b/tools/soak/src/lib/world/startWorld.ts
@@ -0,0 +1,144 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { findFreePorts } from '@wisterialift/bench';
+import {
+  createLineGroup,
+  startDutyServer,
+  startObjectStore,
+} from '@wisterialift/stand-in-line-platform';
+import type {
+  DutyServer,
+  LineGroup,
+  LineMember,
+  ObjectStoreServer,
+} from '@wisterialift/stand-in-line-platform';
+import { startSoakDatabase } from './soakDatabase';
+import type { SoakDatabase } from './soakDatabase';
+import { startSoakInstance } from './soakInstance';
+import type { SoakInstance } from './soakInstance';
+
+/** Database names of the three kinds of route. */
+export const DATABASES = { primary: 'writes', aged: 'history', own: 'filing' } as const;
+
+/** How old a read of the aged and of the own kind may be, in milliseconds. */
+export const STALENESS = {
+  [DATABASES.primary]: 0,
+  [DATABASES.aged]: 1_500,
+  [DATABASES.own]: 2_500,
+};
+
+/** Everything that the soak starts: instances as processes, all else as stand-ins. */
+export interface World {
+  group: LineGroup;
+  databases: SoakDatabase[];
+  instances: SoakInstance[];
+  store: ObjectStoreServer;
+  duty: DutyServer;
+  /** Writes the next version of the configuration. */
+  configure: (changes?: { timeout?: number }) => void;
+  setLeaving: (member: LineMember, isLeaving: boolean) => void;
+  /** The log lines of all instances. */
+  lines: () => readonly string[];
+  close: () => Promise<void>;
+}
+
+export interface WorldOptions {
+  instances: number;
+  /** Connections that a database takes; few make some instances hold them for the others. */
+  maximumConnections: number;
+}
+
+const GROUP = 'group-1';
+
+/** The last lines that are kept of all instances together. */
+const KEPT_LINES = 20_000;
+
+export async function startWorld(options: WorldOptions): Promise<World> {
+  const { maximumConnections } = options;
+  const group = createLineGroup({ name: GROUP, ids: ['a', 'b', 'c'] });
+  const store = await startObjectStore();
+  const duty = await startDutyServer(() => group);
+  const folder = mkdtempSync(join(tmpdir(), 'wisterialift-soak-'));
+  const databases: SoakDatabase[] = [];
+  const instances: SoakInstance[] = [];
+  const lines: string[] = [];
+  const leaving = new Set<string>();
+  let version = 0;
+
+  function list(member: LineMember): void {
+    const database = databases.find((other) => other.member === member);
+    if (!database) return;
+    store.put('servers', member.id, {
+      service: GROUP,
+      address: `127.0.0.1:${database.link.port}`,
+      zone: 'zone-1',
+      slots: 5,
+      state: leaving.has(member.id) ? 'draining' : 'ready',
+      db_role: member.role,
+    });
+  }
+
+  function configure({ timeout = 1_000 } = {}): void {
+    version += 3;
+    const routes = [
+      { host: DATABASES.primary, route_type: 'primary' },
+      { host: DATABASES.aged, route_type: 'bounded_staleness' },
+      { host: DATABASES.own, route_type: 'read_your_writes' },
+    ].map((route) => ({
+      ...route,
+      service: GROUP,
+      timeout_ms: timeout,
+      priority: 1,
+      max_staleness_ms: STALENESS[route.host],
+    }));
+    const services = [{ name: GROUP, max_conns: maximumConnections }];
+    store.put('config', 'main', { version, routes, services, limits: { tx_idle_ms: 3_000 } });
+  }
+
+  for (const member of group.members.values()) {
+    databases.push(await startSoakDatabase(group, member));
+    list(member);
+  }
+  group.onRoleChange(list);
+  configure();
+
+  const ports = await findFreePorts(options.instances * 3);
+  for (let index = 0; index < options.instances; index += 1) {
+    const [callers, readiness, relay] = ports.slice(index * 3) as [number, number, number];
+    instances.push(
+      await startSoakInstance({
+        name: `instance-${index + 1}`,
+        folder,
+        ports: { callers, readiness, relay },
+        storePort: Number(store.address.split(':')[1]),
+        ordersAddress: duty.address,
+        onLine: (line) => {
+          lines.push(line);
+          if (lines.length > KEPT_LINES) lines.shift();
+        },
+      }),
+    );
+  }
+
+  return {
+    group,
+    databases,
+    instances,
+    store,
+    duty,
+    configure,
+    setLeaving: (member, isLeaving) => {
+      if (isLeaving) leaving.add(member.id);
+      else leaving.delete(member.id);
+      list(member);
+    },
+    lines: () => lines,
+    close: async () => {
+      await Promise.all(instances.map((instance) => instance.close()));
+      await Promise.all(databases.map((database) => database.close()));
+      await Promise.all([store.close(), duty.close()]);
+      rmSync(folder, { recursive: true });
+    },
+  };
+}
