Have both sides of a relayed statement go by one version of the configuration

An instance that the store turned away took a newer route with another's statement and used it, and its own older version for the next database. Ruled out: keeping newer routes by database, as before; the versions are judged over all databases. Change: a statement runs only where both sides have the same version; the one behind waits 250 ms for its own watch, and then takes the whole configuration from the other one.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,7 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GatewayConfiguration } from './configuration/gatewayConfiguration';
-import { createRouteBook } from './configuration/routeBook';
+import { createConfigurationBook } from './configuration/configurationBook';
 import type { GroupAccess } from './groups/groupAccess';
 import { createGroupTask } from './groups/groupTask';
 import type { GroupTask } from './groups/groupTask';
@@ -93,7 +93,7 @@
   const groups = new Map<string, GroupTask>();
   const accesses = new Map<string, GroupAccess>();
   const sessions = new Set<CallerSession>();
-  const book = createRouteBook();
+  const book = createConfigurationBook(handleAdopted);
   let entries: DirectoryEntry[] = [];
   let hasDirectory = false;
   let isDraining = false;
@@ -114,7 +114,7 @@
 
   const clockTimer = setInterval(checkClocks, CLOCK_CHECK_MILLISECONDS);
   registry.follow(holders.updateInstances);
-  options.configuration.follow(adoptConfiguration);
+  options.configuration.follow(book.adopt);
   options.directory.follow({
     onChange: adoptDirectory,
     // An instance that sends nothing to members itself needs to know of none at once.
@@ -127,10 +127,7 @@
     for (const [group, task] of groups) task.updateMembers(entriesOf(group));
   }
 
-  /** Versions only rise: an older one may still arrive from a lagging reader. */
-  function adoptConfiguration(next: GatewayConfiguration): void {
-    const former = book.current()?.version;
-    if (!book.adopt(next)) return;
+  function handleAdopted(next: GatewayConfiguration, former: number | undefined): void {
     logger.info('configurationAdopted', {
       version: next.version,
       former,
--- a/packages/gateway/src/lib/relay/peerLink.ts
+++ b/packages/gateway/src/lib/relay/peerLink.ts
@@ -1,31 +1,29 @@
-import type {
-  RelayAnswer,
-  RelayResponse,
-  RelayStatement,
-  RelayStream,
-} from '@wisterialift/peer/relay';
+import type { RelayRequest, RelayResponse, RelayStream } from '@wisterialift/peer/relay';
 import type { Clock } from '../ports/clock';
 import type { RelayTransport } from '../ports/instancePort';
 
-/** How a statement at another instance ended. */
+/** What a request holds; the rest is empty, and so is a question whether the other one lives. */
+export type RelayContent = Partial<Omit<RelayRequest, 'number'>>;
+
+/** How a request to another instance ended. */
 export type RelayOutcome =
-  | { type: 'answered'; answer: RelayAnswer }
+  | { type: 'answered'; response: RelayResponse }
   /** It did not leave this instance. */
   | { type: 'notSent' }
   /** It was sent, and the stream ended without an answer. */
   | { type: 'lost' };
 
-/** A stream to another instance and the statements in work there. */
+/** A stream to another instance and the requests in work there. */
 export interface PeerLink {
   /** @param answerBy - steady time after which the answer is not waited for. */
-  run: (statement: RelayStatement, answerBy: number) => Promise<RelayOutcome>;
+  ask: (content: RelayContent, answerBy: number) => Promise<RelayOutcome>;
   /** Number for a transaction that is to begin there. */
   nextTransaction: () => number;
   rollBack: (transaction: number) => void;
   /** Whether statements may be placed there; also while it is being opened. */
   isUsable: () => boolean;
   isOpen: () => boolean;
-  /** Statements in work there. */
+  /** Requests in work there. */
   load: () => number;
   close: () => void;
 }
@@ -83,7 +81,8 @@
     lose(new Error(`${address} did not open a stream in time`));
   }, OPEN_MILLISECONDS);
 
-  function receive({ number, answer, isLeaving }: RelayResponse): void {
+  function receive(response: RelayResponse): void {
+    const { number, isLeaving } = response;
     heardAt = clock.now();
     askedAt = undefined;
     if (state === 'opening') {
@@ -91,7 +90,7 @@
       onOpen();
     }
     if (isLeaving) state = 'leaving';
-    if (answer) settle(number, { type: 'answered', answer });
+    if (number > 0) settle(number, { type: 'answered', response });
   }
 
   function finishOpening(next: State): void {
@@ -132,10 +131,21 @@
     } else if (askedAt === undefined && now - heardAt > SILENCE_MILLISECONDS) {
       askedAt = now;
       numbers += 1;
-      stream.send({ number: numbers, statement: undefined, rolledBackTransaction: 0 });
+      send(numbers, {});
     }
   }
 
+  function send(number: number, content: RelayContent): void {
+    stream.send({
+      number,
+      statement: undefined,
+      rolledBackTransaction: 0,
+      wantsConfiguration: false,
+      configurationJson: '',
+      ...content,
+    });
+  }
+
   function waitUntilOpen(): Promise<void> {
     if (state !== 'opening') return Promise.resolve();
     return new Promise((resolve) => {
@@ -152,7 +162,7 @@
     checkTimer = setInterval(check, CHECK_MILLISECONDS);
   }
 
-  async function run(statement: RelayStatement, answerBy: number): Promise<RelayOutcome> {
+  async function ask(content: RelayContent, answerBy: number): Promise<RelayOutcome> {
     await waitUntilOpen();
     if (state === 'lost') return { type: 'notSent' };
     numbers += 1;
@@ -169,19 +179,19 @@
         },
       });
       startChecks();
-      stream.send({ number, statement, rolledBackTransaction: 0 });
+      send(number, content);
     });
   }
 
   return {
-    run,
+    ask,
     nextTransaction: () => {
       transactions += 1;
       return transactions;
     },
     rollBack: (transaction) => {
       if (state === 'lost') return;
-      stream.send({ number: 0, statement: undefined, rolledBackTransaction: transaction });
+      send(0, { rolledBackTransaction: transaction });
     },
     isOpen: () => state === 'open',
     isUsable: () => state === 'opening' || state === 'open',
--- a/packages/gateway/src/lib/relay/relayMessages.ts
+++ b/packages/gateway/src/lib/relay/relayMessages.ts
@@ -9,7 +9,6 @@
 import { createSessionState } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import type { Consistency, Route } from '../configuration/gatewayConfiguration';
-import type { VersionedRoute } from '../configuration/routeBook';
 import type { AskedAt } from '../groups/groupContext';
 import type { GroupSession, StatementRequest } from '../groups/statementRequest';
 import { RelayMessageError } from '../errors/relayMessageError';
@@ -55,7 +54,7 @@
     prepared: prepared && { ...prepared.statement, argumentsText: prepared.argumentsText },
     values: Object.fromEntries(session.state.values),
     lastCommit: encodeCommit(session.lastCommit, now),
-    route: encodeRoute({ database: route.database, version, route }),
+    route: encodeRoute(route, version),
     timeLeftMilliseconds: Math.max(0, Math.round(deadlineAt - now)),
   };
 }
@@ -66,13 +65,18 @@
   return action as RelayAction;
 }
 
-/** Makes a request of this instance from a statement that another one sent. */
+/**
+ * Makes a request of this instance from a statement that another one sent.
+ *
+ * @throws RelayMessageError
+ */
 export function decodeStatement(
   statement: RelayStatement,
-  options: { route: Route; version: number; arrived: AskedAt },
+  options: { arrived: AskedAt },
 ): StatementRequest {
   const { id, text, prepared, values, lastCommit, timeLeftMilliseconds } = statement;
-  const { route, version, arrived } = options;
+  const { arrived } = options;
+  const { route, version } = decodeRoute(statement);
   const session: GroupSession = {
     state: { ...createSessionState(), values: new Map(Object.entries(values)) },
     lastCommit: decodeCommit(lastCommit, arrived.at),
@@ -95,24 +99,24 @@
   };
 }
 
-export function encodeRoute({ database, version, route }: VersionedRoute): RelayRoute {
+function encodeRoute(route: Route, version: number): RelayRoute {
+  const { database, group, consistency, maximumStaleness, timeout, goal, priority } = route;
   return {
     database,
     version,
-    group: route?.group ?? '',
-    consistency: route?.consistency ?? '',
-    maximumStalenessMilliseconds: Math.round(route?.maximumStaleness ?? 0),
-    timeoutMilliseconds: Math.round(route?.timeout ?? 0),
-    goalMilliseconds: Math.round(route?.goal ?? 0),
-    priority: route?.priority ?? 0,
+    group,
+    consistency,
+    maximumStalenessMilliseconds: Math.round(maximumStaleness),
+    timeoutMilliseconds: Math.round(timeout),
+    goalMilliseconds: Math.round(goal),
+    priority,
   };
 }
 
 /** @throws RelayMessageError */
-export function decodeRoute(sent: RelayRoute | undefined): VersionedRoute {
+export function decodeRoute({ route: sent }: RelayStatement): { route: Route; version: number } {
   if (!sent) throw new RelayMessageError('a statement without a route');
   const { database, version, group, consistency, priority } = sent;
-  if (group === '') return { database, version, route: undefined };
   if (!CONSISTENCIES.has(consistency)) throw new RelayMessageError(`no kind: ${consistency}`);
   const route: Route = {
     database,
@@ -123,14 +127,14 @@
     goal: sent.goalMilliseconds,
     priority,
   };
-  return { database, version, route };
+  return { route, version };
 }
 
 export function encodeAnswer(
   answer: UpstreamAnswer,
-  options: { lastCommit: GroupSession['lastCommit']; newerRoute?: VersionedRoute; now: number },
+  options: { lastCommit: GroupSession['lastCommit']; now: number },
 ): RelayAnswer {
-  const { lastCommit, newerRoute, now } = options;
+  const { lastCommit, now } = options;
   const isCompleted = answer.outcome === 'completed';
   return {
     isCompleted,
@@ -141,7 +145,6 @@
     transactionState: answer.transaction,
     position: answer.position,
     lastCommit: encodeCommit(lastCommit, now),
-    route: newerRoute && encodeRoute(newerRoute),
   };
 }
 
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -6,8 +6,9 @@
 } from '@wisterialift/peer/relay';
 import type { UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
-import type { Route } from '../configuration/gatewayConfiguration';
-import type { RouteBook, VersionedRoute } from '../configuration/routeBook';
+import type { ConfigurationBook } from '../configuration/configurationBook';
+import { decodeConfiguration, encodeConfiguration } from '../configuration/gatewayConfiguration';
+import { RelayMessageError } from '../errors/relayMessageError';
 import type { GroupAccess, Transaction } from '../groups/groupAccess';
 import type { StatementRequest } from '../groups/statementRequest';
 import type { Clock } from '../ports/clock';
@@ -26,13 +27,16 @@
 }
 
 export interface RelayServiceOptions {
-  book: RouteBook;
+  book: ConfigurationBook;
   /** The connections of this instance to a group. */
   findGroup: (group: string) => GroupAccess | undefined;
   clock: Clock;
   logger: Logger;
 }
 
+/** Time for the own watch to bring a version that the sender has already; it takes milliseconds. */
+const CATCH_UP_MILLISECONDS = 250;
+
 type Respond = (response: RelayResponse) => void;
 
 /** A transaction that another instance began here. */
@@ -112,39 +116,23 @@
     for (const number of [...transactions.keys()]) end(transactions, number);
   }
 
+  /** @returns undefined where the sender has another version of the configuration. */
   async function handle(
     statement: RelayStatement,
     transactions: StreamTransactions,
   ): Promise<RelayResponse['answer']> {
     const action = decodeAction(statement);
-    const sent = decodeRoute(statement.route);
-    const newest = book.learn(sent);
-    const newerRoute = newest.version > sent.version ? newest : undefined;
-    const now = () => clock.now();
-    const access = findAccess(newest);
-    if ('refusal' in access) {
-      return encodeAnswer(access.refusal, { lastCommit: undefined, newerRoute, now: now() });
+    const { route, version } = decodeRoute(statement);
+    // A transaction goes on by the version that it began with.
+    if (!transactions.has(statement.transaction)) {
+      await book.waitFor(version, CATCH_UP_MILLISECONDS);
+      if (book.version() !== version) return undefined;
     }
-    const { task, route } = access;
-    const arrived = task.markArrival();
-    const request = decodeStatement(statement, { route, version: newest.version, arrived });
-    const answer = await handlers[action]({ statement, request, task, transactions });
-    const { lastCommit } = request.session;
-    return encodeAnswer(answer, { lastCommit, newerRoute, now: now() });
-  }
-
-  function findAccess({
-    database,
-    route,
-  }: VersionedRoute): { task: GroupAccess; route: Route } | { refusal: UpstreamAnswer } {
-    if (!route) return { refusal: refuseHere('unknownDatabase', `no route leads to ${database}`) };
     const task = findGroup(route.group);
-    if (task) return { task, route };
-    return { refusal: refuseHere('busy', `no database of ${route.group} is known here yet`) };
-  }
-
-  function refuseHere(reason: 'unknownDatabase' | 'busy', detail: string): UpstreamAnswer {
-    return { outcome: 'refused', reason, detail, transaction: 'idle' };
+    if (!task) throw new RelayMessageError(`no group: ${route.group}`);
+    const request = decodeStatement(statement, { arrived: task.markArrival() });
+    const answer = await handlers[action]({ statement, request, task, transactions });
+    return encodeAnswer(answer, { lastCommit: request.session.lastCommit, now: clock.now() });
   }
 
   /** What it had done was rolled back when it ended. */
@@ -154,26 +142,37 @@
   }
 
   async function respondTo(
-    { number, statement, rolledBackTransaction }: RelayRequest,
+    { number, statement, ...rest }: RelayRequest,
     { respond, transactions }: { respond: Respond; transactions: StreamTransactions },
   ): Promise<void> {
+    const { rolledBackTransaction, wantsConfiguration, configurationJson } = rest;
     if (rolledBackTransaction > 0) {
       end(transactions, rolledBackTransaction);
-    } else if (!statement) {
-      respond({ number, answer: undefined, isLeaving });
-    } else {
+    } else if (statement) {
       running += 1;
       const answer = await handle(statement, transactions).finally(() => {
         running -= 1;
       });
-      respond({ number, answer, isLeaving });
+      respond(createResponse(number, { answer }));
+    } else {
+      if (configurationJson !== '') book.adopt(decodeConfiguration(configurationJson));
+      const own = wantsConfiguration ? book.current() : undefined;
+      respond(createResponse(number, { configurationJson: own ? encodeConfiguration(own) : '' }));
     }
   }
 
+  function createResponse(
+    number: number,
+    content: Partial<Pick<RelayResponse, 'answer' | 'configurationJson'>> = {},
+  ): RelayResponse {
+    const version = Math.max(0, book.version());
+    return { number, isLeaving, version, answer: undefined, configurationJson: '', ...content };
+  }
+
   const accept: RelayAcceptor = (respond) => {
     const transactions: StreamTransactions = new Map();
     streams.set(respond, transactions);
-    respond({ number: 0, answer: undefined, isLeaving });
+    respond(createResponse(0));
     return {
       onRequest: (request) => {
         respondTo(request, { respond, transactions }).catch((error: Error) => {
@@ -192,7 +191,7 @@
     accept,
     leave: () => {
       isLeaving = true;
-      for (const respond of streams.keys()) respond({ number: 0, answer: undefined, isLeaving });
+      for (const respond of streams.keys()) respond(createResponse(0));
     },
     abandonTransactions: () => {
       for (const transactions of streams.values()) endAll(transactions);
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -1,6 +1,8 @@
 import type { UpstreamAnswer } from '@wisterialift/pooling';
+import type { RelayAnswer } from '@wisterialift/peer/relay';
 import type { Logger } from '@wisterialift/telemetry';
-import type { RouteBook } from '../configuration/routeBook';
+import type { ConfigurationBook } from '../configuration/configurationBook';
+import { decodeConfiguration, encodeConfiguration } from '../configuration/gatewayConfiguration';
 import type { GroupAccess, OpenOptions, Transaction } from '../groups/groupAccess';
 import type { GroupTask } from '../groups/groupTask';
 import { COME_BACK_MILLISECONDS } from '../groups/refusals';
@@ -9,8 +11,8 @@
 import { HOLD_MILLISECONDS } from '../groups/writePath';
 import type { Clock } from '../ports/clock';
 import type { HolderBook } from './holderBook';
-import type { PeerLink, RelayOutcome } from './peerLink';
-import { decodeAnswer, decodeCommit, decodeRoute, encodeStatement } from './relayMessages';
+import type { PeerLink } from './peerLink';
+import { decodeAnswer, decodeCommit, encodeStatement } from './relayMessages';
 import type { RelayAction, RelayedTransaction } from './relayMessages';
 
 export interface RelayedGroupOptions {
@@ -18,7 +20,7 @@
   /** Runs what no holder takes over this instance's own connections. */
   local: GroupTask;
   holders: HolderBook;
-  book: RouteBook;
+  book: ConfigurationBook;
   clock: Clock;
   logger: Logger;
 }
@@ -29,7 +31,20 @@
  */
 const ANSWER_MARGIN_MILLISECONDS = 500;
 
-type Answered = { type: 'answered'; answer: UpstreamAnswer } | { type: 'notSent' | 'lost' };
+/**
+ * Time for the own watch to bring a version that another instance has already. It takes some
+ * milliseconds; an instance that the store turns away takes the configuration from the other one then.
+ */
+const CATCH_UP_MILLISECONDS = 250;
+
+/** Time limit of an exchange of configurations, which are a quarter of a megabyte at the most. */
+const EXCHANGE_MILLISECONDS = 600;
+
+type Answered =
+  | { type: 'answered'; answer: UpstreamAnswer }
+  /** It did not run, since the holder has another version of the configuration. */
+  | { type: 'otherVersion'; version: number }
+  | { type: 'notSent' | 'lost' };
 
 /** Serves a group's callers through the instances that hold the connections to its members. */
 export function createRelayedGroup(options: RelayedGroupOptions): GroupAccess {
@@ -43,30 +58,84 @@
     local.counters.relayed += 1;
     const statement = encodeStatement(request, { ...sent, now: clock.now() });
     const limit = Math.max(request.deadlineAt, request.arrived.at + HOLD_MILLISECONDS);
-    const outcome = await link.run(statement, limit + ANSWER_MARGIN_MILLISECONDS);
+    const outcome = await link.ask({ statement }, limit + ANSWER_MARGIN_MILLISECONDS);
     if (outcome.type !== 'answered') {
       logger.warn('relayFailed', { group, requestId: request.id, ...sent, outcome: outcome.type });
       return outcome;
     }
-    return { type: 'answered', answer: takeAnswer(request, outcome) };
+    const { answer, version } = outcome.response;
+    if (!answer) return { type: 'otherVersion', version };
+    return { type: 'answered', answer: takeAnswer(request, answer) };
   }
 
-  function takeAnswer(
-    request: StatementRequest,
-    { answer: sent }: RelayOutcome & { type: 'answered' },
-  ): UpstreamAnswer {
+  function takeAnswer(request: StatementRequest, sent: RelayAnswer): UpstreamAnswer {
     const answer = decodeAnswer(sent);
     request.session.lastCommit = decodeCommit(sent.lastCommit, clock.now());
-    if (sent.route) book.learn(decodeRoute(sent.route));
     if (answer.outcome === 'refused') {
       logger.info('relayRefused', { group, requestId: request.id, reason: answer.reason });
     }
     return answer;
   }
 
+  /**
+   * Brings this instance and a holder to the same version, the newer of the two.
+   *
+   * Both show the effect of a version once one of them has it, and neither may go back afterwards.
+   */
+  async function agree(link: PeerLink, version: number): Promise<void> {
+    const own = book.current();
+    if (!own || own.version === version) return;
+    const answerBy = clock.now() + EXCHANGE_MILLISECONDS;
+    if (own.version > version) {
+      logger.info('configurationSent', { group, version: own.version, former: version });
+      await link.ask({ configurationJson: encodeConfiguration(own) }, answerBy);
+    } else if (!(await book.waitFor(version, CATCH_UP_MILLISECONDS))) {
+      const outcome = await link.ask({ wantsConfiguration: true }, answerBy);
+      if (outcome.type !== 'answered' || outcome.response.configurationJson === '') return;
+      logger.info('configurationTaken', { group, version, former: own.version });
+      book.adopt(decodeConfiguration(outcome.response.configurationJson));
+    }
+  }
+
+  /**
+   * Sends a statement that no transaction has begun yet, by the version that both sides have.
+   *
+   * @returns a refusal where that version leads the database elsewhere.
+   */
+  async function sendByVersion(
+    link: PeerLink,
+    request: StatementRequest,
+    sent: { action: RelayAction; transaction?: RelayedTransaction },
+  ): Promise<Exclude<Answered, { type: 'otherVersion' }>> {
+    for (;;) {
+      const outcome = await send(link, request, sent);
+      if (outcome.type !== 'otherVersion') return outcome;
+      if (clock.now() >= request.deadlineAt) return { type: 'notSent' };
+      await agree(link, outcome.version);
+      const found = book.find(request.route.database);
+      if (!found) return { type: 'notSent' };
+      const { route, version } = found;
+      if (!route || route.group !== group) {
+        return { type: 'answered', answer: refuseMoved(request) };
+      }
+      Object.assign(request, { route, version });
+    }
+  }
+
+  function refuseMoved(request: StatementRequest): UpstreamAnswer {
+    const { database } = request.route;
+    const isDropped = !book.find(database)?.route;
+    if (isDropped) return refuse(request, 'unknownDatabase', `no route leads to ${database}`);
+    return refuse(
+      request,
+      'busy',
+      `${database} has just moved, come back in ${COME_BACK_MILLISECONDS} ms`,
+    );
+  }
+
   function refuse(
     request: StatementRequest,
-    reason: 'aborted' | 'unknownOutcome',
+    reason: 'aborted' | 'unknownOutcome' | 'unknownDatabase' | 'busy',
     detail: string,
   ): UpstreamAnswer {
     logger.warn('statementRefused', {
@@ -84,7 +153,7 @@
     while (clock.now() < request.deadlineAt) {
       const link = holders.choose(group);
       if (!link) return local.read(request);
-      const outcome = await send(link, request, { action: 'read' });
+      const outcome = await sendByVersion(link, request, { action: 'read' });
       if (outcome.type === 'answered') return outcome.answer;
     }
     const detail = `no instance could run the read, come back in ${COME_BACK_MILLISECONDS} ms`;
@@ -96,7 +165,7 @@
     for (;;) {
       const link = holders.choose(group);
       if (!link) return local.write(request);
-      const outcome = await send(link, request, { action: 'write' });
+      const outcome = await sendByVersion(link, request, { action: 'write' });
       if (outcome.type === 'answered') return outcome.answer;
       if (outcome.type === 'lost') {
         return refuse(request, 'unknownOutcome', 'the instance that ran the write was lost');
@@ -123,10 +192,13 @@
     let hasWritten = false;
     let isEnded = false;
 
-    async function step(request: StatementRequest, action: RelayAction): Promise<Answered> {
+    async function step(
+      request: StatementRequest,
+      action: RelayAction,
+    ): Promise<Exclude<Answered, { type: 'otherVersion' }>> {
       const transaction = { number, isFirst, isReadOnly };
       isFirst = false;
-      return send(link, request, { action, transaction });
+      return sendByVersion(link, request, { action, transaction });
     }
 
     async function run(request: StatementRequest): Promise<UpstreamAnswer> {
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -3,7 +3,7 @@
 import type { CallerStatement, FailureReason, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
 import type { Route } from '../configuration/gatewayConfiguration';
-import type { RouteBook } from '../configuration/routeBook';
+import type { ConfigurationBook } from '../configuration/configurationBook';
 import type { GroupAccess, Transaction } from '../groups/groupAccess';
 import type { AskedAt } from '../groups/groupContext';
 import type { GroupSession, StatementRequest } from '../groups/statementRequest';
@@ -23,7 +23,7 @@
   link: CallerLink;
   clock: Clock;
   logger: Logger;
-  book: RouteBook;
+  book: ConfigurationBook;
   findGroup: (group: string) => GroupAccess | undefined;
   onEnd: () => void;
   onAnswered: (sample: AnswerSample) => void;
