--- a/tools/soak/src/lib/faults/faultHandlers.ts
+++ b/tools/soak/src/lib/faults/faultHandlers.ts
@@ -52,8 +52,7 @@
 };
 
 const kill = async (instance: SoakInstance, { duration }: PlannedFault): Promise<void> => {
-  instance.process().thaw();
-  await instance.process().kill();
+  await instance.end('kill');
   await pause(duration);
   instance.restart();
 };
@@ -64,12 +63,12 @@
     await Promise.all(instances.map((instance) => kill(instance, fault)));
   },
   instancePaused: overInstance(async (instance, { duration }) => {
-    instance.process().freeze();
+    instance.freeze();
     await pause(duration);
-    instance.process().thaw();
+    instance.thaw();
   }),
   instanceStopped: overInstance(async (instance) => {
-    await instance.process().stop();
+    await instance.end('stop');
     instance.restart();
   }),
   instanceReloaded: overInstance(async (instance) => instance.reload()),
--- a/tools/soak/src/lib/runSoak.ts
+++ b/tools/soak/src/lib/runSoak.ts
@@ -74,6 +74,11 @@
   for (const instance of world.instances) instance.callers.resetAll();
   await Promise.all(callers);
   const violations = [...history.violations, ...checkLog(world, history)];
+  for (const instance of world.instances) {
+    for (const detail of instance.failures()) {
+      violations.push({ promise: 'no instance ends by itself', detail });
+    }
+  }
   if (!isServing) {
     violations.push({ promise: 'service comes back', detail: `not in ${options.recovery} ms` });
   }
--- a/tools/soak/src/test/soak.test.ts
+++ b/tools/soak/src/test/soak.test.ts
@@ -15,4 +15,13 @@
     expect(violations).toEqual([]);
     expect(acknowledged).toBeGreaterThan(0);
   });
+
+  it.each([[103, 'settings that changed right after a start ended the instance']])(
+    'holds with seed %i, which failed once: %s',
+    { timeout: 120_000 },
+    async (seed) => {
+      const options = { seed, length: 12_000, instances: 3, recovery: RECOVERY_MILLISECONDS };
+      expect((await runSoak(options)).violations).toEqual([]);
+    },
+  );
 });
