Know the members as they are now before taking over from a holder

Cause, by reading: an instance without connections reads the members each 5 s from a list that may be seconds old; one that takes over could send to a member that has been leaving for longer than its bound. Besides: a relayed statement that could not be understood was not answered, a transaction whose answer was given up stayed open at the holder, and a write without a reachable holder had no end. Change: the first statement of its own waits for a fresh list, 600 ms at most; the three others are answered or rolled back at once. Tests in relayVersions.test.ts.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -81,6 +81,16 @@
 /** How often a stop looks for sessions that can be ended, some of which have come meanwhile. */
 const DRAIN_STEP_MILLISECONDS = 50;
 
+/** Time after a statement to a member in which the directory is followed closely. */
+const DIRECTORY_NEEDED_MILLISECONDS = 30_000;
+
+/**
+ * Time for a fresh look at the directory before the first statement; a quarter of a second until it is
+ * noticed that one is needed, and a call. Without an answer of the store it goes by what it knows.
+ */
+const FRESH_WAIT_MILLISECONDS = 600;
+const FRESH_STEP_MILLISECONDS = 20;
+
 /** How often the clocks are compared to notice a suspension. */
 const CLOCK_CHECK_MILLISECONDS = 250;
 
@@ -96,6 +106,8 @@
   const book = createConfigurationBook(handleAdopted);
   let entries: DirectoryEntry[] = [];
   let hasDirectory = false;
+  let isDirectoryFresh = false;
+  let neededUntil = -Infinity;
   let isDraining = false;
   let drift = driftOf(clock);
 
@@ -104,6 +116,7 @@
   const relay = createRelayService({
     book,
     findGroup: (group) => groups.get(group),
+    freshenDirectory,
     clock,
     logger,
   });
@@ -118,11 +131,26 @@
   options.directory.follow({
     onChange: adoptDirectory,
     // An instance that sends nothing to members itself needs to know of none at once.
-    isPrompt: () => groups.size === 0 || [...groups.keys()].some(holders.isHolder),
+    isPrompt: () => groups.size === 0 || isDirectoryNeeded(),
   });
 
-  function adoptDirectory(next: DirectoryEntry[]): void {
+  function isDirectoryNeeded(): boolean {
+    return clock.now() < neededUntil || [...groups.keys()].some(holders.isHolder);
+  }
+
+  /**
+   * An instance that takes over from a holder knows the members by a list that may be ten seconds old;
+   * it would send statements to one that has been leaving for longer than it may be used.
+   */
+  async function freshenDirectory(): Promise<void> {
+    neededUntil = clock.now() + DIRECTORY_NEEDED_MILLISECONDS;
+    const until = clock.now() + FRESH_WAIT_MILLISECONDS;
+    while (!isDirectoryFresh && clock.now() < until) await pause(FRESH_STEP_MILLISECONDS);
+  }
+
+  function adoptDirectory(next: DirectoryEntry[], { isFresh }: { isFresh: boolean }): void {
     entries = next;
+    isDirectoryFresh = isFresh;
     hasDirectory = true;
     for (const [group, task] of groups) task.updateMembers(entriesOf(group));
   }
@@ -150,7 +178,15 @@
       missingGrace: times.missingGrace,
     });
     groups.set(group, task);
-    const access = createRelayedGroup({ group, local: task, holders, book, clock, logger });
+    const access = createRelayedGroup({
+      group,
+      local: task,
+      holders,
+      book,
+      freshenDirectory,
+      clock,
+      logger,
+    });
     accesses.set(group, access);
     if (hasDirectory) task.updateMembers(entriesOf(group));
   }
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -25,7 +25,7 @@
    *   otherwise a look now and then, which may be seconds old, is enough.
    */
   follow: (options: {
-    onChange: (entries: DirectoryEntry[]) => void;
+    onChange: (entries: DirectoryEntry[], options: { isFresh: boolean }) => void;
     isPrompt: () => boolean;
   }) => void;
 }
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -30,6 +30,8 @@
   book: ConfigurationBook;
   /** The connections of this instance to a group. */
   findGroup: (group: string) => GroupAccess | undefined;
+  /** Resolves once the members are known as they are now, as far as the store tells. */
+  freshenDirectory: () => Promise<void>;
   clock: Clock;
   logger: Logger;
 }
@@ -58,7 +60,7 @@
 }) => Promise<UpstreamAnswer>;
 
 export function createRelayService(options: RelayServiceOptions): RelayService {
-  const { book, findGroup, clock, logger } = options;
+  const { book, findGroup, freshenDirectory, clock, logger } = options;
   const streams = new Map<Respond, StreamTransactions>();
   let running = 0;
   let isLeaving = false;
@@ -128,6 +130,7 @@
       await book.waitFor(version, CATCH_UP_MILLISECONDS);
       if (book.version() !== version) return undefined;
     }
+    await freshenDirectory();
     const task = findGroup(route.group);
     if (!task) throw new RelayMessageError(`no group: ${route.group}`);
     const request = decodeStatement(statement, { arrived: task.markArrival() });
@@ -141,6 +144,15 @@
     return { outcome: 'refused', reason: 'aborted', detail, transaction: 'failed' };
   }
 
+  /** A message that cannot be understood did not run; of another failure nothing is known. */
+  function answerFailure({ id }: RelayStatement, error: Error): RelayResponse['answer'] {
+    logger.error('relayedStatementFailed', { requestId: id, error });
+    const reason = error instanceof RelayMessageError ? 'busy' : 'unknownOutcome';
+    const detail = 'the instance that should run the statement failed';
+    const refusal = { outcome: 'refused', reason, detail, transaction: 'failed' } as const;
+    return encodeAnswer(refusal, { lastCommit: undefined, now: clock.now() });
+  }
+
   async function respondTo(
     { number, statement, ...rest }: RelayRequest,
     { respond, transactions }: { respond: Respond; transactions: StreamTransactions },
@@ -150,9 +162,11 @@
       end(transactions, rolledBackTransaction);
     } else if (statement) {
       running += 1;
-      const answer = await handle(statement, transactions).finally(() => {
-        running -= 1;
-      });
+      const answer = await handle(statement, transactions)
+        .catch((error: Error) => answerFailure(statement, error))
+        .finally(() => {
+          running -= 1;
+        });
       respond(createResponse(number, { answer }));
     } else {
       if (configurationJson !== '') book.adopt(decodeConfiguration(configurationJson));
@@ -176,8 +190,7 @@
     return {
       onRequest: (request) => {
         respondTo(request, { respond, transactions }).catch((error: Error) => {
-          // Left without an answer: nothing is known of the statement, and the sender gives up on it.
-          logger.error('relayedStatementFailed', { requestId: request.statement?.id, error });
+          logger.error('relayRequestFailed', { number: request.number, error });
         });
       },
       onEnd: () => {
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -21,6 +21,8 @@
   local: GroupTask;
   holders: HolderBook;
   book: ConfigurationBook;
+  /** Resolves once the members are known as they are now, as far as the store tells. */
+  freshenDirectory: () => Promise<void>;
   clock: Clock;
   logger: Logger;
 }
@@ -48,7 +50,7 @@
 
 /** Serves a group's callers through the instances that hold the connections to its members. */
 export function createRelayedGroup(options: RelayedGroupOptions): GroupAccess {
-  const { group, local, holders, book, clock, logger } = options;
+  const { group, local, holders, book, clock, freshenDirectory, logger } = options;
 
   async function send(
     link: PeerLink,
@@ -148,11 +150,16 @@
     return { outcome: 'refused', reason, detail, transaction: 'idle' };
   }
 
+  async function runHere<Value>(run: () => Promise<Value>): Promise<Value> {
+    await freshenDirectory();
+    return run();
+  }
+
   /** A read whose answer was lost runs again elsewhere while there is time. */
   async function read(request: StatementRequest): Promise<UpstreamAnswer> {
     while (clock.now() < request.deadlineAt) {
       const link = holders.choose(group);
-      if (!link) return local.read(request);
+      if (!link) return runHere(() => local.read(request));
       const outcome = await sendByVersion(link, request, { action: 'read' });
       if (outcome.type === 'answered') return outcome.answer;
     }
@@ -162,15 +169,17 @@
 
   /** A write that may have been sent is never sent again. */
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
-    for (;;) {
+    while (clock.now() < request.deadlineAt) {
       const link = holders.choose(group);
-      if (!link) return local.write(request);
+      if (!link) return runHere(() => local.write(request));
       const outcome = await sendByVersion(link, request, { action: 'write' });
       if (outcome.type === 'answered') return outcome.answer;
       if (outcome.type === 'lost') {
         return refuse(request, 'unknownOutcome', 'the instance that ran the write was lost');
       }
     }
+    const detail = `no instance could run the write, come back in ${COME_BACK_MILLISECONDS} ms`;
+    return refuse(request, 'busy', detail);
   }
 
   async function openTransaction(
@@ -178,7 +187,7 @@
     opening: OpenOptions,
   ): ReturnType<GroupAccess['openTransaction']> {
     const link = holders.choose(group);
-    if (!link) return local.openTransaction(request, opening);
+    if (!link) return runHere(() => local.openTransaction(request, opening));
     return { transaction: createRelayedTransaction(link, opening) };
   }
 
@@ -208,6 +217,7 @@
       if (outcome.type === 'answered') return outcome.answer;
       // The holder rolls back what a stream leaves open, and a member what a holder leaves open.
       isEnded = true;
+      link.rollBack(number);
       return refuseFailed(request, 'the instance that ran the transaction was lost');
     }
 
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -15,7 +15,7 @@
 
 const GROUP = 'group-1';
 const clock = createProcessClock();
-const write = () => undefined;
+const write = (): void => undefined;
 const logger: Logger = { trace: write, debug: write, info: write, warn: write, error: write };
 
 const routeTo = (group: string): Route => ({
@@ -38,9 +38,10 @@
 }
 
 /** A group that runs every read and tells the version that it ran by. */
-function createGroup(ran: number[]): GroupTask {
+function createGroup(ran: number[], onRun = write): GroupTask {
   const read = async ({ version }: StatementRequest): Promise<UpstreamAnswer> => {
     ran.push(version);
+    onRun();
     return { outcome: 'completed', rows: [], signature: 's', transaction: 'idle' };
   };
   const counters = { probes: 0, retries: 0, refusals: 0, promotions: 0, relayed: 0 };
@@ -51,7 +52,10 @@
 /** An instance that relays and one that holds, each with its own version of the configuration. */
 function createPair(own: GatewayConfiguration, held: GatewayConfiguration) {
   const ran: number[] = [];
-  const group = createGroup(ran);
+  const order: string[] = [];
+  let group: GroupTask | undefined = createGroup(ran);
+  const local = createGroup(ran, () => order.push('ran'));
+  let isLost = false;
   const book = createConfigurationBook(write);
   const holderBook = createConfigurationBook(write);
   book.adopt(own);
@@ -59,6 +63,7 @@
   const service = createRelayService({
     book: holderBook,
     findGroup: () => group,
+    freshenDirectory: async () => undefined,
     clock,
     logger,
   });
@@ -76,9 +81,9 @@
   const link = createPeerLink(options);
   const relayed = createRelayedGroup({
     group: GROUP,
-    local: group,
+    local,
     holders: {
-      choose: () => link,
+      choose: () => (isLost ? undefined : link),
       isHolder: () => false,
       isKnown: () => true,
       updateInstances: write,
@@ -86,10 +91,25 @@
       close: write,
     },
     book,
+    freshenDirectory: async () => {
+      order.push('freshened');
+    },
     clock,
     logger,
   });
-  return { ran, relayed, book, holderBook };
+  return {
+    ran,
+    order,
+    relayed,
+    book,
+    holderBook,
+    forgetGroup: () => {
+      group = undefined;
+    },
+    loseHolder: () => {
+      isLost = true;
+    },
+  };
 }
 
 function createRequest(book: ConfigurationBook): StatementRequest {
@@ -132,6 +152,30 @@
   });
 });
 
+describe('a statement that the holder cannot run', () => {
+  it('is refused at once, as one that has not run', async () => {
+    // A caller waited for four seconds for an answer that nobody was going to give.
+    // The holder had no group of that name yet and only wrote a line in its log.
+    const configuration = configurationOf(4, GROUP);
+    const { ran, relayed, book, forgetGroup } = createPair(configuration, configuration);
+    forgetGroup();
+    expect(await relayed.read(createRequest(book))).toMatchObject({ reason: 'busy' });
+    expect(ran).toEqual([]);
+  });
+});
+
+describe('an instance that runs a statement itself', () => {
+  it('first learns which members there are now', async () => {
+    // Statements reached a database that had been leaving for longer than it may be used.
+    // The instance had held no connections, and took over from a holder by a list of ten seconds ago.
+    const configuration = configurationOf(4, GROUP);
+    const { order, relayed, book, loseHolder } = createPair(configuration, configuration);
+    loseHolder();
+    await relayed.read(createRequest(book));
+    expect(order).toEqual(['freshened', 'ran']);
+  });
+});
+
 describe('the version in force', () => {
   it('never goes back, and wakes who waits for it', async () => {
     const book = createConfigurationBook(write);
