--- a/packages/gateway/src/lib/configuration/configurationBook.ts
+++ b/packages/gateway/src/lib/configuration/configurationBook.ts
@@ -1,5 +1,8 @@
 import type { GatewayConfiguration, Route } from './gatewayConfiguration';
 
+/** Time for the own watch to bring a version that another instance has already; it takes milliseconds. */
+export const CATCH_UP_MILLISECONDS = 250;
+
 /** Where a database leads by the version in force. */
 export interface VersionedRoute {
   version: number;
--- a/packages/gateway/src/lib/groups/refusals.ts
+++ b/packages/gateway/src/lib/groups/refusals.ts
@@ -5,9 +5,13 @@
 /** When to come back after a refusal: a change of primary or a busy spell is usually over by then. */
 export const COME_BACK_MILLISECONDS = 300;
 
+/** What a refusal is counted and logged with; what the instance believes of the group, if it does. */
+type RefusalContext = Pick<GroupContext, 'clock' | 'counters' | 'group' | 'logger'> &
+  Partial<Pick<GroupContext, 'belief' | 'evidence'>>;
+
 /** Builds a refusal of this instance's own, and logs what decided it. */
 export function refuse(
-  context: GroupContext,
+  context: RefusalContext,
   request: StatementRequest,
   reason: FailureReason,
   detail: string,
@@ -20,8 +24,8 @@
     reason,
     detail,
     waitedMilliseconds: Math.round(clock.now() - request.arrived.at),
-    primaryId: belief.find()?.entry.memberId,
-    term: evidence.highestTerm(),
+    primaryId: belief?.find()?.entry.memberId,
+    term: evidence?.highestTerm(),
   });
   return { outcome: 'refused', reason, detail, transaction: 'idle' };
 }
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -6,6 +6,7 @@
 } from '@wisterialift/peer/relay';
 import type { UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
+import { CATCH_UP_MILLISECONDS } from '../configuration/configurationBook';
 import type { ConfigurationBook } from '../configuration/configurationBook';
 import { decodeConfiguration, encodeConfiguration } from '../configuration/gatewayConfiguration';
 import { RelayMessageError } from '../errors/relayMessageError';
@@ -36,9 +37,6 @@
   logger: Logger;
 }
 
-/** Time for the own watch to bring a version that the sender has already; it takes milliseconds. */
-const CATCH_UP_MILLISECONDS = 250;
-
 type Respond = (response: RelayResponse) => void;
 
 /** A transaction that another instance began here. */
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -1,11 +1,12 @@
-import type { UpstreamAnswer } from '@wisterialift/pooling';
+import type { FailureReason, UpstreamAnswer } from '@wisterialift/pooling';
 import type { RelayAnswer } from '@wisterialift/peer/relay';
 import type { Logger } from '@wisterialift/telemetry';
+import { CATCH_UP_MILLISECONDS } from '../configuration/configurationBook';
 import type { ConfigurationBook } from '../configuration/configurationBook';
 import { decodeConfiguration, encodeConfiguration } from '../configuration/gatewayConfiguration';
 import type { GroupAccess, OpenOptions, Transaction } from '../groups/groupAccess';
 import type { GroupTask } from '../groups/groupTask';
-import { COME_BACK_MILLISECONDS } from '../groups/refusals';
+import { COME_BACK_MILLISECONDS, refuse as refuseStatement } from '../groups/refusals';
 import { isWrite } from '../groups/statementRequest';
 import type { StatementRequest } from '../groups/statementRequest';
 import { HOLD_MILLISECONDS } from '../groups/writePath';
@@ -33,12 +34,6 @@
  */
 const ANSWER_MARGIN_MILLISECONDS = 500;
 
-/**
- * Time for the own watch to bring a version that another instance has already. It takes some
- * milliseconds; an instance that the store turns away takes the configuration from the other one then.
- */
-const CATCH_UP_MILLISECONDS = 250;
-
 /** Time limit of an exchange of configurations, which are a quarter of a megabyte at the most. */
 const EXCHANGE_MILLISECONDS = 600;
 
@@ -137,17 +132,11 @@
 
   function refuse(
     request: StatementRequest,
-    reason: 'aborted' | 'unknownOutcome' | 'unknownDatabase' | 'busy',
+    reason: FailureReason,
     detail: string,
   ): UpstreamAnswer {
-    logger.warn('statementRefused', {
-      group,
-      requestId: request.id,
-      reason,
-      detail,
-      waitedMilliseconds: Math.round(clock.now() - request.arrived.at),
-    });
-    return { outcome: 'refused', reason, detail, transaction: 'idle' };
+    const { counters } = local;
+    return refuseStatement({ group, clock, counters, logger }, request, reason, detail);
   }
 
   async function runHere<Value>(run: () => Promise<Value>): Promise<Value> {
