Explain a request from the logs of the instances

wisterialift explain --id ID LOG... prints the request's lines, what changed the belief in its group before it, and what the instances on its way had lost.

--- a/packages/cli/src/lib/createProgram.ts
+++ b/packages/cli/src/lib/createProgram.ts
@@ -1,6 +1,7 @@
 import { Command } from 'commander';
 import type { CommandContext } from './commands/commandContext';
 import { createConfigCommand } from './commands/configCommands';
+import { createExplainCommand } from './commands/explainCommand';
 import { createReportCommand } from './commands/reportCommands';
 import { createProxyCommand, createSettingsCommand } from './commands/settingsCommands';
 import {
@@ -23,6 +24,7 @@
   program.addCommand(createGroupCommand(context));
   program.addCommand(createInstanceCommand(context));
   program.addCommand(createReportCommand(context));
+  program.addCommand(createExplainCommand(context));
   program.addCommand(createSettingsCommand(context));
   return program;
 }
--- a/packages/cli/src/test/program.test.ts
+++ b/packages/cli/src/test/program.test.ts
@@ -172,3 +172,33 @@
     expect([code, output]).toMatchSnapshot();
   });
 });
+
+describe('explain', () => {
+  const log = JSON.stringify({
+    instance: 'front-1',
+    event: 'statementRefused',
+    group: 'archivio-1',
+    requestId: 'r1',
+    reason: 'busy',
+    waitedMilliseconds: 800,
+    time: '2026-05-08T10:00:08.500Z',
+  });
+
+  it('shows what the logs tell of a request', async () => {
+    const { code, output } = await run(['explain', '--id', 'r1', 'front-1.log'], {
+      'front-1.log': log,
+    });
+    expect(code).toBe(0);
+    expect(output).toContain('statementRefused');
+    expect(output).toContain('+800 ms');
+  });
+
+  it('says so where no log names the request, or a log is not there', async () => {
+    const files = { 'front-1.log': log };
+    const unknown = await run(['explain', '--id', 'r9', 'front-1.log'], files);
+    expect(unknown).toMatchObject({ code: 2, output: '' });
+    expect(unknown.errors).toContain('no line of these logs names the request r9');
+    const missing = await run(['explain', '--id', 'r1', 'front-2.log'], files);
+    expect(missing.errors).toContain('front-2.log');
+  });
+});
--- a/packages/gateway/src/lib/groups/refusals.ts
+++ b/packages/gateway/src/lib/groups/refusals.ts
@@ -7,7 +7,7 @@
 
 /** What a refusal is counted and logged with; what the instance believes of the group, if it does. */
 type RefusalContext = Pick<GroupContext, 'clock' | 'counters' | 'group' | 'logger'> &
-  Partial<Pick<GroupContext, 'belief' | 'evidence'>>;
+  Partial<Pick<GroupContext, 'belief' | 'evidence' | 'members'>>;
 
 /** Builds a refusal of this instance's own, and logs what decided it. */
 export function refuse(
@@ -16,7 +16,7 @@
   reason: FailureReason,
   detail: string,
 ): UpstreamAnswer {
-  const { clock, counters, evidence, group, logger, belief } = context;
+  const { clock, counters, evidence, group, logger, belief, members } = context;
   counters.refusals += 1;
   logger.warn('statementRefused', {
     group,
@@ -26,6 +26,18 @@
     waitedMilliseconds: Math.round(clock.now() - request.arrived.at),
     primaryId: belief?.find()?.entry.memberId,
     term: evidence?.highestTerm(),
+    members: members && describeMembers(members, clock.now()),
   });
   return { outcome: 'refused', reason, detail, transaction: 'idle' };
 }
+
+/** What decided where the statement could have gone; times in milliseconds. */
+function describeMembers(members: GroupContext['members'], now: number) {
+  return [...members.values()].map(({ entry, gate, lag, latency, avoidUntil }) => ({
+    memberId: entry.memberId,
+    lag: Math.round(lag),
+    latency: Math.round(latency.current(now)),
+    load: gate.load(),
+    avoidedFor: Math.max(0, Math.round(avoidUntil - now)) || undefined,
+  }));
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -15,4 +15,7 @@
 } from './lib/burn/burnReport';
 export { renderBurnPage } from './lib/burn/renderBurnPage';
 export { renderBurnText } from './lib/burn/renderBurnText';
+export { explainRequest, type ExplainedStep, type Explanation } from './lib/explain/explainRequest';
+export { readLogLines, type LogLine } from './lib/explain/readLogLines';
+export { renderExplanation } from './lib/explain/renderExplanation';
 export { renderTable } from './lib/text/renderTable';
