Compare the clocks before relayed statements, and keep a session's commit over a failure

Found by reading. A holder that was suspended looked at its clocks only each 250 ms, and statements of other instances' callers could be placed by positions that only looked fresh (STALE); the answer to a relayed statement that failed took the session's last commit away, and its next read could miss it.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -113,9 +113,13 @@
 
   const entriesOf = (group: string) => entries.filter((entry) => entry.group === group);
 
+  // Clocks are compared before each statement, so that none is placed by ages from before a suspension.
   const relay = createRelayService({
     book,
-    findGroup: (group) => groups.get(group),
+    findGroup: (group) => {
+      checkClocks();
+      return groups.get(group);
+    },
     freshenDirectory,
     clock,
     logger,
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -143,12 +143,16 @@
   }
 
   /** A message that cannot be understood did not run; of another failure nothing is known. */
-  function answerFailure({ id }: RelayStatement, error: Error): RelayResponse['answer'] {
+  function answerFailure(
+    { id, lastCommit }: RelayStatement,
+    error: Error,
+  ): RelayResponse['answer'] {
     logger.error('relayedStatementFailed', { requestId: id, error });
     const reason = error instanceof RelayMessageError ? 'busy' : 'unknownOutcome';
     const detail = 'the instance that should run the statement failed';
     const refusal = { outcome: 'refused', reason, detail, transaction: 'failed' } as const;
-    return encodeAnswer(refusal, { lastCommit: undefined, now: clock.now() });
+    // The sender takes the commit from the answer; without it the session would read an older log.
+    return { ...encodeAnswer(refusal, { lastCommit: undefined, now: clock.now() }), lastCommit };
   }
 
   async function respondTo(
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -159,8 +159,13 @@
     const configuration = configurationOf(4, GROUP);
     const { ran, relayed, book, forgetGroup } = createPair(configuration, configuration);
     forgetGroup();
-    expect(await relayed.read(createRequest(book))).toMatchObject({ reason: 'busy' });
+    const request = createRequest(book);
+    const lastCommit = { position: { term: 1, index: 7 }, seenAt: clock.now() };
+    request.session.lastCommit = lastCommit;
+    expect(await relayed.read(request)).toMatchObject({ reason: 'busy' });
     expect(ran).toEqual([]);
+    // Without it, the session's next read would have passed for a first one and missed its own write.
+    expect(request.session.lastCommit?.position).toEqual(lastCommit.position);
   });
 });
 
