End a relayed transaction whose caller leaves while its first statement waits

Cause, by reading: the roll-back came while the statement waited for the directory or for the version, found no transaction, and the one that began afterwards held a connection until the stream's end. Change: a transaction is noted as its first statement arrives. relayService.test.ts fails without it.

--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -80,6 +80,17 @@
     },
   };
 
+  /**
+   * Notes a transaction as its first statement arrives, before anything is waited for: its caller may
+   * leave at once, and the roll-back that follows would find nothing to end.
+   */
+  function noteFirst(
+    { isFirst, transaction: number }: RelayStatement,
+    transactions: StreamTransactions,
+  ): void {
+    if (isFirst) transactions.set(number, { transaction: undefined, isEnded: false });
+  }
+
   /** Finds the transaction of a statement, or begins it with the first one. */
   async function findTransaction({
     statement,
@@ -87,12 +98,10 @@
     task,
     transactions,
   }: Parameters<Handler>[0]): Promise<{ transaction: Transaction } | { refusal: UpstreamAnswer }> {
-    const { transaction: number, isFirst, isReadOnly } = statement;
-    const known = transactions.get(number)?.transaction;
-    if (known) return { transaction: known };
-    if (!isFirst) return { refusal: refuseEnded() };
-    const relayed: RelayedTransaction = { transaction: undefined, isEnded: false };
-    transactions.set(number, relayed);
+    const { transaction: number, isReadOnly } = statement;
+    const relayed = transactions.get(number);
+    if (!relayed) return { refusal: refuseEnded() };
+    if (relayed.transaction) return { transaction: relayed.transaction };
     const opened = await task.openTransaction(request, { isReadOnly, began: request.arrived });
     if ('refusal' in opened) {
       transactions.delete(number);
@@ -124,9 +133,12 @@
     const action = decodeAction(statement);
     const { route, version } = decodeRoute(statement);
     // A transaction goes on by the version that it began with.
-    if (!transactions.has(statement.transaction)) {
-      await book.waitFor(version, CATCH_UP_MILLISECONDS);
-      if (book.version() !== version) return undefined;
+    const hasBegun = transactions.has(statement.transaction);
+    noteFirst(statement, transactions);
+    if (!hasBegun) await book.waitFor(version, CATCH_UP_MILLISECONDS);
+    if (!hasBegun && book.version() !== version) {
+      transactions.delete(statement.transaction);
+      return undefined;
     }
     await freshenDirectory();
     const task = findGroup(route.group);
@@ -165,7 +177,10 @@
     } else if (statement) {
       running += 1;
       const answer = await handle(statement, transactions)
-        .catch((error: Error) => answerFailure(statement, error))
+        .catch((error: Error) => {
+          end(transactions, statement.transaction);
+          return answerFailure(statement, error);
+        })
         .finally(() => {
           running -= 1;
         });
