--- a/stand-ins/line-platform/src/index.ts
+++ b/stand-ins/line-platform/src/index.ts
@@ -15,3 +15,12 @@
   type ObjectStoreServer,
   type StoreFaults,
 } from './lib/objectStoreServer';
+export {
+  DATABASES,
+  STALENESS,
+  createPlatformEntries,
+  writeInstanceSettings,
+  type ConfigurationChanges,
+  type InstanceSettings,
+  type PlatformEntries,
+} from './lib/platformEntries';
--- a/tools/soak/src/lib/load/soakCaller.ts
+++ b/tools/soak/src/lib/load/soakCaller.ts
@@ -1,8 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Random } from '@wisterialift/fuzz';
-import { connectLineCaller } from '@wisterialift/stand-in-line-platform';
+import { DATABASES, STALENESS, connectLineCaller } from '@wisterialift/stand-in-line-platform';
 import type { LineAnswer, LineCaller } from '@wisterialift/stand-in-line-platform';
-import { DATABASES, STALENESS } from '../world/startWorld';
 import type { World } from '../world/startWorld';
 import { numberOf } from './history';
 import type { History, WriteOutcome } from './history';
--- a/tools/soak/src/lib/runSoak.ts
+++ b/tools/soak/src/lib/runSoak.ts
@@ -1,6 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { createRandom } from '@wisterialift/fuzz';
-import { connectLineCaller } from '@wisterialift/stand-in-line-platform';
+import { DATABASES, connectLineCaller } from '@wisterialift/stand-in-line-platform';
 import { checkLog } from './checks/checkLog';
 import { injectFaults } from './faults/faultHandlers';
 import { createFaultPlan } from './faults/faultPlan';
@@ -8,7 +8,7 @@
 import { createHistory } from './load/history';
 import type { Violation } from './load/history';
 import { runSoakCaller } from './load/soakCaller';
-import { DATABASES, startWorld } from './world/startWorld';
+import { startWorld } from './world/startWorld';
 import type { World } from './world/startWorld';
 
 export interface SoakOptions {
--- a/tools/soak/src/lib/world/soakInstance.ts
+++ b/tools/soak/src/lib/world/soakInstance.ts
@@ -2,6 +2,7 @@
 import { join } from 'node:path';
 import { startProgram } from '@wisterialift/bench';
 import type { ProgramProcess } from '@wisterialift/bench';
+import { writeInstanceSettings } from '@wisterialift/stand-in-line-platform';
 import { openFaultLink } from './faultLink';
 import type { FaultLink } from './faultLink';
 
@@ -39,17 +40,14 @@
   const path = join(folder, `${name}.conf`);
   writeFileSync(
     path,
-    [
-      `node_name=${name}`,
-      'zone=zone-1',
-      'ip=127.0.0.1',
-      `internal_ports=${ports.relay},${ports.relay}`,
-      `listen.frontend=127.0.0.1:${ports.callers}`,
-      `listen.readiness=127.0.0.1:${ports.readiness}`,
-      `platform.address=127.0.0.1:${store.port}`,
-      `cloud_api.address=${ordersAddress}`,
-      '',
-    ].join('\n'),
+    writeInstanceSettings({
+      instance: name,
+      callers: `127.0.0.1:${ports.callers}`,
+      readiness: `127.0.0.1:${ports.readiness}`,
+      relayPort: ports.relay,
+      store: `127.0.0.1:${store.port}`,
+      orders: ordersAddress,
+    }),
   );
   const failures: string[] = [];
   let program: ProgramProcess | undefined;
--- a/tools/soak/src/lib/world/startWorld.ts
+++ b/tools/soak/src/lib/world/startWorld.ts
@@ -4,6 +4,7 @@
 import { findFreePorts } from '@wisterialift/bench';
 import {
   createLineGroup,
+  createPlatformEntries,
   startDutyServer,
   startObjectStore,
 } from '@wisterialift/stand-in-line-platform';
@@ -18,16 +19,6 @@
 import { startSoakInstance } from './soakInstance';
 import type { SoakInstance } from './soakInstance';
 
-/** Database names of the three kinds of route. */
-export const DATABASES = { primary: 'writes', aged: 'history', own: 'filing' } as const;
-
-/** How old a read of the aged and of the own kind may be, in milliseconds. */
-export const STALENESS = {
-  [DATABASES.primary]: 0,
-  [DATABASES.aged]: 1_500,
-  [DATABASES.own]: 2_500,
-};
-
 /** Everything that the soak starts: instances as processes, all else as stand-ins. */
 export interface World {
   group: LineGroup;
@@ -64,37 +55,17 @@
   const instances: SoakInstance[] = [];
   const lines: string[] = [];
   const leaving = new Set<string>();
-  let version = 0;
+  const entries = createPlatformEntries(store, GROUP);
 
   function list(member: LineMember): void {
     const database = databases.find((other) => other.member === member);
     if (!database) return;
-    store.put('servers', member.id, {
-      service: GROUP,
-      address: `127.0.0.1:${database.link.port}`,
-      zone: 'zone-1',
-      slots: 5,
-      state: leaving.has(member.id) ? 'draining' : 'ready',
-      db_role: member.role,
-    });
+    const address = `127.0.0.1:${database.link.port}`;
+    entries.listMember(member, { address, isLeaving: leaving.has(member.id) });
   }
 
-  function configure({ timeout = 1_000 } = {}): void {
-    version += 3;
-    const routes = [
-      { host: DATABASES.primary, route_type: 'primary' },
-      { host: DATABASES.aged, route_type: 'bounded_staleness' },
-      { host: DATABASES.own, route_type: 'read_your_writes' },
-    ].map((route) => ({
-      ...route,
-      service: GROUP,
-      timeout_ms: timeout,
-      priority: 1,
-      max_staleness_ms: STALENESS[route.host],
-    }));
-    const services = [{ name: GROUP, max_conns: maximumConnections }];
-    store.put('config', 'main', { version, routes, services, limits: { tx_idle_ms: 3_000 } });
-  }
+  const configure = (changes: { timeout?: number } = {}) =>
+    entries.configure({ ...changes, maximumConnections });
 
   for (const member of group.members.values()) {
     databases.push(await startSoakDatabase(group, member));
