--- a/packages/pooling/src/lib/placing/planHolders.ts
+++ b/packages/pooling/src/lib/placing/planHolders.ts
@@ -43,8 +43,9 @@
  * Plans who holds the connections to a group's members.
  *
  * A member takes fewer connections than a large deployment has instances. Where each instance opened
- * its own, callers waited for a place that an idle instance held: with 66 instances before 60 places
- * 0.52 of the credit was earned on a day of high load.
+ * its own, callers waited for a place that an idle instance held. With 66 instances before 60 places,
+ * 0.843 of the requests of a day of high load were served, and 0.889 with holders; on a quiet day 0.971
+ * and 0.999 (simulated days, one run each).
  *
  * Every instance that sees the same list makes the same plan, without a message. Lists that differ for
  * a moment only make more holders.
