Log statements to leaving members, and how long they may have been leaving

How long a member may have been leaving is counted from the last time at which the directory was known whole, by both clocks: what a watch or a list brings may have been accepted at any time since. `memberAdded` and `memberChanged` carry it, so that knowledge that came late shows as such. No decision changes.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,6 +27,7 @@
 export { createProcessClock, type CancelTimer, type Clock } from './lib/ports/clock';
 export {
   type ConfigurationPort,
+  type DirectoryAge,
   type DirectoryEntry,
   type DirectoryPort,
   type OrderOutcome,
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '@wisterialift/telemetry';
 import type { GatewayConfiguration } from './configuration/gatewayConfiguration';
 import { createConfigurationBook } from './configuration/configurationBook';
+import { createDirectoryBook } from './directory/directoryBook';
 import type { GroupAccess } from './groups/groupAccess';
 import { createGroupTask } from './groups/groupTask';
 import type { GroupTask } from './groups/groupTask';
@@ -10,7 +11,6 @@
 import type { InstanceRegistry, RelayTransport } from './ports/instancePort';
 import type {
   ConfigurationPort,
-  DirectoryEntry,
   DirectoryPort,
   PromotionOrders,
   PromotionStore,
@@ -108,17 +108,13 @@
   const accesses = new Map<string, GroupAccess>();
   const sessions = new Set<CallerSession>();
   const book = createConfigurationBook({ clock, onAdopted: handleAdopted });
-  let entries: DirectoryEntry[] = [];
-  let hasDirectory = false;
-  let isDirectoryFresh = false;
+  const directory = createDirectoryBook(clock);
   let neededUntil = -Infinity;
   let isDraining = false;
   let drift = driftOf(clock);
 
   const uses: UsesMechanism = (mechanism) => !options.without?.has(mechanism);
 
-  const entriesOf = (group: string) => entries.filter((entry) => entry.group === group);
-
   // Clocks are compared before each statement, so that none is placed by ages from before a suspension.
   const relay = createRelayService({
     book,
@@ -140,7 +136,10 @@
   registry.follow(holders.updateInstances);
   options.configuration.follow(book.adopt);
   options.directory.follow({
-    onChange: adoptDirectory,
+    onChange: (entries, age) => {
+      directory.adopt(entries, age);
+      for (const [group, task] of groups) task.updateMembers(directory.entriesOf(group));
+    },
     // An instance that sends nothing to members itself needs to know of none at once.
     isPrompt: () => groups.size === 0 || isDirectoryNeeded(),
   });
@@ -156,14 +155,7 @@
   async function freshenDirectory(): Promise<void> {
     neededUntil = clock.now() + DIRECTORY_NEEDED_MILLISECONDS;
     const until = clock.now() + FRESH_WAIT_MILLISECONDS;
-    while (!isDirectoryFresh && clock.now() < until) await clock.pause(FRESH_STEP_MILLISECONDS);
-  }
-
-  function adoptDirectory(next: DirectoryEntry[], { isFresh }: { isFresh: boolean }): void {
-    entries = next;
-    isDirectoryFresh = isFresh;
-    hasDirectory = true;
-    for (const [group, task] of groups) task.updateMembers(entriesOf(group));
+    while (!directory.isFresh() && clock.now() < until) await clock.pause(FRESH_STEP_MILLISECONDS);
   }
 
   function handleAdopted(next: GatewayConfiguration, former: number | undefined): void {
@@ -203,7 +195,7 @@
       logger,
     });
     accesses.set(group, access);
-    if (hasDirectory) task.updateMembers(entriesOf(group));
+    if (directory.isKnown()) task.updateMembers(directory.entriesOf(group));
   }
 
   /**
@@ -237,7 +229,7 @@
   };
 
   function isReady(): boolean {
-    if (isDraining || !book.current() || !hasDirectory || !holders.isKnown()) return false;
+    if (isDraining || !book.current() || !directory.isKnown() || !holders.isKnown()) return false;
     return [...groups.values()].some((task) => task.isUsable());
   }
 
--- a/packages/gateway/src/lib/groups/attempt.ts
+++ b/packages/gateway/src/lib/groups/attempt.ts
@@ -1,7 +1,7 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import { NoConnectionError } from '../errors/noConnectionError';
 import { settleWithin } from '../timing/withinTime';
-import { markAsked, observeAnswer } from './groupContext';
+import { markAsked, noteLeaving, observeAnswer } from './groupContext';
 import type { AskedAt, GroupContext } from './groupContext';
 import { avoidMember } from './member';
 import type { Member } from './member';
@@ -45,6 +45,7 @@
   const { request, command, deadlineAt, patience } = options;
   const { gate } = member;
   const takesSlot = command.type !== 'begin';
+  const placedAt = context.clock.now();
   const { priority, goal } = request.route;
   const passage = { priority, goal, arrivedAt: request.arrived.at, deadlineAt, patience };
   const admission = takesSlot ? await gate.enter(passage) : 'admitted';
@@ -52,7 +53,7 @@
     return { type: 'notSent', cause: admission === 'notYet' ? 'notYet' : 'noCapacity' };
   }
   try {
-    return await attemptNow(context, member, options);
+    return await attemptNow(context, member, { ...options, placedAt });
   } finally {
     if (takesSlot) gate.leave(passage);
   }
@@ -61,11 +62,12 @@
 async function attemptNow(
   context: GroupContext,
   member: Member,
-  options: AttemptOptions,
+  options: AttemptOptions & { placedAt: number },
 ): Promise<AttemptOutcome> {
-  const { request, command, deadlineAt } = options;
+  const { request, command, deadlineAt, placedAt } = options;
   const acquired = await acquireConnection(context, member, request, deadlineAt);
   if ('type' in acquired) return acquired;
+  noteLeaving(context, member, { requestId: request.id, placedAt });
   const asked = markAsked(context);
   const outcome = await runWithin(context, { connection: acquired, command, deadlineAt });
   if (command.type !== 'begin') recordLatency(context, member, asked, outcome);
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -4,6 +4,7 @@
 import type { UsesMechanism } from '../mechanisms';
 import type { Clock } from '../ports/clock';
 import type { UpstreamDriver } from '../ports/upstreamPort';
+import { describeLeaving } from './member';
 import type { Member } from './member';
 import type { PrimaryBelief } from './primaryBelief';
 
@@ -39,6 +40,8 @@
   replicaReads: number;
   /** Such reads that the primary answered. */
   primaryReads: number;
+  /** Statements that were sent to a member that leaves. */
+  sentToLeaving: number;
 }
 
 /** When a question was sent, for the evidence in its answer. */
@@ -51,6 +54,24 @@
   return { sequence: evidence.nextSequence(), at: clock.now() };
 }
 
+/** Notes a statement of a caller that is about to be sent to a member, if the member leaves. */
+export function noteLeaving(
+  context: GroupContext,
+  { entry }: Member,
+  sent: { requestId: string; placedAt: number },
+): void {
+  const { clock, counters, group, logger } = context;
+  if (!entry.leavingSince) return;
+  counters.sentToLeaving += 1;
+  logger.info('sentToLeaving', {
+    group,
+    memberId: entry.memberId,
+    requestId: sent.requestId,
+    waitedMilliseconds: Math.round(clock.now() - sent.placedAt),
+    ...describeLeaving(entry.leavingSince, clock.readings()),
+  });
+}
+
 /** Records what an answer proves of the member that gave it. */
 export function observeAnswer(
   context: GroupContext,
--- a/packages/gateway/src/lib/groups/groupTask.ts
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -4,7 +4,9 @@
 import type { GroupLimits } from '../configuration/gatewayConfiguration';
 import type { Clock } from '../ports/clock';
 import type { UsesMechanism } from '../mechanisms';
-import type { DirectoryEntry, PromotionOrders, PromotionStore } from '../ports/platformPort';
+import { isSameLife } from '../directory/directoryBook';
+import type { KnownEntry } from '../directory/directoryBook';
+import type { PromotionOrders, PromotionStore } from '../ports/platformPort';
 import type { UpstreamDriver } from '../ports/upstreamPort';
 import { createPromotionTask } from '../promotion/promotionTask';
 import { createFloorKeeper } from './floorKeeper';
@@ -12,7 +14,7 @@
 import { markAsked } from './groupContext';
 import type { GroupAccess } from './groupAccess';
 import type { GroupContext, GroupCounters } from './groupContext';
-import { avoidMember, createMember } from './member';
+import { avoidMember, createMember, describeLeaving } from './member';
 import type { Member } from './member';
 import { createPrimaryBelief } from './primaryBelief';
 import { createPrimaryProof } from './primaryProof';
@@ -25,7 +27,7 @@
 
 /** Serves the statements of one group and keeps it with a primary. */
 export interface GroupTask extends GroupAccess {
-  updateMembers: (entries: DirectoryEntry[]) => void;
+  updateMembers: (entries: KnownEntry[]) => void;
   updateLimits: (limits: GroupLimits) => void;
   /** Whether a statement could be served now. */
   isUsable: () => boolean;
@@ -97,6 +99,7 @@
     refusedBesideIdle: 0,
     replicaReads: 0,
     primaryReads: 0,
+    sentToLeaving: 0,
   };
   let { limits } = options;
   let onSuspicion: GroupContext['suspectPrimary'] = () => undefined;
@@ -136,7 +139,7 @@
     return answer;
   }
 
-  function updateMembers(entries: DirectoryEntry[]): void {
+  function updateMembers(entries: KnownEntry[]): void {
     const listed = new Map(entries.map((entry) => [entry.memberId, entry]));
     for (const entry of entries) addOrUpdate(entry);
     for (const member of members.values()) {
@@ -161,23 +164,28 @@
     if (knowsNothing && holdsForSure && uses('lookingAhead')) void floors.refresh();
   }
 
-  function addOrUpdate(entry: DirectoryEntry): void {
+  function addOrUpdate(entry: KnownEntry): void {
     const known = members.get(entry.memberId);
     if (known && isSameLife(known.entry, entry)) {
-      if (isChanged(known.entry, entry)) logger.info('memberChanged', { ...entry });
+      if (isChanged(known.entry, entry)) logger.info('memberChanged', describeEntry(entry));
       Object.assign(known, { entry, missingSince: undefined });
       return;
     }
     if (known) restartMember(known, entry);
-    logger.info('memberAdded', { ...entry });
+    logger.info('memberAdded', describeEntry(entry));
     members.set(entry.memberId, openMember(entry));
   }
 
+  function describeEntry({ leavingSince, ...entry }: KnownEntry) {
+    const leavingFor = describeLeaving(leavingSince, clock.readings());
+    return { ...entry, ...leavingFor };
+  }
+
   /**
    * A member that started again under its id holds and knows nothing of before, at its address as at
    * another one: its connections are dead, its prepared statements gone, and it leads no term.
    */
-  function restartMember({ entry: former, pool }: Member, entry: DirectoryEntry): void {
+  function restartMember({ entry: former, pool }: Member, entry: KnownEntry): void {
     const { memberId } = entry;
     logger.warn('memberRestarted', { group, memberId, former: former.startedAt });
     pool.close();
@@ -186,7 +194,7 @@
     evidence.restartMember(memberId, { trustedFrom });
   }
 
-  function openMember(entry: DirectoryEntry): Member {
+  function openMember(entry: KnownEntry): Member {
     const pool = createUpstreamPool({
       driver,
       clock,
@@ -272,13 +280,6 @@
   return Math.max(FEWEST_CONNECTIONS, Math.floor(maximumConnections * share));
 }
 
-/** An entry without a time of start is of the life that is known. */
-function isSameLife(known: DirectoryEntry, entry: DirectoryEntry): boolean {
-  const isUntold = known.startedAt === undefined || entry.startedAt === undefined;
-  const isSameStart = isUntold || known.startedAt === entry.startedAt;
-  return isSameStart && known.address === entry.address;
-}
-
-function isChanged(before: DirectoryEntry, after: DirectoryEntry): boolean {
+function isChanged(before: KnownEntry, after: KnownEntry): boolean {
   return before.isPrimary !== after.isPrimary || before.isLeaving !== after.isLeaving;
 }
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -1,15 +1,15 @@
-import { createLatencyEstimate, createReplicaLag } from '@wisterialift/pooling';
-import type { LatencyEstimate, ReplicaLag } from '@wisterialift/pooling';
+import { createLatencyEstimate, createReplicaLag, longestAge } from '@wisterialift/pooling';
+import type { ClockReadings, LatencyEstimate, ReplicaLag } from '@wisterialift/pooling';
 import type { UsesMechanism } from '../mechanisms';
 import type { Clock } from '../ports/clock';
-import type { DirectoryEntry } from '../ports/platformPort';
+import type { KnownEntry } from '../directory/directoryBook';
 import { createStatementGate } from './statementGate';
 import type { StatementGate } from './statementGate';
 import type { UpstreamPool } from './upstreamPool';
 
 /** One database of a group, as this instance knows it. */
 export interface Member {
-  entry: DirectoryEntry;
+  entry: KnownEntry;
   pool: UpstreamPool;
   /** Statements of this instance that it works at. */
   gate: StatementGate;
@@ -39,7 +39,7 @@
 const STATEMENTS_PER_SLOT = 1.5;
 
 export function createMember(options: {
-  entry: DirectoryEntry;
+  entry: KnownEntry;
   pool: UpstreamPool;
   isNear: boolean;
   clock: Clock;
@@ -70,6 +70,15 @@
   };
 }
 
+/** The longest time that a member may have been leaving, for the log; none where it stays. */
+export function describeLeaving(
+  leavingSince: ClockReadings | undefined,
+  present: ClockReadings,
+): { leavingMilliseconds?: number } {
+  if (!leavingSince) return {};
+  return { leavingMilliseconds: Math.round(longestAge(leavingSince, present)) };
+}
+
 /** Keeps statements away from a member that cannot be reached, and tries it again later. */
 export function avoidMember(member: Member, now: number): void {
   const pause = FIRST_PAUSE_MILLISECONDS * 2 ** member.failures;
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -1,7 +1,7 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import { attempt, recordLatency, runWithin } from './attempt';
-import { markAsked, observeAnswer } from './groupContext';
+import { markAsked, noteLeaving, observeAnswer } from './groupContext';
 import type { GroupAccess, OpenOptions, Transaction } from './groupAccess';
 import type { GroupContext } from './groupContext';
 import { giveBack } from './giveBack';
@@ -98,6 +98,7 @@
 
   function createTransaction({ member, connection, isCurrent }: OpenedAt): Transaction {
     let hasWritten = false;
+    let isFirst = true;
     let isEnded = false;
     let work: Promise<unknown> = Promise.resolve();
     const unpin = member.pool.pin();
@@ -128,6 +129,7 @@
       request: StatementRequest,
     ): Promise<{ type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' }> {
       const { session, prepared, deadlineAt } = request;
+      const placedAt = clock.now();
       const refused = await prepareWithin(request, session.state, prepared?.statement);
       if (refused) return refused;
       // The transaction holds a connection and locks, so its statements go before new ones.
@@ -140,6 +142,8 @@
         hasConnection: true,
       };
       if ((await member.gate.enter(passage)) !== 'admitted') return { type: 'lost' };
+      if (isFirst) noteLeaving(context, member, { requestId: request.id, placedAt });
+      isFirst = false;
       const asked = markAsked(context);
       const command = toCommand(request);
       const running = runWithin(context, { connection, command, deadlineAt });
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -20,6 +20,7 @@
   refusedBesideIdle: 'reads refused while a member could have run them at once',
   replicaReads: 'reads outside of transactions that a replica answered',
   primaryReads: 'reads outside of transactions that the primary answered',
+  sentToLeaving: 'statements sent to a member that leaves',
 } as const;
 
 /** @public */
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -1,4 +1,4 @@
-import type { PromotionRecord } from '@wisterialift/pooling';
+import type { ClockReadings, PromotionRecord } from '@wisterialift/pooling';
 import type { GatewayConfiguration } from '../configuration/gatewayConfiguration';
 
 /** A member of a group as the directory lists it. @public */
@@ -18,7 +18,15 @@
   startedAt?: number;
 }
 
-/** Tells which members there are, and which configuration is in force. @public */
+/** How old what a look at the directory brought may be. @public */
+export interface DirectoryAge {
+  /** Whether it holds all that was accepted before the look; otherwise it may be seconds old. */
+  isFresh: boolean;
+  /** What is new was accepted after this time; undefined where the directory was never known whole. */
+  newSince: ClockReadings | undefined;
+}
+
+/** Tells which members there are. @public */
 export interface DirectoryPort {
   /**
    * Calls back with the whole directory at each change.
@@ -27,7 +35,7 @@
    *   otherwise a look now and then, which may be seconds old, is enough.
    */
   follow: (options: {
-    onChange: (entries: DirectoryEntry[], options: { isFresh: boolean }) => void;
+    onChange: (entries: DirectoryEntry[], age: DirectoryAge) => void;
     isPrompt: () => boolean;
   }) => void;
 }
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -21,7 +21,7 @@
     random: () => 0,
     logger: createTestLogger(),
     driver: { connect: () => Promise.reject(new Error('no member')), readReport: nothing },
-    directory: { follow: ({ onChange }) => onChange([], { isFresh: true }) },
+    directory: { follow: ({ onChange }) => onChange([], { isFresh: true, newSince: undefined }) },
     configuration: {
       follow: (onChange) =>
         onChange({
--- a/packages/gateway/src/test/lookAhead.test.ts
+++ b/packages/gateway/src/test/lookAhead.test.ts
@@ -33,7 +33,9 @@
         },
         readReport: nothing,
       },
-      directory: { follow: ({ onChange }) => onChange([member], { isFresh: true }) },
+      directory: {
+        follow: ({ onChange }) => onChange([member], { isFresh: true, newSince: undefined }),
+      },
       registry: { follow: (onChange) => listed && onChange(listed), reportGone: nothing },
     }),
   );
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -25,6 +25,7 @@
   type PreparedStatement,
   type SessionState,
 } from './lib/session/pooledSession';
+export { LONG_AGO, longestAge, type ClockReadings } from './lib/timing/clockReadings';
 export { createReplicaLag, type ReplicaLag, type RequiredLog } from './lib/placing/replicaLag';
 export { comeBackTime } from './lib/placing/comeBackTime';
 export { longestWait } from './lib/placing/longestWait';
@@ -39,6 +40,5 @@
   CLAIM_VALID_MILLISECONDS,
   isClaimValid,
   promotionRecordSchema,
-  type ClockReadings,
   type PromotionRecord,
 } from './lib/promotion/promotionClaim';
--- a/packages/pooling/src/lib/promotion/promotionClaim.ts
+++ b/packages/pooling/src/lib/promotion/promotionClaim.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import type { ClockReadings } from '../timing/clockReadings';
 
 /** Stored for each group: who may order a promotion, and what the last one did. @public */
 export const promotionRecordSchema = z.object({
@@ -36,14 +37,6 @@
 /** Difference of the two clocks from which the process is taken to have been suspended. */
 const SUSPENSION_MILLISECONDS = 100;
 
-/** Readings of both clocks at one moment, in milliseconds. @public */
-export interface ClockReadings {
-  /** Never steps, but stands still while the machine is suspended. */
-  steady: number;
-  /** Goes on during a suspension, but may step. */
-  wall: number;
-}
-
 /**
  * Whether a claim still allows an order.
  *
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -169,7 +169,9 @@
     portsOf: (host, own) => ({
       directory: {
         follow: ({ onChange }) =>
-          follow(host, () => onChange([...entries.values()], { isFresh: true })),
+          follow(host, () =>
+            onChange([...entries.values()], { isFresh: true, newSince: undefined }),
+          ),
       },
       configuration: {
         follow: (onChange) => follow(host, () => configuration && onChange(configuration)),
