--- a/tools/world/src/lib/callers/oracle.ts
+++ b/tools/world/src/lib/callers/oracle.ts
@@ -8,7 +8,7 @@
 
 /** A promise that was seen broken. @internal */
 export interface BrokenPromise {
-  promise: 'stale' | 'ownWrite' | 'lost' | 'doubled' | 'falseRefusal';
+  promise: 'stale' | 'ownWrite' | 'lost' | 'doubled' | 'falseRefusal' | 'leaving';
   at: number;
   detail: string;
 }
@@ -26,11 +26,16 @@
     rows: string[];
     id: string;
   }) => void;
+  /** A new statement reached a member that the platform lists as leaving since `leavingAt`. */
+  checkNewWork: (options: { memberId: string; id: string; leavingAt: number | undefined }) => void;
   /** Compares all that was acknowledged or refused with the logs at the end. */
   checkLogs: () => void;
   broken: () => BrokenPromise[];
 }
 
+/** Time after which a member that leaves gets no new statements, by the users' sheet. @internal */
+export const LEAVING_BOUND_MILLISECONDS = 7_000;
+
 interface Acknowledged {
   at: number;
   position: Position;
@@ -117,6 +122,16 @@
     }
   }
 
+  function checkNewWork({ memberId, id, leavingAt }: Parameters<Oracle['checkNewWork']>[0]): void {
+    if (leavingAt === undefined) return;
+    const leavingFor = scheduler.now() - leavingAt;
+    if (leavingFor <= LEAVING_BOUND_MILLISECONDS) return;
+    report(
+      'leaving',
+      `${id} reached ${memberId}, which had been leaving for ${Math.round(leavingFor)} ms`,
+    );
+  }
+
   return {
     noteSent: (group) => {
       if (!acknowledged.has(group)) acknowledged.set(group, []);
@@ -124,6 +139,7 @@
     },
     noteWriteEnd,
     checkRead,
+    checkNewWork,
     checkLogs,
     broken: () => broken,
   };
--- a/tools/world/src/lib/databases/simulatedDatabase.ts
+++ b/tools/world/src/lib/databases/simulatedDatabase.ts
@@ -42,6 +42,8 @@
   connectionCount: () => number;
   /** Whether it has followed the primary at the usual pace for some time. */
   hasFollowed: (milliseconds: number) => boolean;
+  /** Calls back as a statement outside of a transaction arrives, or the first one of a transaction. */
+  onNewWork: (listener: (requestId: string) => void) => void;
   /** Share of statements whose answer is lost after they ran. */
   setAnswerLoss: (share: number) => void;
   /** Falls silent, with its connections. */
@@ -58,6 +60,8 @@
   transaction: TransactionState;
   isReadOnly: boolean;
   writes: string[];
+  /** Whether a statement of the open transaction has come. */
+  hasBegun: boolean;
   work: DatabaseRequest[];
   isWorking: boolean;
   isOpen: boolean;
@@ -85,6 +89,7 @@
   const { slots: count, queueLength } = limits;
   const slots = createSlotQueue({ slots: count, queueLength, scheduler });
   const connections = new Set<Connection>();
+  const newWorkListeners: ((requestId: string) => void)[] = [];
   let answerLoss = 0;
 
   const accept: SimulatedDatabase['accept'] = (streamEnd) => {
@@ -93,6 +98,7 @@
       transaction: 'idle',
       isReadOnly: false,
       writes: [],
+      hasBegun: false,
       work: [],
       isWorking: false,
       isOpen: true,
@@ -135,10 +141,19 @@
   }
 
   function enqueue(connection: Connection, request: DatabaseRequest): void {
+    if (request.type === 'command') noteArrival(connection, request.command);
     connection.work.push(request);
     if (!connection.isWorking) workOn(connection);
   }
 
+  function noteArrival(connection: Connection, command: UpstreamCommand): void {
+    if (command.type !== 'forward' && command.type !== 'execute') return;
+    const isLater = connection.transaction === 'open' && connection.hasBegun;
+    Object.assign(connection, { hasBegun: true });
+    if (isLater) return;
+    for (const listener of newWorkListeners) listener(command.id);
+  }
+
   function workOn(connection: Connection): void {
     const request = connection.work.shift();
     Object.assign(connection, { isWorking: request !== undefined && connection.isOpen });
@@ -231,7 +246,12 @@
 
   function begin(connection: Connection, isReadOnly: boolean): Effect {
     if (!isReadOnly && state.role !== 'primary') return refusal('readOnly', state.memberId);
-    Object.assign(connection, { transaction: 'open', isReadOnly, writes: [] });
+    Object.assign(connection, {
+      transaction: 'open',
+      isReadOnly,
+      writes: [],
+      hasBegun: false,
+    });
     return 'done';
   }
 
@@ -290,6 +310,7 @@
     state,
     slots,
     accept,
+    onNewWork: (listener) => newWorkListeners.push(listener),
     connectionCount: () => connections.size,
     hasFollowed: (milliseconds) => {
       const since = replication.followsSince(state.memberId);
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -45,6 +45,26 @@
   z.strictObject({ kind: z.literal('rollingStops'), at: z.number(), pause: z.number() }),
   z.strictObject({ kind: z.literal('storeDown'), at: z.number(), seconds: z.number() }),
   z.strictObject({ kind: z.literal('darkPrimary'), at: z.number(), seconds: z.number() }),
+  z.strictObject({
+    kind: z.literal('leave'),
+    at: z.number(),
+    /** Time from the word that it leaves until it ends; another life of it follows. */
+    seconds: z.number(),
+    role: z.enum(['primary', 'replica']).default('primary'),
+    groups: z.number().int().positive().optional(),
+  }),
+  z.strictObject({
+    kind: z.literal('loseReplicas'),
+    at: z.number(),
+    groups: z.number().int().positive().optional(),
+  }),
+  z.strictObject({
+    kind: z.literal('lateDirectory'),
+    at: z.number(),
+    seconds: z.number(),
+    /** Time by which changes of the directory reach the instances later. */
+    milliseconds: time,
+  }),
   z.strictObject({
     kind: z.literal('restartEmpty'),
     at: z.number(),
--- a/tools/world/src/lib/experiment/runExperiment.ts
+++ b/tools/world/src/lib/experiment/runExperiment.ts
@@ -109,6 +109,11 @@
     const isOver = clock.now() > experiment.seconds * 1_000;
     if (!isOver) samples.push(sampleDatabases(clock.now(), databases));
   });
+  for (const [memberId, database] of databases) {
+    database.onNewWork((id) =>
+      oracle.checkNewWork({ memberId, id, leavingAt: platform.leavingAt(memberId) }),
+    );
+  }
   scheduleFaults(experiment.faults, { clock, instances, groups, databases, platform });
   return { outcomes, samples, oracle };
 }
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -19,6 +19,9 @@
   targets: FaultTargets,
 ) => void;
 
+/** Time from the end of a database that left until its successor runs at its address. */
+const SUCCESSION_MILLISECONDS = 1_000;
+
 /** Time that a planned stop may take. */
 const STOP_GRACE_MILLISECONDS = 6_000;
 
@@ -74,6 +77,31 @@
     }
     platform.review();
   },
+  leave: ({ seconds, role, groups: count }, { clock, groups, databases, platform }) => {
+    for (const group of [...groups.values()].slice(0, count)) {
+      const memberId = role === 'primary' ? primaryOf(group) : replicasOf(group)[0]!;
+      const database = databases.get(memberId)!;
+      platform.setLeaving(memberId, true);
+      clock.after(seconds * 1_000, () => {
+        database.losePower();
+        platform.setLeaving(memberId, false);
+        clock.after(SUCCESSION_MILLISECONDS, () => {
+          database.restart({ isEmpty: false });
+          platform.review();
+        });
+      });
+    }
+  },
+  loseReplicas: ({ groups: count }, { groups, databases, platform }) => {
+    for (const group of [...groups.values()].slice(0, count)) {
+      for (const memberId of replicasOf(group)) databases.get(memberId)!.losePower();
+    }
+    platform.review();
+  },
+  lateDirectory: ({ seconds, milliseconds }, { clock, platform }) => {
+    platform.delayChanges(milliseconds);
+    clock.after(seconds * 1_000, () => platform.delayChanges(0));
+  },
   slowDatabase: ({ seconds, factor, member }, { clock, groups, databases }) => {
     const memberId = [...[...groups.values()][0]!.members.keys()][member]!;
     const { slots } = databases.get(memberId)!;
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -9,9 +9,11 @@
   PromotionStore,
   StoredRecord,
 } from '@wisterialift/gateway';
+import type { ClockReadings } from '@wisterialift/pooling';
 import type { SimulatedDatabase } from '../databases/simulatedDatabase';
 import type { ReplicatedLog } from '../databases/replicatedLog';
 import type { Host, Simulation } from '../simulation/host';
+import { readingsAt } from '../simulation/simulatedClock';
 
 /** The ports of the gateway that the platform fills, for one instance. @internal */
 export interface PlatformPorts {
@@ -30,17 +32,24 @@
   setDown: (isDown: boolean) => void;
   /** Puts the databases' entries anew. */
   review: () => void;
-  setLeaving: (memberId: string) => void;
+  setLeaving: (memberId: string, isLeaving: boolean) => void;
+  /** When the store accepted that the member leaves; undefined while it stays. */
+  leavingAt: (memberId: string) => number | undefined;
+  /** Changes of the directory reach the instances later by this time. */
+  delayChanges: (milliseconds: number) => void;
 }
 
 /** A call there and back, and the time of a change until a watch tells it. */
 const CALL_MILLISECONDS = 14;
 const WATCH_MILLISECONDS = 18;
 
+/** Time after which a watch that had nothing to tell ends. */
+const WAIT_MILLISECONDS = 2_000;
+
 /** A database that is silent for this long is taken off the directory. */
 const LAPSE_MILLISECONDS = 3_600;
 
-/** Pause of a reader whose call was not answered. */
+/** Pause before a call that was not answered is sent again. */
 const RETRY_MILLISECONDS = 500;
 
 /** Creates the platform of a world. @internal */
@@ -54,12 +63,13 @@
   const { scheduler } = simulation;
   const records = new Map<string, StoredRecord>();
   const entries = new Map<string, DirectoryEntry>();
-  const leaving = new Set<string>();
+  const leaving = new Map<string, number>();
   const instances = new Map<string, InstanceEntry>();
   const watchers = new Set<() => void>();
   let configuration: GatewayConfiguration | undefined;
   let revision = 1;
   let isDown = false;
+  let changeDelay = 0;
 
   const nextRevision = () => {
     revision += 1;
@@ -99,6 +109,17 @@
     });
   }
 
+  /** A member says that it leaves, or stays, again and again until the store accepts it. */
+  function setLeaving(memberId: string, isLeaving: boolean): void {
+    if (isDown) {
+      scheduler.after(RETRY_MILLISECONDS, () => setLeaving(memberId, isLeaving));
+      return;
+    }
+    if (isLeaving) leaving.set(memberId, scheduler.now());
+    else leaving.delete(memberId);
+    review();
+  }
+
   function removeSilent(memberId: string): void {
     if (databases.get(memberId)!.state.isUp) return;
     entries.delete(memberId);
@@ -110,14 +131,27 @@
     for (const watcher of watchers) watcher();
   }
 
-  /** Calls back at once and at each change, as a list and a watch do. */
-  function follow(host: Host, onChange: () => void): void {
+  /**
+   * Calls back at once and at each change, as a list and a watch do.
+   *
+   * @param onChange - told from when on all that is new was accepted.
+   */
+  function follow(host: Host, onChange: (newSince: ClockReadings | undefined) => void): void {
     const life = host.life();
     const isRunning = () => host.life() === life && host.isPowered();
+    let wholeAt: ClockReadings | undefined;
     const tell = () => {
-      if (isRunning()) onChange();
+      if (!isRunning()) return;
+      onChange(wholeAt);
+      wholeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
+    };
+    const watcher = () => scheduler.after(WATCH_MILLISECONDS + changeDelay, tell);
+    const endWait = () => {
+      if (!isRunning()) return;
+      const isTold = !isDown && changeDelay === 0;
+      if (isTold) wholeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
+      scheduler.after(WAIT_MILLISECONDS, endWait);
     };
-    const watcher = () => scheduler.after(WATCH_MILLISECONDS, tell);
     const list = () => {
       if (!isRunning()) return;
       if (isDown) {
@@ -126,6 +160,7 @@
       }
       watchers.add(watcher);
       tell();
+      scheduler.after(WAIT_MILLISECONDS, endWait);
     };
     host.onEnd(() => watchers.delete(watcher));
     scheduler.after(CALL_MILLISECONDS, list);
@@ -169,9 +204,7 @@
     portsOf: (host, own) => ({
       directory: {
         follow: ({ onChange }) =>
-          follow(host, () =>
-            onChange([...entries.values()], { isFresh: true, newSince: undefined }),
-          ),
+          follow(host, (newSince) => onChange([...entries.values()], { isFresh: true, newSince })),
       },
       configuration: {
         follow: (onChange) => follow(host, () => configuration && onChange(configuration)),
@@ -199,9 +232,10 @@
       if (!isDown) notify();
     },
     review,
-    setLeaving: (memberId) => {
-      leaving.add(memberId);
-      review();
+    setLeaving,
+    leavingAt: (memberId) => leaving.get(memberId),
+    delayChanges: (milliseconds) => {
+      changeDelay = milliseconds;
     },
   };
 }
--- a/tools/world/src/lib/simulation/simulatedClock.ts
+++ b/tools/world/src/lib/simulation/simulatedClock.ts
@@ -1,9 +1,15 @@
 import type { Scheduler } from '@wisterialift/fuzz';
 import type { Clock } from '@wisterialift/gateway';
+import type { ClockReadings } from '@wisterialift/pooling';
 
 /** Time of day at which every world begins, in milliseconds. */
 const EPOCH = Date.UTC(2026, 0, 2);
 
+/** What the clocks of every process show at a time of the world. @internal */
+export function readingsAt(time: number): ClockReadings {
+  return { steady: time, wall: EPOCH + time };
+}
+
 /**
  * The clocks of one process.
  *
@@ -32,7 +38,7 @@
 
   return {
     now: scheduler.now,
-    readings: () => ({ steady: scheduler.now(), wall: EPOCH + scheduler.now() }),
+    readings: () => readingsAt(scheduler.now()),
     after,
     every,
     pause: (milliseconds) =>
