Send nothing new to a leaving member past its bound

Callers' statements reached a database 7,013 to 7,071 ms after the store had accepted that it leaves (bound 7,000), and went on until it ended at 10 s; some were cut then.

Cause: nothing limited the use of a leaving primary. A leaving replica is not read at all and a leaving primary is replaced, so its use ended with the promotion; in a group whose last member leaves nobody can be promoted. The users' first request shows the second way to it: sent 30 ms before the bound, it reached the database 13 ms after.

Class: a belief used without its age, checked where a statement is placed and not where it leaves.

Now each leaving member has a time by which new statements must be sent, counted from the last moment at which the directory was known whole without it, by both clocks, less half a second for the way. It is checked right before the bytes leave, for statements and for the first of a transaction, and caps the waits before. Past it, writes wait for a successor where a member stays; where none does, all is refused at once with when to come back.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -28,6 +28,8 @@
   stopGrace: number;
   /** Time after the directory's return in which entries that lapsed meanwhile are back. */
   missingGrace: number;
+  /** Time after which a member that leaves may be reached by no new statement. */
+  leavingBound: number;
 }
 
 /** @public */
@@ -182,6 +184,7 @@
       countSharers: () => holders.countSharers(group),
       areInstancesKnown: holders.isKnown,
       missingGrace: times.missingGrace,
+      leavingBound: times.leavingBound,
     });
     groups.set(group, task);
     const access = createRelayedGroup({
--- a/packages/gateway/src/lib/groups/attempt.ts
+++ b/packages/gateway/src/lib/groups/attempt.ts
@@ -11,9 +11,10 @@
 
 /**
  * Why nothing was sent: no connection in time, no turn in time, no turn yet, no answer to a new
- * connection, or a connection that could not be prepared.
+ * connection, a connection that could not be prepared, or a member that has left its bound behind.
  */
-export type NotSentCause = 'noConnection' | 'noCapacity' | 'notYet' | 'unreachable' | 'refused';
+export type NotSentCause =
+  'noConnection' | 'noCapacity' | 'notYet' | 'unreachable' | 'refused' | 'leaving';
 
 /** How one attempt at a member ended. */
 export type AttemptOutcome =
@@ -42,8 +43,9 @@
   member: Member,
   options: AttemptOptions,
 ): Promise<AttemptOutcome> {
-  const { request, command, deadlineAt, patience } = options;
+  const { request, command, patience } = options;
   const { gate } = member;
+  const deadlineAt = context.leaving.sendBy(member, options.deadlineAt);
   const takesSlot = command.type !== 'begin';
   const placedAt = context.clock.now();
   const { priority, goal } = request.route;
@@ -65,8 +67,14 @@
   options: AttemptOptions & { placedAt: number },
 ): Promise<AttemptOutcome> {
   const { request, command, deadlineAt, placedAt } = options;
-  const acquired = await acquireConnection(context, member, request, deadlineAt);
+  const sendBy = context.leaving.sendBy(member, deadlineAt);
+  const acquired = await acquireConnection(context, member, request, sendBy);
   if ('type' in acquired) return acquired;
+  // It may have waited since it was placed, and the member's bound may have passed meanwhile.
+  if (!context.leaving.mayTake(member)) {
+    member.pool.release(acquired);
+    return { type: 'notSent', cause: 'leaving' };
+  }
   noteLeaving(context, member, { requestId: request.id, placedAt });
   const asked = markAsked(context);
   const outcome = await runWithin(context, { connection: acquired, command, deadlineAt });
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -4,6 +4,7 @@
 import type { UsesMechanism } from '../mechanisms';
 import type { Clock } from '../ports/clock';
 import type { UpstreamDriver } from '../ports/upstreamPort';
+import type { LeavingMembers } from './leavingMembers';
 import { describeLeaving } from './member';
 import type { Member } from './member';
 import type { PrimaryBelief } from './primaryBelief';
@@ -20,6 +21,7 @@
   /** Something speaks against the primary; the promotion task looks into it. */
   suspectPrimary: (cause: SuspicionCause, member: Member | undefined) => void;
   counters: GroupCounters;
+  leaving: LeavingMembers;
   uses: UsesMechanism;
   /** Uniform in [0, 1). */
   random: () => number;
--- a/packages/gateway/src/lib/groups/groupTask.ts
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -14,6 +14,7 @@
 import { markAsked } from './groupContext';
 import type { GroupAccess } from './groupAccess';
 import type { GroupContext, GroupCounters } from './groupContext';
+import { createLeavingMembers } from './leavingMembers';
 import { avoidMember, createMember, describeLeaving } from './member';
 import type { Member } from './member';
 import { createPrimaryBelief } from './primaryBelief';
@@ -59,6 +60,8 @@
   areInstancesKnown: () => boolean;
   /** How long a member's entry may be missing before the member counts as gone, in milliseconds. */
   missingGrace: number;
+  /** Time after which a member that leaves may be reached by no new statement, in milliseconds. */
+  leavingBound: number;
 }
 
 /**
@@ -90,6 +93,7 @@
   const members = new Map<string, Member>();
   const evidence = createGroupEvidence();
   const belief = createPrimaryBelief(members, clock);
+  const leaving = createLeavingMembers({ members, belief, clock, bound: options.leavingBound });
   const counters: GroupCounters = {
     probes: 0,
     retries: 0,
@@ -113,6 +117,7 @@
     logger,
     driver,
     counters,
+    leaving,
     uses,
     random: options.random,
     suspectPrimary: (cause, member) => onSuspicion(cause, member),
--- a/packages/gateway/src/lib/groups/readChoices.ts
+++ b/packages/gateway/src/lib/groups/readChoices.ts
@@ -39,7 +39,7 @@
 export const STALENESS_MARGIN_MILLISECONDS = 60;
 
 export function createReadChoices(context: GroupContext, proof: PrimaryProof): ReadChoices {
-  const { belief, clock, evidence, members, uses } = context;
+  const { belief, clock, evidence, leaving, members, uses } = context;
 
   function choose(request: StatementRequest, full: ReadonlySet<Member>): ReadChoice[] {
     const now = clock.now();
@@ -48,7 +48,7 @@
     const choices = [...members.values()]
       .filter((member) => (member === primary ? !proof.isStalled() : required !== undefined))
       .filter((member) => !full.has(member) && member.avoidUntil <= now)
-      .filter((member) => !isLeavingReplica(member, primary))
+      .filter((member) => !isLeavingReplica(member, primary) && leaving.mayTake(member))
       .map((member) => ({
         memberId: member.entry.memberId,
         member,
--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -1,5 +1,5 @@
 import type { UpstreamAnswer } from '@wisterialift/pooling';
-import type { AttemptOutcome } from './attempt';
+import type { AttemptOutcome, NotSentCause } from './attempt';
 import type { FloorKeeper } from './floorKeeper';
 import type { GroupContext } from './groupContext';
 import { giveBack } from './giveBack';
@@ -11,7 +11,7 @@
 import type { PrimaryProof } from './primaryProof';
 import { createReadChoices, STALENESS_MARGIN_MILLISECONDS } from './readChoices';
 import type { ReadChoice } from './readChoices';
-import { refuseForNow } from './refusals';
+import { refuseClosed, refuseForNow } from './refusals';
 import type { StatementRequest } from './statementRequest';
 import type { PooledConnection } from './upstreamPool';
 
@@ -41,6 +41,9 @@
 /** Pause before a replica that was behind is asked again, where its lag is not known. */
 const LAGGING_PAUSE_MILLISECONDS = 25;
 
+/** Causes for which another member is looked for, and this one not asked again. */
+const TAKES_NONE: ReadonlySet<NotSentCause> = new Set(['noCapacity', 'leaving']);
+
 /** What one read has found out on its way to a member. */
 interface Search {
   /** Members that had no room for it. */
@@ -60,7 +63,7 @@
   context: GroupContext,
   { proof, floors }: { proof: PrimaryProof; floors: FloorKeeper },
 ): ReadPath {
-  const { belief, clock, counters, evidence, logger, group, uses } = context;
+  const { belief, clock, counters, evidence, leaving, logger, group, uses } = context;
   const choices = createReadChoices(context, proof);
   const reads = createHedgedReads(context);
 
@@ -73,6 +76,7 @@
     toReadCommand: ToReadCommand,
   ): Promise<{ answer: UpstreamAnswer; place?: PlacedRead }> {
     reads.recordRead();
+    if (leaving.isGroupClosed()) return { answer: refuseClosed(context, request) };
     if (mayUseReplicas(request) && !choices.hasFloor(request)) await floors.refresh();
     const search: Search = { full: new Set(), hasWaitedForFloor: false };
     for (;;) {
@@ -99,7 +103,7 @@
     request: StatementRequest,
     search: Search,
   ): Promise<Found | undefined> {
-    while (timeLeft(request) > 0) {
+    while (timeLeft(request) > 0 && !leaving.isGroupClosed()) {
       const all = choices.choose(request, search.full);
       const [first, second] = all.filter(({ wait }) => wait <= timeLeft(request));
       if (!first && all.length > 0) return undefined;
@@ -136,6 +140,7 @@
   }
 
   function refuseRead(request: StatementRequest): UpstreamAnswer {
+    if (leaving.isGroupClosed()) return refuseClosed(context, request);
     if (timeLeft(request) > 0 && choices.hasIdle(request)) counters.refusedBesideIdle += 1;
     return refuseForNow(context, request, 'aborted', 'no member can show the read in time');
   }
@@ -147,8 +152,8 @@
   ): Promise<Verdict> {
     if (outcome.type !== 'answered') {
       handleUnanswered(choice, outcome);
-      const isFull = outcome.type === 'notSent' && outcome.cause === 'noCapacity';
-      return isFull ? 'full' : 'retry';
+      const takesNone = outcome.type === 'notSent' && TAKES_NONE.has(outcome.cause);
+      return takesNone ? 'full' : 'retry';
     }
     const { answer } = outcome;
     if (answer.outcome === 'refused') return judgeRefusal(request, choice, answer);
--- a/packages/gateway/src/lib/groups/refusals.ts
+++ b/packages/gateway/src/lib/groups/refusals.ts
@@ -6,7 +6,7 @@
 
 /** What a refusal is counted and logged with; what the instance believes of the group, if it does. */
 type RefusalContext = Pick<GroupContext, 'clock' | 'counters' | 'group' | 'logger' | 'random'> &
-  Partial<Pick<GroupContext, 'belief' | 'evidence' | 'members'>>;
+  Partial<Pick<GroupContext, 'belief' | 'evidence' | 'leaving' | 'members'>>;
 
 /** Builds a refusal of this instance's own, and logs what decided it. */
 export function refuse(
@@ -49,9 +49,26 @@
   return refuse(context, request, reason, `${detail}, come back in ${milliseconds} ms`);
 }
 
-function shortestWait({ clock, members }: RefusalContext): number | undefined {
+/** Refuses what only the primary could run, and says when to come back. */
+export function refuseAtPrimary(
+  context: GroupContext,
+  request: StatementRequest,
+  detail: string,
+): UpstreamAnswer {
+  if (context.leaving.isGroupClosed()) return refuseClosed(context, request);
+  return refuseForNow(context, request, 'busy', detail);
+}
+
+/** Refuses what no member takes: all that are listed leave, and their time is over. */
+export function refuseClosed(context: GroupContext, request: StatementRequest): UpstreamAnswer {
+  const milliseconds = comeBackTime({ expectedWait: Infinity, spread: context.random() });
+  const detail = `all members are leaving, come back in ${milliseconds} ms`;
+  return refuse(context, request, 'busy', detail);
+}
+
+function shortestWait({ clock, leaving, members }: RefusalContext): number | undefined {
   const waits = [...(members?.values() ?? [])]
-    .filter(({ avoidUntil }) => avoidUntil <= clock.now())
+    .filter((member) => member.avoidUntil <= clock.now() && leaving?.mayTake(member))
     .map(({ gate }) => gate.expectedWait());
   return waits.length > 0 ? Math.min(...waits) : undefined;
 }
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -9,7 +9,7 @@
 import { patienceOf } from './primaryProof';
 import type { PrimaryProof } from './primaryProof';
 import type { ReadPath } from './readPath';
-import { refuse, refuseForNow } from './refusals';
+import { refuse, refuseAtPrimary, refuseForNow } from './refusals';
 import { isWrite, toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 import { prepareConnection } from './upstreamPool';
@@ -26,6 +26,10 @@
 /** Pause before a statement that a busy member refused is sent again. */
 const BUSY_PAUSE_MILLISECONDS = 20;
 
+/** How one statement of a transaction ended; `notSent` is possible for the first one alone. */
+type StepOutcome =
+  { type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' } | { type: 'notSent' };
+
 interface OpenedAt {
   member: Member;
   connection: PooledConnection;
@@ -93,12 +97,12 @@
   }
 
   function refuseBegin(request: StatementRequest): UpstreamAnswer {
-    return refuseForNow(context, request, 'busy', 'no member can take the transaction');
+    return refuseAtPrimary(context, request, 'no member can take the transaction');
   }
 
   function createTransaction({ member, connection, isCurrent }: OpenedAt): Transaction {
     let hasWritten = false;
-    let isFirst = true;
+    let hasRun = false;
     let isEnded = false;
     let work: Promise<unknown> = Promise.resolve();
     const unpin = member.pool.pin();
@@ -125,13 +129,12 @@
       member.pool.discard(connection);
     }
 
-    async function runOnce(
-      request: StatementRequest,
-    ): Promise<{ type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' }> {
-      const { session, prepared, deadlineAt } = request;
+    async function runOnce(request: StatementRequest): Promise<StepOutcome> {
+      const { session, prepared } = request;
       const placedAt = clock.now();
       const refused = await prepareWithin(request, session.state, prepared?.statement);
       if (refused) return refused;
+      const deadlineAt = sendBy(request);
       // The transaction holds a connection and locks, so its statements go before new ones.
       const { goal } = request.route;
       const passage = {
@@ -141,25 +144,39 @@
         deadlineAt,
         hasConnection: true,
       };
-      if ((await member.gate.enter(passage)) !== 'admitted') return { type: 'lost' };
-      if (isFirst) noteLeaving(context, member, { requestId: request.id, placedAt });
-      isFirst = false;
+      const admission = await member.gate.enter(passage);
+      if (admission !== 'admitted') return { type: mayBegin() ? 'lost' : 'notSent' };
+      if (!mayBegin()) {
+        member.gate.leave(passage);
+        return { type: 'notSent' };
+      }
+      if (!hasRun) noteLeaving(context, member, { requestId: request.id, placedAt });
       const asked = markAsked(context);
       const command = toCommand(request);
-      const running = runWithin(context, { connection, command, deadlineAt });
+      const running = runWithin(context, { connection, command, deadlineAt: request.deadlineAt });
       const outcome = await running.finally(() => member.gate.leave(passage));
       recordLatency(context, member, asked, outcome);
       if (outcome.type === 'answered') observeAnswer(context, member, asked, outcome.answer);
+      hasRun ||= !isBusy(outcome);
       return outcome;
     }
 
+    /** An open transaction goes on at a member that leaves; it does not begin there too late. */
+    function mayBegin(): boolean {
+      return hasRun || context.leaving.mayTake(member);
+    }
+
+    function sendBy({ deadlineAt }: StatementRequest): number {
+      return hasRun ? deadlineAt : context.leaving.sendBy(member, deadlineAt);
+    }
+
     async function prepareWithin(
       request: StatementRequest,
       ...[session, statement]: [
         StatementRequest['session']['state'],
         Parameters<typeof prepareConnection>[2],
       ]
-    ): Promise<{ type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' } | undefined> {
+    ): Promise<StepOutcome | undefined> {
       try {
         const answer = await prepareConnection(connection, session, statement);
         return answer && { type: 'answered', answer };
@@ -177,6 +194,7 @@
     async function run(request: StatementRequest): Promise<UpstreamAnswer> {
       if (isEnded) return refuseAborted(request, 'the transaction has ended');
       const outcome = await runPatiently(request);
+      if (outcome.type === 'notSent') return refuseFirst(request);
       if (outcome.type === 'lost') {
         discard();
         context.suspectPrimary('silent', member);
@@ -192,9 +210,7 @@
     }
 
     /** Sends a statement again that a busy member did not run, while there is time. */
-    async function runPatiently(
-      request: StatementRequest,
-    ): Promise<{ type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' }> {
+    async function runPatiently(request: StatementRequest): Promise<StepOutcome> {
       let outcome = await runOnce(request);
       while (isBusy(outcome) && clock.now() + BUSY_PAUSE_MILLISECONDS < request.deadlineAt) {
         await clock.pause(BUSY_PAUSE_MILLISECONDS);
@@ -206,6 +222,7 @@
     async function commit(request: StatementRequest): Promise<UpstreamAnswer> {
       if (isEnded) return refuseAborted(request, 'the transaction has ended');
       const outcome = await runPatiently(request);
+      if (outcome.type === 'notSent') return refuseFirst(request);
       if (outcome.type === 'lost') {
         discard();
         context.suspectPrimary('silent', member);
@@ -232,6 +249,12 @@
       giveBack(context, { member, connection, transaction: 'open' });
     }
 
+    function refuseFirst(request: StatementRequest): UpstreamAnswer {
+      rollBack();
+      const answer = refuseForNow(context, request, 'aborted', 'the member is leaving');
+      return { ...answer, transaction: 'failed' };
+    }
+
     function refuseAborted(request: StatementRequest, detail: string): UpstreamAnswer {
       return { ...refuse(context, request, 'aborted', detail), transaction: 'failed' };
     }
@@ -248,7 +271,7 @@
   return { open };
 }
 
-function isBusy(outcome: { type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' }): boolean {
+function isBusy(outcome: StepOutcome): boolean {
   if (outcome.type !== 'answered' || outcome.answer.outcome !== 'refused') return false;
   return outcome.answer.reason === 'busy' && outcome.answer.transaction === 'open';
 }
--- a/packages/gateway/src/lib/groups/writePath.ts
+++ b/packages/gateway/src/lib/groups/writePath.ts
@@ -8,7 +8,7 @@
 import type { Member } from './member';
 import { patienceOf } from './primaryProof';
 import type { PrimaryProof } from './primaryProof';
-import { refuse, refuseForNow } from './refusals';
+import { refuse, refuseAtPrimary } from './refusals';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 
@@ -57,7 +57,7 @@
   context: GroupContext,
   options: { proof: PrimaryProof; readTermOrigin: () => Promise<TermOrigin | undefined> },
 ): WritePath {
-  const { belief, clock, counters, group, logger } = context;
+  const { belief, clock, counters, group, leaving, logger } = context;
   const { proof, readTermOrigin } = options;
 
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
@@ -67,7 +67,7 @@
       provesPrimary: true,
       run: (member) => attempt(context, member, { request, command, deadlineAt }),
     });
-    if (!ran) return refuseForNow(context, request, 'busy', 'no primary can take the write');
+    if (!ran) return refuseAtPrimary(context, request, 'no primary can take the write');
     const { member, outcome } = ran;
     if (outcome.type !== 'answered') {
       return refuse(context, request, 'unknownOutcome', 'the primary did not answer the write');
@@ -77,13 +77,16 @@
     return acknowledge(request, member, answer);
   }
 
+  const mayStillRun = ({ deadlineAt }: StatementRequest) =>
+    clock.now() < deadlineAt && !proof.isStalled() && !leaving.isGroupClosed();
+
   async function runAtPrimary(
     request: StatementRequest,
     { provesPrimary, run }: Parameters<WritePath['runAtPrimary']>[1],
   ): Promise<{ member: Member; outcome: AttemptOutcome } | undefined> {
-    while (clock.now() < request.deadlineAt && !proof.isStalled()) {
+    while (mayStillRun(request)) {
       const member = belief.find();
-      if (!member || member.avoidUntil > clock.now()) {
+      if (!member || member.avoidUntil > clock.now() || !leaving.mayTake(member)) {
         if (!member) context.suspectPrimary('absent', undefined);
         await belief.waitForChange(
           Math.min(BUSY_PAUSE_MILLISECONDS, request.deadlineAt - clock.now()),
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -16,7 +16,7 @@
   return {
     instance: 'instance-1',
     dataCentre: 'zone-1',
-    times: { stopGrace: 6_000, missingGrace: 2_500 },
+    times: { stopGrace: 6_000, missingGrace: 2_500, leavingBound: 7_000 },
     clock: createProcessClock(),
     random: () => 0,
     logger: createTestLogger(),
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -26,6 +26,7 @@
   type SessionState,
 } from './lib/session/pooledSession';
 export { LONG_AGO, longestAge, type ClockReadings } from './lib/timing/clockReadings';
+export { remainingUse } from './lib/placing/remainingUse';
 export { createReplicaLag, type ReplicaLag, type RequiredLog } from './lib/placing/replicaLag';
 export { comeBackTime } from './lib/placing/comeBackTime';
 export { longestWait } from './lib/placing/longestWait';
--- a/tools/world/src/lib/experiment/worldInstances.ts
+++ b/tools/world/src/lib/experiment/worldInstances.ts
@@ -60,7 +60,7 @@
       ...platform.portsOf(host, own),
       instance: name,
       dataCentre,
-      times: { stopGrace: 6_000, missingGrace: 2_500 },
+      times: { stopGrace: 6_000, missingGrace: 2_500, leavingBound: 7_000 },
       driver: createSimulatedDriver({
         simulation,
         host,
