Give a connection that went silent one time limit, not one for each

A call that ran into its time limit on a kept connection ended as a reset ("socket hang up"), so that reads were sent again with a second whole limit: a silent watch of the directory cost 5.5 s twice. Each further idle connection then cost its own limit, since connections go silent together.

A call that ran out of time now ends as such and is not sent again, and the idle connections go with it.

--- a/packages/platform/src/lib/httpExchange.ts
+++ b/packages/platform/src/lib/httpExchange.ts
@@ -71,14 +71,17 @@
       ...(text !== undefined && { 'content-type': 'application/json' }),
     };
     const request = startRequest(`${base}${call.path}`, { method, agent, headers, signal });
+    let timeout: Error | undefined;
     const timer = setTimeout(() => {
+      timeout = new Error(`no answer within ${timeoutMilliseconds} ms`);
       // A reset drops what a cut still holds up; a plain close would let it arrive later.
       request.socket?.resetAndDestroy();
-      request.destroy(new Error(`no answer within ${timeoutMilliseconds} ms`));
+      request.destroy(timeout);
+      dropIdleConnections();
     }, timeoutMilliseconds);
     request.once('close', () => clearTimeout(timer));
     const answer = new Promise<HttpAnswer>((resolve, reject) => {
-      const onError = (error: Error): void => reject(describeFailure(call, error));
+      const onError = (error: Error): void => reject(describeFailure(call, timeout ?? error));
       request.on('error', onError);
       request.once('response', (response) => {
         readAnswer(response).then(resolve, onError);
@@ -88,6 +91,13 @@
     return { request, answer };
   }
 
+  /** Connections go silent together; the next call would wait for its time limit on each of them. */
+  function dropIdleConnections(): void {
+    for (const sockets of Object.values(agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
   return { send, close: () => agent.destroy() };
 }
 
