Claim no promotion that nobody could win

A promotion is looked into and claimed only while a member stays that could take the place; a member that comes is noticed at once.

--- a/packages/gateway/src/lib/promotion/promotionTask.ts
+++ b/packages/gateway/src/lib/promotion/promotionTask.ts
@@ -92,7 +92,7 @@
       if (members.size > 0) suspect('absent', undefined);
       return;
     }
-    if (primary.entry.isLeaving) suspect('leaving', primary);
+    if (primary.entry.isLeaving && hasCandidate(primary)) suspect('leaving', primary);
   }
 
   async function handleSuspicion(cause: SuspicionCause, member: Member | undefined): Promise<void> {
@@ -160,7 +160,18 @@
     });
   }
 
+  /** Whether a member stays that could take the primary's place. */
+  function hasCandidate(primary: Member | undefined): boolean {
+    return [...members.values()].some(
+      (member) => member !== primary && !member.entry.isLeaving && !isGone(member),
+    );
+  }
+
   async function promote(cause: SuspicionCause, primary: Member | undefined): Promise<void> {
+    if (!hasCandidate(primary)) {
+      logger.info('promotionWithoutCandidate', { group, cause });
+      return;
+    }
     const claim = await claimDuty(primary);
     if (!claim) return;
     const stopped = await stopReplicas(primary);
--- a/packages/gateway/src/test/leaving.test.ts
+++ b/packages/gateway/src/test/leaving.test.ts
@@ -120,6 +120,17 @@
     },
   );
 
+  it('is not looked at for a promotion that nobody could win', async () => {
+    // Guards against a claim at the store each second, and its price, for as long as it leaves.
+    gateway.list([staying]);
+    gateway.list([leaving], createProcessClock().readings());
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(gateway.events.filter((event) => event === 'dutyClaimed')).toEqual([]);
+    gateway.list([leaving, successor], createProcessClock().readings());
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(gateway.events).toContain('dutyClaimed');
+  });
+
   it('leaves a write to the successor, for which it waits', async () => {
     // Guards against refusals during a promotion that is about to take effect.
     gateway.list([staying, successor]);
