--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -109,9 +109,9 @@
     });
   }
 
-  /** A member says that it leaves, or stays, again and again until the store accepts it. */
+  /** A member says that it leaves until the store accepts it; its next life stays from its start on. */
   function setLeaving(memberId: string, isLeaving: boolean): void {
-    if (isDown) {
+    if (isLeaving && isDown) {
       scheduler.after(RETRY_MILLISECONDS, () => setLeaving(memberId, isLeaving));
       return;
     }
