--- a/stand-ins/line-platform/src/lib/lineDatabase.ts
+++ b/stand-ins/line-platform/src/lib/lineDatabase.ts
@@ -12,6 +12,8 @@
   values: Record<string, string>;
   /** Number of the transaction that it ran in, or undefined outside of one. */
   transaction: number | undefined;
+  /** Steady time at which it began to run. */
+  at: number;
 }
 
 /** A database that speaks the line protocol over TCP. */
@@ -104,6 +106,7 @@
       text,
       values: { ...values },
       transaction: transaction?.number,
+      at: performance.now(),
     });
   }
 
--- a/tools/soak/src/lib/faults/faultHandlers.ts
+++ b/tools/soak/src/lib/faults/faultHandlers.ts
@@ -86,6 +86,11 @@
     await pause(duration);
     setLeaving(primary.member, false);
   },
+  databasesLeave: async ({ databases, setLeaving }, { duration }) => {
+    for (const { member } of databases) setLeaving(member, true);
+    await pause(duration);
+    for (const { member } of databases) setLeaving(member, false);
+  },
   databaseSilent: memberLink('silent'),
   databaseDeaf: memberLink('silentThere'),
   databaseMute: memberLink('silentBack'),
--- a/tools/soak/src/lib/faults/faultPlan.ts
+++ b/tools/soak/src/lib/faults/faultPlan.ts
@@ -28,6 +28,33 @@
 /** Connections that a database takes: enough for every instance, or so few that one holds them. */
 const CONNECTION_LIMITS = [30, 5];
 
+/** Faults that are not drawn; a plan that has them draws its other faults as before. */
+const PLANNED_ONLY: ReadonlySet<FaultName> = new Set(['databasesLeave']);
+
+const DRAWN = FAULT_NAMES.filter((name) => !PLANNED_ONLY.has(name));
+
+/** Time for which databases leave: beyond the bound for new statements. */
+const LEAVING_MILLISECONDS = 9_500;
+
+/** Faults after which an instance cannot know in time that a database leaves, or reach it. */
+const HIDING_FAULT = /^(store|instancePaused|database(Silent|Deaf|Mute|Far))/;
+
+/** A plan in which all databases leave at the same time, without faults that hide it. */
+export function createLeavingPlan(seed: number, length: number): FaultPlan {
+  const plan = createFaultPlan(seed, length);
+  const at = createRandom(seed).between(500, length);
+  const others = plan.faults.filter(
+    ({ name }) => !HIDING_FAULT.test(name) && name !== 'primaryLeaves',
+  );
+  const leaving = {
+    name: 'databasesLeave',
+    at,
+    duration: LEAVING_MILLISECONDS,
+    target: 0,
+  } as const;
+  return { ...plan, faults: [...others, leaving] };
+}
+
 /** @param length - of the load, in milliseconds. */
 export function createFaultPlan(seed: number, length: number): FaultPlan {
   const random = createRandom(seed);
@@ -48,7 +75,7 @@
 function drawFault(random: Random, at: number): PlannedFault {
   const { shortest, longest } = DURATION_MILLISECONDS;
   return {
-    name: random.pick(FAULT_NAMES),
+    name: random.pick(DRAWN),
     at,
     duration: random.between(shortest, longest),
     target: random.between(0, 99),
--- a/tools/soak/src/lib/runSoak.ts
+++ b/tools/soak/src/lib/runSoak.ts
@@ -1,9 +1,11 @@
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createRandom } from '@wisterialift/fuzz';
 import { DATABASES, connectLineCaller } from '@wisterialift/stand-in-line-platform';
+import { checkLeaving } from './checks/checkLeaving';
 import { checkLog } from './checks/checkLog';
 import { injectFaults } from './faults/injectFaults';
-import { createFaultPlan } from './faults/faultPlan';
+import { createFaultPlan, createLeavingPlan } from './faults/faultPlan';
 import type { FaultPlan } from './faults/faultPlan';
 import { createHistory } from './load/history';
 import type { Violation } from './load/history';
@@ -16,6 +18,8 @@
   /** Length of the load, in milliseconds; the last faults may end after it. */
   length: number;
   instances: number;
+  /** Whether all databases leave at some time of the run. */
+  isLeaving?: boolean;
   /** How long service may take to come back after the last fault, in milliseconds. */
   recovery: number;
 }
@@ -34,13 +38,15 @@
   lines: readonly string[];
 }
 
+const NANOSECONDS_PER_MILLISECOND = 1e6;
+
 /** Callers of each kind of route; more instances of the same would only repeat them. */
 const CALLERS_OF_KIND = 4;
 
 /** Runs the programs under the faults of a seed, and checks what callers and databases saw. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
-  const { seed, length, instances } = options;
-  const plan = createFaultPlan(seed, length);
+  const { seed, length, instances, isLeaving = false } = options;
+  const plan = isLeaving ? createLeavingPlan(seed, length) : createFaultPlan(seed, length);
   const world = await startWorld({ instances, maximumConnections: plan.maximumConnections });
   try {
     return await play(world, plan, options);
@@ -51,6 +57,8 @@
 
 async function play(world: World, plan: FaultPlan, options: SoakOptions): Promise<SoakResult> {
   const history = createHistory();
+  const stalls = monitorEventLoopDelay();
+  stalls.enable();
   await waitForService(world, options.recovery);
   let isOver = false;
   const items: string[] = [];
@@ -73,7 +81,11 @@
   // A caller that waits in a session which no fault ended would wait for ever.
   for (const instance of world.instances) instance.callers.resetAll();
   await Promise.all(callers);
-  const violations = [...history.violations, ...checkLog(world, history)];
+  const violations = [
+    ...history.violations,
+    ...checkLog(world, history),
+    ...checkLeaving(world, stalls.max / NANOSECONDS_PER_MILLISECOND),
+  ];
   for (const instance of world.instances) {
     for (const detail of instance.failures()) {
       violations.push({ promise: 'no instance ends by itself', detail });
--- a/tools/soak/src/lib/world/startWorld.ts
+++ b/tools/soak/src/lib/world/startWorld.ts
@@ -29,11 +29,21 @@
   /** Writes the next version of the configuration. */
   configure: (changes?: { timeout?: number }) => void;
   setLeaving: (member: LineMember, isLeaving: boolean) => void;
+  /** All times in which a database was leaving. */
+  leavings: () => Leaving[];
   /** The log lines of all instances. */
   lines: () => readonly string[];
   close: () => Promise<void>;
 }
 
+/** A time in which a database was leaving; steady milliseconds. */
+export interface Leaving {
+  memberId: string;
+  from: number;
+  /** Infinity while it goes on. */
+  until: number;
+}
+
 export interface WorldOptions {
   instances: number;
   /** Connections that a database takes; few make some instances hold them for the others. */
@@ -54,14 +64,17 @@
   const databases: SoakDatabase[] = [];
   const instances: SoakInstance[] = [];
   const lines: string[] = [];
-  const leaving = new Set<string>();
+  const leavings: Leaving[] = [];
   const entries = createPlatformEntries(store, GROUP);
 
+  const findLeaving = ({ id }: LineMember) =>
+    leavings.find(({ memberId, until }) => memberId === id && until === Infinity);
+
   function list(member: LineMember): void {
     const database = databases.find((other) => other.member === member);
     if (!database) return;
     const address = `127.0.0.1:${database.link.port}`;
-    entries.listMember(member, { address, isLeaving: leaving.has(member.id) });
+    entries.listMember(member, { address, isLeaving: findLeaving(member) !== undefined });
   }
 
   const configure = (changes: { timeout?: number } = {}) =>
@@ -100,10 +113,14 @@
     duty,
     configure,
     setLeaving: (member, isLeaving) => {
-      if (isLeaving) leaving.add(member.id);
-      else leaving.delete(member.id);
+      const present = findLeaving(member);
+      if (present) present.until = isLeaving ? Infinity : performance.now();
+      else if (isLeaving) {
+        leavings.push({ memberId: member.id, from: performance.now(), until: Infinity });
+      }
       list(member);
     },
+    leavings: () => leavings,
     lines: () => lines,
     close: async () => {
       await Promise.all(instances.map((instance) => instance.close()));
--- a/tools/soak/src/main.ts
+++ b/tools/soak/src/main.ts
@@ -11,6 +11,7 @@
   seconds: number;
   instances: number;
   jobs: number;
+  leaving: boolean;
 }
 
 /** Time for service to come back: a change of primary after a restart takes a few seconds. */
@@ -34,12 +35,19 @@
   process.stdout.write(`  plan and logs: ${path}\n`);
 }
 
-async function main({ seed, runs, seconds, instances, jobs }: SoakArguments): Promise<void> {
+async function main({
+  seed,
+  runs,
+  seconds,
+  instances,
+  jobs,
+  leaving,
+}: SoakArguments): Promise<void> {
   const seeds = Array.from({ length: runs }, (_, index) => seed + index);
   const broken: number[] = [];
   async function work(): Promise<void> {
     for (let next = seeds.shift(); next !== undefined; next = seeds.shift()) {
-      const options = { seed: next, length: seconds * 1_000, instances };
+      const options = { seed: next, length: seconds * 1_000, instances, isLeaving: leaving };
       const result = await runSoak({ ...options, recovery: RECOVERY_MILLISECONDS });
       report(result);
       if (result.violations.length > 0) broken.push(next);
@@ -56,6 +64,7 @@
   .option('--runs <number>', 'seeds to run, one after the other', readNumber, 10)
   .option('--seconds <number>', 'length of the load of a run', readNumber, 12)
   .option('--instances <number>', 'instances of a run', readNumber, 3)
+  .option('--leaving', 'has all databases leave for a time in each run', false)
   .option('--jobs <number>', 'runs at a time', readNumber, 1)
   .action(main);
 
--- a/tools/soak/src/test/soak.test.ts
+++ b/tools/soak/src/test/soak.test.ts
@@ -16,6 +16,18 @@
     expect(acknowledged).toBeGreaterThan(0);
   });
 
+  it(
+    'sends nothing new to databases that all leave, past their bound',
+    { timeout: 120_000 },
+    async () => {
+      // Guards against statements that reach leaving databases which nobody can replace.
+      const options = { seed: 1, length: 3_000, instances: 3, recovery: RECOVERY_MILLISECONDS };
+      const { violations, acknowledged } = await runSoak({ ...options, isLeaving: true });
+      expect(violations).toEqual([]);
+      expect(acknowledged).toBeGreaterThan(0);
+    },
+  );
+
   it.each([[103, 'settings that changed right after a start ended the instance']])(
     'holds with seed %i, which failed once: %s',
     { timeout: 120_000 },
