Let a read pause before it looks again after a member that took nothing new

A read whose member had just left its bound behind looked for another member at once. Only the filter of the choice kept it from choosing the same one again without any time passing; with the filter taken out, an instance's process stood still (seen in the world: it ran out of memory). The read waits for a change, 25 ms at the most, before it looks again. With the filter out all 25 tests of leaving members end and pass.

--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -152,8 +152,9 @@
   ): Promise<Verdict> {
     if (outcome.type !== 'answered') {
       handleUnanswered(choice, outcome);
-      const takesNone = outcome.type === 'notSent' && TAKES_NONE.has(outcome.cause);
-      return takesNone ? 'full' : 'retry';
+      const cause = outcome.type === 'notSent' ? outcome.cause : undefined;
+      if (cause === 'leaving') await belief.waitForChange(RETRY_PAUSE_MILLISECONDS);
+      return cause && TAKES_NONE.has(cause) ? 'full' : 'retry';
     }
     const { answer } = outcome;
     if (answer.outcome === 'refused') return judgeRefusal(request, choice, answer);
