--- a/packages/gateway/src/lib/groups/attempt.ts
+++ b/packages/gateway/src/lib/groups/attempt.ts
@@ -75,7 +75,7 @@
     member.pool.release(acquired);
     return { type: 'notSent', cause: 'leaving' };
   }
-  noteLeaving(context, member, { requestId: request.id, placedAt });
+  if (command.type !== 'begin') noteLeaving(context, member, { requestId: request.id, placedAt });
   const asked = markAsked(context);
   const outcome = await runWithin(context, { connection: acquired, command, deadlineAt });
   if (command.type !== 'begin') recordLatency(context, member, asked, outcome);
--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -41,7 +41,7 @@
 /** Pause before a replica that was behind is asked again, where its lag is not known. */
 const LAGGING_PAUSE_MILLISECONDS = 25;
 
-/** Causes for which another member is looked for, and this one not asked again. */
+/** Causes for which a read looks for another member and leaves this one out. */
 const TAKES_NONE: ReadonlySet<NotSentCause> = new Set(['noCapacity', 'leaving']);
 
 /** What one read has found out on its way to a member. */
--- a/packages/gateway/src/test/lookAhead.test.ts
+++ b/packages/gateway/src/test/lookAhead.test.ts
@@ -1,18 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { createGateway } from '../index';
-import type { DirectoryEntry, InstanceEntry } from '../index';
-import { createIdleOptions, GROUP, nothing } from './fixture';
-
-const member: DirectoryEntry = {
-  memberId: 'db-1',
-  group: GROUP,
-  address: 'db-1:1',
-  dataCentre: 'zone-1',
-  isPrimary: true,
-  isLeaving: false,
-  slots: 3,
-  revision: 1,
-};
+import type { InstanceEntry } from '../index';
+import { createIdleOptions, nothing } from './fixture';
+import { listMember } from './testMembers';
 
 const instances: InstanceEntry[] = ['instance-1', 'instance-2'].map((instance) => ({
   instance,
@@ -34,7 +24,7 @@
         readReport: nothing,
       },
       directory: {
-        follow: ({ onChange }) => onChange([member], { isFresh: true, newSince: undefined }),
+        follow: ({ onChange }) => onChange([listMember()], { isFresh: true, newSince: undefined }),
       },
       registry: { follow: (onChange) => listed && onChange(listed), reportGone: nothing },
     }),
