Say in one place that a group is closed, and read the clocks only for members that leave

Each statement read both clocks for each member to learn that a staying member has no limit; now only members that leave cost that. Behaviour is the same, tests unchanged.

--- a/packages/gateway/src/lib/groups/groupTask.ts
+++ b/packages/gateway/src/lib/groups/groupTask.ts
@@ -182,8 +182,7 @@
   }
 
   function describeEntry({ leavingSince, ...entry }: KnownEntry) {
-    const leavingFor = describeLeaving(leavingSince, clock.readings());
-    return { ...entry, ...leavingFor };
+    return { ...entry, ...describeLeaving(leavingSince, clock.readings()) };
   }
 
   /**
--- a/packages/gateway/src/lib/groups/leavingMembers.ts
+++ b/packages/gateway/src/lib/groups/leavingMembers.ts
@@ -22,8 +22,9 @@
 }): LeavingMembers {
   const { members, belief, clock, bound } = options;
 
+  // Every statement asks this of members that stay, so the clocks are read only for the others.
   const remaining = ({ entry: { leavingSince } }: Member) =>
-    remainingUse({ leavingSince, bound, present: clock.readings() });
+    leavingSince ? remainingUse({ leavingSince, bound, present: clock.readings() }) : Infinity;
 
   const mayTake = (member: Member) => remaining(member) > 0;
 
--- a/packages/gateway/src/lib/groups/readPath.ts
+++ b/packages/gateway/src/lib/groups/readPath.ts
@@ -11,7 +11,7 @@
 import type { PrimaryProof } from './primaryProof';
 import { createReadChoices, STALENESS_MARGIN_MILLISECONDS } from './readChoices';
 import type { ReadChoice } from './readChoices';
-import { refuseClosed, refuseForNow } from './refusals';
+import { refuseUnplaced } from './refusals';
 import type { StatementRequest } from './statementRequest';
 import type { PooledConnection } from './upstreamPool';
 
@@ -76,7 +76,7 @@
     toReadCommand: ToReadCommand,
   ): Promise<{ answer: UpstreamAnswer; place?: PlacedRead }> {
     reads.recordRead();
-    if (leaving.isGroupClosed()) return { answer: refuseClosed(context, request) };
+    if (leaving.isGroupClosed()) return { answer: refuseRead(request) };
     if (mayUseReplicas(request) && !choices.hasFloor(request)) await floors.refresh();
     const search: Search = { full: new Set(), hasWaitedForFloor: false };
     for (;;) {
@@ -140,9 +140,8 @@
   }
 
   function refuseRead(request: StatementRequest): UpstreamAnswer {
-    if (leaving.isGroupClosed()) return refuseClosed(context, request);
     if (timeLeft(request) > 0 && choices.hasIdle(request)) counters.refusedBesideIdle += 1;
-    return refuseForNow(context, request, 'aborted', 'no member can show the read in time');
+    return refuseUnplaced(context, request, 'aborted', 'no member can show the read in time');
   }
 
   async function judge(
--- a/packages/gateway/src/lib/groups/refusals.ts
+++ b/packages/gateway/src/lib/groups/refusals.ts
@@ -49,18 +49,19 @@
   return refuse(context, request, reason, `${detail}, come back in ${milliseconds} ms`);
 }
 
-/** Refuses what only the primary could run, and says when to come back. */
-export function refuseAtPrimary(
+/** Refuses what no member could be found for, and says when to come back. */
+export function refuseUnplaced(
   context: GroupContext,
   request: StatementRequest,
+  reason: FailureReason,
   detail: string,
 ): UpstreamAnswer {
   if (context.leaving.isGroupClosed()) return refuseClosed(context, request);
-  return refuseForNow(context, request, 'busy', detail);
+  return refuseForNow(context, request, reason, detail);
 }
 
 /** Refuses what no member takes: all that are listed leave, and their time is over. */
-export function refuseClosed(context: GroupContext, request: StatementRequest): UpstreamAnswer {
+function refuseClosed(context: GroupContext, request: StatementRequest): UpstreamAnswer {
   const milliseconds = comeBackTime({ expectedWait: Infinity, spread: context.random() });
   const detail = `all members are leaving, come back in ${milliseconds} ms`;
   return refuse(context, request, 'busy', detail);
--- a/packages/gateway/src/lib/groups/transaction.ts
+++ b/packages/gateway/src/lib/groups/transaction.ts
@@ -9,7 +9,7 @@
 import { patienceOf } from './primaryProof';
 import type { PrimaryProof } from './primaryProof';
 import type { ReadPath } from './readPath';
-import { refuse, refuseAtPrimary, refuseForNow } from './refusals';
+import { refuse, refuseForNow, refuseUnplaced } from './refusals';
 import { isWrite, toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 import { prepareConnection } from './upstreamPool';
@@ -97,7 +97,7 @@
   }
 
   function refuseBegin(request: StatementRequest): UpstreamAnswer {
-    return refuseAtPrimary(context, request, 'no member can take the transaction');
+    return refuseUnplaced(context, request, 'busy', 'no member can take the transaction');
   }
 
   function createTransaction({ member, connection, isCurrent }: OpenedAt): Transaction {
--- a/packages/gateway/src/lib/groups/writePath.ts
+++ b/packages/gateway/src/lib/groups/writePath.ts
@@ -8,7 +8,7 @@
 import type { Member } from './member';
 import { patienceOf } from './primaryProof';
 import type { PrimaryProof } from './primaryProof';
-import { refuse, refuseAtPrimary } from './refusals';
+import { refuse, refuseUnplaced } from './refusals';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 
@@ -67,7 +67,7 @@
       provesPrimary: true,
       run: (member) => attempt(context, member, { request, command, deadlineAt }),
     });
-    if (!ran) return refuseAtPrimary(context, request, 'no primary can take the write');
+    if (!ran) return refuseUnplaced(context, request, 'busy', 'no primary can take the write');
     const { member, outcome } = ran;
     if (outcome.type !== 'answered') {
       return refuse(context, request, 'unknownOutcome', 'the primary did not answer the write');
--- a/packages/pooling/src/lib/placing/remainingUse.ts
+++ b/packages/pooling/src/lib/placing/remainingUse.ts
@@ -5,9 +5,10 @@
 const WAY_MILLISECONDS = 500;
 
 /**
- * Milliseconds in which new statements may still be sent to a member; negative once they may not.
+ * Milliseconds in which new statements may still be sent to a member that leaves; negative once they
+ * may not.
  *
- * @param options.leavingSince - it has been leaving since then or later; undefined where it stays.
+ * @param options.leavingSince - it has been leaving since then or later.
  * @param options.bound - time after which no new statement may reach a member that leaves.
  * @public
  */
@@ -16,10 +17,9 @@
   bound,
   present,
 }: {
-  leavingSince: ClockReadings | undefined;
+  leavingSince: ClockReadings;
   bound: number;
   present: ClockReadings;
 }): number {
-  if (!leavingSince) return Infinity;
   return bound - WAY_MILLISECONDS - longestAge(leavingSince, present);
 }
--- a/tools/world/src/lib/callers/oracle.ts
+++ b/tools/world/src/lib/callers/oracle.ts
@@ -33,8 +33,8 @@
   broken: () => BrokenPromise[];
 }
 
-/** Time after which a member that leaves gets no new statements, by the users' sheet. */
-const LEAVING_BOUND_MILLISECONDS = 7_000;
+/** Time after which a member that leaves gets no new statements, by the users' sheet. @internal */
+export const LEAVING_BOUND_MILLISECONDS = 7_000;
 
 interface Acknowledged {
   at: number;
--- a/tools/world/src/lib/experiment/worldInstances.ts
+++ b/tools/world/src/lib/experiment/worldInstances.ts
@@ -1,5 +1,6 @@
 import type { GatewayConfiguration, Mechanism } from '@wisterialift/gateway';
 import type { Logger } from '@wisterialift/telemetry';
+import { LEAVING_BOUND_MILLISECONDS } from '../callers/oracle';
 import type { SimulatedDatabase } from '../databases/simulatedDatabase';
 import { createSimulatedDriver } from '../databases/simulatedDriver';
 import { createSimulatedInstance } from '../instances/simulatedInstance';
@@ -60,7 +61,7 @@
       ...platform.portsOf(host, own),
       instance: name,
       dataCentre,
-      times: { stopGrace: 6_000, missingGrace: 2_500, leavingBound: 7_000 },
+      times: { stopGrace: 6_000, missingGrace: 2_500, leavingBound: LEAVING_BOUND_MILLISECONDS },
       driver: createSimulatedDriver({
         simulation,
         host,
