End the soak's command once it has its verdict

Traced with a debugger: the runtime was waiting, while it ended, for the handle of a connection that is never closed. A database of the stand-in reset its connections when it stopped, also those whose end was on its way, which the runtime does not finish; the soak's own links already knew that and closed those instead. Both call the same function now.

--- a/stand-ins/line-platform/src/index.ts
+++ b/stand-ins/line-platform/src/index.ts
@@ -1,3 +1,4 @@
+export { breakOff } from './lib/breakOff';
 export { connectLineCaller, type LineAnswer, type LineCaller } from './lib/lineCaller';
 export { startDutyServer, type DutyServer, type PromotionCall } from './lib/dutyServer';
 export { startLineDatabase, type LineDatabase, type StatementRun } from './lib/lineDatabase';
--- a/stand-ins/line-platform/src/lib/lineDatabase.ts
+++ b/stand-ins/line-platform/src/lib/lineDatabase.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
+import { breakOff } from './breakOff';
 import { positionText } from './lineGroup';
 import type { LineGroup, LineMember } from './lineGroup';
 
@@ -60,7 +61,7 @@
     new Promise<void>((resolve) => {
       Object.assign(member, { isUp: false });
       server.close(() => resolve());
-      for (const socket of sockets) socket.resetAndDestroy();
+      for (const socket of sockets) breakOff(socket);
     });
 
   return { address, runs, connectionCount: () => sockets.size, crash: stop, close: stop };
--- a/tools/soak/src/lib/world/faultLink.ts
+++ b/tools/soak/src/lib/world/faultLink.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { breakOff } from '@wisterialift/stand-in-line-platform';
 
 /**
  * What a link does to the bytes that it carries. Bytes of a silent direction are held and go on when
@@ -31,15 +32,6 @@
   silentBack: new Set<Direction>(['back']),
 };
 
-/**
- * Resets a connection. One whose end is on its way already is closed instead: the runtime does not
- * finish a reset of it and then never ends.
- */
-function breakOff(socket: Socket): void {
-  if (socket.writableEnded) socket.destroy();
-  else socket.resetAndDestroy();
-}
-
 /** Opens a link to a port. */
 export async function openFaultLink(target: number): Promise<FaultLink> {
   const sockets = new Set<Socket>();
