--- a/packages/gateway/src/test/leaving.test.ts
+++ b/packages/gateway/src/test/leaving.test.ts
@@ -74,7 +74,7 @@
   });
 
   it('gets no first statement of a transaction that it began in time', async () => {
-    // Guards against the first statement's wait, which DRAIN counts like a statement of its own.
+    // Guards against the wait of a first statement, which is new work like one of its own.
     gateway.list([staying]);
     gateway.hold('begin');
     const session = gateway.openSession();
--- a/tools/world/src/lib/callers/oracle.ts
+++ b/tools/world/src/lib/callers/oracle.ts
@@ -33,7 +33,7 @@
   broken: () => BrokenPromise[];
 }
 
-/** Time after which a member that leaves gets no new statements, by the users' sheet. @internal */
+/** Time after which a member that leaves gets no new statements. @internal */
 export const LEAVING_BOUND_MILLISECONDS = 7_000;
 
 interface Acknowledged {
