--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -56,6 +56,8 @@
   z.strictObject({
     kind: z.literal('loseReplicas'),
     at: z.number(),
+    /** Time after which they are back with the log that they had; for good where left out. */
+    seconds: z.number().optional(),
     groups: z.number().int().positive().optional(),
   }),
   z.strictObject({
@@ -64,6 +66,8 @@
     seconds: z.number(),
     /** Time by which changes of the directory reach the instances later. */
     milliseconds: time,
+    /** Instances that it strikes; all where left out. */
+    instances: z.number().int().positive().optional(),
   }),
   z.strictObject({
     kind: z.literal('restartEmpty'),
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -92,15 +92,22 @@
       });
     }
   },
-  loseReplicas: ({ groups: count }, { groups, databases, platform }) => {
-    for (const group of [...groups.values()].slice(0, count)) {
-      for (const memberId of replicasOf(group)) databases.get(memberId)!.losePower();
-    }
+  loseReplicas: ({ seconds, groups: count }, { clock, groups, databases, platform }) => {
+    const lost = [...groups.values()]
+      .slice(0, count)
+      .flatMap((group) => replicasOf(group).map((memberId) => databases.get(memberId)!));
+    for (const database of lost) database.losePower();
     platform.review();
+    if (seconds === undefined) return;
+    clock.after(seconds * 1_000, () => {
+      for (const database of lost) database.restart({ isEmpty: false });
+      platform.review();
+    });
   },
-  lateDirectory: ({ seconds, milliseconds }, { clock, platform }) => {
-    platform.delayChanges(milliseconds);
-    clock.after(seconds * 1_000, () => platform.delayChanges(0));
+  lateDirectory: ({ seconds, milliseconds, instances: count }, { clock, instances, platform }) => {
+    const hosts = instances.slice(0, count).map(({ host }) => host);
+    platform.delayChanges(hosts, milliseconds);
+    clock.after(seconds * 1_000, () => platform.delayChanges(hosts, 0));
   },
   slowDatabase: ({ seconds, factor, member }, { clock, groups, databases }) => {
     const memberId = [...[...groups.values()][0]!.members.keys()][member]!;
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -35,8 +35,8 @@
   setLeaving: (memberId: string, isLeaving: boolean) => void;
   /** When the store accepted that the member leaves; undefined while it stays. */
   leavingAt: (memberId: string) => number | undefined;
-  /** Changes of the directory reach the instances later by this time. */
-  delayChanges: (milliseconds: number) => void;
+  /** Changes of the directory reach these instances later by this time. */
+  delayChanges: (hosts: readonly Host[], milliseconds: number) => void;
 }
 
 /** A call there and back, and the time of a change until a watch tells it. */
@@ -69,7 +69,7 @@
   let configuration: GatewayConfiguration | undefined;
   let revision = 1;
   let isDown = false;
-  let changeDelay = 0;
+  const changeDelays = new Map<Host, number>();
 
   const nextRevision = () => {
     revision += 1;
@@ -145,10 +145,11 @@
       onChange(wholeAt);
       wholeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
     };
-    const watcher = () => scheduler.after(WATCH_MILLISECONDS + changeDelay, tell);
+    const delay = () => changeDelays.get(host) ?? 0;
+    const watcher = () => scheduler.after(WATCH_MILLISECONDS + delay(), tell);
     const endWait = () => {
       if (!isRunning()) return;
-      const isTold = !isDown && changeDelay === 0;
+      const isTold = !isDown && delay() === 0;
       if (isTold) wholeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
       scheduler.after(WAIT_MILLISECONDS, endWait);
     };
@@ -234,8 +235,8 @@
     review,
     setLeaving,
     leavingAt: (memberId) => leaving.get(memberId),
-    delayChanges: (milliseconds) => {
-      changeDelay = milliseconds;
+    delayChanges: (hosts, milliseconds) => {
+      for (const host of hosts) changeDelays.set(host, milliseconds);
     },
   };
 }
