Rely on a sole member only while every promotion takes it into account

Cause: an instance whose directory lists one member of a group acknowledged on its word alone and asked no age of that list.

Change, both sides of the race: - The one that acknowledges: a sole member is relied on only if the group's promotion record names it (conditional update, refused while a promotion is claimed, directory read again in between), for the term that it leads, and while the directory is known to be whole up to 10 s ago by both clocks. Otherwise statements are refused before they are sent; a commit already sent waits for the directory and ends as unknown. - The one that promotes: where the record names a sole member, it demotes that member first, waits until a replica has its whole log, and promotes only such a replica (or lets the member lead again). A member that does not answer is passed over once it has left the directory and all instances know another. - The name goes off the record with a promotion, or once a commit is seen on another member that all instances know.

Why it holds: the record orders names and claims. A promotion claimed before a name is written makes the write fail; one claimed after it sees the name. Then either the member is demoted, and all that it acknowledged is below its log end, or no instance with a valid directory knows it as the only one.

Price: a read of the record for each instance and a list and a write for one when a group falls to one member; the log line soleMemberUnconfirmed and the counter unconfirmedAlone show refusals with the directory's age.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -142,6 +142,7 @@
       cache.update(entries, freshness);
       for (const [group, router] of localGroups) router.updateMembers(cache.getEntries(group));
     },
+    onUnchanged: cache.confirm,
     // An instance that sends no statements to members can use delayed directory reads.
     isPrompt: () => localGroups.size === 0 || isDirectoryNeeded(),
   });
@@ -188,6 +189,8 @@
       areInstancesKnown: holders.isReady,
       missingMemberRetentionMilliseconds: times.missingMemberRetentionMilliseconds,
       leavingGracePeriodMilliseconds: times.leavingGracePeriodMilliseconds,
+      getDirectoryCompleteAt: cache.getCompleteAt,
+      refreshDirectory: options.directory.refresh,
     });
     localGroups.set(group, router);
     const runner = createRelayedGroup({
--- a/packages/gateway/src/lib/directory/directoryCache.ts
+++ b/packages/gateway/src/lib/directory/directoryCache.ts
@@ -12,11 +12,15 @@
 /** Caches the entries last read from the directory. */
 export interface DirectoryCache {
   update: (entries: readonly DirectoryEntry[], freshness: DirectoryFreshness) => void;
+  /** Records that the entries include every change accepted before `completeAt`. */
+  confirm: (completeAt: ClockReadings) => void;
   getEntries: (group: string) => CachedDirectoryEntry[];
   /** Whether the directory has been read at least once. */
   isLoaded: () => boolean;
   /** Whether the last read included every change accepted before it. */
   isFresh: () => boolean;
+  /** Every change accepted before this time is included; undefined if that is not known. */
+  getCompleteAt: () => ClockReadings | undefined;
 }
 
 /** Retention of entries no longer listed, so that `leavingSince` survives a lapsed entry. */
@@ -27,6 +31,11 @@
   let listedEntries: CachedDirectoryEntry[] = [];
   let isLoaded = false;
   let isFresh = false;
+  let completeAt: ClockReadings | undefined;
+
+  function confirm(next: ClockReadings): void {
+    completeAt = next;
+  }
 
   function recordEntry(
     entry: DirectoryEntry,
@@ -62,10 +71,13 @@
       evictExpiredEntries();
       isLoaded = true;
       isFresh = freshness.isFresh;
+      if (freshness.completeAt) confirm(freshness.completeAt);
     },
+    confirm,
     getEntries: (group) => listedEntries.filter((entry) => entry.group === group),
     isLoaded: () => isLoaded,
     isFresh: () => isFresh,
+    getCompleteAt: () => completeAt,
   };
 }
 
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -44,6 +44,8 @@
   primaryReads: number;
   /** Statements sent to a leaving member. */
   sentToLeaving: number;
+  /** Statements that a group's only member could not confirm because the directory was too old. */
+  unconfirmedAlone: number;
 }
 
 /** Sequence number and time of an event, used to order it relative to observations. */
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -1,5 +1,5 @@
 import { CLAIM_TAKEOVER_MILLISECONDS, createReplicationTracker } from '@wisterialift/pooling';
-import type { TermOrigin, UpstreamAnswer } from '@wisterialift/pooling';
+import type { ClockReadings, TermOrigin, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GroupLimits } from '../configuration/gatewayConfiguration';
 import type { Clock } from '../ports/clock';
@@ -20,6 +20,7 @@
 import { createPrimaryTracker } from './primaryTracker';
 import { createPrimaryVerifier } from './primaryVerifier';
 import { createReadRouter } from './readRouter';
+import { createSoleMemberGuard } from './soleMemberGuard';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 import { createTransactionOpener } from './transactionOpener';
@@ -62,6 +63,10 @@
   missingMemberRetentionMilliseconds: number;
   /** Milliseconds after which a leaving member is sent no new statements. */
   leavingGracePeriodMilliseconds: number;
+  /** The directory includes every change accepted before this time; undefined if unknown. */
+  getDirectoryCompleteAt: () => ClockReadings | undefined;
+  /** Reads the directory again. @throws Error if the store does not answer. */
+  refreshDirectory: () => Promise<void>;
 }
 
 /**
@@ -115,6 +120,7 @@
     replicaReads: 0,
     primaryReads: 0,
     sentToLeaving: 0,
+    unconfirmedAlone: 0,
   };
   let { limits } = options;
   let onSuspicion: GroupContext['suspectPrimary'] = () => undefined;
@@ -133,23 +139,30 @@
     random: options.random,
     suspectPrimary: (cause, member) => onSuspicion(cause, member),
   };
-  const promotion = createPromotionController(context, options);
+  const soleMemberGuard = createSoleMemberGuard(context, options);
+  const promotion = createPromotionController(context, { ...options, soleMemberGuard });
   onSuspicion = promotion.reportSuspicion;
   const evidencePoller = createEvidencePoller(context);
-  const primaryVerifier = createPrimaryVerifier(context, evidencePoller);
+  const primaryVerifier = createPrimaryVerifier(context, {
+    poller: evidencePoller,
+    soleMemberGuard,
+  });
   const readPositions = createReadPositionRefresher(context);
   const reads = createReadRouter(context, {
     verifier: primaryVerifier,
+    soleMemberGuard,
     readPositions,
   });
   const writes = createWriteRouter(context, {
     primaryVerifier,
+    soleMemberGuard,
     readTermOrigin: (): Promise<TermOrigin | undefined> => promotion.readTermOrigin(),
   });
   const transactions = createTransactionOpener(context, {
     reads,
     writes,
     primaryVerifier,
+    soleMemberGuard,
   });
   const stopMaintenance = clock.runEvery(MAINTENANCE_INTERVAL_MILLISECONDS, runMaintenance);
 
@@ -188,7 +201,9 @@
     const known = members.get(entry.memberId);
     if (known && isSameProcess(known.entry, entry)) {
       if (hasStatusChanged(known.entry, entry)) logger.info('memberChanged', describeEntry(entry));
-      Object.assign(known, { entry, missingSince: undefined });
+      const isListedAgain = known.entry.createdRevision !== entry.createdRevision;
+      const listedSince = isListedAgain ? clock.now() : known.listedSince;
+      Object.assign(known, { entry, missingSince: undefined, listedSince });
       return;
     }
     if (known) restartMember(known, entry);
@@ -209,7 +224,14 @@
     logger.warn('memberRestarted', { group, memberId, former: former.startedAt });
     pool.close();
     primaryTracker.discardConfirmations(memberId);
-    // A promotion that used the member's former log may be pending until then.
+    ignoreDuringPromotions(entry);
+  }
+
+  /**
+   * Ignores the member's confirmations for as long as a promotion may be pending that did not pause
+   * the member, because it did not know the member or its present log.
+   */
+  function ignoreDuringPromotions({ memberId }: CachedDirectoryEntry): void {
     const validFrom = clock.now() + MAXIMUM_PROMOTION_MILLISECONDS;
     evidence.discardObservationsBefore(memberId, { validFrom });
   }
@@ -262,6 +284,7 @@
       }
     }
     checkPrimaryIfHolder();
+    if (isHolder()) soleMemberGuard.handleMemberChange();
   }
 
   /** Only holders check the primary: checks by all instances would exhaust connections. */
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -2,6 +2,7 @@
   createLatencyEstimate,
   createLagEstimate,
   computeAgeUpperBound,
+  MEMBER_SETTLING_MILLISECONDS,
 } from '@wisterialift/pooling';
 import type { ClockReadings, LatencyEstimate, LagEstimate } from '@wisterialift/pooling';
 import type { IsMechanismEnabled } from '../mechanisms';
@@ -26,6 +27,8 @@
   failures: number;
   /** When the directory stopped listing the member; undefined while it is listed. */
   missingSince: number | undefined;
+  /** When this instance first saw the member's current entry. */
+  listedSince: number;
 }
 
 /** Expected latency before the first measurement. */
@@ -70,9 +73,15 @@
     avoidUntil: -Infinity,
     failures: 0,
     missingSince: undefined,
+    listedSince: clock.now(),
   };
 }
 
+/** Whether every instance that relies on its directory knows the member at time `now`. */
+export function isKnownToAllInstances({ listedSince, missingSince }: Member, now: number): boolean {
+  return missingSince === undefined && now - listedSince >= MEMBER_SETTLING_MILLISECONDS;
+}
+
 /** Returns the upper bound of the time a member has been leaving, as log fields. */
 export function describeLeavingTime(
   leavingSince: ClockReadings | undefined,
--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -6,6 +6,7 @@
 import type { SequencedTime, GroupContext } from './groupContext';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
+import type { SoleMemberGuard } from './soleMemberGuard';
 
 /** Verifies that answers of the primary are current and its commits replicated. */
 export interface PrimaryVerifier {
@@ -25,16 +26,19 @@
     deadlineAt: number;
   }) => Promise<boolean>;
   /**
-   * Whether a pending wait has exceeded the stall timeout; callers should start no further waits.
+   * Whether a pending wait has exceeded the stall timeout, or the group's only member cannot be
+   * relied on; callers should start no further waits.
    */
   isStalled: () => boolean;
   /**
    * Waits until a second member holds a commit of the primary, a later term supersedes it or the
-   * deadline passes (`unknown`). A group of one member needs no replication.
+   * deadline passes (`unknown`). The only member of a group is enough while it can be relied on alone.
    */
   waitForReplication: (options: {
     member: Member;
     position: Position;
+    /** When the commit was requested. */
+    requestedAt: number;
     pollDelay: number;
     deadlineAt: number;
   }) => Promise<'replicated' | 'superseded' | 'unknown'>;
@@ -70,16 +74,14 @@
 
 export function createPrimaryVerifier(
   context: GroupContext,
-  poller: EvidencePoller,
+  { poller, soleMemberGuard }: { poller: EvidencePoller; soleMemberGuard: SoleMemberGuard },
 ): PrimaryVerifier {
   const { primaryTracker, clock, evidence, members } = context;
+  const { hasOtherMembers } = soleMemberGuard;
 
   /** Start times of pending waits, oldest first. */
   const waitStartTimes = new Set<number>();
 
-  const hasOtherMembers = ({ entry }: Member) =>
-    [...members.keys()].some((memberId) => memberId !== entry.memberId);
-
   async function confirmPrimaryRole(member: Member, term: number): Promise<boolean> {
     const { memberId } = member.entry;
     if (primaryTracker.isConfirmed(memberId, term)) return true;
@@ -123,7 +125,8 @@
 
   const isStalled = () => {
     const [oldest] = waitStartTimes;
-    return oldest !== undefined && clock.now() - oldest > STALL_TIMEOUT_MILLISECONDS;
+    const isWaiting = oldest !== undefined && clock.now() - oldest > STALL_TIMEOUT_MILLISECONDS;
+    return isWaiting || soleMemberGuard.isBlocked();
   };
 
   return {
@@ -137,7 +140,10 @@
       deadlineAt,
     }) => {
       if (!(await confirmPrimaryRole(member, term))) return false;
-      if (!hasOtherMembers(member)) return true;
+      if (!hasOtherMembers(member)) {
+        const patience = Math.min(deadlineAt, clock.now() + STALL_TIMEOUT_MILLISECONDS);
+        return soleMemberGuard.waitForPermit({ member, term, deadlineAt: patience });
+      }
       const canBeStale = maximumStaleness > 0;
       if (canBeStale && hasRecentReply(member, term, eventStamp.at - maximumStaleness)) return true;
       const { memberId: primaryId } = member.entry;
@@ -150,8 +156,9 @@
       if (result?.type === 'superseded') primaryTracker.rejectPrimary(member, term);
       return result?.type === 'proved';
     },
-    waitForReplication: async ({ member, position, pollDelay, deadlineAt }) => {
-      if (!hasOtherMembers(member)) return 'replicated';
+    waitForReplication: async ({ member, position, requestedAt, pollDelay, deadlineAt }) => {
+      const { term } = position;
+      if (await soleMemberGuard.waitForPermit({ member, term, deadlineAt })) return 'replicated';
       const wait = evidence.waitForReplication({
         position,
         primaryId: member.entry.memberId,
@@ -159,8 +166,12 @@
       });
       const result = await waitForEvidence(wait, { member, pollDelay, deadlineAt });
       if (!result) return 'unknown';
-      if (result.type === 'superseded') primaryTracker.rejectPrimary(member, position.term);
-      return result.type === 'proved' ? 'replicated' : 'superseded';
+      if (result.type === 'superseded') {
+        primaryTracker.rejectPrimary(member, position.term);
+        return 'superseded';
+      }
+      soleMemberGuard.recordReplication(requestedAt);
+      return 'replicated';
     },
   };
 }
--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -13,6 +13,7 @@
 import type { ReadCandidate } from './readCandidates';
 import { refuseUnroutable } from './refusals';
 import type { StatementRequest } from './statementRequest';
+import type { SoleMemberGuard } from './soleMemberGuard';
 import type { PooledConnection } from './upstreamPool';
 
 /** Where a read ran. The receiver must release the connection. */
@@ -63,9 +64,11 @@
   context: GroupContext,
   {
     verifier,
+    soleMemberGuard,
     readPositions,
   }: {
     verifier: PrimaryVerifier;
+    soleMemberGuard: SoleMemberGuard;
     readPositions: ReadPositionRefresher;
   },
 ): ReadRouter {
@@ -159,7 +162,8 @@
 
   function refuseRead(request: StatementRequest): UpstreamAnswer {
     if (timeLeftOf(request) > 0 && candidates.hasIdle(request)) counters.refusedBesideIdle += 1;
-    return refuseUnroutable(context, request, 'aborted', 'no member can show the read in time');
+    const detail = soleMemberGuard.describeRefusal() ?? 'no member can show the read in time';
+    return refuseUnroutable(context, request, 'aborted', detail);
   }
 
   async function evaluateOutcome(
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -12,6 +12,7 @@
 import { refuseStatement, refuseTemporarily, refuseUnroutable } from './refusals';
 import { isWrite, toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
+import type { SoleMemberGuard } from './soleMemberGuard';
 import { prepareConnection } from './upstreamPool';
 import type { PooledConnection } from './upstreamPool';
 import type { WriteRouter } from './writeRouter';
@@ -39,10 +40,15 @@
 
 export function createTransactionOpener(
   context: GroupContext,
-  components: { reads: ReadRouter; writes: WriteRouter; primaryVerifier: PrimaryVerifier },
+  components: {
+    reads: ReadRouter;
+    writes: WriteRouter;
+    primaryVerifier: PrimaryVerifier;
+    soleMemberGuard: SoleMemberGuard;
+  },
 ): TransactionOpener {
   const { clock, logger, group } = context;
-  const { reads, writes, primaryVerifier } = components;
+  const { reads, writes, primaryVerifier, soleMemberGuard } = components;
 
   async function open(
     request: StatementRequest,
@@ -97,7 +103,8 @@
   }
 
   function refuseBegin(request: StatementRequest): UpstreamAnswer {
-    return refuseUnroutable(context, request, 'busy', 'no member can take the transaction');
+    const detail = soleMemberGuard.describeRefusal() ?? 'no member can take the transaction';
+    return refuseUnroutable(context, request, 'busy', detail);
   }
 
   function createTransaction({ member, connection, verification }: OpenedTransaction): Transaction {
@@ -225,6 +232,11 @@
 
     async function commit(request: StatementRequest): Promise<UpstreamAnswer> {
       if (isEnded) return refuseAborted(request, 'the transaction has ended');
+      const unconfirmable = hasWritten ? soleMemberGuard.describeRefusal() : undefined;
+      if (unconfirmable) {
+        rollBack();
+        return refuseAborted(request, unconfirmable);
+      }
       const outcome = await runWithBusyRetries(request);
       if (outcome.type === 'notSent') return refuseFirstStatement(request);
       if (outcome.type === 'lost') {
--- a/packages/gateway/src/lib/groups/writeRouter.ts
+++ b/packages/gateway/src/lib/groups/writeRouter.ts
@@ -14,6 +14,7 @@
 import { calculatePollDelay } from './primaryVerifier';
 import type { PrimaryVerifier } from './primaryVerifier';
 import { refuseStatement, refuseUnroutable } from './refusals';
+import type { SoleMemberGuard } from './soleMemberGuard';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 
@@ -63,11 +64,12 @@
   context: GroupContext,
   options: {
     primaryVerifier: PrimaryVerifier;
+    soleMemberGuard: SoleMemberGuard;
     readTermOrigin: () => Promise<TermOrigin | undefined>;
   },
 ): WriteRouter {
   const { primaryTracker, clock, counters, group, leavingPolicy, logger } = context;
-  const { primaryVerifier, readTermOrigin } = options;
+  const { primaryVerifier, readTermOrigin, soleMemberGuard } = options;
 
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
     const command = toCommand(request);
@@ -76,7 +78,10 @@
       isPrimaryOnly: true,
       run: (member) => attemptCommand(context, member, { request, command, deadlineAt }),
     });
-    if (!result) return refuseUnroutable(context, request, 'busy', 'no primary can take the write');
+    if (!result) {
+      const detail = soleMemberGuard.describeRefusal() ?? 'no primary can take the write';
+      return refuseUnroutable(context, request, 'busy', detail);
+    }
     const { member, outcome } = result;
     if (outcome.type !== 'answered') {
       return refuseStatement(
@@ -158,6 +163,7 @@
     const replication = await primaryVerifier.waitForReplication({
       member,
       position,
+      requestedAt: request.arrivalStamp.at,
       pollDelay,
       deadlineAt,
     });
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -21,6 +21,8 @@
   replicaReads: 'reads outside of transactions that a replica answered',
   primaryReads: 'reads outside of transactions that the primary answered',
   sentToLeaving: 'statements sent to a member that leaves',
+  unconfirmedAlone:
+    'statements of groups of one member that an old list of members left unconfirmed',
 } as const;
 
 /** Creates the Prometheus metrics of a gateway. @public */
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -14,6 +14,8 @@
   slots: number;
   /** Increases with each change of the entry. */
   revision: number;
+  /** Revision at which the entry was created; an entry that lapsed returns with another one. */
+  createdRevision?: number;
   /** Start time of the member's process by its own time of day, if it reports one. */
   startedAt?: number;
 }
@@ -24,6 +26,8 @@
   isFresh: boolean;
   /** Changes new in this snapshot were accepted after this time; undefined if none has been fresh. */
   changedAfter: ClockReadings | undefined;
+  /** Every change accepted before this time is included; undefined if that is not known. */
+  completeAt: ClockReadings | undefined;
 }
 
 /** Source of the directory of members. @public */
@@ -31,13 +35,22 @@
   /**
    * Calls `onChange` with the full directory at each change.
    *
+   * @param options.onUnchanged - called when no change was accepted between the last call of
+   *   `onChange` and `completeAt`.
    * @param options.isPrompt - whether changes must arrive within the bounds of the platform; if
    *   not, occasional reads that may be seconds old are sufficient.
    */
   subscribe: (options: {
     onChange: (entries: DirectoryEntry[], freshness: DirectoryFreshness) => void;
+    onUnchanged?: (completeAt: ClockReadings) => void;
     isPrompt: () => boolean;
   }) => void;
+  /**
+   * Reads the directory again and calls `onChange` before it resolves.
+   *
+   * @throws Error if the store does not answer.
+   */
+  refresh: () => Promise<void>;
 }
 
 /** Source of configuration versions. @public */
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -15,6 +15,9 @@
 import type { GroupContext, SuspicionCause } from '../groups/groupContext';
 import type { Member } from '../groups/member';
 import { sendMemberCommand } from '../groups/sendMemberCommand';
+import type { SoleMemberGuard } from '../groups/soleMemberGuard';
+import { createRevisionAge } from './revisionAge';
+import { chooseFencedCandidate, createSoleMemberFence } from './soleMemberFence';
 import type {
   PromotionOrderClient,
   PromotionStore,
@@ -42,6 +45,7 @@
   orders: PromotionOrderClient;
   /** Returns a uniform number in [0, 1). */
   random: () => number;
+  soleMemberGuard: Pick<SoleMemberGuard, 'isReplicationProven'>;
 }
 
 /** Timeout of a request to a member: three round trips between distant data centres. */
@@ -80,9 +84,10 @@
 ): PromotionController {
   const { primaryTracker, clock, counters, evidence, group, logger, members } = context;
   const { instance, dataCentre, orders, store } = options;
+  const getRevisionAge = createRevisionAge(clock);
+  const soleMemberFence = createSoleMemberFence(context, options.soleMemberGuard);
   let isBusy = false;
   let isClosed = false;
-  let seenRevision: { revision: number; since: number } | undefined;
 
   const isSilent = (member: Member) =>
     clock.now() - member.answeredAt > PRIMARY_SILENCE_THRESHOLD_MILLISECONDS;
@@ -200,30 +205,55 @@
       logger.info('promotionWithoutCandidate', { group, cause });
       return;
     }
-    const claim = await claimPromotion(primary);
+    const claim = await claimPromotion(cause, primary);
     if (!claim) return;
-    const pausedReplicas = await pauseReplicas(primary);
-    if (!pausedReplicas) {
+    const candidate = await prepareCandidate(claim, primary);
+    if (!candidate || !isClaimValid(claim.claimedAt, clock.readClocks())) {
+      logger.warn('promotionGivenUp', { group, cause, token: claim.record.token });
       await abandonPromotion(claim, primary);
       return;
     }
-    await orderPromotion({ cause, primary, claim, pausedReplicas });
+    await orderPromotion({ cause, primary, claim, candidate });
+  }
+
+  /** Makes sure that no further write of the primary can be acknowledged and chooses its successor. */
+  async function prepareCandidate(
+    claim: Claim,
+    primary: Member | undefined,
+  ): Promise<PromotionCandidate | undefined> {
+    const fence = await soleMemberFence.fence(claim.record, claim.term);
+    if (fence.type === 'failed') return undefined;
+    const pausedReplicas = await pauseReplicas(claim, primary);
+    if (!pausedReplicas) return undefined;
+    return fence.type === 'fenced'
+      ? chooseFencedCandidate(pausedReplicas, fence)
+      : choosePromotionCandidate(pausedReplicas);
   }
 
   /**
    * Claims the promotion with a conditional update, so that only one instance succeeds. A claim of
    * another instance stays in force until it must have expired.
    */
-  async function claimPromotion(primary: Member | undefined): Promise<Claim | undefined> {
+  async function claimPromotion(
+    cause: SuspicionCause,
+    primary: Member | undefined,
+  ): Promise<Claim | undefined> {
     const stored = await store.read(group);
     if (stored && (isHeldByOther(stored) || isPromotionPending(stored, primary))) return undefined;
+    if (stored && !(await soleMemberFence.canPromote(stored.record))) {
+      const { soleMemberId } = stored.record;
+      const reason = 'instances may rely on the sole member';
+      logger.info('promotionDeferred', { group, cause, reason, soleMemberId });
+      return undefined;
+    }
     const token = (stored?.record.token ?? 0) + 1;
     const record: PromotionRecord = { ...stored?.record, holder: instance, token, isClaimed: true };
+    const term = evidence.getHighestTerm() + 1;
     const claimedAt = clock.readClocks();
     const outcome = await store.replace({ group, record, revision: stored?.revision });
     logger.info('dutyClaimed', { group, token, outcome: outcome.type });
     if (outcome.type !== 'replaced') return undefined;
-    return { record, revision: outcome.revision, claimedAt };
+    return { record, revision: outcome.revision, claimedAt, term };
   }
 
   function isHeldByOther({ record, revision }: StoredPromotionRecord): boolean {
@@ -241,20 +271,17 @@
     return getRevisionAge(stored.revision) < PROMOTION_TIMEOUT_MILLISECONDS;
   }
 
-  /** Returns how long this instance has seen the record at this revision, in milliseconds. */
-  function getRevisionAge(revision: number): number {
-    if (seenRevision?.revision !== revision) seenRevision = { revision, since: clock.now() };
-    return clock.now() - seenRevision.since;
-  }
-
   /**
    * Pauses every replica and reads its log end, so that none can confirm further writes of the old
    * primary. Returns undefined if a listed replica does not answer: it may hold acknowledged writes
    * that no other replica has.
    */
-  async function pauseReplicas(primary: Member | undefined): Promise<PausedReplica[] | undefined> {
+  async function pauseReplicas(
+    { term }: Claim,
+    primary: Member | undefined,
+  ): Promise<PausedReplica[] | undefined> {
     const replicas = [...members.values()].filter((member) => member !== primary);
-    const command = { type: 'pause' as const, term: evidence.getHighestTerm() + 1 };
+    const command = { type: 'pause' as const, term };
     const reports = await Promise.all(
       replicas.map((member) =>
         sendMemberCommand(context, member, command, MEMBER_REQUEST_TIMEOUT_MILLISECONDS),
@@ -282,16 +309,11 @@
     cause: SuspicionCause;
     primary: Member | undefined;
     claim: Claim;
-    pausedReplicas: PausedReplica[];
+    candidate: PromotionCandidate;
   }): Promise<void> {
-    const { cause, primary, claim, pausedReplicas } = plan;
-    const candidate = choosePromotionCandidate(pausedReplicas);
-    if (!candidate || !isClaimValid(claim.claimedAt, clock.readClocks())) {
-      logger.warn('promotionGivenUp', { group, cause, token: claim.record.token });
-      await abandonPromotion(claim, primary);
-      return;
-    }
+    const { cause, primary, claim, candidate } = plan;
     const { memberId, received: origin } = candidate;
+    const { term } = claim;
     const { token } = claim.record;
     const outcome = await orders.promote({
       group,
@@ -306,7 +328,6 @@
       await releaseClaim(claim);
       return;
     }
-    const term = evidence.getHighestTerm() + 1;
     await releaseClaim(claim, { term, primaryId: memberId, origin });
     await awaitPromotion(memberId, { term, primary });
   }
@@ -333,7 +354,8 @@
   }
 
   async function releaseClaim(claim: Claim, started?: PromotionRecord['started']): Promise<void> {
-    const record = { ...claim.record, isClaimed: false, ...(started && { started }) };
+    const changes = started && { started, soleMemberId: undefined };
+    const record = { ...claim.record, isClaimed: false, ...changes };
     const outcome = await store.replace({ group, record, revision: claim.revision });
     if (outcome.type !== 'replaced') {
       logger.warn('dutyNotReleased', { group, outcome: outcome.type });
@@ -396,4 +418,9 @@
   record: PromotionRecord;
   revision: number;
   claimedAt: ClockReadings;
+  /** Term that the promotion starts. */
+  term: number;
 }
+
+/** The member to promote and its log end. */
+type PromotionCandidate = Pick<PausedReplica, 'memberId' | 'received'>;
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -26,7 +26,9 @@
     logger: createTestLogger(),
     driver: { connect: () => Promise.reject(new Error('no member')), readReport: noop },
     directory: {
-      subscribe: ({ onChange }) => onChange([], { isFresh: true, changedAfter: undefined }),
+      subscribe: ({ onChange }) =>
+        onChange([], { isFresh: true, changedAfter: undefined, completeAt: undefined }),
+      refresh: async () => undefined,
     },
     configuration: {
       subscribe: (onChange) =>
--- a/packages/gateway/src/test/startupConnections.test.ts
+++ b/packages/gateway/src/test/startupConnections.test.ts
@@ -25,7 +25,12 @@
       },
       directory: {
         subscribe: ({ onChange }) =>
-          onChange([createDirectoryEntry()], { isFresh: true, changedAfter: undefined }),
+          onChange([createDirectoryEntry()], {
+            isFresh: true,
+            changedAfter: undefined,
+            completeAt: undefined,
+          }),
+        refresh: async () => undefined,
       },
       registry: {
         registerInstance: (onChange) => instanceList && onChange(instanceList),
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -1,6 +1,13 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import { createGateway, createProcessClock } from '../index';
-import type { CallerAnswer, DirectoryFreshness, DirectoryEntry, Route } from '../index';
+import type {
+  CallerAnswer,
+  DirectoryFreshness,
+  DirectoryEntry,
+  PromotionStore,
+  Route,
+  StoredPromotionRecord,
+} from '../index';
 import { createTestOptions, createTestLogger, GROUP, noop } from './fixture';
 
 /** Database of the test sessions; its consistency is `primary`. */
@@ -17,7 +24,7 @@
 };
 
 /** `db-1` is the primary of term 1, any other member of term 2. */
-const getPosition = (memberId: string) => ({ term: memberId === 'db-1' ? 1 : 2, index: 1 });
+const getUsualPosition = (memberId: string) => ({ term: memberId === 'db-1' ? 1 : 2, index: 1 });
 
 /** Creates a directory entry of a primary; `changes` override its fields. */
 export function createDirectoryEntry(changes: Partial<DirectoryEntry> = {}): DirectoryEntry {
@@ -41,8 +48,21 @@
   answer: () => void;
 }
 
+/** Keeps one promotion record in memory. */
+function createRecordStore(): PromotionStore & { current?: StoredPromotionRecord } {
+  const store: PromotionStore & { current?: StoredPromotionRecord } = {
+    read: async () => store.current,
+    replace: async ({ record, revision }) => {
+      if (store.current?.revision !== revision) return { type: 'conflict' };
+      store.current = { record, revision: (revision ?? 0) + 1 };
+      return { type: 'replaced', revision: store.current.revision };
+    },
+  };
+  return store;
+}
+
 /** Starts a gateway with members that answer forwarded statements only when the test says so. */
-export function startTestGateway() {
+export function startTestGateway({ getPosition = getUsualPosition } = {}) {
   const forwarded: ForwardedStatement[] = [];
   const events: string[] = [];
   let updateDirectory:
@@ -51,6 +71,12 @@
   let heldCommandType: UpstreamCommand['type'] | undefined;
   const heldAnswers: (() => void)[] = [];
   const reports = new WeakMap<UpstreamAnswer, string>();
+  const store = createRecordStore();
+  const orders: string[] = [];
+  const demoted = new Set<string>();
+  const silent = new Set<string>();
+  let entriesAtRefresh: DirectoryEntry[] | undefined;
+  let handleDemoted: () => void = noop;
 
   const createCompletedAnswer = (memberId: string, transaction: UpstreamAnswer['transaction']) => {
     const answer: UpstreamAnswer = {
@@ -72,6 +98,11 @@
     return new Promise((resolve) => {
       const answer = () => resolve(createCompletedAnswer(memberId, state.transaction));
       if (command.type === 'begin') Object.assign(state, { transaction: 'open' });
+      if (command.type === 'demote') {
+        demoted.add(memberId);
+        handleDemoted();
+      }
+      if (silent.has(memberId)) return;
       if (command.type === 'rollback') Object.assign(state, { transaction: 'idle' });
       if (command.type === 'forward') forwarded.push({ memberId, id: command.id, answer });
       else if (command.type === heldCommandType) heldAnswers.push(answer);
@@ -94,7 +125,8 @@
         },
         readReport: (answer) => {
           const memberId = reports.get(answer)!;
-          const { isPrimary } = currentEntries.find((entry) => entry.memberId === memberId)!;
+          const entry = currentEntries.find((listed) => listed.memberId === memberId);
+          const isPrimary = entry !== undefined && entry.isPrimary && !demoted.has(memberId);
           const received = getPosition(memberId);
           return { isPrimary, term: received.term, received };
         },
@@ -103,6 +135,16 @@
         subscribe: ({ onChange }) => {
           updateDirectory = onChange;
         },
+        refresh: async () => {
+          if (entriesAtRefresh) updateMembers(entriesAtRefresh);
+        },
+      },
+      store,
+      orders: {
+        promote: async ({ memberId }) => {
+          orders.push(memberId);
+          return 'accepted';
+        },
       },
       configuration: {
         subscribe: (onChange) =>
@@ -116,6 +158,15 @@
     }),
   );
 
+  function updateMembers(
+    entries: DirectoryEntry[],
+    changedAfter?: DirectoryFreshness['changedAfter'],
+  ): void {
+    currentEntries = entries;
+    const completeAt = createProcessClock().readClocks();
+    updateDirectory!(entries, { isFresh: true, changedAfter, completeAt });
+  }
+
   /** Opens a session and collects its answers in statement order. */
   function openSession() {
     const answers: CallerAnswer[] = [];
@@ -134,6 +185,7 @@
         caller.onStatement({ type: 'set', id: 'set', text: 'SET a 1', name: 'a', value: '1' }),
       begin: () =>
         caller.onStatement({ type: 'begin', id: 'begin', text: 'BEGIN', isReadOnly: false }),
+      commit: () => caller.onStatement({ type: 'commit', id: 'commit', text: 'COMMIT' }),
     };
   }
 
@@ -142,13 +194,20 @@
     events,
     openSession,
     /** Publishes a directory snapshot; without `changedAfter`, the time of its changes is unknown. */
-    updateMembers: (
-      entries: DirectoryEntry[],
-      changedAfter?: DirectoryFreshness['changedAfter'],
-    ) => {
-      currentEntries = entries;
-      updateDirectory!(entries, { isFresh: true, changedAfter });
+    updateMembers,
+    /** Sets what the directory lists when the gateway reads it again. */
+    setEntriesAtRefresh: (entries: DirectoryEntry[]) => {
+      entriesAtRefresh = entries;
+    },
+    store,
+    /** Members whose promotion was ordered. */
+    orders,
+    /** Sets what happens before a member answers that it was demoted. */
+    onDemoted: (listener: () => void) => {
+      handleDemoted = listener;
     },
+    /** The member answers no further commands. */
+    silence: (memberId: string) => silent.add(memberId),
     getForwardedIds: (memberId: string) =>
       forwarded.filter((statement) => statement.memberId === memberId).map(({ id }) => id),
     /** Delays answers to commands of this type until `releaseAnswers` is called. */
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -46,6 +46,7 @@
   type ConnectionHolderPlan,
 } from './lib/routing/connectionHolders';
 export { orderMembersForRead, type MemberLoad } from './lib/routing/orderMembersForRead';
+export { isDirectoryValid, MEMBER_SETTLING_MILLISECONDS } from './lib/membership/directoryValidity';
 export { choosePromotionCandidate, type PausedReplica } from './lib/promotion/promotionCandidate';
 export {
   determineWriteOutcome,
--- a/packages/pooling/src/lib/promotion/promotionClaim.ts
+++ b/packages/pooling/src/lib/promotion/promotionClaim.ts
@@ -9,6 +9,11 @@
   token: z.number().int().nonnegative(),
   /** Whether the holder may still send commands with the token. */
   isClaimed: z.boolean(),
+  /**
+   * Member that instances may rely on alone, because the directory listed no other; a promotion
+   * must fence it first or wait until they know its other members.
+   */
+  soleMemberId: z.string().optional(),
   /**
    * Term started by the last promotion, its primary, and the log end that it started from; absent
    * until known.
--- a/tools/world/src/lib/callers/oracle.ts
+++ b/tools/world/src/lib/callers/oracle.ts
@@ -8,7 +8,7 @@
 
 /** A promise that was seen broken. @internal */
 export interface BrokenPromise {
-  promise: 'stale' | 'ownWrite' | 'lost' | 'doubled' | 'falseRefusal' | 'leaving';
+  promise: 'stale' | 'ownWrite' | 'lost' | 'doubled' | 'falseRefusal' | 'leaving' | 'replaced';
   at: number;
   detail: string;
 }
@@ -82,6 +82,9 @@
       report('lost', `${id} of ${group} was acknowledged and no member has it`);
       return;
     }
+    if (groups.get(group)!.isCommittedBehind(id)) {
+      report('replaced', `${id} of ${group} was committed at a primary that had been replaced`);
+    }
     acknowledged.get(group)!.push({ at: scheduler.now(), position, id });
     ownCommits.set(session, position);
   }
--- a/tools/world/src/lib/databases/replicatedLog.ts
+++ b/tools/world/src/lib/databases/replicatedLog.ts
@@ -29,7 +29,11 @@
   /** Since when no fault holds the member's replication back; undefined while one does. */
   followsSince: (memberId: string) => number | undefined;
   setPace: (memberId: string, pace: Partial<ReplicationPace> | undefined) => void;
+  /** Cuts the member off from the others, which it then neither sends to nor hears. */
+  setCutOff: (memberId: string, isCutOff: boolean) => void;
   commit: (member: LogState, writes: readonly string[]) => Position;
+  /** Whether the write was committed at a primary while another member led a later term. */
+  isCommittedBehind: (write: string) => boolean;
   /** Orders a promotion; it takes effect later. False where the member does not run. */
   promote: (memberId: string) => boolean;
   stop: (member: LogState, term: number) => void;
@@ -63,6 +67,8 @@
   const paces = new Map<string, ReplicationPace>();
   const lastApplyAt = new Map<string, number>();
   const freeSince = new Map<string, number>();
+  const cutOff = new Set<string>();
+  const committedBehind = new Set<string>();
   const first: LogEntry = { term: 1, index: 1, writes: [] };
   const members = new Map(
     memberIds.map((memberId, index): [string, LogState] => [
@@ -82,8 +88,12 @@
   const usualPace = (): ReplicationPace => ({ lag, isDeaf: false });
   const paceOf = (memberId: string) => paces.get(memberId) ?? usualPace();
 
+  const canTalk = (one: LogState, other: LogState) =>
+    !cutOff.has(one.memberId) && !cutOff.has(other.memberId);
+
   const canReceive = (member: LogState, primary: LogState) =>
     member !== primary &&
+    canTalk(member, primary) &&
     member.isUp &&
     primary.isUp &&
     member.role === 'replica' &&
@@ -159,7 +169,9 @@
   function stepDown(leader: LogState): void {
     for (const member of members.values()) {
       const isFormer = member !== leader && member.role === 'primary' && member.isUp;
-      if (isFormer && leader.isUp && member.term < leader.term) follow(member, leader);
+      if (isFormer && canTalk(member, leader) && leader.isUp && member.term < leader.term) {
+        follow(member, leader);
+      }
     }
   }
 
@@ -169,10 +181,19 @@
     announce();
   }
 
+  /** What was cut off follows the newest primary, and the others receive what they missed. */
+  function rejoin(): void {
+    const leader = findPrimary();
+    if (!leader) return;
+    for (const member of members.values()) receive(member, leader);
+    scheduler.after(STEP_DOWN_MILLISECONDS, () => stepDown(leader));
+  }
+
   function startAgain(member: LogState): void {
     Object.assign(member, { isUp: true });
     const leader = findPrimary();
-    if (leader && leader !== member && leader.term > member.term) follow(member, leader);
+    const isBehind = leader && leader !== member && leader.term > member.term;
+    if (isBehind && canTalk(member, leader)) follow(member, leader);
     else if (leader) receive(member, leader);
     announce();
   }
@@ -186,7 +207,15 @@
       freeSince.set(memberId, scheduler.now());
       if (!pace) catchUp(memberId);
     },
+    setCutOff: (memberId, isCutOff) => {
+      if (isCutOff) cutOff.add(memberId);
+      else cutOff.delete(memberId);
+      if (!isCutOff) rejoin();
+    },
+    isCommittedBehind: (write) => committedBehind.has(write),
     commit: (member, writes) => {
+      const isBehind = (findPrimary()?.term ?? 0) > member.term;
+      if (isBehind) for (const write of writes) committedBehind.add(write);
       member.log.push({ term: member.term, index: member.log.length + 1, writes });
       Object.assign(member, { applied: member.log.length });
       replicate(member);
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -58,6 +58,8 @@
     at: z.number(),
     /** Time after which they are back with the log that they had; for good where left out. */
     seconds: z.number().optional(),
+    /** Time from the return of one to the return of the next. */
+    pause: z.number().optional(),
     groups: z.number().int().positive().optional(),
   }),
   z.strictObject({
@@ -69,6 +71,23 @@
     /** Instances that it strikes; all where left out. */
     instances: z.number().int().positive().optional(),
   }),
+  z.strictObject({
+    kind: z.literal('storeCut'),
+    at: z.number(),
+    seconds: z.number(),
+    /** Instances that the store does not answer. */
+    instances: z.number().int().positive(),
+  }),
+  z.strictObject({
+    kind: z.literal('cutPrimary'),
+    at: z.number(),
+    seconds: z.number(),
+    /** Instances that still reach the primary; the others and its replicas do not. */
+    instances: z.number().int().nonnegative(),
+    /** Whether the store does not hear the primary either, so that its entry lapses. */
+    isUnlisted: z.boolean().optional(),
+    groups: z.number().int().positive().optional(),
+  }),
   z.strictObject({
     kind: z.literal('restartEmpty'),
     at: z.number(),
--- a/tools/world/src/lib/experiment/runExperiment.ts
+++ b/tools/world/src/lib/experiment/runExperiment.ts
@@ -114,7 +114,8 @@
       oracle.checkNewWork({ memberId, id, leavingAt: platform.leavingAt(memberId) }),
     );
   }
-  scheduleFaults(experiment.faults, { clock, instances, groups, databases, platform });
+  const { network } = simulation;
+  scheduleFaults(experiment.faults, { clock, instances, groups, databases, platform, network });
   return { outcomes, samples, oracle };
 }
 
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -1,3 +1,4 @@
+import type { Network } from '@wisterialift/fuzz';
 import type { Clock } from '@wisterialift/gateway';
 import type { ReplicatedLog } from '../databases/replicatedLog';
 import type { SimulatedDatabase } from '../databases/simulatedDatabase';
@@ -12,6 +13,7 @@
   groups: ReadonlyMap<string, ReplicatedLog>;
   databases: ReadonlyMap<string, SimulatedDatabase>;
   platform: SimulatedPlatform;
+  network: Network;
 }
 
 type Handler<Kind extends PlannedFault['kind']> = (
@@ -92,18 +94,42 @@
       });
     }
   },
-  loseReplicas: ({ seconds, groups: count }, { clock, groups, databases, platform }) => {
+  loseReplicas: ({ seconds, pause = 0, groups: count }, { clock, groups, databases, platform }) => {
     const lost = [...groups.values()]
       .slice(0, count)
       .flatMap((group) => replicasOf(group).map((memberId) => databases.get(memberId)!));
     for (const database of lost) database.losePower();
     platform.review();
     if (seconds === undefined) return;
-    clock.runAfter(seconds * 1_000, () => {
-      for (const database of lost) database.restart({ isEmpty: false });
-      platform.review();
+    lost.forEach((database, index) => {
+      clock.runAfter((seconds + index * pause) * 1_000, () => {
+        database.restart({ isEmpty: false });
+        platform.review();
+      });
     });
   },
+  storeCut: ({ seconds, instances: count }, { clock, instances, platform }) => {
+    const hosts = instances.slice(0, count).map(({ host }) => host);
+    platform.setCutOff(hosts, true);
+    clock.runAfter(seconds * 1_000, () => platform.setCutOff(hosts, false));
+  },
+  cutPrimary: ({ seconds, instances: count, isUnlisted, groups: groupCount }, targets) => {
+    const { clock, instances, groups, network, platform } = targets;
+    const cutOff = instances.slice(count).map(({ host }) => host.name);
+    for (const group of [...groups.values()].slice(0, groupCount)) {
+      const memberId = primaryOf(group);
+      const setLinks = (isCut: boolean) => {
+        group.setCutOff(memberId, isCut);
+        if (isUnlisted) platform.setUnheard(memberId, isCut);
+        for (const instance of cutOff) {
+          network.setFault(instance, memberId, isCut ? { isCut } : undefined);
+          network.setFault(memberId, instance, isCut ? { isCut } : undefined);
+        }
+      };
+      setLinks(true);
+      clock.runAfter(seconds * 1_000, () => setLinks(false));
+    }
+  },
   lateDirectory: ({ seconds, milliseconds, instances: count }, { clock, instances, platform }) => {
     const hosts = instances.slice(0, count).map(({ host }) => host);
     platform.delayChanges(hosts, milliseconds);
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -1,6 +1,7 @@
 import type {
   ConfigurationPort,
   DirectoryEntry,
+  DirectoryFreshness,
   DirectoryPort,
   GatewayConfiguration,
   InstanceEntry,
@@ -15,6 +16,9 @@
 import type { Host, Simulation } from '../simulation/host';
 import { readingsAt } from '../simulation/simulatedClock';
 
+/** What a directory tells of its own age. */
+type ToldTimes = Pick<DirectoryFreshness, 'changedAfter' | 'completeAt'>;
+
 /** The ports of the gateway that the platform fills, for one instance. @internal */
 export interface PlatformPorts {
   directory: DirectoryPort;
@@ -33,10 +37,14 @@
   /** Puts the databases' entries anew. */
   review: () => void;
   setLeaving: (memberId: string, isLeaving: boolean) => void;
+  /** The store hears nothing from the member, although it runs. */
+  setUnheard: (memberId: string, isUnheard: boolean) => void;
   /** When the store accepted that the member leaves; undefined while it stays. */
   leavingAt: (memberId: string) => number | undefined;
   /** Changes of the directory reach these instances later by this time. */
   delayChanges: (hosts: readonly Host[], milliseconds: number) => void;
+  /** The store answers these instances nothing and tells them of no change while they are cut off. */
+  setCutOff: (hosts: readonly Host[], isCutOff: boolean) => void;
 }
 
 /** A call there and back, and the time of a change until a watch tells it. */
@@ -64,12 +72,16 @@
   const records = new Map<string, StoredPromotionRecord>();
   const entries = new Map<string, DirectoryEntry>();
   const leaving = new Map<string, number>();
+  const unheard = new Set<string>();
   const instances = new Map<string, InstanceEntry>();
   const watchers = new Set<() => void>();
   let configuration: GatewayConfiguration | undefined;
   let revision = 1;
   let isDown = false;
   const changeDelays = new Map<Host, number>();
+  const cutOff = new Set<Host>();
+
+  const isAway = (host: Host) => isDown || cutOff.has(host);
 
   const nextRevision = () => {
     revision += 1;
@@ -84,7 +96,7 @@
   function reviewDatabase({ group, host, state }: SimulatedDatabase): void {
     const { memberId, role, isUp } = state;
     const known = entries.get(memberId);
-    if (!isUp) {
+    if (!isUp || unheard.has(memberId)) {
       scheduler.after(LAPSE_MILLISECONDS, () => removeSilent(memberId));
       return;
     }
@@ -105,6 +117,7 @@
       isLeaving,
       slots,
       revision: nextRevision(),
+      createdRevision: known?.createdRevision ?? revision,
       startedAt,
     });
   }
@@ -121,7 +134,7 @@
   }
 
   function removeSilent(memberId: string): void {
-    if (databases.get(memberId)!.state.isUp) return;
+    if (databases.get(memberId)!.state.isUp && !unheard.has(memberId)) return;
     entries.delete(memberId);
     notify();
   }
@@ -134,28 +147,43 @@
   /**
    * Calls back at once and at each change, as a list and a watch do.
    *
-   * @param onChange - told from when on all that is new was accepted.
+   * @param onChange - told from when on all that is new was accepted, and until when it is whole.
+   * @param followers.onUnchanged - told at the end of a wait until when nothing was new.
    */
-  function follow(host: Host, onChange: (changedAfter: ClockReadings | undefined) => void): void {
+  function follow(
+    host: Host,
+    onChange: (told: ToldTimes) => void,
+    followers: Pick<Parameters<DirectoryPort['subscribe']>[0], 'onUnchanged'> = {},
+  ): () => void {
     const life = host.life();
     const isRunning = () => host.life() === life && host.isPowered();
     let wholeAt: ClockReadings | undefined;
     const tell = () => {
-      if (!isRunning()) return;
-      onChange(wholeAt);
-      wholeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
+      if (!isRunning() || isAway(host)) return;
+      const completeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
+      onChange({ changedAfter: wholeAt, completeAt });
+      wholeAt = completeAt;
     };
     const delay = () => changeDelays.get(host) ?? 0;
-    const watcher = () => scheduler.after(WATCH_MILLISECONDS + delay(), tell);
+    let changesUnderWay = 0;
+    const watcher = () => {
+      changesUnderWay += 1;
+      scheduler.after(WATCH_MILLISECONDS + delay(), () => {
+        changesUnderWay -= 1;
+        tell();
+      });
+    };
     const endWait = () => {
       if (!isRunning()) return;
-      const isTold = !isDown && delay() === 0;
-      if (isTold) wholeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
+      if (!isAway(host) && delay() === 0 && changesUnderWay === 0) {
+        wholeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
+        followers.onUnchanged?.(wholeAt);
+      }
       scheduler.after(WAIT_MILLISECONDS, endWait);
     };
     const list = () => {
       if (!isRunning()) return;
-      if (isDown) {
+      if (isAway(host)) {
         scheduler.after(RETRY_MILLISECONDS, list);
         return;
       }
@@ -165,22 +193,23 @@
     };
     host.onEnd(() => watchers.delete(watcher));
     scheduler.after(CALL_MILLISECONDS, list);
+    return tell;
   }
 
-  function call<Value>(action: () => Value): Promise<Value> {
+  function call<Value>(host: Host, action: () => Value): Promise<Value> {
     return new Promise((resolve, reject) => {
       scheduler.after(CALL_MILLISECONDS, () => {
-        if (isDown) reject(new Error('the store does not answer'));
+        if (isAway(host)) reject(new Error('the store does not answer'));
         else resolve(action());
       });
     });
   }
 
-  const store: PromotionStore = {
-    read: (group) => call(() => records.get(group)),
+  const createStore = (host: Host): PromotionStore => ({
+    read: (group) => call(host, () => records.get(group)),
     replace: async ({ group, record, revision: expected }) => {
       try {
-        return await call(() => {
+        return await call(host, () => {
           if (records.get(group)?.revision !== expected) return { type: 'conflict' as const };
           const stored = { record, revision: nextRevision() };
           records.set(group, stored);
@@ -190,7 +219,7 @@
         return { type: 'unknown' };
       }
     },
-  };
+  });
 
   const orders: PromotionOrderClient = {
     promote: ({ group, memberId }) =>
@@ -201,18 +230,25 @@
       }),
   };
 
+  function createDirectory(host: Host): DirectoryPort {
+    let tell: (() => void) | undefined;
+    return {
+      subscribe: ({ onChange, ...followers }) => {
+        const onTold = (told: ToldTimes) =>
+          onChange([...entries.values()], { isFresh: true, ...told });
+        tell = follow(host, onTold, followers);
+      },
+      refresh: () => call(host, () => tell?.()),
+    };
+  }
+
   return {
     portsOf: (host, own) => ({
-      directory: {
-        subscribe: ({ onChange }) =>
-          follow(host, (changedAfter) =>
-            onChange([...entries.values()], { isFresh: true, changedAfter }),
-          ),
-      },
+      directory: createDirectory(host),
       configuration: {
         subscribe: (onChange) => follow(host, () => configuration && onChange(configuration)),
       },
-      store,
+      store: createStore(host),
       orders,
       registry: {
         registerInstance: (onChange) => {
@@ -236,9 +272,21 @@
     },
     review,
     setLeaving,
+    setUnheard: (memberId, isUnheard) => {
+      if (isUnheard) unheard.add(memberId);
+      else unheard.delete(memberId);
+      review();
+    },
     leavingAt: (memberId) => leaving.get(memberId),
     delayChanges: (hosts, milliseconds) => {
       for (const host of hosts) changeDelays.set(host, milliseconds);
     },
+    setCutOff: (hosts, isCutOff) => {
+      for (const host of hosts) {
+        if (isCutOff) cutOff.add(host);
+        else cutOff.delete(host);
+      }
+      if (!isCutOff) notify();
+    },
   };
 }
