Take no read position from replicas that may lack a sole member's writes

What callers saw (in the simulated world): reads of a stated age at replicas missed writes acknowledged seconds before.

Cause: without an answer of the primary, an instance asks all other members for a read position, since every acknowledged commit is in the log of one of them. Writes that a sole member acknowledged are not: where it is cut off just as the replicas return, their logs end before them.

Change: such a position counts only if the promotion record names no sole member, or if this instance has seen a commit on another member after all instances knew that member.

Price: a read of the record where the primary did not answer first and no commit has been seen yet.

--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -147,7 +147,7 @@
     poller: evidencePoller,
     soleMemberGuard,
   });
-  const readPositions = createReadPositionRefresher(context);
+  const readPositions = createReadPositionRefresher(context, soleMemberGuard);
   const reads = createReadRouter(context, {
     verifier: primaryVerifier,
     soleMemberGuard,
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -3,6 +3,7 @@
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
+import type { SoleMemberGuard } from './soleMemberGuard';
 
 /**
  * Queries members for a log position that includes every acknowledged commit. Until one is known,
@@ -22,10 +23,14 @@
 /**
  * Creates a refresher that queries the primary and the other members at the same time.
  *
- * Every acknowledged commit is in the log of another member, so the most advanced of those logs is
- * sufficient if the primary is unreachable or out of connections.
+ * Unless a sole member acknowledged some, every acknowledged commit is in the log of another member,
+ * so the most advanced of those logs is sufficient if the primary is unreachable or out of
+ * connections.
  */
-export function createReadPositionRefresher(context: GroupContext): ReadPositionRefresher {
+export function createReadPositionRefresher(
+  context: GroupContext,
+  { isEveryCommitReplicated }: Pick<SoleMemberGuard, 'isEveryCommitReplicated'>,
+): ReadPositionRefresher {
   const { primaryTracker, clock, evidence, members } = context;
   let pendingRefresh: Promise<void> | undefined;
 
@@ -52,6 +57,7 @@
     const reports = responses.filter((report): report is MemberReport => report !== undefined);
     const [first, ...rest] = reports.map(({ received }) => received);
     if (!first || reports.length < Math.max(1, members.size - 1)) return false;
+    if (!(await isEveryCommitReplicated())) return false;
     evidence.addFloor({ requestedAt: sentAt, position: rest.reduce(getHigherPosition, first) });
     return true;
   }
--- a/packages/gateway/src/lib/groups/soleMemberGuard.ts
+++ b/packages/gateway/src/lib/groups/soleMemberGuard.ts
@@ -23,6 +23,11 @@
   handleMemberChange: () => void;
   /** Records that a commit requested at `requestedAt` was seen to be replicated. */
   recordReplication: (requestedAt: number) => void;
+  /**
+   * Whether every commit that was acknowledged is known to be held by a member besides the primary;
+   * false if some may rest on a sole member, or while the store does not answer.
+   */
+  isEveryCommitReplicated: () => Promise<boolean>;
   /** Whether a replicated commit shows that no commit rests on a sole member any more. */
   isReplicationProven: () => boolean;
   /** Whether the primary is the group's only member and cannot be relied on alone at present. */
@@ -171,6 +176,17 @@
     void releaseName();
   }
 
+  async function isEveryCommitReplicated(): Promise<boolean> {
+    if (isReplicationProven) return true;
+    try {
+      const stored = await store.read(group);
+      return stored?.record.soleMemberId === undefined;
+    } catch (error) {
+      logger.warn('promotionRecordNotRead', { group, error: error as Error });
+      return false;
+    }
+  }
+
   async function waitForPermit({ member, term, deadlineAt }: PermitOptions): Promise<boolean> {
     const { memberId } = member.entry;
     const canRely = () => hasPermit(memberId, term) && isDirectoryRecent();
@@ -202,6 +218,7 @@
       if (term > 0 && !hasPermit(member.entry.memberId, term)) void tryRequestPermit(member, term);
     },
     recordReplication,
+    isEveryCommitReplicated,
     isReplicationProven: () => isReplicationProven,
     isBlocked,
     describeRefusal: () => {
--- a/tools/world/src/test/soleMember.test.ts
+++ b/tools/world/src/test/soleMember.test.ts
@@ -23,6 +23,11 @@
   return runExperiment(played, { seed: 1 });
 }
 
+async function expectNothingBroken(faults: PlannedFault[]): Promise<void> {
+  const { broken } = await play(faults);
+  expect(broken.slice(0, SHOWN)).toEqual([]);
+}
+
 describe('writes that a sole member acknowledged', () => {
   it('end at instances that no longer hear from the store, before another member is promoted', async () => {
     // Guards against an instance that knows one member and goes on at a primary that only it reaches.
@@ -38,6 +43,20 @@
     expect(broken.filter(({ promise }) => promise === 'replaced').slice(0, SHOWN)).toEqual([]);
   });
 
+  it('are kept while the member that holds them is cut off and listed', async () => {
+    // Guards against promoting a replica that has not received them.
+    await expectNothingBroken([
+      { kind: 'cutPrimary', at: RETURN_SECONDS - 1, seconds: 18, instances: 1, groups: 1 },
+    ]);
+  });
+
+  it('are not missed by reads at replicas that have just returned', async () => {
+    // Guards against a read position from replicas, none of which holds the writes.
+    await expectNothingBroken([
+      { kind: 'cutPrimary', at: RETURN_SECONDS - 0.5, seconds: 6, instances: 2, groups: 1 },
+    ]);
+  });
+
   it('go on while the store is away for everybody', async () => {
     // Guards against refusing writes of a group of one at every outage of the store.
     const { callers } = await play([{ kind: 'storeDown', at: 9, seconds: 2.5 }]);
