Know every member that may confirm writes during a promotion

Cause: a promotion pauses the replicas that its instance has heard of. A member that joined since is not paused, receives from the old primary and confirms writes for other instances; the promoted log lacks them.

Change, both sides: the instance that promotes reads the directory again after its claim; the others ignore the confirmations of a member that joins beside a replica for as long as a promotion claimed before may be under way (3.2 s), as they do after a restart.

Price: a list for each promotion. A first replica beside a sole member counts at once, so writes do not wait there.

--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -177,7 +177,8 @@
 
   function updateMembers(entries: CachedDirectoryEntry[]): void {
     const listed = new Map(entries.map((entry) => [entry.memberId, entry]));
-    for (const entry of entries) addOrUpdate(entry);
+    const isFirstDirectory = members.size === 0;
+    for (const entry of entries) addOrUpdate(entry, isFirstDirectory);
     for (const member of members.values()) {
       if (!listed.has(member.entry.memberId) && member.missingSince === undefined) {
         logger.warn('memberMissing', { group, memberId: member.entry.memberId });
@@ -197,7 +198,7 @@
     if (isNew && isKnownHolder && isMechanismEnabled('lookingAhead')) void readPositions.refresh();
   }
 
-  function addOrUpdate(entry: CachedDirectoryEntry): void {
+  function addOrUpdate(entry: CachedDirectoryEntry, isFirstDirectory: boolean): void {
     const known = members.get(entry.memberId);
     if (known && isSameProcess(known.entry, entry)) {
       if (hasStatusChanged(known.entry, entry)) logger.info('memberChanged', describeEntry(entry));
@@ -207,6 +208,7 @@
       return;
     }
     if (known) restartMember(known, entry);
+    else if (!isFirstDirectory && hasReplica()) ignoreDuringPromotions(entry);
     logger.info('memberAdded', describeEntry(entry));
     members.set(entry.memberId, openMember(entry));
   }
@@ -227,6 +229,12 @@
     ignoreDuringPromotions(entry);
   }
 
+  /** Whether a member other than the primary is known, which may be promoted. */
+  function hasReplica(): boolean {
+    const primary = primaryTracker.find();
+    return [...members.values()].some((member) => member !== primary);
+  }
+
   /**
    * Ignores the member's confirmations for as long as a promotion may be pending that did not pause
    * the member, because it did not know the member or its present log.
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -45,6 +45,8 @@
   orders: PromotionOrderClient;
   /** Returns a uniform number in [0, 1). */
   random: () => number;
+  /** Reads the directory again. @throws Error if the store does not answer. */
+  refreshDirectory: () => Promise<void>;
   soleMemberGuard: Pick<SoleMemberGuard, 'isReplicationProven'>;
 }
 
@@ -83,7 +85,7 @@
   options: PromotionControllerOptions,
 ): PromotionController {
   const { primaryTracker, clock, counters, evidence, group, logger, members } = context;
-  const { instance, dataCentre, orders, store } = options;
+  const { instance, dataCentre, orders, store, refreshDirectory } = options;
   const getRevisionAge = createRevisionAge(clock);
   const soleMemberFence = createSoleMemberFence(context, options.soleMemberGuard);
   let isBusy = false;
@@ -221,6 +223,7 @@
     claim: Claim,
     primary: Member | undefined,
   ): Promise<PromotionCandidate | undefined> {
+    if (!(await isDirectoryRefreshed())) return undefined;
     const fence = await soleMemberFence.fence(claim.record, claim.term);
     if (fence.type === 'failed') return undefined;
     const pausedReplicas = await pauseReplicas(claim, primary);
@@ -230,6 +233,17 @@
       : choosePromotionCandidate(pausedReplicas);
   }
 
+  /** Learns of members that joined before the claim; other instances may count their confirmations. */
+  async function isDirectoryRefreshed(): Promise<boolean> {
+    try {
+      await refreshDirectory();
+      return true;
+    } catch (error) {
+      logger.warn('directoryNotRefreshed', { group, error: error as Error });
+      return false;
+    }
+  }
+
   /**
    * Claims the promotion with a conditional update, so that only one instance succeeds. A claim of
    * another instance stays in force until it must have expired.
