Defer promotions while entries lapsed in an outage may return

Found by looking for the same fault elsewhere: entries of running members lapse while the store is away and return within two seconds. An instance that starts or regains the store in that time promoted one of the members that it saw, though another, whose entry was away, may alone hold an acknowledged write.

promotion.test.ts "waits for entries to return that may have lapsed" fails without it (the replica without the write is promoted).

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -143,6 +143,7 @@
       for (const [group, router] of localGroups) router.updateMembers(cache.getEntries(group));
     },
     onUnchanged: cache.confirm,
+    onLost: cache.recordLoss,
     // An instance that sends no statements to members can use delayed directory reads.
     isPrompt: () => localGroups.size === 0 || isDirectoryNeeded(),
   });
@@ -190,6 +191,7 @@
       missingMemberRetentionMilliseconds: times.missingMemberRetentionMilliseconds,
       leavingGracePeriodMilliseconds: times.leavingGracePeriodMilliseconds,
       getDirectoryCompleteAt: cache.getCompleteAt,
+      getDirectoryOutageEnd: cache.getOutageEnd,
       refreshDirectory: options.directory.refresh,
     });
     localGroups.set(group, router);
--- a/packages/gateway/src/lib/directory/directoryCache.ts
+++ b/packages/gateway/src/lib/directory/directoryCache.ts
@@ -1,4 +1,4 @@
-import { DISTANT_PAST_READINGS } from '@wisterialift/pooling';
+import { computeAgeUpperBound, DISTANT_PAST_READINGS } from '@wisterialift/pooling';
 import type { ClockReadings } from '@wisterialift/pooling';
 import type { Clock } from '../ports/clock';
 import type { DirectoryFreshness, DirectoryEntry } from '../ports/platformPort';
@@ -14,6 +14,8 @@
   update: (entries: readonly DirectoryEntry[], freshness: DirectoryFreshness) => void;
   /** Records that the entries include every change accepted before `completeAt`. */
   confirm: (completeAt: ClockReadings) => void;
+  /** Records that the directory could not be read. */
+  recordLoss: () => void;
   getEntries: (group: string) => CachedDirectoryEntry[];
   /** Whether the directory has been read at least once. */
   isLoaded: () => boolean;
@@ -21,20 +23,33 @@
   isFresh: () => boolean;
   /** Every change accepted before this time is included; undefined if that is not known. */
   getCompleteAt: () => ClockReadings | undefined;
+  /**
+   * When the directory could be read again after the last outage in which entries of running members
+   * may have lapsed; `-Infinity` if there was none.
+   */
+  getOutageEnd: () => number;
 }
 
 /** Retention of entries no longer listed, so that `leavingSince` survives a lapsed entry. */
 const ENTRY_RETENTION_MILLISECONDS = 600_000;
 
+/** Entries of running members lapse only in longer outages. */
+const MAXIMUM_GAP_MILLISECONDS = 3_500;
+
 export function createDirectoryCache(clock: Clock): DirectoryCache {
   const lastEntries = new Map<string, { entry: CachedDirectoryEntry; listedAt: number }>();
   let listedEntries: CachedDirectoryEntry[] = [];
   let isLoaded = false;
   let isFresh = false;
   let completeAt: ClockReadings | undefined;
+  let isLost = false;
+  let outageEndedAt = -Infinity;
 
   function confirm(next: ClockReadings): void {
+    const gap = completeAt ? computeAgeUpperBound(completeAt, next) : Infinity;
+    if (isLost && gap > MAXIMUM_GAP_MILLISECONDS) outageEndedAt = clock.now();
     completeAt = next;
+    isLost = false;
   }
 
   function recordEntry(
@@ -74,10 +89,14 @@
       if (freshness.completeAt) confirm(freshness.completeAt);
     },
     confirm,
+    recordLoss: () => {
+      isLost = true;
+    },
     getEntries: (group) => listedEntries.filter((entry) => entry.group === group),
     isLoaded: () => isLoaded,
     isFresh: () => isFresh,
     getCompleteAt: () => completeAt,
+    getOutageEnd: () => outageEndedAt,
   };
 }
 
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -65,6 +65,8 @@
   leavingGracePeriodMilliseconds: number;
   /** The directory includes every change accepted before this time; undefined if unknown. */
   getDirectoryCompleteAt: () => ClockReadings | undefined;
+  /** When the last outage of the directory ended; `-Infinity` if there was none. */
+  getDirectoryOutageEnd: () => number;
   /** Reads the directory again. @throws Error if the store does not answer. */
   refreshDirectory: () => Promise<void>;
 }
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -37,12 +37,14 @@
    *
    * @param options.onUnchanged - called when no change was accepted between the last call of
    *   `onChange` and `completeAt`.
+   * @param options.onLost - called when the directory could not be read.
    * @param options.isPrompt - whether changes must arrive within the bounds of the platform; if
    *   not, occasional reads that may be seconds old are sufficient.
    */
   subscribe: (options: {
     onChange: (entries: DirectoryEntry[], freshness: DirectoryFreshness) => void;
     onUnchanged?: (completeAt: ClockReadings) => void;
+    onLost?: () => void;
     isPrompt: () => boolean;
   }) => void;
   /**
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -45,6 +45,10 @@
   orders: PromotionOrderClient;
   /** Returns a uniform number in [0, 1). */
   random: () => number;
+  /** Milliseconds for which a member's entry may be missing before the member is removed. */
+  missingMemberRetentionMilliseconds: number;
+  /** When the last outage of the directory ended; `-Infinity` if there was none. */
+  getDirectoryOutageEnd: () => number;
   /** Reads the directory again. @throws Error if the store does not answer. */
   refreshDirectory: () => Promise<void>;
   soleMemberGuard: Pick<SoleMemberGuard, 'isReplicationProven'>;
@@ -207,6 +211,10 @@
       logger.info('promotionWithoutCandidate', { group, cause });
       return;
     }
+    if (mayMembersReturn()) {
+      logger.info('promotionDeferred', { group, cause, reason: 'entries may have lapsed' });
+      return;
+    }
     const claim = await claimPromotion(cause, primary);
     if (!claim) return;
     const candidate = await prepareCandidate(claim, primary);
@@ -218,6 +226,18 @@
     await orderPromotion({ cause, primary, claim, candidate });
   }
 
+  /**
+   * Whether the directory may still lack running members, whose entries can lapse while the store is
+   * down. One of them may alone hold a write that was acknowledged.
+   */
+  function mayMembersReturn(): boolean {
+    const outageEnd = options.getDirectoryOutageEnd();
+    if (clock.now() - outageEnd >= options.missingMemberRetentionMilliseconds) return false;
+    const all = [...members.values()];
+    const isKnownFromBefore = all.some(({ listedSince }) => listedSince < outageEnd);
+    return !isKnownFromBefore || all.some(isMissing);
+  }
+
   /** Makes sure that no further write of the primary can be acknowledged and chooses its successor. */
   async function prepareCandidate(
     claim: Claim,
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -149,11 +149,12 @@
    *
    * @param onChange - told from when on all that is new was accepted, and until when it is whole.
    * @param followers.onUnchanged - told at the end of a wait until when nothing was new.
+   * @param followers.onLost - told that a call or a wait failed.
    */
   function follow(
     host: Host,
     onChange: (told: ToldTimes) => void,
-    followers: Pick<Parameters<DirectoryPort['subscribe']>[0], 'onUnchanged'> = {},
+    followers: Pick<Parameters<DirectoryPort['subscribe']>[0], 'onUnchanged' | 'onLost'> = {},
   ): () => void {
     const life = host.life();
     const isRunning = () => host.life() === life && host.isPowered();
@@ -175,7 +176,8 @@
     };
     const endWait = () => {
       if (!isRunning()) return;
-      if (!isAway(host) && delay() === 0 && changesUnderWay === 0) {
+      if (isAway(host)) followers.onLost?.();
+      else if (delay() === 0 && changesUnderWay === 0) {
         wholeAt = readingsAt(scheduler.now() - WATCH_MILLISECONDS);
         followers.onUnchanged?.(wholeAt);
       }
@@ -184,6 +186,7 @@
     const list = () => {
       if (!isRunning()) return;
       if (isAway(host)) {
+        followers.onLost?.();
         scheduler.after(RETRY_MILLISECONDS, list);
         return;
       }
