--- a/packages/gateway/src/lib/groups/soleMemberGuard.ts
+++ b/packages/gateway/src/lib/groups/soleMemberGuard.ts
@@ -1,11 +1,7 @@
-import {
-  CLAIM_TAKEOVER_MILLISECONDS,
-  computeAgeUpperBound,
-  isDirectoryValid,
-} from '@wisterialift/pooling';
+import { computeAgeUpperBound, isDirectoryValid } from '@wisterialift/pooling';
 import type { ClockReadings } from '@wisterialift/pooling';
-import type { PromotionStore, StoredPromotionRecord } from '../ports/platformPort';
-import { createRevisionAge } from '../promotion/revisionAge';
+import type { PromotionStore } from '../ports/platformPort';
+import { createRecordObserver } from '../promotion/recordObserver';
 import type { GroupContext } from './groupContext';
 import { isKnownToAllInstances } from './member';
 import type { Member } from './member';
@@ -72,7 +68,7 @@
 ): SoleMemberGuard {
   const { clock, counters, evidence, group, logger, members, primaryTracker } = context;
   const { instance, store, getDirectoryCompleteAt, refreshDirectory } = options;
-  const getRevisionAge = createRevisionAge(clock);
+  const recordObserver = createRecordObserver(clock);
   let permit: Permit | undefined;
   let isRequesting = false;
   let storeFailedUntil = -Infinity;
@@ -107,10 +103,6 @@
     return completeAt ? Math.round(computeAgeUpperBound(completeAt, clock.readClocks())) : Infinity;
   }
 
-  /** Whether the instance that claimed a promotion may still send commands. */
-  const isHeld = ({ record, revision }: StoredPromotionRecord) =>
-    record.isClaimed && getRevisionAge(revision) < CLAIM_TAKEOVER_MILLISECONDS;
-
   /**
    * Names the member in the promotion record, unless a promotion is claimed or another member is
    * listed. The directory is read after the record, so it lists every member whose promotion was
@@ -119,7 +111,7 @@
   async function requestPermit(member: Member, term: number): Promise<void> {
     const { memberId } = member.entry;
     const stored = await store.read(group);
-    if (stored && isHeld(stored)) return;
+    if (stored && recordObserver.isHeld(stored)) return;
     if (!stored || stored.record.isClaimed || stored.record.soleMemberId !== memberId) {
       await refreshDirectory();
       if (hasOtherMembers(member)) return;
--- a/packages/gateway/src/lib/groups/writeRouter.ts
+++ b/packages/gateway/src/lib/groups/writeRouter.ts
@@ -183,12 +183,10 @@
         'the primary was replaced before the write was copied',
       );
     }
-    return refuseStatement(
-      context,
-      request,
-      'unknownOutcome',
-      'no replica was seen to hold the write in time',
-    );
+    const detail = soleMemberGuard.hasOtherMembers(member)
+      ? 'no replica was seen to hold the write in time'
+      : 'the only listed member could not be relied on alone in time';
+    return refuseStatement(context, request, 'unknownOutcome', detail);
   }
 
   async function determineSupersededOutcome(
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -1,10 +1,5 @@
-import {
-  CLAIM_TAKEOVER_MILLISECONDS,
-  choosePromotionCandidate,
-  isClaimValid,
-} from '@wisterialift/pooling';
+import { choosePromotionCandidate, isClaimValid } from '@wisterialift/pooling';
 import type {
-  ClockReadings,
   MemberReport,
   PromotionRecord,
   PausedReplica,
@@ -16,13 +11,10 @@
 import type { Member } from '../groups/member';
 import { sendMemberCommand } from '../groups/sendMemberCommand';
 import type { SoleMemberGuard } from '../groups/soleMemberGuard';
-import { createRevisionAge } from './revisionAge';
+import { createPromotionClaims, PROMOTION_TIMEOUT_MILLISECONDS } from './promotionClaims';
+import type { Claim } from './promotionClaims';
 import { chooseFencedCandidate, createSoleMemberFence } from './soleMemberFence';
-import type {
-  PromotionOrderClient,
-  PromotionStore,
-  StoredPromotionRecord,
-} from '../ports/platformPort';
+import type { PromotionOrderClient, PromotionStore } from '../ports/platformPort';
 
 /** Replaces a primary that is unresponsive, unreachable or leaving. */
 export interface PromotionController {
@@ -81,16 +73,13 @@
 /** Time for a promoted member to become primary before its status is queried. */
 const PROMOTION_WAIT_MILLISECONDS = 1_300;
 
-/** Time after which a promotion that has not taken effect may be repeated. */
-const PROMOTION_TIMEOUT_MILLISECONDS = 3_000;
-
 export function createPromotionController(
   context: GroupContext,
   options: PromotionControllerOptions,
 ): PromotionController {
-  const { primaryTracker, clock, counters, evidence, group, logger, members } = context;
+  const { primaryTracker, clock, counters, group, logger, members } = context;
   const { instance, dataCentre, orders, store, refreshDirectory } = options;
-  const getRevisionAge = createRevisionAge(clock);
+  const claims = createPromotionClaims(context, { instance, store });
   const soleMemberFence = createSoleMemberFence(context, options.soleMemberGuard);
   let isBusy = false;
   let isClosed = false;
@@ -215,7 +204,8 @@
       logger.info('promotionDeferred', { group, cause, reason: 'entries may have lapsed' });
       return;
     }
-    const claim = await claimPromotion(cause, primary);
+    const canClaim = (record: PromotionRecord) => canReplaceSoleMember(cause, record);
+    const claim = await claims.claim({ primary, canClaim });
     if (!claim) return;
     const candidate = await prepareCandidate(claim, primary);
     if (!candidate || !isClaimValid(claim.claimedAt, clock.readClocks())) {
@@ -238,6 +228,18 @@
     return !isKnownFromBefore || all.some(isMissing);
   }
 
+  /** Whether the group's sole member, if the record names one, can be replaced now. */
+  async function canReplaceSoleMember(
+    cause: SuspicionCause,
+    record: PromotionRecord,
+  ): Promise<boolean> {
+    if (await soleMemberFence.canPromote(record)) return true;
+    const { soleMemberId } = record;
+    const reason = 'instances may rely on the sole member';
+    logger.info('promotionDeferred', { group, cause, reason, soleMemberId });
+    return false;
+  }
+
   /** Makes sure that no further write of the primary can be acknowledged and chooses its successor. */
   async function prepareCandidate(
     claim: Claim,
@@ -264,47 +266,6 @@
     }
   }
 
-  /**
-   * Claims the promotion with a conditional update, so that only one instance succeeds. A claim of
-   * another instance stays in force until it must have expired.
-   */
-  async function claimPromotion(
-    cause: SuspicionCause,
-    primary: Member | undefined,
-  ): Promise<Claim | undefined> {
-    const stored = await store.read(group);
-    if (stored && (isHeldByOther(stored) || isPromotionPending(stored, primary))) return undefined;
-    if (stored && !(await soleMemberFence.canPromote(stored.record))) {
-      const { soleMemberId } = stored.record;
-      const reason = 'instances may rely on the sole member';
-      logger.info('promotionDeferred', { group, cause, reason, soleMemberId });
-      return undefined;
-    }
-    const token = (stored?.record.token ?? 0) + 1;
-    const record: PromotionRecord = { ...stored?.record, holder: instance, token, isClaimed: true };
-    const term = evidence.getHighestTerm() + 1;
-    const claimedAt = clock.readClocks();
-    const outcome = await store.replace({ group, record, revision: stored?.revision });
-    logger.info('dutyClaimed', { group, token, outcome: outcome.type });
-    if (outcome.type !== 'replaced') return undefined;
-    return { record, revision: outcome.revision, claimedAt, term };
-  }
-
-  function isHeldByOther({ record, revision }: StoredPromotionRecord): boolean {
-    if (!record.isClaimed) return false;
-    return getRevisionAge(revision) < CLAIM_TAKEOVER_MILLISECONDS;
-  }
-
-  /**
-   * Whether a recent promotion already replaces the suspected primary. Without this check, every
-   * instance that suspects the primary would order its own promotion.
-   */
-  function isPromotionPending(stored: StoredPromotionRecord, primary: Member | undefined): boolean {
-    const { started } = stored.record;
-    if (!started || started.primaryId === primary?.entry.memberId) return false;
-    return getRevisionAge(stored.revision) < PROMOTION_TIMEOUT_MILLISECONDS;
-  }
-
   /**
    * Pauses every replica and reads its log end, so that none can confirm further writes of the old
    * primary. Returns undefined if a listed replica does not answer: it may hold acknowledged writes
@@ -359,10 +320,10 @@
     logger.info('promotionOrdered', { group, cause, memberId, origin, token, outcome });
     counters.promotions += 1;
     if (outcome !== 'accepted') {
-      await releaseClaim(claim);
+      await claims.release(claim);
       return;
     }
-    await releaseClaim(claim, { term, primaryId: memberId, origin });
+    await claims.release(claim, { term, primaryId: memberId, origin });
     await awaitPromotion(memberId, { term, primary });
   }
 
@@ -384,16 +345,7 @@
         ),
       );
     }
-    await releaseClaim(claim);
-  }
-
-  async function releaseClaim(claim: Claim, started?: PromotionRecord['started']): Promise<void> {
-    const changes = started && { started, soleMemberId: undefined };
-    const record = { ...claim.record, isClaimed: false, ...changes };
-    const outcome = await store.replace({ group, record, revision: claim.revision });
-    if (outcome.type !== 'replaced') {
-      logger.warn('dutyNotReleased', { group, outcome: outcome.type });
-    }
+    await claims.release(claim);
   }
 
   /** Waits until the promoted member is primary, then sends the old primary a demotion. */
@@ -426,19 +378,10 @@
     }
   }
 
-  async function readTermOrigin(): Promise<TermOrigin | undefined> {
-    try {
-      return (await store.read(group))?.record.started;
-    } catch (error) {
-      logger.warn('termOriginNotRead', { group, error: error as Error });
-      return undefined;
-    }
-  }
-
   return {
     reportSuspicion,
     checkDirectory,
-    readTermOrigin,
+    readTermOrigin: claims.readTermOrigin,
     close: () => {
       isClosed = true;
     },
@@ -448,13 +391,5 @@
 /** Status reports of the listed members; undefined for a member that did not answer. */
 type MemberStatuses = { member: Member; isSuspect: boolean; report: MemberReport | undefined }[];
 
-interface Claim {
-  record: PromotionRecord;
-  revision: number;
-  claimedAt: ClockReadings;
-  /** Term that the promotion starts. */
-  term: number;
-}
-
 /** The member to promote and its log end. */
 type PromotionCandidate = Pick<PausedReplica, 'memberId' | 'received'>;
