Spend no call to the store on a read position that the primary gives

Cause: an instance without a replicated commit of its own reads the promotion record each time that replicas answer before the primary, and those with little traffic ask for a position every few seconds.

Change: the look waits 100 ms for the primary, whose answer makes it needless; and a record without a name, read once all instances know a replica, is enough from then on, since no instance can name a member alone any more.

--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -1,5 +1,6 @@
 import type { MemberReport } from '@wisterialift/pooling';
 import { getHigherPosition } from '@wisterialift/schema';
+import { resolveWithTimeout } from '../timing/promiseTimeout';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
@@ -17,6 +18,12 @@
 /** Allows for a new connection and two round trips between distant data centres. */
 const QUERY_TIMEOUT_MILLISECONDS = 400;
 
+/**
+ * Time by which the primary may answer later than the others. Its answer makes a look at the promotion
+ * record needless, which costs a call to the store.
+ */
+const PRIMARY_GRACE_MILLISECONDS = 100;
+
 /** Pause after a failed query. */
 const RETRY_DELAY_MILLISECONDS = 50;
 
@@ -29,14 +36,16 @@
  */
 export function createReadPositionRefresher(
   context: GroupContext,
-  { isEveryCommitReplicated }: Pick<SoleMemberGuard, 'isEveryCommitReplicated'>,
+  guard: Pick<SoleMemberGuard, 'isEveryCommitReplicated' | 'isReplicationProven'>,
 ): ReadPositionRefresher {
   const { primaryTracker, clock, evidence, members } = context;
   let pendingRefresh: Promise<void> | undefined;
 
   async function refreshOnce(): Promise<void> {
     const primary = primaryTracker.find();
-    const isRefreshed = await waitForFirstTrue([queryPrimary(primary), queryOtherMembers(primary)]);
+    const primaryAnswer = queryPrimary(primary);
+    const othersAnswer = queryOtherMembers(primary, primaryAnswer);
+    const isRefreshed = await waitForFirstTrue([primaryAnswer, othersAnswer]);
     if (!isRefreshed) await primaryTracker.waitForChange(RETRY_DELAY_MILLISECONDS);
   }
 
@@ -50,14 +59,21 @@
     return sendMemberCommand(context, member, { type: 'status' }, QUERY_TIMEOUT_MILLISECONDS);
   }
 
-  async function queryOtherMembers(primary: Member | undefined): Promise<boolean> {
+  async function queryOtherMembers(
+    primary: Member | undefined,
+    primaryAnswer: Promise<boolean>,
+  ): Promise<boolean> {
     const others = [...members.values()].filter((member) => member !== primary);
     const sentAt = clock.now();
     const responses = await Promise.all(others.map(queryReport));
     const reports = responses.filter((report): report is MemberReport => report !== undefined);
     const [first, ...rest] = reports.map(({ received }) => received);
     if (!first || reports.length < Math.max(1, members.size - 1)) return false;
-    if (!(await isEveryCommitReplicated())) return false;
+    if (!guard.isReplicationProven()) {
+      const hasAnswered = resolveWithTimeout(clock, primaryAnswer, PRIMARY_GRACE_MILLISECONDS);
+      if (await hasAnswered) return true;
+      if (!(await guard.isEveryCommitReplicated())) return false;
+    }
     evidence.addFloor({ requestedAt: sentAt, position: rest.reduce(getHigherPosition, first) });
     return true;
   }
--- a/packages/gateway/src/lib/groups/soleMemberGuard.ts
+++ b/packages/gateway/src/lib/groups/soleMemberGuard.ts
@@ -24,7 +24,7 @@
    * false if some may rest on a sole member, or while the store does not answer.
    */
   isEveryCommitReplicated: () => Promise<boolean>;
-  /** Whether a replicated commit shows that no commit rests on a sole member any more. */
+  /** Whether this instance has seen that no commit rests on a sole member any more. */
   isReplicationProven: () => boolean;
   /** Whether the primary is the group's only member and cannot be relied on alone at present. */
   isBlocked: () => boolean;
@@ -153,26 +153,33 @@
     }
   }
 
+  function hasReplicaKnownToAll(now: number): boolean {
+    const primary = primaryTracker.find();
+    return [...members.values()].some(
+      (member) => member !== primary && isKnownToAllInstances(member, now),
+    );
+  }
+
   /**
    * A commit requested after all instances knew another member is preceded in the log by all that
    * rested on the sole member.
    */
   function recordReplication(requestedAt: number): void {
     if (isReplicationProven) return;
-    const primary = primaryTracker.find();
-    isReplicationProven = [...members.values()].some(
-      (member) => member !== primary && isKnownToAllInstances(member, requestedAt),
-    );
+    isReplicationProven = hasReplicaKnownToAll(requestedAt);
     if (!isReplicationProven || !hasBeenAlone) return;
     hasBeenAlone = false;
     void releaseName();
   }
 
   async function isEveryCommitReplicated(): Promise<boolean> {
-    if (isReplicationProven) return true;
     try {
+      const askedAt = clock.now();
       const stored = await store.read(group);
-      return stored?.record.soleMemberId === undefined;
+      const isUnnamed = stored?.record.soleMemberId === undefined;
+      // No instance names a member any more once all know a replica.
+      if (isUnnamed && hasReplicaKnownToAll(askedAt)) isReplicationProven = true;
+      return isUnnamed;
     } catch (error) {
       logger.warn('promotionRecordNotRead', { group, error: error as Error });
       return false;
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -1,6 +1,6 @@
 import type { Network } from '@wisterialift/fuzz';
 import type { Clock } from '@wisterialift/gateway';
-import type { ReplicatedLog } from '../databases/replicatedLog';
+import type { LogState, ReplicatedLog } from '../databases/replicatedLog';
 import type { SimulatedDatabase } from '../databases/simulatedDatabase';
 import type { PlannedFault } from '../experiment/experimentSchema';
 import type { SimulatedInstance } from '../instances/simulatedInstance';
@@ -163,7 +163,14 @@
     .map(({ memberId }) => memberId);
 }
 
+/** The primary of the newest term or, while there is none, the member with the longest log. */
 function primaryOf({ members }: ReplicatedLog): string {
-  const primaries = [...members.values()].filter(({ role }) => role === 'primary');
-  return primaries.sort((left, right) => right.term - left.term)[0]!.memberId;
+  const isPrimary = ({ role }: LogState) => (role === 'primary' ? 1 : 0);
+  const [first] = [...members.values()].sort(
+    (left, right) =>
+      isPrimary(right) - isPrimary(left) ||
+      right.term - left.term ||
+      right.log.length - left.log.length,
+  );
+  return first!.memberId;
 }
