Drop a sole member's permit once another member may have been listed

Found in review of the guard: an instance kept its permit for a member and a term, while another instance takes the name off the promotion record once the group has grown. Fallen back to one member, the first would have relied on a name that is no longer there, and a promotion would not have fenced it.

After a suspension the permit is obtained anew as well.

soleMember.test.ts (gateway), two cases, fail without it.

--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -294,7 +294,7 @@
       }
     }
     checkPrimaryIfHolder();
-    if (isHolder()) soleMemberGuard.handleMemberChange();
+    if (isHolder()) soleMemberGuard.checkMembers();
   }
 
   /** Only holders check the primary: checks by all instances would exhaust connections. */
--- a/packages/gateway/src/lib/groups/soleMemberGuard.ts
+++ b/packages/gateway/src/lib/groups/soleMemberGuard.ts
@@ -15,8 +15,8 @@
  */
 export interface SoleMemberGuard {
   hasOtherMembers: (member: Member) => boolean;
-  /** Updates the guard after members were added or removed. */
-  handleMemberChange: () => void;
+  /** Looks for a sole member; to be called regularly. */
+  checkMembers: () => void;
   /** Records that a commit requested at `requestedAt` was seen to be replicated. */
   recordReplication: (requestedAt: number) => void;
   /**
@@ -56,10 +56,15 @@
 /** Pause after a permit was not obtained; each try costs calls to the store. */
 const RETRY_DELAY_MILLISECONDS = 500;
 
+/** A permit that was not checked for longer than this is obtained anew, as after a suspension. */
+const MAXIMUM_CHECK_AGE_MILLISECONDS = 1_500;
+
 /** The sole member that the promotion record names, and the term that it led then. */
 interface Permit {
   memberId: string;
   term: number;
+  /** When the member was last seen to be the only one, in a recent directory. */
+  checkedAt: ClockReadings;
 }
 
 export function createSoleMemberGuard(
@@ -80,8 +85,11 @@
 
   const isDirectoryRecent = () => isDirectoryValid(getDirectoryCompleteAt(), clock.readClocks());
 
+  const isCheckRecent = ({ checkedAt }: Permit) =>
+    computeAgeUpperBound(checkedAt, clock.readClocks()) <= MAXIMUM_CHECK_AGE_MILLISECONDS;
+
   const hasPermit = (memberId: string, term: number) =>
-    permit?.memberId === memberId && permit.term === term;
+    permit?.memberId === memberId && permit.term === term && isCheckRecent(permit);
 
   /** Returns the primary if it is the only member. */
   function findSoleMember(): Member | undefined {
@@ -122,11 +130,25 @@
       logger.info('soleMemberNamed', { group, memberId, term, outcome });
       if (outcome !== 'replaced') return;
     }
-    permit = { memberId, term };
+    if (isDirectoryRecent()) permit = { memberId, term, checkedAt: clock.readClocks() };
+  }
+
+  /**
+   * Drops the permit once another member is listed or may have been: the name may be taken off the
+   * record then.
+   */
+  function checkPermit(): void {
+    if (!permit) return;
+    const isStillAlone = findSoleMember()?.entry.memberId === permit.memberId;
+    if (isStillAlone && isDirectoryRecent() && isCheckRecent(permit)) {
+      permit.checkedAt = clock.readClocks();
+    } else {
+      permit = undefined;
+    }
   }
 
   async function tryRequestPermit(member: Member, term: number): Promise<void> {
-    if (isRequesting) return;
+    if (isRequesting || !isDirectoryRecent()) return;
     isRequesting = true;
     const { memberId } = member.entry;
     try {
@@ -208,7 +230,8 @@
 
   return {
     hasOtherMembers,
-    handleMemberChange: () => {
+    checkMembers: () => {
+      checkPermit();
       const member = findSoleMember();
       if (!member) return;
       hasBeenAlone = true;
--- a/packages/gateway/src/test/soleMember.test.ts
+++ b/packages/gateway/src/test/soleMember.test.ts
@@ -97,6 +97,30 @@
     expect(gateway.store.current.record.soleMemberId).toBe('db-1');
   });
 
+  it('is named anew after another member was listed', async () => {
+    // Guards against relying on a name that was taken off the record while the group was larger.
+    gateway.updateMembers([soleEntry]);
+    await write('first');
+    gateway.updateMembers([soleEntry, joinedEntry]);
+    await vi.advanceTimersByTimeAsync(1_000);
+    gateway.store.current = { record: unclaimed, revision: 20 };
+    gateway.updateMembers([soleEntry]);
+    await vi.advanceTimersByTimeAsync(3_500);
+    await write('second');
+    expect(gateway.store.current.record.soleMemberId).toBe('db-1');
+  });
+
+  it('is named anew after the directory was too old', async () => {
+    // Guards against a member that joined and left while this instance heard nothing.
+    gateway.updateMembers([soleEntry]);
+    await write('first');
+    await vi.advanceTimersByTimeAsync(DIRECTORY_VALIDITY_MILLISECONDS + 600);
+    gateway.store.current = { record: unclaimed, revision: 20 };
+    gateway.updateMembers([soleEntry]);
+    await write('second');
+    expect(gateway.store.current.record.soleMemberId).toBe('db-1');
+  });
+
   it.each(['read', 'write'] as const)(
     'gets no %s from an instance whose directory is too old, which refuses it at once',
     async (type) => {
