Name a sole member ahead of its first statement only after five seconds

Cause: the databases of a deployment start one after the other, so each group has one member for a second or two, and each of 70 instances read the record and the directory and tried to write a name.

Change: the name is written ahead of need only once a member has been alone for five seconds; a statement that needs it does not wait. An instance that never had a permit does not look whether a name can be taken off.

--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -141,8 +141,8 @@
     }) => {
       if (!(await confirmPrimaryRole(member, term))) return false;
       if (!hasOtherMembers(member)) {
-        const patience = Math.min(deadlineAt, clock.now() + STALL_TIMEOUT_MILLISECONDS);
-        return soleMemberGuard.waitForPermit({ member, term, deadlineAt: patience });
+        const waitUntil = Math.min(deadlineAt, clock.now() + STALL_TIMEOUT_MILLISECONDS);
+        return soleMemberGuard.waitForPermit({ member, term, deadlineAt: waitUntil });
       }
       const canBeStale = maximumStaleness > 0;
       if (canBeStale && hasRecentReply(member, term, eventStamp.at - maximumStaleness)) return true;
--- a/packages/gateway/src/lib/groups/soleMemberGuard.ts
+++ b/packages/gateway/src/lib/groups/soleMemberGuard.ts
@@ -56,6 +56,12 @@
 /** Pause after a permit was not obtained; each try costs calls to the store. */
 const RETRY_DELAY_MILLISECONDS = 500;
 
+/**
+ * Time for which a member is alone before a permit is obtained ahead of the first statement that
+ * needs it. Members that start together join within a few seconds.
+ */
+const PREPARATION_DELAY_MILLISECONDS = 5_000;
+
 /** A permit that was not checked for longer than this is obtained anew, as after a suspension. */
 const MAXIMUM_CHECK_AGE_MILLISECONDS = 1_500;
 
@@ -77,6 +83,7 @@
   let permit: Permit | undefined;
   let isRequesting = false;
   let storeFailedUntil = -Infinity;
+  let aloneSince: number | undefined;
   let hasBeenAlone = false;
   let isReplicationProven = false;
 
@@ -130,7 +137,9 @@
       logger.info('soleMemberNamed', { group, memberId, term, outcome });
       if (outcome !== 'replaced') return;
     }
-    if (isDirectoryRecent()) permit = { memberId, term, checkedAt: clock.readClocks() };
+    if (!isDirectoryRecent()) return;
+    permit = { memberId, term, checkedAt: clock.readClocks() };
+    hasBeenAlone = true;
   }
 
   /**
@@ -222,6 +231,14 @@
     return !hasOtherMembers(member);
   }
 
+  function prepare(member: Member): void {
+    isReplicationProven = false;
+    const term = evidence.getHighestTerm();
+    const isDue = clock.now() - aloneSince! >= PREPARATION_DELAY_MILLISECONDS;
+    if (!isDue || term === 0 || hasPermit(member.entry.memberId, term)) return;
+    void tryRequestPermit(member, term);
+  }
+
   function recordUnconfirmed(memberId: string): void {
     counters.unconfirmedAlone += 1;
     const directoryAgeMilliseconds = getDirectoryAge();
@@ -233,11 +250,8 @@
     checkMembers: () => {
       checkPermit();
       const member = findSoleMember();
-      if (!member) return;
-      hasBeenAlone = true;
-      isReplicationProven = false;
-      const term = evidence.getHighestTerm();
-      if (term > 0 && !hasPermit(member.entry.memberId, term)) void tryRequestPermit(member, term);
+      aloneSince = member && (aloneSince ?? clock.now());
+      if (member) prepare(member);
     },
     recordReplication,
     isEveryCommitReplicated,
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -245,7 +245,7 @@
     claim: Claim,
     primary: Member | undefined,
   ): Promise<PromotionCandidate | undefined> {
-    if (!(await isDirectoryRefreshed())) return undefined;
+    if (!(await tryRefreshDirectory())) return undefined;
     const fence = await soleMemberFence.fence(claim.record, claim.term);
     if (fence.type === 'failed') return undefined;
     const pausedReplicas = await pauseReplicas(claim, primary);
@@ -255,8 +255,12 @@
       : choosePromotionCandidate(pausedReplicas);
   }
 
-  /** Learns of members that joined before the claim; other instances may count their confirmations. */
-  async function isDirectoryRefreshed(): Promise<boolean> {
+  /**
+   * Learns of members that joined before the claim, which may confirm writes for other instances.
+   *
+   * @returns false if the store does not answer.
+   */
+  async function tryRefreshDirectory(): Promise<boolean> {
     try {
       await refreshDirectory();
       return true;
