Delay an entry in a group test longer than any machine takes

Cause: the entry was delayed by 30 ms and the fence sent after the write was answered. Where the machine takes longer than that, the entry arrives before the fence, rightly. A pause of 60 ms before the fence gave exactly that failure.

Change: the delay is 60 s, as in the test of the two lags. The check is as strict: the entry is still on its way at the fence, and the end of the delay afterwards delivers it if the fence did not drop it.

Evidence: with the pause of 60 ms the test passes. Without the line that drops such entries (createReplication) it fails, in three runs of three.

--- a/stand-ins/database/src/test/group.test.ts
+++ b/stand-ins/database/src/test/group.test.ts
@@ -43,7 +43,8 @@
 
   test('takes nothing of a lower term after a fence', async () => {
     const [a1, a2] = await startGroup('a2');
-    await a2!.setFaults({ replicationLagMilliseconds: 30 });
+    // Longer than any test runs: the entry is still on its way when the fence is sent.
+    await a2!.setFaults({ replicationLagMilliseconds: 60_000 });
     const writer = await a1!.connect();
     await addRecord(writer, 'on its way');
     await a2!.control('GROUP FENCE TERM 2');
