Let few instances hold the connections of all groups

Cause: which instances hold the connections was planned for each group alone, by rendezvous.

Change: the largest instances of a data centre, with a quarter of its processor capacity and four at least, hold the connections of all groups; which of them serve a group is still planned by rendezvous. The others follow in the order of taking over. The number of holders of a group and their connections stay.

--- a/packages/pooling/src/lib/routing/connectionHolders.ts
+++ b/packages/pooling/src/lib/routing/connectionHolders.ts
@@ -38,6 +38,16 @@
 /** Fraction of a member's connections given to holders; the rest is for instances that take over. */
 const ALLOCATED_FRACTION = 0.9;
 
+/**
+ * Fraction of a data centre's processor capacity that holds the connections of all groups. An
+ * instance that holds any must follow the directory closely, which costs calls to the store, so few
+ * instances hold connections of many groups.
+ */
+const HOLDING_CAPACITY_FRACTION = 0.25;
+
+/** With fewer holding instances, the loss of one would affect too many groups at once. */
+const MINIMUM_HOLDING_INSTANCES = 4;
+
 /**
  * Plans which instances hold the connections to the members of a group.
  *
@@ -54,9 +64,12 @@
 }): ConnectionHolderPlan {
   const { group, candidates, dataCentre, maximumConnections } = options;
   if (maximumConnections >= candidates.length * MINIMUM_CONNECTIONS) return { type: 'everyone' };
-  const ranked = rankInstancesByDataCentre(group, candidates);
+  const dataCentres = groupByDataCentre(candidates);
   const totalHolders = (maximumConnections * ALLOCATED_FRACTION) / CONNECTIONS_PER_HOLDER;
-  const nearCount = Math.max(1, Math.floor(totalHolders / ranked.size));
+  const nearCount = Math.max(1, Math.floor(totalHolders / dataCentres.size));
+  const ranked = new Map(
+    [...dataCentres].map(([name, local]) => [name, rankInstances(group, local, nearCount)]),
+  );
   const remoteDataCentres = [...ranked].filter(([name]) => name !== dataCentre);
   return {
     type: 'holders',
@@ -66,23 +79,62 @@
   };
 }
 
-/** Instances of each data centre, in the order in which they become holders of the group. */
-function rankInstancesByDataCentre(
-  group: string,
+function groupByDataCentre(
   candidates: readonly ConnectionHolderCandidate[],
-): Map<string, string[]> {
-  const weights = new Map(candidates.map(({ instance, weight }) => [instance, weight]));
-  const dataCentres = [...new Set(candidates.map((candidate) => candidate.dataCentre))].sort();
+): Map<string, ConnectionHolderCandidate[]> {
+  const names = [...new Set(candidates.map(({ dataCentre }) => dataCentre))].sort();
   return new Map(
-    dataCentres.map((dataCentre) => [
-      dataCentre,
-      orderByRendezvous({
-        key: group,
-        names: candidates
-          .filter((candidate) => candidate.dataCentre === dataCentre)
-          .map(({ instance }) => instance),
-        getWeight: (instance) => weights.get(instance) ?? 1,
-      }),
-    ]),
+    names.map((name) => [name, candidates.filter(({ dataCentre }) => dataCentre === name)]),
+  );
+}
+
+/**
+ * Instances of one data centre, in the order in which they become holders of the group: first those
+ * that hold connections of any group, then the others.
+ */
+function rankInstances(
+  group: string,
+  candidates: readonly ConnectionHolderCandidate[],
+  nearCount: number,
+): string[] {
+  const holding = selectHoldingInstances(candidates, nearCount);
+  const others = candidates.filter((candidate) => !holding.includes(candidate));
+  return [...orderByWeight(group, holding), ...orderByWeight(group, others)];
+}
+
+/** The largest instances of a data centre, as many as it takes to hold the connections of all groups. */
+function selectHoldingInstances(
+  candidates: readonly ConnectionHolderCandidate[],
+  nearCount: number,
+): ConnectionHolderCandidate[] {
+  const minimumCount = Math.max(MINIMUM_HOLDING_INSTANCES, 2 * nearCount);
+  const requiredCapacity = sumWeights(candidates) * HOLDING_CAPACITY_FRACTION;
+  const largestFirst = [...candidates].sort(compareCapacity);
+  const count = largestFirst.findIndex(
+    (_, index) =>
+      index + 1 >= minimumCount && sumWeights(largestFirst.slice(0, index + 1)) >= requiredCapacity,
   );
+  return count === -1 ? largestFirst : largestFirst.slice(0, count + 1);
+}
+
+/** Sorts by name where capacities are equal, so that all instances select the same ones. */
+function compareCapacity(
+  left: ConnectionHolderCandidate,
+  right: ConnectionHolderCandidate,
+): number {
+  if (left.weight !== right.weight) return right.weight - left.weight;
+  return left.instance < right.instance ? -1 : 1;
+}
+
+function sumWeights(candidates: readonly ConnectionHolderCandidate[]): number {
+  return candidates.reduce((sum, { weight }) => sum + weight, 0);
+}
+
+function orderByWeight(group: string, candidates: readonly ConnectionHolderCandidate[]): string[] {
+  const weights = new Map(candidates.map(({ instance, weight }) => [instance, weight]));
+  return orderByRendezvous({
+    key: group,
+    names: candidates.map(({ instance }) => instance),
+    getWeight: (instance) => weights.get(instance) ?? 1,
+  });
 }
--- a/packages/pooling/src/test/connectionHolders.test.ts
+++ b/packages/pooling/src/test/connectionHolders.test.ts
@@ -68,4 +68,27 @@
     expect(large / holders.length).toBeGreaterThan(0.35);
     expect(large / holders.length).toBeLessThan(0.65);
   });
+
+  it('lets few instances hold the connections of all groups, however many instances run', () => {
+    // Guards against calls to the store that grow with the number of instances: each instance that
+    // holds connections of any group follows the directory closely.
+    const groups = Array.from({ length: 60 }, (_, index) => `group-${index}`);
+    const countHolding = (count: number) =>
+      new Set(
+        groups.flatMap((group) => getNearHolders(plan({ count, maximumConnections: 40, group }))),
+      ).size;
+    expect([16, 32, 64].map(countHolding)).toEqual([4, 6, 14]);
+  });
+
+  it('leaves three instances to each data centre when one that holds connections is lost', () => {
+    // Guards against a data centre whose groups are all held by one large instance.
+    const groups = Array.from({ length: 100 }, (_, index) => `group-${index}`);
+    const plans = groups.map((group) => plan({ count: 20, maximumConnections: 29, group }));
+    const first = plans.flatMap(getNearHolders);
+    expect(new Set(first).size).toBeGreaterThanOrEqual(4);
+    const next = plans.flatMap((holderPlan) =>
+      holderPlan.type === 'holders' ? holderPlan.near.slice(1, 2) : [],
+    );
+    expect(new Set(next)).toEqual(new Set(first));
+  });
 });
