--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -41,5 +41,5 @@
   type UpstreamDriver,
   type UpstreamTarget,
 } from './lib/ports/upstreamPort';
-export { type GatewayMetrics } from './lib/metrics/gatewayMetrics';
+export { type GatewayMetrics, type StoreCallCount } from './lib/metrics/gatewayMetrics';
 export { type AnswerSample } from './lib/sessions/callerSession';
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -17,8 +17,10 @@
 } from './ports/platformPort';
 import type { UpstreamDriver } from './ports/upstreamPort';
 import { createHolderSelector } from './relay/holderSelector';
+import type { PeerLink } from './relay/peerLink';
 import { createRelayedGroup } from './relay/relayedGroup';
 import { createRelayService } from './relay/relayService';
+import { createConfigurationSynchronizer } from './relay/configurationSynchronizer';
 import { createCallerSession } from './sessions/callerSession';
 import type { AnswerSample, CallerSession } from './sessions/callerSession';
 
@@ -85,10 +87,10 @@
 
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 50;
 
-/** Time after a statement in which directory changes are requested promptly. */
-const PROMPT_DIRECTORY_DURATION_MILLISECONDS = 30_000;
+/** Time after a statement was run in which changes at the store are requested promptly. */
+const PROMPT_DURATION_MILLISECONDS = 30_000;
 
-/** Limit of the wait for a fresh directory; after it, statements run with the cached entries. */
+/** Limit of the wait for a fresh state; after it, statements run with what is known. */
 const REFRESH_TIMEOUT_MILLISECONDS = 600;
 const REFRESH_POLL_MILLISECONDS = 20;
 
@@ -109,8 +111,9 @@
     clock,
     onAdopted: handleConfigurationChange,
   });
+  const synchronizer = createConfigurationSynchronizer({ configuration, clock, logger });
   const cache = createDirectoryCache(clock);
-  let directoryNeededUntil = -Infinity;
+  let statementsRunUntil = -Infinity;
   let isDraining = false;
   let clockOffset = getClockOffset(clock);
 
@@ -124,7 +127,7 @@
       checkClockDrift();
       return localGroups.get(group);
     },
-    refreshDirectory,
+    waitForFreshState,
     clock,
     logger,
   });
@@ -136,7 +139,7 @@
 
   const stopClockChecks = clock.runEvery(CLOCK_CHECK_INTERVAL_MILLISECONDS, checkClockDrift);
   registry.registerInstance(holders.updateInstances);
-  options.configuration.subscribe(configuration.adopt);
+  options.configuration.subscribe({ onChange: configuration.adopt, isPrompt: needsPromptChanges });
   options.directory.subscribe({
     onChange: (entries, freshness) => {
       cache.update(entries, freshness);
@@ -144,22 +147,43 @@
     },
     onUnchanged: cache.confirm,
     onLost: cache.recordLoss,
-    // An instance that sends no statements to members can use delayed directory reads.
-    isPrompt: () => localGroups.size === 0 || isDirectoryNeeded(),
+    isPrompt: needsPromptChanges,
   });
 
-  function isDirectoryNeeded(): boolean {
-    return clock.now() < directoryNeededUntil || [...localGroups.keys()].some(holders.isHolder);
+  /**
+   * Whether this instance sends statements to members. One that only relays them can learn of changes
+   * later: the holders of the connections check the directory and the configuration version.
+   */
+  function needsPromptChanges(): boolean {
+    if (localGroups.size === 0 || clock.now() < statementsRunUntil) return true;
+    return [...localGroups.keys()].some(holders.isHolder);
   }
 
   /**
-   * Waits for a fresh directory. A cached one may be seconds old and list a member as available
-   * after its leaving grace period.
+   * Waits for a fresh directory and configuration before a statement is run. What an instance knows
+   * that only relayed statements may be seconds old: it may list a member as available after its
+   * leaving grace period, or have a route that was dropped.
    */
-  async function refreshDirectory(): Promise<void> {
-    directoryNeededUntil = clock.now() + PROMPT_DIRECTORY_DURATION_MILLISECONDS;
+  async function waitForFreshState(): Promise<void> {
+    statementsRunUntil = clock.now() + PROMPT_DURATION_MILLISECONDS;
     const until = clock.now() + REFRESH_TIMEOUT_MILLISECONDS;
-    while (!cache.isFresh() && clock.now() < until) await clock.sleep(REFRESH_POLL_MILLISECONDS);
+    const isFresh = () => cache.isFresh() && options.configuration.isFresh();
+    while (!isFresh() && clock.now() < until) await clock.sleep(REFRESH_POLL_MILLISECONDS);
+  }
+
+  /** Takes over a newer configuration, from a holder if one can be reached, before a refusal. */
+  async function checkForNewerConfiguration(): Promise<void> {
+    if (options.configuration.isFresh()) return;
+    const link = selectAnyLink();
+    if (!link || !(await synchronizer.updateFrom(link))) await waitForFreshState();
+  }
+
+  function selectAnyLink(): PeerLink | undefined {
+    for (const group of localGroups.keys()) {
+      const link = holders.selectLink(group);
+      if (link) return link;
+    }
+    return undefined;
   }
 
   function handleConfigurationChange(
@@ -200,7 +224,8 @@
       local: router,
       holders,
       configuration,
-      refreshDirectory,
+      synchronizer,
+      waitForFreshState,
       clock,
       random: options.random,
       logger,
@@ -228,6 +253,7 @@
       clock,
       logger,
       configuration,
+      checkForNewerConfiguration,
       findRunner: (group) => {
         checkClockDrift();
         return relayedGroups.get(group);
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -25,8 +25,19 @@
     'statements of groups of one member that an old list of members left unconfirmed',
 } as const;
 
+/** Number of calls to the platform's store for one purpose. @public */
+export interface StoreCallCount {
+  purpose: string;
+  /** Whether the calls accepted stale data. */
+  mayBeStale: boolean;
+  count: number;
+}
+
 /** Creates the Prometheus metrics of a gateway. @public */
-export function createGatewayMetrics(gateway: Gateway): GatewayMetrics {
+export function createGatewayMetrics(
+  gateway: Gateway,
+  { getStoreCalls }: { getStoreCalls: () => StoreCallCount[] },
+): GatewayMetrics {
   const registry = new Registry();
   const registers = [registry];
   const latencies = createLatencyRecorder();
@@ -65,6 +76,18 @@
     });
   }
 
+  const storeCalls: Gauge = new Gauge({
+    name: 'wisterialift_store_calls_total',
+    help: 'calls to the object store of the platform',
+    labelNames: ['purpose', 'stale'],
+    registers,
+    collect: () => {
+      for (const { purpose, mayBeStale, count } of getStoreCalls()) {
+        storeCalls.set({ purpose, stale: String(mayBeStale) }, count);
+      }
+    },
+  });
+
   function collectLatencies(): void {
     for (const summary of latencies.summaries()) {
       const { group, kind, access: statement, p50Milliseconds, p99Milliseconds } = summary;
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -57,7 +57,18 @@
 
 /** Source of configuration versions. @public */
 export interface ConfigurationPort {
-  subscribe: (onChange: (configuration: GatewayConfiguration) => void) => void;
+  /**
+   * Calls `onChange` with each version.
+   *
+   * @param options.isPrompt - whether versions must arrive within the bounds of the platform; if
+   *   not, they may arrive seconds late.
+   */
+  subscribe: (options: {
+    onChange: (configuration: GatewayConfiguration) => void;
+    isPrompt: () => boolean;
+  }) => void;
+  /** Whether the last version was read fresh and later ones arrive promptly. */
+  isFresh: () => boolean;
 }
 
 /** A stored record and the revision to pass to the next replacement. @public */
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -31,8 +31,8 @@
   configuration: ActiveConfiguration;
   /** Returns the runner of a group's statements over this instance's own connections. */
   findRunner: (group: string) => StatementRunner | undefined;
-  /** Resolves once the directory is fresh, or after a timeout. */
-  refreshDirectory: () => Promise<void>;
+  /** Resolves once the directory and the configuration are fresh, or after a timeout. */
+  waitForFreshState: () => Promise<void>;
   clock: Clock;
   logger: Logger;
 }
@@ -58,7 +58,7 @@
 }) => Promise<UpstreamAnswer>;
 
 export function createRelayService(options: RelayServiceOptions): RelayService {
-  const { configuration, findRunner, refreshDirectory, clock, logger } = options;
+  const { configuration, findRunner, waitForFreshState, clock, logger } = options;
   const streams = new Map<Respond, StreamTransactions>();
   let runningStatements = 0;
   let isDraining = false;
@@ -135,12 +135,12 @@
     // A transaction keeps the configuration version with which it began.
     const hasBegun = transactions.has(statement.transaction);
     registerTransaction(statement, transactions);
+    await waitForFreshState();
     if (!hasBegun) await configuration.waitForVersion(version, CONFIGURATION_WAIT_MILLISECONDS);
     if (!hasBegun && configuration.getVersion() !== version) {
       transactions.delete(statement.transaction);
       return undefined;
     }
-    await refreshDirectory();
     const runner = findRunner(route.group);
     if (!runner) throw new RelayMessageError(`unknown group: ${route.group}`);
     const request = decodeStatement(statement, { arrivalStamp: runner.createArrivalStamp() });
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -1,9 +1,7 @@
 import type { FailureReason, UpstreamAnswer } from '@wisterialift/pooling';
 import type { RelayAnswer } from '@wisterialift/peer/relay';
 import type { Logger } from '@wisterialift/telemetry';
-import { CONFIGURATION_WAIT_MILLISECONDS } from '../configuration/activeConfiguration';
 import type { ActiveConfiguration } from '../configuration/activeConfiguration';
-import { decodeConfiguration, encodeConfiguration } from '../configuration/gatewayConfiguration';
 import type {
   StatementRunner,
   OpenTransactionOptions,
@@ -15,6 +13,7 @@
 import type { StatementRequest } from '../groups/statementRequest';
 import { COMMIT_CONFIRMATION_TIMEOUT_MILLISECONDS } from '../groups/writeRouter';
 import type { Clock } from '../ports/clock';
+import type { ConfigurationSynchronizer } from './configurationSynchronizer';
 import type { HolderSelector } from './holderSelector';
 import type { PeerLink } from './peerLink';
 import { decodeAnswer, decodeCommit, encodeStatement } from './relayMessages';
@@ -26,8 +25,9 @@
   local: GroupRouter;
   holders: HolderSelector;
   configuration: ActiveConfiguration;
-  /** Resolves once the directory is fresh, or after a timeout. */
-  refreshDirectory: () => Promise<void>;
+  synchronizer: ConfigurationSynchronizer;
+  /** Resolves once the directory and the configuration are fresh, or after a timeout. */
+  waitForFreshState: () => Promise<void>;
   clock: Clock;
   /** Returns a uniform number in [0, 1). */
   random: () => number;
@@ -37,9 +37,6 @@
 /** Wait for an answer beyond the statement's deadline, which the holder enforces itself. */
 const ANSWER_MARGIN_MILLISECONDS = 500;
 
-/** Allows for configurations of up to 250 kB. */
-const CONFIGURATION_EXCHANGE_TIMEOUT_MILLISECONDS = 600;
-
 type SendOutcome =
   | { type: 'answered'; answer: UpstreamAnswer }
   /** The statement did not run because the holder has a different configuration version. */
@@ -48,7 +45,8 @@
 
 /** Creates a statement runner that relays them to the instances holding its connections. */
 export function createRelayedGroup(options: RelayedGroupOptions): StatementRunner {
-  const { group, local, holders, configuration, clock, refreshDirectory, logger, random } = options;
+  const { group, local, holders, configuration, synchronizer, waitForFreshState } = options;
+  const { clock, logger, random } = options;
 
   const refusalContext = { group, clock, counters: local.counters, logger, random };
 
@@ -82,25 +80,6 @@
     return answer;
   }
 
-  /**
-   * Brings this instance and a holder to the newer of their two configuration versions, so that
-   * callers are never served by an older version after a newer one.
-   */
-  async function synchronizeConfiguration(link: PeerLink, version: number): Promise<void> {
-    const current = configuration.get();
-    if (!current || current.version === version) return;
-    const answerBy = clock.now() + CONFIGURATION_EXCHANGE_TIMEOUT_MILLISECONDS;
-    if (current.version > version) {
-      logger.info('configurationSent', { group, version: current.version, former: version });
-      await link.request({ configurationJson: encodeConfiguration(current) }, answerBy);
-    } else if (!(await configuration.waitForVersion(version, CONFIGURATION_WAIT_MILLISECONDS))) {
-      const outcome = await link.request({ wantsConfiguration: true }, answerBy);
-      if (outcome.type !== 'answered' || outcome.response.configurationJson === '') return;
-      logger.info('configurationTaken', { group, version, former: current.version });
-      configuration.adopt(decodeConfiguration(outcome.response.configurationJson));
-    }
-  }
-
   /**
    * Sends a statement, synchronizing configurations until both sides have the same version.
    *
@@ -115,17 +94,20 @@
       const outcome = await send(link, request, sent);
       if (outcome.type !== 'otherVersion') return outcome;
       if (clock.now() >= request.deadlineAt) return { type: 'notSent' };
-      await synchronizeConfiguration(link, outcome.version);
-      const found = configuration.findRoute(request.route.database);
-      if (!found) return { type: 'notSent' };
-      const { route, version } = found;
-      if (!route || route.group !== group) {
-        return { type: 'answered', answer: refuseRerouted(request) };
-      }
-      Object.assign(request, { route, configurationVersion: version });
+      await synchronizer.synchronize(link, outcome.version);
+      const refusal = applyCurrentRoute(request);
+      if (refusal) return { type: 'answered', answer: refusal };
     }
   }
 
+  /** @returns a refusal if the database is no longer routed to this group. */
+  function applyCurrentRoute(request: StatementRequest): UpstreamAnswer | undefined {
+    const found = configuration.findRoute(request.route.database);
+    if (found?.route?.group !== group) return refuseRerouted(request);
+    Object.assign(request, { route: found.route, configurationVersion: found.version });
+    return undefined;
+  }
+
   function refuseRerouted(request: StatementRequest): UpstreamAnswer {
     const { database } = request.route;
     const isDropped = !configuration.findRoute(database)?.route;
@@ -141,16 +123,18 @@
     return refuseStatement(refusalContext, request, reason, detail);
   }
 
-  async function runLocally<Value>(run: () => Promise<Value>): Promise<Value> {
-    await refreshDirectory();
-    return run();
+  /** @returns a refusal if a newer configuration, known once the state is fresh, routes elsewhere. */
+  async function prepareLocalRun(request: StatementRequest): Promise<UpstreamAnswer | undefined> {
+    await waitForFreshState();
+    const isUnchanged = configuration.getVersion() === request.configurationVersion;
+    return isUnchanged ? undefined : applyCurrentRoute(request);
   }
 
   /** Retries a read until its deadline if the answer is lost. */
   async function read(request: StatementRequest): Promise<UpstreamAnswer> {
     while (clock.now() < request.deadlineAt) {
       const link = holders.selectLink(group);
-      if (!link) return runLocally(() => local.read(request));
+      if (!link) return (await prepareLocalRun(request)) ?? local.read(request);
       const outcome = await sendWithMatchingVersion(link, request, { action: 'read' });
       if (outcome.type === 'answered') return outcome.answer;
     }
@@ -161,7 +145,7 @@
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
     while (clock.now() < request.deadlineAt) {
       const link = holders.selectLink(group);
-      if (!link) return runLocally(() => local.write(request));
+      if (!link) return (await prepareLocalRun(request)) ?? local.write(request);
       const outcome = await sendWithMatchingVersion(link, request, { action: 'write' });
       if (outcome.type === 'answered') return outcome.answer;
       if (outcome.type === 'lost') {
@@ -176,7 +160,10 @@
     opening: OpenTransactionOptions,
   ): ReturnType<StatementRunner['openTransaction']> {
     const link = holders.selectLink(group);
-    if (!link) return runLocally(() => local.openTransaction(request, opening));
+    if (!link) {
+      const refusal = await prepareLocalRun(request);
+      return refusal ? { refusal } : local.openTransaction(request, opening);
+    }
     return { transaction: createRelayedTransaction(link, opening) };
   }
 
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -23,6 +23,8 @@
   clock: Clock;
   logger: Logger;
   configuration: ActiveConfiguration;
+  /** Takes over a newer configuration if there is one; resolves at once if changes arrive promptly. */
+  checkForNewerConfiguration: () => Promise<void>;
   findRunner: (group: string) => StatementRunner | undefined;
   onEnd: () => void;
   onAnswered: (sample: AnswerSample) => void;
@@ -57,6 +59,7 @@
 
 export function createCallerSession(options: CallerSessionOptions): CallerSession {
   const { link, clock, logger, configuration, findRunner, onEnd, onAnswered } = options;
+  const { checkForNewerConfiguration } = options;
   const session: GroupSession = { state: createSessionState(), lastCommit: undefined };
   let database = '';
   let transaction: OpenTransaction | undefined;
@@ -66,6 +69,8 @@
   let isEnded = false;
   let cancelIdleTimer: CancelTimer | undefined;
 
+  const hasRoute = () => configuration.findRoute(database)?.route !== undefined;
+
   const handlers: { [Type in CallerStatement['type']]: Handler<Type> } = {
     begin: ({ isReadOnly }) => begin(isReadOnly),
     commit: (statement) => commit(statement),
@@ -102,11 +107,15 @@
       void startWhenConfigured(name, clock.now() + START_TIMEOUT_MILLISECONDS);
       return;
     }
-    if (!found.route) {
-      refuseStart('unknownDatabase', `no route leads to ${name}`);
-      return;
-    }
-    link.accept();
+    if (found.route) link.accept();
+    else void startIfRouted(name);
+  }
+
+  async function startIfRouted(name: string): Promise<void> {
+    await checkForNewerConfiguration();
+    if (isEnded) return;
+    if (hasRoute()) link.accept();
+    else refuseStart('unknownDatabase', `no route leads to ${name}`);
   }
 
   /** Waits for the first configuration after a process start instead of refusing the session. */
@@ -155,6 +164,7 @@
       return createRefusal('malformed', 'the transaction has failed and must be ended');
     }
     try {
+      if (!transaction && !hasRoute()) await checkForNewerConfiguration();
       const handler = handlers[statement.type] as Handler<CallerStatement['type']>;
       return await handler(statement);
     } catch (error) {
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -31,7 +31,8 @@
       refresh: async () => undefined,
     },
     configuration: {
-      subscribe: (onChange) =>
+      isFresh: () => true,
+      subscribe: ({ onChange }) =>
         onChange({
           version: 3,
           routes: new Map(),
--- a/packages/gateway/src/test/relayService.test.ts
+++ b/packages/gateway/src/test/relayService.test.ts
@@ -71,7 +71,7 @@
   const service = createRelayService({
     configuration,
     findRunner: () => group as StatementRunner,
-    refreshDirectory: () => new Promise(setImmediate),
+    waitForFreshState: () => new Promise(setImmediate),
     clock,
     logger,
   });
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -8,6 +8,7 @@
 import type { StatementRequest } from '../lib/groups/statementRequest';
 import { createProcessClock } from '../lib/ports/clock';
 import type { RelayTransport } from '../lib/ports/instancePort';
+import { createConfigurationSynchronizer } from '../lib/relay/configurationSynchronizer';
 import { createPeerLink } from '../lib/relay/peerLink';
 import { createRelayedGroup } from '../lib/relay/relayedGroup';
 import { createRelayService } from '../lib/relay/relayService';
@@ -56,6 +57,8 @@
 ) {
   const executedVersions: number[] = [];
   const executionOrder: string[] = [];
+  /** What each side learns while it waits for a fresh state. */
+  const learned: { relay?: GatewayConfiguration; holder?: GatewayConfiguration } = {};
   let group: GroupRouter | undefined = createGroup(executedVersions);
   const local = createGroup(executedVersions, () => executionOrder.push('executed'));
   let isLost = false;
@@ -66,7 +69,9 @@
   const service = createRelayService({
     configuration: holderConfiguration,
     findRunner: () => group,
-    refreshDirectory: async () => undefined,
+    waitForFreshState: async () => {
+      if (learned.holder) holderConfiguration.adopt(learned.holder);
+    },
     clock,
     logger,
   });
@@ -82,6 +87,11 @@
   };
   const options = { transport, address: 'holder', clock, onOpen: noop, onLost: noop };
   const link = createPeerLink(options);
+  const synchronizer = createConfigurationSynchronizer({
+    configuration: relayConfiguration,
+    clock,
+    logger,
+  });
   const relayed = createRelayedGroup({
     random: () => 0,
     group: GROUP,
@@ -96,8 +106,10 @@
       close: noop,
     },
     configuration: relayConfiguration,
-    refreshDirectory: async () => {
+    synchronizer,
+    waitForFreshState: async () => {
       executionOrder.push('refreshed');
+      if (learned.relay) relayConfiguration.adopt(learned.relay);
     },
     clock,
     logger,
@@ -108,6 +120,8 @@
     relayed,
     relayConfiguration,
     holderConfiguration,
+    learned,
+    updateFromHolder: () => synchronizer.updateFrom(link),
     removeGroup: () => {
       group = undefined;
     },
@@ -176,6 +190,37 @@
   });
 });
 
+describe('an instance whose configuration may be seconds old', () => {
+  it('takes over the newer version of a holder before it refuses a database', async () => {
+    // Guards against refusing a database whose route was added seconds ago.
+    const { relayConfiguration, updateFromHolder } = createPair(
+      createConfiguration(4),
+      createConfiguration(10, GROUP),
+    );
+    expect(await updateFromHolder()).toBe(true);
+    expect(relayConfiguration.findRoute('history')).toMatchObject({ version: 10 });
+  });
+
+  it('does not run a statement by a dropped route once no holder can be reached', async () => {
+    // Guards against running a statement by the old route after taking over from a holder.
+    const pair = createPair(createConfiguration(4, GROUP), createConfiguration(4, GROUP));
+    const request = createRequest(pair.relayConfiguration);
+    pair.disconnectHolder();
+    pair.learned.relay = createConfiguration(10, 'group-2');
+    expect(await pair.relayed.read(request)).toMatchObject({ reason: 'busy' });
+    expect(pair.executedVersions).toEqual([]);
+  });
+
+  it('does not run a relayed statement by a dropped route when it has just become a holder', async () => {
+    // Guards against two instances that agree on a version which both learned to be old too late.
+    const pair = createPair(createConfiguration(4, GROUP), createConfiguration(4, GROUP));
+    pair.learned.holder = createConfiguration(10);
+    const answer = await pair.relayed.read(createRequest(pair.relayConfiguration));
+    expect(answer).toMatchObject({ reason: 'unknownDatabase' });
+    expect(pair.executedVersions).toEqual([]);
+  });
+});
+
 describe('a statement that the holder cannot run', () => {
   it('is refused immediately as not executed', async () => {
     // Guards against a holder that logs an unknown group without sending an answer.
--- a/packages/gateway/src/test/suspension.test.ts
+++ b/packages/gateway/src/test/suspension.test.ts
@@ -26,7 +26,8 @@
       },
       logger: createTestLogger((event) => events.push(event)),
       configuration: {
-        subscribe: (onChange) =>
+        isFresh: () => true,
+        subscribe: ({ onChange }) =>
           onChange({
             version: 3,
             routes: new Map(),
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -155,7 +155,8 @@
         },
       },
       configuration: {
-        subscribe: (onChange) =>
+        isFresh: () => true,
+        subscribe: ({ onChange }) =>
           onChange({
             version: 1,
             routes: new Map([[DATABASE, { ...route, ...changes }]]),
--- /dev/null
+++ b/packages/gateway/src/test/unknownDatabase.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from 'vitest';
+import { createActiveConfiguration } from '../lib/configuration/activeConfiguration';
+import type { GatewayConfiguration, Route } from '../lib/configuration/gatewayConfiguration';
+import { createProcessClock } from '../lib/ports/clock';
+import { createCallerSession } from '../lib/sessions/callerSession';
+import { createTestLogger, GROUP, noop } from './fixture';
+
+const route: Route = {
+  database: 'history',
+  group: GROUP,
+  consistency: 'primary',
+  maximumStaleness: 0,
+  timeout: 1_000,
+  goal: 500,
+  priority: 1,
+};
+
+const createConfiguration = (version: number, routes: Route[]): GatewayConfiguration => ({
+  version,
+  routes: new Map(routes.map((each) => [each.database, each])),
+  groups: new Map(),
+  transactionIdle: 3_000,
+});
+
+/** Starts a session for `history` at an instance that does not know the database. */
+async function startSession(newer: GatewayConfiguration | undefined): Promise<string[]> {
+  const clock = createProcessClock();
+  const configuration = createActiveConfiguration({ clock, onAdopted: noop });
+  configuration.adopt(createConfiguration(1, []));
+  const replies: string[] = [];
+  const session = createCallerSession({
+    link: {
+      accept: () => replies.push('accepted'),
+      refuse: (reason) => replies.push(reason),
+      answer: noop,
+      close: noop,
+    },
+    clock,
+    logger: createTestLogger(),
+    configuration,
+    checkForNewerConfiguration: async () => {
+      replies.push('checked');
+      if (newer) configuration.adopt(newer);
+    },
+    findRunner: () => undefined,
+    onEnd: noop,
+    onAnswered: noop,
+  });
+  session.events.onStart('history');
+  await new Promise(setImmediate);
+  return replies;
+}
+
+describe('a session for a database without a route', () => {
+  it('starts if a newer configuration has the route', async () => {
+    // Guards against refusing a database that was added seconds ago.
+    const newer = createConfiguration(2, [route]);
+    expect(await startSession(newer)).toEqual(['checked', 'accepted']);
+  });
+
+  it('is refused if there is no newer configuration', async () => {
+    expect(await startSession(undefined)).toEqual(['checked', 'unknownDatabase']);
+  });
+});
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -249,7 +249,10 @@
     portsOf: (host, own) => ({
       directory: createDirectory(host),
       configuration: {
-        subscribe: (onChange) => follow(host, () => configuration && onChange(configuration)),
+        isFresh: () => true,
+        subscribe: ({ onChange }) => {
+          follow(host, () => configuration && onChange(configuration));
+        },
       },
       store: createStore(host),
       orders,
