Run statements at another holder where the nearest is partitioned from the members

Where instances are cut from a primary that still leads its replicas, their writes were refused likewise, until one of them found the log without growth for 250 ms and replaced the primary needlessly.

Its callers come back to the same holder: retries reach other instances of the data centre, which relay to the same two.

Change: a holder whose check of the primary finds that no replica answers, or that a silent primary's log still grows at the replicas, says so to instances that relay a statement, before it is sent anywhere; they try the other holders, the own data centre first. The decision is a module of its own (reachMonitor); it answers partitions, not load. Deployments in which every instance holds its own connections are not concerned.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -210,6 +210,7 @@
       limits,
       isMechanismEnabled,
       isHolder: () => holders.isHolder(group),
+      hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
       areInstancesKnown: holders.isReady,
       missingMemberRetentionMilliseconds: times.missingMemberRetentionMilliseconds,
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -9,6 +9,8 @@
 import type { PromotionOrderClient, PromotionStore } from '../ports/platformPort';
 import type { UpstreamDriver } from '../ports/upstreamPort';
 import { createPromotionController } from '../promotion/promotionController';
+import { createReachMonitor } from './reachMonitor';
+import type { ReachMonitor } from './reachMonitor';
 import { createReadPositionRefresher } from './readPositionRefresher';
 import { createEvidencePoller } from './evidencePoller';
 import { createSequencedTime } from './groupContext';
@@ -28,7 +30,7 @@
 import { createWriteRouter } from './writeRouter';
 
 /** Runs the statements of one group and promotes a new primary when necessary. */
-export interface GroupRouter extends StatementRunner {
+export interface GroupRouter extends StatementRunner, Pick<ReachMonitor, 'isOutOfReach'> {
   updateMembers: (entries: CachedDirectoryEntry[]) => void;
   updateLimits: (limits: GroupLimits) => void;
   /** Whether the group has members and a known primary. */
@@ -55,6 +57,8 @@
   isMechanismEnabled: IsMechanismEnabled;
   /** Whether this instance keeps connections to the members, for itself or for other instances. */
   isHolder: () => boolean;
+  /** Whether other instances hold connections to the members, for this one as well. */
+  hasOtherHolders: () => boolean;
   /** Number of instances that keep connections to the members, including this one. */
   countConnectedInstances: () => number;
   /** Whether the list of instances is known; until then each instance acts as a holder. */
@@ -142,7 +146,12 @@
     suspectPrimary: (cause, member) => onSuspicion(cause, member),
   };
   const soleMemberGuard = createSoleMemberGuard(context, options);
-  const promotion = createPromotionController(context, { ...options, soleMemberGuard });
+  const reachMonitor = createReachMonitor(context, options);
+  const promotion = createPromotionController(context, {
+    ...options,
+    soleMemberGuard,
+    reachMonitor,
+  });
   onSuspicion = promotion.reportSuspicion;
   const evidencePoller = createEvidencePoller(context);
   const primaryVerifier = createPrimaryVerifier(context, {
@@ -314,12 +323,14 @@
       for (const member of members.values()) member.pool.setMaximum(maximum);
     },
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
+    isOutOfReach: reachMonitor.isOutOfReach,
     clearPositionSamples: evidence.clearPositionSamples,
     counters,
     close: () => {
       stopMaintenance();
       evidencePoller.stop();
       promotion.close();
+      reachMonitor.close();
       for (const member of members.values()) member.pool.close();
     },
   };
--- a/packages/gateway/src/lib/mechanisms.ts
+++ b/packages/gateway/src/lib/mechanisms.ts
@@ -20,6 +20,8 @@
   'closingIdle',
   /** Shares the connections of a few instances if members accept too few for all. */
   'holders',
+  /** Sends a statement to another holder if the nearest is partitioned from the members. */
+  'otherHolders',
 ] as const;
 
 /** @public */
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -9,6 +9,7 @@
 import type { Position } from '@wisterialift/schema';
 import type { GroupContext, SuspicionCause } from '../groups/groupContext';
 import type { Member } from '../groups/member';
+import type { ReachMonitor } from '../groups/reachMonitor';
 import { sendMemberCommand } from '../groups/sendMemberCommand';
 import type { SoleMemberGuard } from '../groups/soleMemberGuard';
 import { createPromotionClaims, PROMOTION_TIMEOUT_MILLISECONDS } from './promotionClaims';
@@ -44,6 +45,7 @@
   /** Reads the directory again. @throws Error if the store does not answer. */
   refreshDirectory: () => Promise<void>;
   soleMemberGuard: Pick<SoleMemberGuard, 'isReplicationProven'>;
+  reachMonitor: Pick<ReachMonitor, 'reportSilentReplicas' | 'reportUnreachablePrimary'>;
 }
 
 /** Timeout of a request to a member: three round trips between distant data centres. */
@@ -78,7 +80,7 @@
   options: PromotionControllerOptions,
 ): PromotionController {
   const { primaryTracker, clock, counters, group, logger, members } = context;
-  const { instance, dataCentre, orders, store, refreshDirectory } = options;
+  const { instance, dataCentre, orders, reachMonitor, store, refreshDirectory } = options;
   const claims = createPromotionClaims(context, { instance, store });
   const soleMemberFence = createSoleMemberFence(context, options.soleMemberGuard);
   let isBusy = false;
@@ -144,6 +146,7 @@
     const after = await queryMembers(member);
     if (hasReplicationAdvanced(before, after)) {
       logger.info('primaryCleared', { group, cause, detail: 'replicas still receive its log' });
+      if (member && isSilent(member)) reachMonitor.reportUnreachablePrimary();
       return true;
     }
     const hasNewPrimary = after.some((status) => status.report?.isPrimary && !status.isSuspect);
@@ -159,6 +162,8 @@
     if (unresponsive.length === 0) return true;
     const memberIds = unresponsive.map(({ member }) => member.entry.memberId);
     logger.warn('replicasSilent', { group, memberIds });
+    const replicaCount = statuses.filter(({ isSuspect }) => !isSuspect).length;
+    if (unresponsive.length === replicaCount) reachMonitor.reportSilentReplicas();
     return false;
   }
 
--- a/packages/gateway/src/lib/relay/holderSelector.ts
+++ b/packages/gateway/src/lib/relay/holderSelector.ts
@@ -14,6 +14,15 @@
 export interface HolderSelector {
   /** Returns the link for relaying a statement; undefined if this instance runs it. */
   selectLink: (group: string) => PeerLink | undefined;
+  /**
+   * Returns the link to another holder, of this data centre or of the others; undefined if there is
+   * none.
+   *
+   * @param refusing - links to holders that do not reach the members.
+   */
+  selectOtherLink: (group: string, refusing: ReadonlySet<PeerLink>) => PeerLink | undefined;
+  /** Whether instances other than this one hold connections to the group's members. */
+  hasOtherHolders: (group: string) => boolean;
   /** Whether this instance holds connections to the group's members. */
   isHolder: (group: string) => boolean;
   /** Number of instances that may connect to the group's members; Infinity if unknown. */
@@ -103,6 +112,8 @@
     return openLink(peer).isOpen();
   };
 
+  const openLinks = (names: string[]) => names.map((name) => openLink(peers.get(name)!));
+
   /** Selects reachable holders of this data centre, or of the others if there are none. */
   function selectHolders(plan: ConnectionHolderPlan & { type: 'holders' }): string[] {
     const near = plan.near.filter(isReachable).slice(0, plan.nearCount);
@@ -114,10 +125,19 @@
     if (plan.type === 'everyone') return undefined;
     const holders = selectHolders(plan);
     if (holders.includes(instance)) return undefined;
-    const links = holders.map((name) => openLink(peers.get(name)!));
-    return links.sort(
-      (left, right) => left.countPendingRequests() - right.countPendingRequests(),
-    )[0];
+    return findLeastBusy(openLinks(holders));
+  }
+
+  function selectOtherLink(group: string, refusing: ReadonlySet<PeerLink>): PeerLink | undefined {
+    const plan = getPlan(group);
+    if (plan.type === 'everyone') return undefined;
+    const near = plan.near.filter(isReachable).slice(0, plan.nearCount);
+    for (const names of [near, plan.far.filter(isReachable)]) {
+      const others = names.filter((name) => name !== instance);
+      const link = findLeastBusy(openLinks(others).filter((each) => !refusing.has(each)));
+      if (link) return link;
+    }
+    return undefined;
   }
 
   function openLink(peer: Peer): PeerLink {
@@ -168,6 +188,8 @@
 
   return {
     selectLink,
+    selectOtherLink,
+    hasOtherHolders: (group) => getPlan(group).type === 'holders',
     isHolder: (group) => {
       const plan = getPlan(group);
       return plan.type === 'everyone' || selectHolders(plan).includes(instance);
@@ -191,6 +213,13 @@
   };
 }
 
+function findLeastBusy(links: PeerLink[]): PeerLink | undefined {
+  const [first] = links.sort(
+    (left, right) => left.countPendingRequests() - right.countPendingRequests(),
+  );
+  return first;
+}
+
 function createPeer(entry: InstanceEntry): Peer {
   return { entry, link: undefined, failures: 0, reconnectAt: -Infinity, failingSince: undefined };
 }
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -10,6 +10,7 @@
 import type { ActiveConfiguration } from '../configuration/activeConfiguration';
 import { decodeConfiguration, encodeConfiguration } from '../configuration/gatewayConfiguration';
 import { RelayMessageError } from '../errors/relayMessageError';
+import type { GroupRouter } from '../groups/groupRouter';
 import type { StatementRunner, Transaction } from '../groups/statementRunner';
 import type { StatementRequest } from '../groups/statementRequest';
 import type { Clock } from '../ports/clock';
@@ -30,13 +31,16 @@
 export interface RelayServiceOptions {
   configuration: ActiveConfiguration;
   /** Returns the runner of a group's statements over this instance's own connections. */
-  findRunner: (group: string) => StatementRunner | undefined;
+  findRunner: (group: string) => RelayTarget | undefined;
   /** Resolves once the directory and the configuration are fresh, or after a timeout. */
   waitForFreshState: () => Promise<void>;
   clock: Clock;
   logger: Logger;
 }
 
+/** Runs relayed statements of a group. */
+export type RelayTarget = StatementRunner & Pick<GroupRouter, 'isOutOfReach'>;
+
 type Respond = (response: RelayResponse) => void;
 
 /** A transaction relayed from another instance. */
@@ -125,11 +129,11 @@
     for (const number of [...transactions.keys()]) rollBack(transactions, number);
   }
 
-  /** @returns undefined if the sender has a different configuration version. */
+  /** @returns no answer if the sender has another configuration version or should ask elsewhere. */
   async function handleStatement(
     statement: RelayStatement,
     transactions: StreamTransactions,
-  ): Promise<RelayResponse['answer']> {
+  ): Promise<Pick<RelayResponse, 'answer' | 'isOutOfReach'>> {
     const action = decodeAction(statement);
     const { route, version } = decodeRoute(statement);
     // A transaction keeps the configuration version with which it began.
@@ -139,13 +143,23 @@
     if (!hasBegun) await configuration.waitForVersion(version, CONFIGURATION_WAIT_MILLISECONDS);
     if (!hasBegun && configuration.getVersion() !== version) {
       transactions.delete(statement.transaction);
-      return undefined;
+      return { answer: undefined, isOutOfReach: false };
     }
     const runner = findRunner(route.group);
     if (!runner) throw new RelayMessageError(`unknown group: ${route.group}`);
     const request = decodeStatement(statement, { arrivalStamp: runner.createArrivalStamp() });
+    const { isFirst, isReadOnly } = statement;
+    const beginsReadWriteTransaction = isFirst && !isReadOnly;
+    if (!hasBegun && runner.isOutOfReach({ request, beginsReadWriteTransaction })) {
+      transactions.delete(statement.transaction);
+      return { answer: undefined, isOutOfReach: true };
+    }
     const answer = await handlers[action]({ statement, request, runner, transactions });
-    return encodeAnswer(answer, { lastCommit: request.session.lastCommit, now: clock.now() });
+    const { lastCommit } = request.session;
+    return {
+      answer: encodeAnswer(answer, { lastCommit, now: clock.now() }),
+      isOutOfReach: false,
+    };
   }
 
   function createEndedRefusal(): UpstreamAnswer {
@@ -175,15 +189,15 @@
       rollBack(transactions, rolledBackTransaction);
     } else if (statement) {
       runningStatements += 1;
-      const answer = await handleStatement(statement, transactions)
+      const outcome = await handleStatement(statement, transactions)
         .catch((error: Error) => {
           rollBack(transactions, statement.transaction);
-          return createFailureAnswer(statement, error);
+          return { answer: createFailureAnswer(statement, error) };
         })
         .finally(() => {
           runningStatements -= 1;
         });
-      respond(createResponse(number, { answer }));
+      respond(createResponse(number, outcome));
     } else {
       if (configurationJson !== '') configuration.adopt(decodeConfiguration(configurationJson));
       const current = wantsConfiguration ? configuration.get() : undefined;
@@ -197,7 +211,7 @@
 
   function createResponse(
     number: number,
-    content: Partial<Pick<RelayResponse, 'answer' | 'configurationJson'>> = {},
+    content: Partial<Pick<RelayResponse, 'answer' | 'configurationJson' | 'isOutOfReach'>> = {},
   ): RelayResponse {
     const version = Math.max(0, configuration.getVersion());
     return {
@@ -206,6 +220,7 @@
       version,
       answer: undefined,
       configurationJson: '',
+      isOutOfReach: false,
       ...content,
     };
   }
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -13,6 +13,7 @@
 import type { StatementRequest } from '../groups/statementRequest';
 import { COMMIT_CONFIRMATION_TIMEOUT_MILLISECONDS } from '../groups/writeRouter';
 import type { Clock } from '../ports/clock';
+import type { StatementNeeds } from '../groups/reachMonitor';
 import type { ConfigurationSynchronizer } from './configurationSynchronizer';
 import type { HolderSelector } from './holderSelector';
 import type { PeerLink } from './peerLink';
@@ -37,10 +38,14 @@
 /** Wait for an answer beyond the statement's deadline, which the holder enforces itself. */
 const ANSWER_MARGIN_MILLISECONDS = 500;
 
+const OUT_OF_REACH_DETAIL = 'no holder of the connections reaches the members';
+
 type SendOutcome =
   | { type: 'answered'; answer: UpstreamAnswer }
   /** The statement did not run because the holder has a different configuration version. */
   | { type: 'otherVersion'; version: number }
+  /** The statement did not run because the holder does not reach the members; another one may. */
+  | { type: 'outOfReach' }
   | { type: 'notSent' | 'lost' };
 
 /** Creates a statement runner that relays them to the instances holding its connections. */
@@ -66,7 +71,8 @@
       logger.warn('relayFailed', { group, requestId: request.id, ...sent, outcome: outcome.type });
       return outcome;
     }
-    const { answer, version } = outcome.response;
+    const { answer, isOutOfReach, version } = outcome.response;
+    if (isOutOfReach) return { type: 'outOfReach' };
     if (!answer) return { type: 'otherVersion', version };
     return { type: 'answered', answer: applyAnswer(request, answer) };
   }
@@ -123,6 +129,20 @@
     return refuseStatement(refusalContext, request, reason, detail);
   }
 
+  /**
+   * Selects the holder for a statement.
+   *
+   * @param refusing - links to holders that do not reach the members.
+   * @returns undefined to run it over this instance's own connections.
+   */
+  function selectLink(needs: StatementNeeds, refusing: Set<PeerLink>): PeerLink | undefined {
+    const isLocalRefusing = local.isOutOfReach(needs);
+    const isFirstChoice = refusing.size === 0;
+    const link = isFirstChoice ? holders.selectLink(group) : undefined;
+    if (link || (isFirstChoice && !isLocalRefusing)) return link;
+    return holders.selectOtherLink(group, refusing);
+  }
+
   /** @returns a refusal if a newer configuration, known once the state is fresh, routes elsewhere. */
   async function prepareLocalRun(request: StatementRequest): Promise<UpstreamAnswer | undefined> {
     await waitForFreshState();
@@ -130,24 +150,40 @@
     return isUnchanged ? undefined : applyCurrentRoute(request);
   }
 
+  /** An instance that holds no connections would open some for each group that holders do not reach. */
+  async function runLocally(
+    request: StatementRequest,
+    refusing: ReadonlySet<PeerLink>,
+    run: () => Promise<UpstreamAnswer>,
+  ): Promise<UpstreamAnswer> {
+    if (refusing.size > 0 && !holders.isHolder(group)) {
+      return refuseTemporarily(refusalContext, request, 'busy', OUT_OF_REACH_DETAIL);
+    }
+    return (await prepareLocalRun(request)) ?? run();
+  }
+
   /** Retries a read until its deadline if the answer is lost. */
   async function read(request: StatementRequest): Promise<UpstreamAnswer> {
+    const refusing = new Set<PeerLink>();
     while (clock.now() < request.deadlineAt) {
-      const link = holders.selectLink(group);
-      if (!link) return (await prepareLocalRun(request)) ?? local.read(request);
+      const link = selectLink({ request }, refusing);
+      if (!link) return runLocally(request, refusing, () => local.read(request));
       const outcome = await sendWithMatchingVersion(link, request, { action: 'read' });
       if (outcome.type === 'answered') return outcome.answer;
+      if (outcome.type === 'outOfReach') refusing.add(link);
     }
     return refuseTemporarily(refusalContext, request, 'aborted', 'no instance could run the read');
   }
 
   /** Never resends a write that may have been sent. */
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
+    const refusing = new Set<PeerLink>();
     while (clock.now() < request.deadlineAt) {
-      const link = holders.selectLink(group);
-      if (!link) return (await prepareLocalRun(request)) ?? local.write(request);
+      const link = selectLink({ request }, refusing);
+      if (!link) return runLocally(request, refusing, () => local.write(request));
       const outcome = await sendWithMatchingVersion(link, request, { action: 'write' });
       if (outcome.type === 'answered') return outcome.answer;
+      if (outcome.type === 'outOfReach') refusing.add(link);
       if (outcome.type === 'lost') {
         return refuse(request, 'unknownOutcome', 'the instance that ran the write was lost');
       }
@@ -159,7 +195,8 @@
     request: StatementRequest,
     opening: OpenTransactionOptions,
   ): ReturnType<StatementRunner['openTransaction']> {
-    const link = holders.selectLink(group);
+    const needs = { request, beginsReadWriteTransaction: !opening.isReadOnly };
+    const link = selectLink(needs, new Set());
     if (!link) {
       const refusal = await prepareLocalRun(request);
       return refusal ? { refusal } : local.openTransaction(request, opening);
@@ -169,10 +206,11 @@
 
   /** The transaction begins at the holder with its first statement, which saves a round trip. */
   function createRelayedTransaction(
-    link: PeerLink,
+    firstLink: PeerLink,
     { isReadOnly }: { isReadOnly: boolean },
   ): Transaction {
-    const number = link.allocateTransactionNumber();
+    let link = firstLink;
+    let number = link.allocateTransactionNumber();
     let isFirst = true;
     let hasWritten = false;
     let isEnded = false;
@@ -181,16 +219,41 @@
       request: StatementRequest,
       action: RelayAction,
     ): Promise<Exclude<SendOutcome, { type: 'otherVersion' }>> {
-      const transaction = { number, isFirst, isReadOnly };
-      isFirst = false;
+      if (isFirst) {
+        isFirst = false;
+        return begin(request, action);
+      }
+      const transaction = { number, isFirst: false, isReadOnly };
       return sendWithMatchingVersion(link, request, { action, transaction });
     }
 
+    /** Sends the first statement to the first holder that reaches the members. */
+    async function begin(
+      request: StatementRequest,
+      action: RelayAction,
+    ): Promise<Exclude<SendOutcome, { type: 'otherVersion' }>> {
+      const refusing = new Set<PeerLink>();
+      for (;;) {
+        const transaction = { number, isFirst: true, isReadOnly };
+        const outcome = await sendWithMatchingVersion(link, request, { action, transaction });
+        if (outcome.type !== 'outOfReach') return outcome;
+        refusing.add(link);
+        const other = holders.selectOtherLink(group, refusing);
+        if (!other || clock.now() >= request.deadlineAt) return outcome;
+        link = other;
+        number = other.allocateTransactionNumber();
+      }
+    }
+
     async function run(request: StatementRequest): Promise<UpstreamAnswer> {
       if (isEnded) return refuseAborted(request, 'the transaction has ended');
       if (isWrite(request)) hasWritten = true;
       const outcome = await sendStatement(request, 'run');
       if (outcome.type === 'answered') return outcome.answer;
+      if (outcome.type === 'outOfReach') {
+        isEnded = true;
+        return refuseAborted(request, OUT_OF_REACH_DETAIL);
+      }
       // If the stream is lost, the holder rolls back; if the holder is lost, the member does.
       isEnded = true;
       link.rollBack(number);
@@ -206,8 +269,11 @@
       isEnded = true;
       const outcome = await sendStatement(request, 'commit');
       if (outcome.type === 'answered') return outcome.answer;
-      const isOutcomeKnown = outcome.type === 'notSent' || !hasWritten;
-      const detail = 'the instance that ran the commit was lost';
+      const isOutcomeKnown = outcome.type !== 'lost' || !hasWritten;
+      const detail =
+        outcome.type === 'outOfReach'
+          ? OUT_OF_REACH_DETAIL
+          : 'the instance that ran the commit was lost';
       return refuse(request, isOutcomeKnown ? 'aborted' : 'unknownOutcome', detail);
     }
 
--- /dev/null
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -0,0 +1,148 @@
+import { createSessionState } from '@wisterialift/pooling';
+import type { UpstreamAnswer } from '@wisterialift/pooling';
+import { describe, expect, it } from 'vitest';
+import { createActiveConfiguration } from '../lib/configuration/activeConfiguration';
+import type { Route } from '../lib/configuration/gatewayConfiguration';
+import type { GroupRouter } from '../lib/groups/groupRouter';
+import type { StatementRequest } from '../lib/groups/statementRequest';
+import type { Transaction } from '../lib/groups/statementRunner';
+import { createProcessClock } from '../lib/ports/clock';
+import type { RelayTransport } from '../lib/ports/instancePort';
+import { createConfigurationSynchronizer } from '../lib/relay/configurationSynchronizer';
+import { createPeerLink } from '../lib/relay/peerLink';
+import type { PeerLink } from '../lib/relay/peerLink';
+import { createRelayedGroup } from '../lib/relay/relayedGroup';
+import { createRelayService } from '../lib/relay/relayService';
+import type { RelayTarget } from '../lib/relay/relayService';
+import { createTestLogger, GROUP, noop } from './fixture';
+
+const clock = createProcessClock();
+const logger = createTestLogger();
+
+const route: Route = {
+  database: 'history',
+  group: GROUP,
+  consistency: 'primary',
+  maximumStaleness: 0,
+  timeout: 2_000,
+  goal: 500,
+  priority: 1,
+};
+
+function createConfiguration() {
+  const configuration = createActiveConfiguration({ clock, onAdopted: noop });
+  configuration.adopt({
+    version: 1,
+    routes: new Map([[route.database, route]]),
+    groups: new Map([[GROUP, { name: GROUP, maximumConnections: 6 }]]),
+    transactionIdle: 3_000,
+  });
+  return configuration;
+}
+
+/** Creates a link to a holder that records what it runs. */
+function createHolder(options: { isOutOfReach: boolean }) {
+  const ran: string[] = [];
+  const run = async ({ id }: StatementRequest): Promise<UpstreamAnswer> => {
+    ran.push(id);
+    return { outcome: 'completed', rows: [], signature: 's', transaction: 'idle' };
+  };
+  const transaction: Transaction = { run, commit: run, rollBack: noop };
+  const target: RelayTarget = {
+    read: run,
+    write: run,
+    openTransaction: async () => ({ transaction }),
+    createArrivalStamp: () => ({ sequence: 0, at: clock.now() }),
+    isOutOfReach: () => options.isOutOfReach,
+  };
+  const service = createRelayService({
+    configuration: createConfiguration(),
+    findRunner: () => target,
+    waitForFreshState: async () => undefined,
+    clock,
+    logger,
+  });
+  const transport: RelayTransport = {
+    open: (_, { onResponse }) => {
+      const { onRequest, onEnd } = service.accept((response) => {
+        setImmediate(() => onResponse(response));
+      });
+      return { send: (request) => setImmediate(() => onRequest(request)), close: onEnd };
+    },
+    listen: noop,
+    close: noop,
+  };
+  const link = createPeerLink({ transport, address: 'holder', clock, onOpen: noop, onLost: noop });
+  return { link, ran };
+}
+
+/** Creates an instance that relays to the first of the holders, then to the others. */
+function createRelay(links: PeerLink[]) {
+  const configuration = createConfiguration();
+  const counters = { relayed: 0, refusals: 0 } as GroupRouter['counters'];
+  const local = { counters, isOutOfReach: () => false } as Partial<GroupRouter> as GroupRouter;
+  return createRelayedGroup({
+    group: GROUP,
+    local,
+    holders: {
+      selectLink: () => links[0],
+      selectOtherLink: (_, refusing) => links.find((link) => !refusing.has(link)),
+      hasOtherHolders: () => true,
+      isHolder: () => false,
+      countConnectedInstances: () => 2,
+      isReady: () => true,
+      updateInstances: noop,
+      updateLimits: noop,
+      close: noop,
+    },
+    configuration,
+    synchronizer: createConfigurationSynchronizer({ configuration, clock, logger }),
+    waitForFreshState: async () => undefined,
+    clock,
+    random: () => 0,
+    logger,
+  });
+}
+
+function createRequest(id: string): StatementRequest {
+  const arrivalStamp = { sequence: 0, at: clock.now() };
+  return {
+    id,
+    text: 'WRITE lamp-1 v1',
+    session: { state: createSessionState(), lastCommit: undefined },
+    route,
+    configurationVersion: 1,
+    arrivalStamp,
+    deadlineAt: arrivalStamp.at + route.timeout,
+  };
+}
+
+describe('a holder that is partitioned from the members', () => {
+  // Guards against callers of one data centre that are refused for as long as a partition lasts,
+  // although the holders of another data centre reach the members.
+  it('has another one run reads, writes and transactions', async () => {
+    const partitioned = createHolder({ isOutOfReach: true });
+    const other = createHolder({ isOutOfReach: false });
+    const relay = createRelay([partitioned.link, other.link]);
+    expect(await relay.read(createRequest('read'))).toMatchObject({ outcome: 'completed' });
+    expect(await relay.write(createRequest('write'))).toMatchObject({ outcome: 'completed' });
+    const opening = { isReadOnly: false, beginStamp: { sequence: 0, at: clock.now() } };
+    const opened = await relay.openTransaction(createRequest('begin'), opening);
+    const transaction = 'transaction' in opened ? opened.transaction : undefined;
+    expect(await transaction!.run(createRequest('run'))).toMatchObject({ outcome: 'completed' });
+    expect(partitioned.ran).toEqual([]);
+    expect(other.ran).toEqual(['read', 'write', 'run']);
+  });
+
+  it('is told apart from a group that nobody reaches, whose callers are refused at once', async () => {
+    const holders = [1, 2].map(() => createHolder({ isOutOfReach: true }));
+    const relay = createRelay(holders.map(({ link }) => link));
+    const startedAt = clock.now();
+    expect(await relay.write(createRequest('write'))).toMatchObject({
+      reason: 'busy',
+      detail: expect.stringMatching(/come back in \d+ ms$/),
+    });
+    expect(clock.now() - startedAt).toBeLessThan(route.timeout);
+    expect(holders.flatMap(({ ran }) => ran)).toEqual([]);
+  });
+});
--- a/packages/gateway/src/test/peerLink.test.ts
+++ b/packages/gateway/src/test/peerLink.test.ts
@@ -29,7 +29,14 @@
 }
 
 function createResponse(number: number, isLeaving = false) {
-  return { number, isLeaving, answer: undefined, version: 3, configurationJson: '' };
+  return {
+    number,
+    isLeaving,
+    answer: undefined,
+    version: 3,
+    configurationJson: '',
+    isOutOfReach: false,
+  };
 }
 
 const getDistantDeadline = () => clock.now() + 3_600_000;
--- a/packages/gateway/src/test/relayService.test.ts
+++ b/packages/gateway/src/test/relayService.test.ts
@@ -1,9 +1,10 @@
 import type { RelayRequest, RelayStatement } from '@wisterialift/peer/relay';
 import { describe, expect, it } from 'vitest';
 import { createActiveConfiguration } from '../lib/configuration/activeConfiguration';
-import type { StatementRunner, Transaction } from '../lib/groups/statementRunner';
+import type { Transaction } from '../lib/groups/statementRunner';
 import { createProcessClock } from '../lib/ports/clock';
 import { createRelayService } from '../lib/relay/relayService';
+import type { RelayTarget } from '../lib/relay/relayService';
 import { createTestLogger, noop } from './fixture';
 
 const logger = createTestLogger();
@@ -60,7 +61,8 @@
       open -= 1;
     },
   };
-  const group: Partial<StatementRunner> = {
+  const group: Partial<RelayTarget> = {
+    isOutOfReach: () => false,
     createArrivalStamp: () => ({ sequence: 1, at: clock.now() }),
     openTransaction: async () => {
       open += 1;
@@ -70,7 +72,7 @@
   };
   const service = createRelayService({
     configuration,
-    findRunner: () => group as StatementRunner,
+    findRunner: () => group as RelayTarget,
     waitForFreshState: () => new Promise(setImmediate),
     clock,
     logger,
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -45,9 +45,15 @@
     onRun();
     return { outcome: 'completed', rows: [], signature: 's', transaction: 'idle' };
   };
-  const counters = { probes: 0, retries: 0, refusals: 0, promotions: 0, relayed: 0 };
+  const counters = { relayed: 0, refusals: 0 } as GroupRouter['counters'];
   const createArrivalStamp = () => ({ sequence: 0, at: clock.now() });
-  return { read, createArrivalStamp, counters } as Partial<GroupRouter> as GroupRouter;
+  const isOutOfReach = () => false;
+  return {
+    read,
+    createArrivalStamp,
+    counters,
+    isOutOfReach,
+  } as Partial<GroupRouter> as GroupRouter;
 }
 
 /** Creates a relaying instance and a holder with separate configurations. */
@@ -98,6 +104,8 @@
     local,
     holders: {
       selectLink: () => (isLost ? undefined : link),
+      selectOtherLink: () => undefined,
+      hasOtherHolders: () => true,
       isHolder: () => false,
       countConnectedInstances: () => 2,
       isReady: () => true,
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -84,6 +84,10 @@
     seconds: z.number(),
     /** Instances that still reach the primary; the others and its replicas do not. */
     instances: z.number().int().nonnegative(),
+    /** Whether the primary still reaches its replicas, so that only instances are cut from it. */
+    isReplicating: z.boolean().optional(),
+    /** Whether the instances that still reach the primary do not reach its replicas. */
+    isSplit: z.boolean().optional(),
     /** Whether the store does not hear the primary either, so that its entry lapses. */
     isUnlisted: z.boolean().optional(),
     groups: z.number().int().positive().optional(),
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -113,17 +113,24 @@
     platform.setCutOff(hosts, true);
     clock.runAfter(seconds * 1_000, () => platform.setCutOff(hosts, false));
   },
-  cutPrimary: ({ seconds, instances: count, isUnlisted, groups: groupCount }, targets) => {
+  cutPrimary: (fault, targets) => {
+    const { seconds, instances: count, groups: groupCount } = fault;
+    const { isReplicating, isSplit, isUnlisted } = fault;
     const { clock, instances, groups, network, platform } = targets;
-    const cutOff = instances.slice(count).map(({ host }) => host.name);
+    const names = instances.map(({ host }) => host.name);
     for (const group of [...groups.values()].slice(0, groupCount)) {
       const memberId = primaryOf(group);
+      const replicaIds = isSplit ? replicasOf(group) : [];
+      const cutPairs = [
+        ...names.slice(count).map((name) => [name, memberId] as const),
+        ...names.slice(0, count).flatMap((name) => replicaIds.map((id) => [name, id] as const)),
+      ];
       const setLinks = (isCut: boolean) => {
-        group.setCutOff(memberId, isCut);
+        if (!isReplicating) group.setCutOff(memberId, isCut);
         if (isUnlisted) platform.setUnheard(memberId, isCut);
-        for (const instance of cutOff) {
-          network.setFault(instance, memberId, isCut ? { isCut } : undefined);
-          network.setFault(memberId, instance, isCut ? { isCut } : undefined);
+        for (const [instance, member] of cutPairs) {
+          network.setFault(instance, member, isCut ? { isCut } : undefined);
+          network.setFault(member, instance, isCut ? { isCut } : undefined);
         }
       };
       setLinks(true);
