--- a/packages/core/src/lib/admission/admissionQueue.ts
+++ b/packages/core/src/lib/admission/admissionQueue.ts
@@ -92,8 +92,8 @@
  * Creates a bounded, deadline-aware queue with weighted fair queueing between callers.
  *
  * Uses start-time fair queueing. Priority applies only within a caller, because a caller chooses the
- * kind of a request and thereby its priority. A full queue evicts from the caller with the most
- * requests per weight.
+ * kind of a request and thereby its priority: across callers, one could push out the others. A full
+ * queue evicts from the caller with the most requests per weight.
  *
  * @example
  * ```ts
--- a/packages/core/src/lib/admission/concurrencyLimit.ts
+++ b/packages/core/src/lib/admission/concurrencyLimit.ts
@@ -32,8 +32,8 @@
  * Creates an adaptive limit for the concurrent statements of one instance at a database.
  *
  * The limit varies between the instance's fair share of the slots and all slots. Per round of
- * completions it grows by one while the latency is near the unloaded latency, and shrinks by a tenth
- * while statements queue at the database.
+ * completions it grows by one while the latency is near the unloaded latency, so that a busy instance
+ * uses the slots that idle ones leave, and shrinks by a tenth while statements queue at the database.
  *
  * @public
  */
--- a/packages/core/src/lib/engine/logHistory.ts
+++ b/packages/core/src/lib/engine/logHistory.ts
@@ -14,8 +14,9 @@
 /**
  * Whether the member has applied the entry at the position.
  *
- * Comparing positions alone is unsafe: an isolated primary of a later term can be ahead without the
- * entry.
+ * Comparing positions alone is unsafe: an entry of term 1 that was held when its primary was lost may be
+ * acknowledged only through term 3, past a term 2 that started without it. An isolated primary of
+ * term 2 that still answers is ahead without the entry.
  *
  * @internal
  */
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -82,7 +82,10 @@
 /** Fraction of the stop grace period after which open transactions are aborted. */
 const TRANSACTION_ABORT_GRACE_FRACTION = 0.55;
 
-/** Fraction of the stop grace period after which draining ends, even with statements running. */
+/**
+ * Fraction of the stop grace period after which draining ends. Until then, sessions that arrived before
+ * the listener closed may have a statement running.
+ */
 const DRAIN_END_GRACE_FRACTION = 0.95;
 
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 50;
--- a/packages/gateway/src/lib/groups/hedgedReads.ts
+++ b/packages/gateway/src/lib/groups/hedgedReads.ts
@@ -41,7 +41,7 @@
 const HEDGE_LATENCY_MULTIPLE = 5;
 const MINIMUM_HEDGE_DELAY_MILLISECONDS = 250;
 
-/** Hedges add at most a tenth to the load; an idle instance can always hedge a few reads. */
+/** Hedges add at most a tenth to the load of an outage; an idle instance can always hedge a few. */
 const HEDGE_BUDGET = { retryRatio: 0.1, minimumTokens: 5 };
 
 /** Time after which a queued read re-evaluates all members, as others may be eligible by then. */
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -40,7 +40,8 @@
 
 /**
  * Concurrent statements of one instance for each slot of a member. Above 1 to keep all slots busy,
- * but low enough that several instances together do not overflow the member's queue.
+ * but low enough that several instances together do not overflow the member's queue: it holds about
+ * eight statements a slot, which seven instances fill at 1.5.
  */
 const STATEMENTS_PER_SLOT = 1.5;
 
--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -46,17 +46,18 @@
 
 /**
  * Time without evidence after which the primary is suspected to be disconnected from its replicas.
- * Long enough to poll a second replica when the first does not answer.
+ * Evidence usually takes less than 100 ms, and less than 650 ms if a second replica is polled because
+ * the first does not answer.
  */
 const STALL_TIMEOUT_MILLISECONDS = 900;
 
 /**
- * Part of a route's goal to wait for evidence before polling. Transactions can wait twice and must
- * still meet their goal.
+ * Part of a route's goal to wait for evidence before polling. Transactions can wait twice, and then
+ * still have over half of their goal for their statements.
  */
 const POLL_DELAY_SHARE = 0.2;
 
-/** Regular reads usually provide evidence sooner than this. */
+/** Regular reads usually provide evidence sooner than this: one comes about every 250 ms. */
 const MAXIMUM_POLL_DELAY_MILLISECONDS = 300;
 
 /** Returns how long statements of a route wait for evidence before polling, in milliseconds. */
@@ -92,8 +93,8 @@
       ROLE_QUERY_TIMEOUT_MILLISECONDS,
     );
     if (primaryTracker.isConfirmed(memberId, term)) return true;
-    // A query without a report proves nothing; rejecting the member here could leave the group
-    // without a primary.
+    // A query without a report proves nothing. After a loss of all instances it found no connection,
+    // and rejecting the member left the group without a primary for seconds.
     if (report) primaryTracker.rejectPrimary(member, term);
     return false;
   }
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -90,7 +90,8 @@
 
   /**
    * Estimates the time until a member has applied the required log. Waiting for lagging replicas
-   * prevents an overload of the primary.
+   * prevents an overload of the primary, which alone has no slots for all reads while every replica
+   * lags beyond the permitted staleness.
    */
   function estimateWait(
     { lag }: Member,
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -8,7 +8,8 @@
 
 /**
  * Queries members for a log position that includes every acknowledged commit. Until one is known,
- * all reads go to the primary.
+ * all reads go to the primary, and after a start of all instances they took the connections that
+ * writes need.
  */
 export interface ReadPositionRefresher {
   /** Resolves when the query has succeeded or failed; concurrent calls share one query. */
--- a/packages/gateway/src/lib/groups/statementAdmission.ts
+++ b/packages/gateway/src/lib/groups/statementAdmission.ts
@@ -65,7 +65,7 @@
  * Creates an admission queue for one member, ordered by `chooseNextStatement`.
  *
  * Statements that would be too late are refused early, so that the member's own queue does not
- * overflow.
+ * overflow. A member rejects what exceeds its queue, and callers that retry at once fill it again.
  */
 export function createStatementAdmission(options: StatementAdmissionOptions): StatementAdmission {
   const {
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -81,7 +81,8 @@
 }
 
 /**
- * Shorter than the initial TCP retransmission timeout, because trying another member is faster.
+ * Allows for the handshake and three round trips. Shorter than the initial TCP retransmission timeout
+ * of a second, because trying another member is faster.
  */
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
 
@@ -90,7 +91,8 @@
 
 /**
  * Idle time after which a connection above the fair share is closed. Short, so that other instances
- * can use the connection slot.
+ * can use the connection slot, which a member keeps occupied for seconds after a loss of power. A new
+ * connection costs only its handshake.
  */
 const SHORT_IDLE_MILLISECONDS = 250;
 
--- a/packages/gateway/src/lib/groups/writeRouter.ts
+++ b/packages/gateway/src/lib/groups/writeRouter.ts
@@ -26,7 +26,8 @@
    * take it.
    *
    * @param options.isPrimaryOnly - whether only a primary completes the command, so that its
-   *   completed answer confirms the member as primary. A replica also begins read-only transactions.
+   *   completed answer confirms the member as primary. A replica also begins read-only transactions;
+   *   taken for the primary by that, its log would pass for the newest.
    * @returns undefined if the command certainly did not run.
    */
   runOnPrimary: (
@@ -49,7 +50,8 @@
 
 /**
  * Minimum time after a write's arrival for which the confirmation of its commit is awaited, even
- * beyond the request's deadline. Covers a change of primary, after which the outcome is known.
+ * beyond the request's deadline. Covers a change of primary, after which the outcome is known; before
+ * it, the caller could only be told that the outcome is unknown and would have to give up.
  */
 export const COMMIT_CONFIRMATION_TIMEOUT_MILLISECONDS = 3_500;
 
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -72,7 +72,7 @@
 /** Random start delay, so that instances do not all claim the promotion at once. */
 const MAXIMUM_START_JITTER_MILLISECONDS = 120;
 
-/** Time for a promoted member to become primary before its status is queried. */
+/** Time for a promoted member to become primary before its status is queried: a second at most, and the way. */
 const PROMOTION_WAIT_MILLISECONDS = 1_300;
 
 export function createPromotionController(
--- a/packages/pooling/src/lib/promotion/promotionClaim.ts
+++ b/packages/pooling/src/lib/promotion/promotionClaim.ts
@@ -53,7 +53,8 @@
  * Whether a claim still allows its holder to send commands.
  *
  * The monotonic clock stops while the machine is suspended and the wall clock does not. If the two
- * disagree, another instance may have taken over, so the claim counts as expired.
+ * disagree, another instance may have taken over, so the claim counts as expired. A command would
+ * carry a lower token than one already used.
  *
  * @public
  */
--- a/packages/pooling/src/lib/promotion/writeOutcome.ts
+++ b/packages/pooling/src/lib/promotion/writeOutcome.ts
@@ -13,7 +13,8 @@
  * Determines the outcome of a write from the log end that the next term started from.
  *
  * Conclusive only if the directly following term is known and started from an entry of the write's
- * own term; otherwise the outcome is unknown.
+ * own term; otherwise the outcome is unknown. A later term may have started from a log in which the
+ * end of the write's term lies elsewhere.
  *
  * @public
  */
--- a/packages/pooling/src/lib/replication/positionHistory.ts
+++ b/packages/pooling/src/lib/replication/positionHistory.ts
@@ -18,7 +18,7 @@
   clear: () => void;
 }
 
-/** Minimum time between two samples; samples in between are dropped. */
+/** Minimum time between two samples; those in between would not change the choice of a member. */
 const SAMPLE_GAP_MILLISECONDS = 20;
 
 /**
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -57,7 +57,8 @@
    * A commit of a later term is acknowledged only once at most one member besides its primary has
    * applied none of its entries. The answering replica and the primary of `term` are two such
    * members, so no such commit preceded the read. Only applied entries count, since reads show no
-   * others.
+   * others: a replica that has only received an entry of the later term still answers in the earlier
+   * one, and a read would miss a commit that was acknowledged on that entry.
    */
   waitForTermConfirmation: (options: {
     term: number;
--- a/packages/pooling/src/lib/routing/connectionHolders.ts
+++ b/packages/pooling/src/lib/routing/connectionHolders.ts
@@ -25,7 +25,7 @@
 
 /**
  * Connections per member that an instance needs: one for an open transaction that is idle, and one
- * for all other statements.
+ * for all other statements. With fewer, an idle transaction blocks the other callers.
  */
 const MINIMUM_CONNECTIONS = 2;
 
@@ -49,7 +49,9 @@
 const MINIMUM_HOLDING_INSTANCES = 4;
 
 /**
- * Plans which instances hold the connections to the members of a group.
+ * Plans which instances hold the connections to the members of a group. Where a member accepts fewer
+ * connections than there are instances and each opened its own, callers waited for one that another
+ * instance left idle.
  *
  * Instances with the same list of candidates compute the same plan without communicating. If the
  * lists differ, more instances may act as holders than planned.
--- a/packages/pooling/src/lib/routing/lagEstimate.ts
+++ b/packages/pooling/src/lib/routing/lagEstimate.ts
@@ -31,7 +31,8 @@
 /**
  * Tracks the replication lag of a replica.
  *
- * A lagging replica receives no reads that would update its estimate, so once the estimate
+ * A lagging replica receives no reads that would update its estimate, and reads were refused for
+ * seconds while replicas that were current again had nothing to do. So once the estimate
  * expires, one read at a time is sent as a probe. The replica checks the position itself and never returns outdated data.
  *
  * @public
--- a/packages/pooling/src/lib/routing/latencyEstimate.ts
+++ b/packages/pooling/src/lib/routing/latencyEstimate.ts
@@ -5,7 +5,7 @@
   getCurrent: (now: number) => number;
 }
 
-/** Weight of a new sample in the moving average. */
+/** Weight of a new sample in the moving average: about twenty samples determine it. */
 const SMOOTHING_FACTOR = 0.1;
 
 /**
--- a/packages/pooling/src/lib/routing/orderMembersForRead.ts
+++ b/packages/pooling/src/lib/routing/orderMembersForRead.ts
@@ -17,7 +17,8 @@
 
 /**
  * Number of this instance's statements that a member is assumed to run in parallel. Lower than the
- * real number, because statements of other instances are not counted in `load`.
+ * real number, because statements of other instances are not counted in `load`. At 2, an instance with
+ * three statements running prefers a member that is 25 ms further away.
  */
 const ASSUMED_PARALLEL_STATEMENTS = 2;
 
@@ -40,6 +41,8 @@
  * Expected time until a read is answered, in milliseconds.
  *
  * Capacity limits the estimate: an instance with one connection runs its statements one at a time.
+ * Without it, reads queued for a primary that accepted few connections after a loss of all instances,
+ * while replicas had room.
  */
 function estimateAnswerTime(member: MemberLoad): number {
   const { latency, load, capacity, delay, wait, hasExclusiveStatements } = member;
--- a/packages/pooling/src/lib/routing/queueWaitLimit.ts
+++ b/packages/pooling/src/lib/routing/queueWaitLimit.ts
@@ -7,8 +7,9 @@
 /**
  * Maximum time that a statement may be queued before it is refused, in milliseconds.
  *
- * A burst may use all the time left. In a lasting overload the queue does not drain, so waiting
- * longer only adds latency.
+ * A burst may use all the time left: after it, as when all callers return at once, the queue drains
+ * and everybody is served. In a lasting overload the queue does not drain, so waiting longer only adds
+ * latency. A short queue then serves as many, in time.
  *
  * @public
  */
--- a/packages/pooling/src/lib/routing/retryDelay.ts
+++ b/packages/pooling/src/lib/routing/retryDelay.ts
@@ -11,7 +11,7 @@
  * Time after which a refused caller should retry, in milliseconds.
  *
  * The expected wait within fixed limits, plus jitter so that refused callers do not all retry at
- * once.
+ * once and find the same queue again.
  *
  * @public
  */
