Begin no transaction at another holder once its caller has left

Found in my own review: a caller that leaves while the first holder says that it does not reach the members had its roll-back sent there; the first statement then began the transaction at the next holder, where it stayed open, with a connection, until the stream ended.

Test: otherHolders.test.ts, whose caller has left; fails without the check.

--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -214,6 +214,7 @@
     let isFirst = true;
     let hasWritten = false;
     let isEnded = false;
+    let isRolledBack = false;
 
     async function sendStatement(
       request: StatementRequest,
@@ -239,7 +240,8 @@
         if (outcome.type !== 'outOfReach') return outcome;
         refusing.add(link);
         const other = holders.selectOtherLink(group, refusing);
-        if (!other || clock.now() >= request.deadlineAt) return outcome;
+        // A roll-back went to the refusing holder; at another one the transaction would stay open.
+        if (!other || isRolledBack || clock.now() >= request.deadlineAt) return outcome;
         link = other;
         number = other.allocateTransactionNumber();
       }
@@ -283,6 +285,7 @@
       rollBack: () => {
         if (!isEnded && !isFirst) link.rollBack(number);
         isEnded = true;
+        isRolledBack = true;
       },
     };
   }
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -134,6 +134,20 @@
     expect(other.ran).toEqual(['read', 'write', 'run']);
   });
 
+  it('has no other one begin a transaction whose caller has left', async () => {
+    // Guards against a transaction that stays open at a holder which the roll-back did not reach.
+    const partitioned = createHolder({ isOutOfReach: true });
+    const other = createHolder({ isOutOfReach: false });
+    const relay = createRelay([partitioned.link, other.link]);
+    const opening = { isReadOnly: false, beginStamp: { sequence: 0, at: clock.now() } };
+    const opened = await relay.openTransaction(createRequest('begin'), opening);
+    const transaction = 'transaction' in opened ? opened.transaction : undefined;
+    const ran = transaction!.run(createRequest('run'));
+    transaction!.rollBack();
+    expect(await ran).toMatchObject({ outcome: 'refused', reason: 'aborted' });
+    expect(other.ran).toEqual([]);
+  });
+
   it('is told apart from a group that nobody reaches, whose callers are refused at once', async () => {
     const holders = [1, 2].map(() => createHolder({ isOutOfReach: true }));
     const relay = createRelay(holders.map(({ link }) => link));
