Ask the store, not a holder, before a database is refused as unknown

Cause: an instance whose configuration may be seconds old asked another instance for its version and took its word.

Change: before it refuses a database, such an instance reads the configuration from the store, at most once in 1.5 s for all its sessions; only where the store does not answer it asks a holder. A read without urgency does not count as following.

Test: unknownDatabase.test.ts, reads it from the store; without the change the session is refused.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -21,6 +21,7 @@
 import { createRelayedGroup } from './relay/relayedGroup';
 import { createRelayService } from './relay/relayService';
 import { createConfigurationSynchronizer } from './relay/configurationSynchronizer';
+import { settleWithTimeout } from './timing/promiseTimeout';
 import { createCallerSession } from './sessions/callerSession';
 import type { AnswerSample, CallerSession } from './sessions/callerSession';
 
@@ -97,6 +98,9 @@
 const REFRESH_TIMEOUT_MILLISECONDS = 600;
 const REFRESH_POLL_MILLISECONDS = 20;
 
+/** Time for which a check of the configuration holds; well within the bound for a new version. */
+const CHECK_VALIDITY_MILLISECONDS = 1_500;
+
 const CLOCK_CHECK_INTERVAL_MILLISECONDS = 250;
 
 /** Change of the clock offset that indicates a suspension or a step of the time of day. */
@@ -117,6 +121,8 @@
   const synchronizer = createConfigurationSynchronizer({ configuration, clock, logger });
   const cache = createDirectoryCache(clock);
   let statementsRunUntil = -Infinity;
+  let configurationCheckedAt = -Infinity;
+  let pendingCheck: Promise<void> | undefined;
   let isDraining = false;
   let clockOffset = getClockOffset(clock);
 
@@ -174,11 +180,31 @@
     while (!isFresh() && clock.now() < until) await clock.sleep(REFRESH_POLL_MILLISECONDS);
   }
 
-  /** Takes over a newer configuration, from a holder if one can be reached, before a refusal. */
-  async function checkForNewerConfiguration(): Promise<void> {
-    if (options.configuration.isFresh()) return;
+  /**
+   * Reads the configuration from the store before a database is refused as unknown, unless that was
+   * done lately. A holder's word would not do: its configuration may be old as well, as that of an
+   * instance which only this one takes for a holder.
+   */
+  function checkForNewerConfiguration(): Promise<void> {
+    const isKnown = clock.now() - configurationCheckedAt < CHECK_VALIDITY_MILLISECONDS;
+    if (options.configuration.isFresh() || isKnown) return Promise.resolve();
+    pendingCheck ??= refreshConfiguration().finally(() => {
+      pendingCheck = undefined;
+    });
+    return pendingCheck;
+  }
+
+  async function refreshConfiguration(): Promise<void> {
+    const checkedAt = clock.now();
+    const refreshed = options.configuration.refresh();
+    const { type } = await settleWithTimeout(clock, refreshed, REFRESH_TIMEOUT_MILLISECONDS);
+    if (type === 'value') configurationCheckedAt = checkedAt;
+    else await askHolderForConfiguration();
+  }
+
+  async function askHolderForConfiguration(): Promise<void> {
     const link = selectAnyLink();
-    if (!link || !(await synchronizer.updateFrom(link))) await waitForFreshState();
+    if (link) await synchronizer.updateFrom(link);
   }
 
   function selectAnyLink(): PeerLink | undefined {
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -67,6 +67,12 @@
     onChange: (configuration: GatewayConfiguration) => void;
     isPrompt: () => boolean;
   }) => void;
+  /**
+   * Reads the configuration again and calls `onChange` before it resolves.
+   *
+   * @throws Error if the store does not answer.
+   */
+  refresh: () => Promise<void>;
   /** Whether the last version was read fresh and later ones arrive promptly. */
   isFresh: () => boolean;
 }
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -31,6 +31,7 @@
       refresh: async () => undefined,
     },
     configuration: {
+      refresh: async () => undefined,
       isFresh: () => true,
       subscribe: ({ onChange }) =>
         onChange({
--- a/packages/gateway/src/test/suspension.test.ts
+++ b/packages/gateway/src/test/suspension.test.ts
@@ -26,6 +26,7 @@
       },
       logger: createTestLogger((event) => events.push(event)),
       configuration: {
+        refresh: async () => undefined,
         isFresh: () => true,
         subscribe: ({ onChange }) =>
           onChange({
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -155,6 +155,7 @@
         },
       },
       configuration: {
+        refresh: async () => undefined,
         isFresh: () => true,
         subscribe: ({ onChange }) =>
           onChange({
--- a/packages/gateway/src/test/unknownDatabase.test.ts
+++ b/packages/gateway/src/test/unknownDatabase.test.ts
@@ -3,7 +3,8 @@
 import type { GatewayConfiguration, Route } from '../lib/configuration/gatewayConfiguration';
 import { createProcessClock } from '../lib/ports/clock';
 import { createCallerSession } from '../lib/sessions/callerSession';
-import { createTestLogger, GROUP, noop } from './fixture';
+import { createGateway } from '../index';
+import { createTestLogger, createTestOptions, GROUP, noop } from './fixture';
 
 const route: Route = {
   database: 'history',
@@ -62,3 +63,43 @@
     expect(await startSession(undefined)).toEqual(['checked', 'unknownDatabase']);
   });
 });
+
+describe('an instance whose configuration may be seconds old', () => {
+  it('reads it from the store before it refuses a database, once for several sessions', async () => {
+    // Guards against refusing a database that was added seconds ago, on the word of an instance whose
+    // configuration is as old.
+    let reads = 0;
+    let adopt: (configuration: GatewayConfiguration) => void = noop;
+    const gateway = createGateway(
+      createTestOptions({
+        configuration: {
+          isFresh: () => false,
+          refresh: async () => {
+            reads += 1;
+            adopt(createConfiguration(2, [route]));
+          },
+          subscribe: ({ onChange }) => {
+            adopt = onChange;
+            adopt(createConfiguration(1, []));
+          },
+        },
+      }),
+    );
+    const replies: string[] = [];
+    const link = {
+      accept: () => replies.push('accepted'),
+      refuse: (reason: string) => replies.push(reason),
+      answer: noop,
+      close: noop,
+    };
+    for (const database of ['history', 'history', 'never-existed']) {
+      gateway.acceptCaller(link).onStart(database);
+    }
+    await new Promise(setImmediate);
+    gateway.acceptCaller(link).onStart('never-existed');
+    await new Promise(setImmediate);
+    gateway.close();
+    expect(replies).toEqual(['accepted', 'accepted', 'unknownDatabase', 'unknownDatabase']);
+    expect(reads).toBe(1);
+  });
+});
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -249,6 +249,7 @@
     portsOf: (host, own) => ({
       directory: createDirectory(host),
       configuration: {
+        refresh: async () => undefined,
         isFresh: () => true,
         subscribe: ({ onChange }) => {
           follow(host, () => configuration && onChange(configuration));
