--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -197,9 +197,15 @@
   async function refreshConfiguration(): Promise<void> {
     const checkedAt = clock.now();
     const refreshed = options.configuration.refresh();
-    const { type } = await settleWithTimeout(clock, refreshed, REFRESH_TIMEOUT_MILLISECONDS);
-    if (type === 'value') configurationCheckedAt = checkedAt;
-    else await askHolderForConfiguration();
+    const result = await settleWithTimeout(clock, refreshed, REFRESH_TIMEOUT_MILLISECONDS);
+    if (result.type === 'value') {
+      configurationCheckedAt = checkedAt;
+      return;
+    }
+    const error = result.type === 'error' ? result.error : undefined;
+    const version = configuration.getVersion();
+    logger.warn('configurationNotRefreshed', { outcome: result.type, version, error });
+    await askHolderForConfiguration();
   }
 
   async function askHolderForConfiguration(): Promise<void> {
