Record where the time of a request went that reaches its deadline

A read of 100,000 rows was answered 9103 (discarded) under load, and no line said why: the time limit, a member taken for silent and a lost connection all end in the same answer.

Change: the engine hears of each part of an answer that is forwarded, and records `requestExpired` with the limit and the time in the queue, at the member until the first part, in forwarding, and since the last part. A retry after a silent member is recorded as before (`requestRetried`).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
   type MemberView,
   type ControlRequestFailureReason,
   type RefusalReason,
+  type RequestTimes,
   type StatementResult,
   type SuspicionCause,
 } from './lib/engine/messages';
--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -143,6 +143,7 @@
     },
     requestCancelled: ({ requestId }, now) => requests.onCancelled(requestId, now),
     statementFinished: (finished, now) => requests.onFinished(finished, now),
+    answerContinued: (attempt, now) => requests.onAnswerContinued(attempt, now),
     transactionFinished: ({ transactionId }) => requests.onTransactionFinished(transactionId),
     statusAnswered: ({ questionId, status }, now) => {
       const controlRequest = controlRequests.take(questionId);
--- a/packages/core/src/lib/engine/messages.ts
+++ b/packages/core/src/lib/engine/messages.ts
@@ -59,6 +59,8 @@
   /** The caller has disconnected or cancelled the request. */
   | { type: 'requestCancelled'; requestId: string }
   | { type: 'statementFinished'; requestId: string; attempt: number; result: StatementResult }
+  /** Part of the response of an attempt has been forwarded to the caller. */
+  | { type: 'answerContinued'; requestId: string; attempt: number }
   /** The transaction's upstream connection was returned or closed. */
   | { type: 'transactionFinished'; transactionId: string }
   | { type: 'statusAnswered'; questionId: number; status: MemberStatus }
@@ -110,6 +112,21 @@
  */
 export type SuspicionCause = 'silent' | 'unconfirmed' | 'absent' | 'leaving' | 'stranded';
 
+/** Where the time of a request went that has reached its deadline, in milliseconds. @public */
+export interface RequestTimes {
+  /** Time limit of the request. */
+  limitMilliseconds: number;
+  /** From its arrival until the start of its last attempt; all of its time without an attempt. */
+  queuedMilliseconds: number;
+  /** From the start of its last attempt until the first part of the response. */
+  respondingMilliseconds: number;
+  /** From the first part of the response until the last one. */
+  forwardingMilliseconds: number;
+  /** Since the last part of the response, during which the member or the caller has stalled. */
+  stalledMilliseconds: number;
+  attempts: number;
+}
+
 /** A decision to be logged and counted in metrics. @public */
 export type EngineRecord =
   /** `member` is empty for the cause `absent`. */
@@ -127,7 +144,8 @@
   | { name: 'readRouted'; member: string; isReplica: boolean; by: 'token' | 'floor' | 'staleness' }
   | { name: 'writeConfirmed'; waitedMilliseconds: number }
   | { name: 'requestRetried'; requestId: string; attempt: number; reason: string }
-  | { name: 'requestRejected'; requestId: string; reason: string; retryAfterMilliseconds: number };
+  | { name: 'requestRejected'; requestId: string; reason: string; retryAfterMilliseconds: number }
+  | ({ name: 'requestExpired'; requestId: string; access: Access } & RequestTimes);
 
 /** Limits and intervals of an engine; all times in milliseconds. @public */
 export interface EnginePolicy {
--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -5,6 +5,7 @@
 import { createStatementAttempts } from './statementAttempts';
 import type { AttemptResult } from './statementAttempts';
 import { createRequestCompletion } from './requestCompletion';
+import { measureRequest } from './requestTimes';
 import type { Member } from './memberTable';
 import type { Access, EngineRequest } from './messages';
 import { createDiscardedOutcome, createDoneOutcome } from './outcomes';
@@ -18,6 +19,7 @@
   onArrived: (request: EngineRequest, now: number) => void;
   onCancelled: (requestId: string, now: number) => void;
   onFinished: (finished: AttemptResult, now: number) => void;
+  onAnswerContinued: (attempt: Omit<AttemptResult, 'result'>, now: number) => void;
   onTransactionFinished: (transactionId: string) => void;
   /** Updates floors, staleness, confirmations and routes after a status response. */
   onAnswered: (member: Member, now: number) => void;
@@ -214,6 +216,8 @@
   }
 
   function onDeadline(request: TrackedRequest, now: number): void {
+    const { requestId, access } = request;
+    record({ name: 'requestExpired', requestId, access, ...measureRequest(request, now) });
     if (request.phase === 'running') attempts.cancelAttempt(request, now);
     reject(request, router.findNotRunReason(request, now), now);
   }
@@ -246,6 +250,7 @@
     onArrived,
     onCancelled,
     onFinished: attempts.onFinished,
+    onAnswerContinued: attempts.onAnswerContinued,
     onTransactionFinished: attempts.onTransactionFinished,
     onAnswered,
     cancelSilentAttempts: (now) => {
--- a/packages/core/src/lib/engine/requestTable.ts
+++ b/packages/core/src/lib/engine/requestTable.ts
@@ -27,6 +27,8 @@
   term: number;
   /** Start of the last attempt. */
   startedAt: number;
+  /** When the first and the last part of the last attempt's response were forwarded, if any. */
+  answer: { firstAt: number; lastAt: number } | undefined;
   round: FloorRound | undefined;
   /**
    * Whether an earlier attempt ended without a known result, or completed but is unconfirmed.
@@ -91,6 +93,7 @@
       member: undefined,
       term: 0,
       startedAt: request.arrivedAt,
+      answer: undefined,
       round: undefined,
       hasPossiblyRun: false,
       hasCancelledAttempt: false,
--- a/packages/core/src/lib/engine/statementAttempts.ts
+++ b/packages/core/src/lib/engine/statementAttempts.ts
@@ -28,6 +28,7 @@
   /** Credits the retry budget for a new request. */
   recordArrival: (now: number) => void;
   onFinished: (finished: AttemptResult, now: number) => void;
+  onAnswerContinued: (attempt: Omit<AttemptResult, 'result'>, now: number) => void;
   onTransactionFinished: (transactionId: string) => void;
   getTransaction: (request: TrackedRequest) => OpenTransaction | undefined;
   /** Ends the running attempt and frees its capacity; a response that arrives later is dropped. */
@@ -74,6 +75,7 @@
     request.member = member;
     request.term = getTerm(member);
     request.startedAt = now;
+    request.answer = undefined;
     if (request.access !== 'commit') capacity.takeConnection(member);
     capacity.startStatement(member);
     const { requestId, attempt } = request;
@@ -93,9 +95,22 @@
     lost: onLost,
   };
 
-  function onFinished({ requestId, attempt, result }: AttemptResult, now: number): void {
+  function findRunning({
+    requestId,
+    attempt,
+  }: Omit<AttemptResult, 'result'>): TrackedRequest | undefined {
     const request = requests.get(requestId);
-    if (request?.phase !== 'running' || request.attempt !== attempt) return;
+    return request?.phase === 'running' && request.attempt === attempt ? request : undefined;
+  }
+
+  function onAnswerContinued(attempt: Omit<AttemptResult, 'result'>, now: number): void {
+    const request = findRunning(attempt);
+    if (request) request.answer = { firstAt: request.answer?.firstAt ?? now, lastAt: now };
+  }
+
+  function onFinished({ requestId, attempt, result }: AttemptResult, now: number): void {
+    const request = findRunning({ requestId, attempt });
+    if (!request) return;
     const { member } = request;
     const isConnectionKept = request.access === 'transaction' && result.kind === 'completed';
     if (member) releaseCapacity(request, member, isConnectionKept, now);
@@ -270,6 +285,7 @@
     run,
     recordArrival: budget.recordFirstAttempt,
     onFinished,
+    onAnswerContinued,
     onTransactionFinished,
     getTransaction: ({ transactionId }) => transactions.get(transactionId ?? ''),
     cancelAttempt,
--- a/packages/proxy/src/lib/process/decisionRecorder.ts
+++ b/packages/proxy/src/lib/process/decisionRecorder.ts
@@ -17,6 +17,7 @@
   writeConfirmed: 'notLogged',
   requestRetried: 'debug',
   requestRejected: 'debug',
+  requestExpired: 'info',
 };
 
 /** Reads of one group, by the role of the member that served them. @public */
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -136,6 +136,8 @@
       Object.assign(run, { hasAnswerStarted: true });
       const { requestId } = run;
       run.caller.post({ type: 'answerContinued', requestId, frames, nextSequence });
+      // The engine does not track statements in a transaction.
+      if (run.access !== 'statement') handleEvent({ type: 'answerContinued', requestId, attempt });
     },
     statementAnswered: ({ run, attempt, answer }) => {
       if (run.attempt === attempt) onAnswered(run, answer);
