Enforce time limits only after the data that has arrived was read

What callers saw: a read of 100,000 rows answered 9103 (discarded, retry after 10 ms) on a loaded machine, although its answer had arrived.

The overdue limit discarded an answer that lay in the socket's buffer. The same happens to an instance that is frozen and wakes.

Change: a group's timer event follows the reading of all arrived data, and the limits of running requests and of status questions are enforced at that event alone, not at whichever message comes first. The limit of a statement in a transaction, kept by the group task, is enforced likewise. Requests in a queue still end at their limit at any event: they have not run, and no answer to them can be waiting.

Test: an answer sent after the process stood still for 400 ms, with a limit of 150 ms, within and outside a transaction.

Why it holds: the event loop reads what every socket holds between a timer and the callback that the timer defers, and the engine enforces no limit in between.

--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -224,10 +224,16 @@
     capacity.refresh(now);
   }
 
-  function advance(now: number): void {
-    expireControlRequests(now);
+  /**
+   * Time limits of what was sent are enforced at timer events alone, which follow the reading of all
+   * data that has arrived. After a pause of the process, the answers to overdue statements may be in
+   * that data.
+   */
+  function advance(now: number, isTimerEvent: boolean): void {
+    if (isTimerEvent) expireControlRequests(now);
     refreshShares(now);
-    requests.expire(now);
+    requests.expireQueued(now);
+    if (isTimerEvent) requests.expireDue(now);
     requests.dispatch(now);
     const pollAt = poller.poll(requests.getStatusDemand(now), now);
     setTimer(Math.min(pollAt, getNextDueAt(now)), now);
@@ -257,7 +263,7 @@
     detectPause(now);
     const handler = handlers[event.type] as (event: EngineEvent, now: number) => void;
     handler(event, now);
-    advance(now);
+    advance(now, event.type === 'timerFired');
     return effects;
   }
 
--- a/packages/core/src/lib/engine/messages.ts
+++ b/packages/core/src/lib/engine/messages.ts
@@ -72,6 +72,7 @@
   | { type: 'primaryPublished'; term: number; primary: string }
   /** The instance is shutting down: it completes open requests and starts no failover. */
   | { type: 'drainStarted' }
+  /** The time of `setTimer` has passed, and all data that had arrived by then has been handled. */
   | { type: 'timerFired' };
 
 /** An action for the code that runs the engine. @public */
--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -28,8 +28,10 @@
    * once their primary has been replaced.
    */
   cancelSilentAttempts: (now: number) => void;
+  /** Completes queued requests that can no longer meet their deadline. */
+  expireQueued: (now: number) => void;
   /** Completes requests that have reached their deadline, and schedules a dispatch for due wake-ups. */
-  expire: (now: number) => void;
+  expireDue: (now: number) => void;
   /** Sends waiting requests to members with free capacity. */
   dispatch: (now: number) => void;
   getStatusDemand: (now: number) => StatusDemand;
@@ -203,10 +205,13 @@
     }
   }
 
-  function expire(now: number): void {
+  function expireQueued(now: number): void {
     [...readQueue.expire(now), ...primaryQueue.expire(now)].forEach((request) => {
       reject(request, router.findNotRunReason(request, now), now);
     });
+  }
+
+  function expireDue(now: number): void {
     let request = requests.takeDue(now);
     while (request) {
       if (now >= request.deadlineAt) onDeadline(request, now);
@@ -256,7 +261,8 @@
     cancelSilentAttempts: (now) => {
       attempts.cancelSilentAttempts((member) => router.isSilent(member, now), now);
     },
-    expire,
+    expireQueued,
+    expireDue,
     dispatch,
     getStatusDemand,
     getNextDueAt,
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -18,6 +18,7 @@
   toTransactionOutcome,
 } from './statementResult';
 import { createStatementRun, endAttempt, type StatementRun } from './statementRun';
+import { startTimeLimit, type TimeLimit } from './timeLimit';
 import { createTransactionTable } from './transactionTable';
 import { createUpstreamMembers, type UpstreamConnectionCount } from './upstreamMembers';
 import type { Lease } from './upstreamPool';
@@ -66,7 +67,7 @@
   const { group, clock, policy, instance } = options;
   const { post } = createMailbox<GroupMessage>(onMessage);
   const runs = new Map<string, StatementRun>();
-  let timer: NodeJS.Timeout | undefined;
+  let timer: TimeLimit | undefined;
   let isStopped = false;
 
   const engine = createGroupEngine({
@@ -192,10 +193,9 @@
     },
     publishPrimary: ({ term, primary }) => options.onPrimaryPromoted({ term, primary }),
     setTimer: ({ at }) => {
-      clearTimeout(timer);
-      timer = setTimeout(
-        () => post({ type: 'engineEvent', event: { type: 'timerFired' } }),
-        Math.max(0, at - clock()),
+      timer?.cancel();
+      timer = startTimeLimit(at - clock(), () =>
+        post({ type: 'engineEvent', event: { type: 'timerFired' } }),
       );
     },
     record: ({ record }) => options.record(record),
@@ -279,7 +279,7 @@
    */
   function finish(run: StatementRun, result: StatementResult): void {
     const { lease, attempt, requestId } = run;
-    clearTimeout(run.deadlineTimer);
+    run.timeLimit?.cancel();
     lease?.connection.resume();
     endAttempt(run);
     if (run.access === 'statement') {
@@ -296,7 +296,7 @@
   /** Cancels an attempt. Closes its connection, since a late answer could reach the next statement. */
   function cancelAttempt(run: StatementRun): void {
     if (run.attempt === 0) return;
-    clearTimeout(run.deadlineTimer);
+    run.timeLimit?.cancel();
     run.lease?.connection.destroy();
     endAttempt(run);
     if (run.access === 'commit' || run.access === 'statement') {
@@ -327,12 +327,12 @@
       transactionId,
     });
     run.attempt = 1;
-    run.deadlineTimer = setTimeout(() => {
+    run.timeLimit = startTimeLimit(deadlineAt - clock(), () => {
       if (runs.get(requestId) !== run) return;
       runs.delete(requestId);
       cancelAttempt(run);
       answerDiscarded(caller, requestId);
-    }, deadlineAt - clock());
+    });
     runs.set(requestId, run);
     transactions.setRunning(transactionId, true);
     runOn(transaction.lease, run);
@@ -368,9 +368,9 @@
     countUnfinished: () => runs.size + transactions.getSize(),
     stop: () => {
       isStopped = true;
-      clearTimeout(timer);
+      timer?.cancel();
       clearInterval(sweepTimer);
-      runs.forEach(({ deadlineTimer }) => clearTimeout(deadlineTimer));
+      runs.forEach(({ timeLimit }) => timeLimit?.cancel());
       members.destroy();
     },
   };
--- a/packages/proxy/src/lib/statements/group/statementRun.ts
+++ b/packages/proxy/src/lib/statements/group/statementRun.ts
@@ -1,6 +1,7 @@
 import type { Access } from '@wisterialift/core';
 import type { CompletedAnswer, UpstreamStatement } from '@wisterialift/mysql';
 import type { CallerMailbox } from '../callerMessages';
+import type { TimeLimit } from './timeLimit';
 import type { Lease } from './upstreamPool';
 
 /** A statement that a group task has received and not yet answered. @internal */
@@ -19,7 +20,7 @@
   hasAnswerStarted: boolean;
   /** The final part of the answer, kept until the engine ends the request. */
   answer: CompletedAnswer | undefined;
-  deadlineTimer: NodeJS.Timeout | undefined;
+  timeLimit: TimeLimit | undefined;
 }
 
 /** @internal */
@@ -41,7 +42,7 @@
     lease: undefined,
     hasAnswerStarted: false,
     answer: undefined,
-    deadlineTimer: undefined,
+    timeLimit: undefined,
   };
 }
 
--- a/packages/proxy/src/test/statementsFailures.test.ts
+++ b/packages/proxy/src/test/statementsFailures.test.ts
@@ -38,6 +38,12 @@
     socket.once('close', resolve);
   });
 
+/** Blocks the event loop of the process. */
+function blockProcess(milliseconds: number): void {
+  const endsAt = performance.now() + milliseconds;
+  while (performance.now() < endsAt);
+}
+
 describe('a login', () => {
   it('fails with the error code of the reason', async () => {
     const { connect, port } = await startStatementPath({ connectionLimit: 2 });
@@ -158,6 +164,29 @@
     expect(path.connectionCounts().callers).toBe(1);
   });
 
+  it.each(['outside', 'within'])(
+    'that arrive while the process stands still are delivered after the deadline, %s a transaction',
+    async (place) => {
+      // Guards against discarding answers that lie in the buffer of a socket.
+      const { port: scriptedPort } = await startScriptedDatabase((scripted, sql) => {
+        if (!sql.includes('text')) {
+          scripted.connection.finishOk({});
+          return;
+        }
+        blockProcess(400);
+        sendRows(scripted, 10, () => {});
+      });
+      const { connect } = await startStatementPath({
+        scriptedPort,
+        kinds: { short: { deadlineMilliseconds: 150 } },
+      });
+      const connection = await connect();
+      if (place === 'within') await connection.beginTransaction();
+      const [rows] = await connection.query('/* wisterialift kind=short */ SELECT text FROM big');
+      expect(rows).toHaveLength(10);
+    },
+  );
+
   // The engine retries a read only after the group task has reported the first attempt as lost.
   it('come from another member if the first one stops responding', async () => {
     const { connect, setFaults, records } = await startStatementPath({
