Do not give up a read whose rows are still arriving

What callers saw: a long answer that took more than its time limit to flow was cut in the middle and answered 9103 (discarded), at a caller that had received most of it. A caller that reads slowly, or one beside load, lost reads that would have ended.

Cause: the limit ran from the arrival of the request to the last row (`requestExpired` told `forwardingMilliseconds` above 0 in the tests below). It is there to bound the wait for an answer; a caller that receives rows has its answer, and nothing is gained by discarding it.

Change: each part of an answer that is forwarded grants the limit anew, outside and within transactions. An answer of which no part arrives for the whole limit is given up as before, whether the member or the caller has stalled. An attempt whose answer has begun is not cancelled at a silent member either, now in the engine and not in the group task alone.

Tests: rows every 100 ms for 0.8 s with a limit of 0.4 s, within and outside a transaction, and the two rules in the engine.

--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -215,7 +215,10 @@
     let request = requests.takeDue(now);
     while (request) {
       if (now >= request.deadlineAt) onDeadline(request, now);
-      else scheduleDispatch();
+      else {
+        if (request.answer) requests.wakeAt(request, request.deadlineAt);
+        scheduleDispatch();
+      }
       request = requests.takeDue(now);
     }
   }
--- a/packages/core/src/lib/engine/requestTable.ts
+++ b/packages/core/src/lib/engine/requestTable.ts
@@ -25,6 +25,8 @@
   member: Member | undefined;
   /** Term of that member when the attempt was sent. */
   term: number;
+  /** Time limit, from its arrival to the first deadline. */
+  limitMilliseconds: number;
   /** Start of the last attempt. */
   startedAt: number;
   /** When the first and the last part of the last attempt's response were forwarded, if any. */
@@ -92,6 +94,7 @@
       attempt: 0,
       member: undefined,
       term: 0,
+      limitMilliseconds: request.deadlineAt - request.arrivedAt,
       startedAt: request.arrivedAt,
       answer: undefined,
       round: undefined,
--- a/packages/core/src/lib/engine/requestTimes.ts
+++ b/packages/core/src/lib/engine/requestTimes.ts
@@ -3,11 +3,11 @@
 
 /** Splits the time of an open request into its phases. @internal */
 export function measureRequest(request: TrackedRequest, now: number): RequestTimes {
-  const { arrivedAt, deadlineAt, startedAt, answer, attempt } = request;
+  const { arrivedAt, limitMilliseconds, startedAt, answer, attempt } = request;
   const runStartedAt = attempt === 0 ? now : startedAt;
   const { firstAt, lastAt } = answer ?? { firstAt: now, lastAt: now };
   return {
-    limitMilliseconds: Math.round(deadlineAt - arrivedAt),
+    limitMilliseconds: Math.round(limitMilliseconds),
     queuedMilliseconds: Math.round(runStartedAt - arrivedAt),
     respondingMilliseconds: Math.round(firstAt - runStartedAt),
     forwardingMilliseconds: Math.round(lastAt - firstAt),
--- a/packages/core/src/lib/engine/statementAttempts.ts
+++ b/packages/core/src/lib/engine/statementAttempts.ts
@@ -28,6 +28,10 @@
   /** Credits the retry budget for a new request. */
   recordArrival: (now: number) => void;
   onFinished: (finished: AttemptResult, now: number) => void;
+  /**
+   * Grants the time limit anew from each forwarded part of an answer: the limit bounds the wait for an
+   * answer, not the time that a long one takes.
+   */
   onAnswerContinued: (attempt: Omit<AttemptResult, 'result'>, now: number) => void;
   onTransactionFinished: (transactionId: string) => void;
   getTransaction: (request: TrackedRequest) => OpenTransaction | undefined;
@@ -105,7 +109,9 @@
 
   function onAnswerContinued(attempt: Omit<AttemptResult, 'result'>, now: number): void {
     const request = findRunning(attempt);
-    if (request) request.answer = { firstAt: request.answer?.firstAt ?? now, lastAt: now };
+    if (!request) return;
+    request.answer = { firstAt: request.answer?.firstAt ?? now, lastAt: now };
+    request.deadlineAt = now + request.limitMilliseconds;
   }
 
   function onFinished({ requestId, attempt, result }: AttemptResult, now: number): void {
@@ -258,13 +264,14 @@
 
   /**
    * Cancels an attempt at a read or BEGIN; its capacity is freed when the result `lost` arrives, and
-   * the request is then retried if that is safe.
+   * the request is then retried if that is safe. An answer that was forwarded in part cannot be
+   * retried, so it is left to complete.
    *
    * Done at most once per request: a long read can make a busy database look frozen, and cancelling
    * it at each member in turn would never let it finish.
    */
   function cancelReadForRetry(request: TrackedRequest): void {
-    if (request.hasCancelledAttempt) return;
+    if (request.hasCancelledAttempt || request.answer) return;
     const { requestId, attempt } = request;
     request.hasCancelledAttempt = true;
     emit({ type: 'abandonStatement', requestId, attempt, reportsLoss: true });
--- a/packages/core/src/test/deadlines.test.ts
+++ b/packages/core/src/test/deadlines.test.ts
@@ -20,6 +20,32 @@
   return { scenario, read, continueAnswer };
 }
 
+describe('a read whose answer has begun', () => {
+  it('is not given up while parts of the answer arrive', () => {
+    // Guards against discarding a long answer that flows to its caller.
+    const { scenario, read, continueAnswer } = startRead();
+    for (let part = 0; part < 10; part += 1) {
+      scenario.run(LIMIT_MILLISECONDS - 10);
+      continueAnswer();
+    }
+    expect(read.outcome).toBeUndefined();
+  });
+
+  it('is given up once no part has arrived for its time limit', () => {
+    // Guards against a caller that waits for the rest of an answer for ever.
+    const { scenario, read, continueAnswer } = startRead();
+    scenario.run(100);
+    continueAnswer();
+    scenario.run(100);
+    continueAnswer();
+    const waited = scenario.runUntil(() => read.outcome !== undefined);
+    expect(waited).toBe(LIMIT_MILLISECONDS);
+    expect(scenario.findRecords('requestExpired')).toMatchObject([
+      { respondingMilliseconds: 102, forwardingMilliseconds: 100, stalledMilliseconds: 300 },
+    ]);
+  });
+});
+
 describe('a read that reaches its deadline', () => {
   it('is recorded with the time that each phase took', () => {
     // Guards against a read that is given up without a line that says where its time went.
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -138,7 +138,8 @@
       const { requestId } = run;
       run.caller.post({ type: 'answerContinued', requestId, frames, nextSequence });
       // The engine does not track statements in a transaction.
-      if (run.access !== 'statement') handleEvent({ type: 'answerContinued', requestId, attempt });
+      if (run.access === 'statement') run.timeLimit?.restart();
+      else handleEvent({ type: 'answerContinued', requestId, attempt });
     },
     statementAnswered: ({ run, attempt, answer }) => {
       if (run.attempt === attempt) onAnswered(run, answer);
@@ -167,7 +168,7 @@
       const run = runs.get(requestId);
       if (run?.attempt !== attempt) return;
       // A partly forwarded answer cannot be retried at another member, so it is left to complete; its
-      // deadline still applies.
+      // time limit still applies to each part.
       if (reportsLoss && run.hasAnswerStarted) return;
       const result = toCancelledResult(run);
       cancelAttempt(run);
--- a/packages/proxy/src/lib/statements/group/timeLimit.ts
+++ b/packages/proxy/src/lib/statements/group/timeLimit.ts
@@ -1,5 +1,7 @@
 /** A running time limit. @internal */
 export interface TimeLimit {
+  /** Grants the whole time anew. */
+  restart: () => void;
   cancel: () => void;
 }
 
@@ -20,6 +22,10 @@
     Math.max(0, milliseconds),
   );
   return {
+    restart: () => {
+      clearImmediate(immediate);
+      timer.refresh();
+    },
     cancel: () => {
       clearTimeout(timer);
       clearImmediate(immediate);
--- a/packages/proxy/src/test/statementsFailures.test.ts
+++ b/packages/proxy/src/test/statementsFailures.test.ts
@@ -12,7 +12,7 @@
   waitUntilStable,
   type MemberName,
 } from './statementsFixture';
-import { startScriptedDatabase, sendRows } from './scriptedDatabase';
+import { startScriptedDatabase, sendRows, sendRowsSlowly } from './scriptedDatabase';
 
 const createPacketHeader = (length: number, sequence: number): Buffer => {
   const buffer = Buffer.alloc(4);
@@ -187,6 +187,25 @@
     },
   );
 
+  it.each(['outside', 'within'])(
+    'that flow for longer than the time limit are delivered whole, %s a transaction',
+    async (place) => {
+      // Guards against discarding a long answer whose rows arrive.
+      const { port: scriptedPort } = await startScriptedDatabase((scripted, sql) => {
+        if (sql.includes('text')) sendRowsSlowly(scripted, { count: 8, pauseMilliseconds: 100 });
+        else scripted.connection.finishOk({});
+      });
+      const { connect } = await startStatementPath({
+        scriptedPort,
+        kinds: { short: { deadlineMilliseconds: 400 } },
+      });
+      const connection = await connect();
+      if (place === 'within') await connection.beginTransaction();
+      const [rows] = await connection.query('/* wisterialift kind=short */ SELECT text FROM big');
+      expect(rows).toHaveLength(8);
+    },
+  );
+
   // The engine retries a read only after the group task has reported the first attempt as lost.
   it('come from another member if the first one stops responding', async () => {
     const { connect, setFaults, records } = await startStatementPath({
