Tell callers of an expired statement to wait until a silent member is avoided

What callers saw: a read that had run for its whole limit of 5 s was answered with "retry after 10 ms".

Cause: the delay was that of the queue, which says nothing of a statement that was sent and not answered. Repeated at once, it goes to the same member before that is known to be silent.

Change: a request that may have run is to be repeated after the time in which a silent member is found (400 ms by default), or later where the queue says so. Requests that have not run keep the queue's delay.

The test failed before (10 ms) and passes with the change.

--- a/packages/core/src/lib/engine/requestCompletion.ts
+++ b/packages/core/src/lib/engine/requestCompletion.ts
@@ -75,6 +75,8 @@
 
   function computeRetryAfter(reason: NotRunReason, request: TrackedRequest, now: number): number {
     const queueTime = getQueue(request).estimateRetryAfter(now);
+    // By then, a member that did not answer is known to be silent and is avoided.
+    if (request.hasPossiblyRun) return Math.max(queueTime, policy.suspicionMilliseconds);
     if (reason === 'noPrimary') return Math.max(queueTime, policy.suspicionMilliseconds);
     if (reason === 'noFreshMember') return Math.max(queueTime, policy.probeIntervalMilliseconds);
     return queueTime;
--- a/packages/core/src/test/deadlines.test.ts
+++ b/packages/core/src/test/deadlines.test.ts
@@ -47,6 +47,13 @@
 });
 
 describe('a read that reaches its deadline', () => {
+  it('is to be repeated once it would avoid a silent member', () => {
+    // Guards against callers that repeat a read at once and lose it at the same member.
+    const { scenario, read } = startRead();
+    scenario.runUntil(() => read.outcome !== undefined);
+    expect(read.outcome).toEqual({ status: 'discarded', retryAfterMilliseconds: 400 });
+  });
+
   it('is recorded with the time that each phase took', () => {
     // Guards against a read that is given up without a line that says where its time went.
     const { scenario, read } = startRead();
