Record each value that a connection has taken, also beside a refused one

What callers would see: PINNED, a statement that runs with values which another session has set.

Where a member refused one (it has lost the lead meanwhile), nothing was recorded, although the others had their effect. The transaction is rolled back and its connection returns to the pool, where it passes for one without them.

Change: each completed command is recorded, whatever became of the others.

--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -344,8 +344,10 @@
   const commands = planStateRestore({ session, connection: connection.state, statement });
   if (commands.length === 0) return undefined;
   const answers = await Promise.all(commands.map((command) => connection.upstream.run(command)));
-  const refused = answers.find(({ outcome }) => outcome === 'refused');
-  if (refused) return refused;
-  for (const command of commands) applyStateCommand(connection.state, command);
-  return undefined;
+  commands.forEach((command, index) => {
+    // Each command has its effect even if the member refused another one.
+    const isCompleted = answers[index]?.outcome === 'completed';
+    if (isCompleted) applyStateCommand(connection.state, command);
+  });
+  return answers.find(({ outcome }) => outcome === 'refused');
 }
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -46,9 +46,17 @@
 interface ForwardedStatement {
   memberId: string;
   id: string;
+  /** Session values that were set on its connection. */
+  values: Record<string, string>;
   answer: () => void;
 }
 
+/** State of a connection as the member has it. */
+interface FakeConnection {
+  transaction: UpstreamAnswer['transaction'];
+  values: Map<string, string>;
+}
+
 /** Keeps one promotion record in memory. */
 function createRecordStore(): PromotionStore & { current?: StoredPromotionRecord } {
   const store: PromotionStore & { current?: StoredPromotionRecord } = {
@@ -77,6 +85,7 @@
     ((entries: DirectoryEntry[], freshness: DirectoryFreshness) => void) | undefined;
   let currentEntries: DirectoryEntry[] = [];
   let heldCommandType: UpstreamCommand['type'] | undefined;
+  let refusedCommandType: UpstreamCommand['type'] | undefined;
   const heldAnswers: (() => void)[] = [];
   const reports = new WeakMap<UpstreamAnswer, string>();
   const store = createRecordStore();
@@ -100,10 +109,18 @@
 
   function run(
     memberId: string,
-    state: { transaction: UpstreamAnswer['transaction'] },
+    state: FakeConnection,
     command: UpstreamCommand,
   ): Promise<UpstreamAnswer> {
     return new Promise((resolve) => {
+      if (command.type === refusedCommandType) {
+        refusedCommandType = undefined;
+        const { transaction } = state;
+        resolve({ outcome: 'refused', reason: 'readOnly', detail: memberId, transaction });
+        return;
+      }
+      if (command.type === 'reset') state.values.clear();
+      if (command.type === 'set') state.values.set(command.name, command.value);
       const answer = () => resolve(createCompletedAnswer(memberId, state.transaction));
       if (command.type === 'begin') Object.assign(state, { transaction: 'open' });
       if (command.type === 'demote') {
@@ -112,7 +129,8 @@
       }
       if (silent.has(memberId)) return;
       if (command.type === 'rollback') Object.assign(state, { transaction: 'idle' });
-      if (command.type === 'forward') forwarded.push({ memberId, id: command.id, answer });
+      const values = Object.fromEntries(state.values);
+      if (command.type === 'forward') forwarded.push({ memberId, id: command.id, values, answer });
       else if (command.type === heldCommandType) heldAnswers.push(answer);
       else answer();
     });
@@ -124,7 +142,7 @@
       logger: createTestLogger((event) => events.push(event)),
       driver: {
         connect: async ({ memberId }) => {
-          const state = { transaction: 'idle' as const };
+          const state: FakeConnection = { transaction: 'idle', values: new Map() };
           return {
             run: (command) => run(memberId, state, command),
             isOpen: () => true,
@@ -191,10 +209,11 @@
       answers,
       read: (id: string) => caller.onStatement({ type: 'read', id, text: 'READ lamp-1' }),
       write: (id: string) => caller.onStatement({ type: 'write', id, text: 'WRITE lamp-1 v1' }),
-      set: () =>
-        caller.onStatement({ type: 'set', id: 'set', text: 'SET a 1', name: 'a', value: '1' }),
+      set: (name = 'a', value = '1') =>
+        caller.onStatement({ type: 'set', id: 'set', text: `SET ${name} ${value}`, name, value }),
       begin: () =>
         caller.onStatement({ type: 'begin', id: 'begin', text: 'BEGIN', isReadOnly: false }),
+      rollback: () => caller.onStatement({ type: 'rollback', id: 'rollback', text: 'ROLLBACK' }),
       commit: () => caller.onStatement({ type: 'commit', id: 'commit', text: 'COMMIT' }),
     };
   }
@@ -224,6 +243,10 @@
     holdAnswers: (type: UpstreamCommand['type']) => {
       heldCommandType = type;
     },
+    /** Refuses the next command of this type, which then has no effect. */
+    refuseNext: (type: UpstreamCommand['type']) => {
+      refusedCommandType = type;
+    },
     releaseAnswers: () => {
       for (const answer of heldAnswers.splice(0)) answer();
     },
