--- a/packages/schema/src/lib/configuration/configuration.ts
+++ b/packages/schema/src/lib/configuration/configuration.ts
@@ -51,7 +51,10 @@
 export const requestKindSchema = z.strictObject({
   /** Maximum age of the data that is read; 0 gives read-your-writes consistency. */
   maximumStalenessMilliseconds: z.number().int().min(0).max(86_400_000).default(0),
-  /** Time from arrival within which the request must be answered. */
+  /**
+   * Time from arrival within which the answer must begin; a long one must go on within the same time of
+   * each of its parts.
+   */
   deadlineMilliseconds: z.number().int().min(1).max(600_000).default(5_000),
   /** Among the queued requests of one caller, those with a larger number are served first. */
   priority: z.number().int().min(0).max(9).default(5),
