Do not put off a group's timer once its time has passed

With a message in every turn of the event loop no limit would be enforced, and no failover step taken.

Change: the timer of a group is one of its own, and setting it leaves a due call alone; one call too many does no harm. The file holds both timers now.

--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -18,7 +18,7 @@
   toTransactionOutcome,
 } from './statementResult';
 import { createStatementRun, endAttempt, type StatementRun } from './statementRun';
-import { startTimeLimit, type TimeLimit } from './timeLimit';
+import { createWakeUpTimer, startTimeLimit } from './timers';
 import { createTransactionTable } from './transactionTable';
 import { createUpstreamMembers, type UpstreamConnectionCount } from './upstreamMembers';
 import type { Lease } from './upstreamPool';
@@ -67,7 +67,9 @@
   const { group, clock, policy, instance } = options;
   const { post } = createMailbox<GroupMessage>(onMessage);
   const runs = new Map<string, StatementRun>();
-  let timer: TimeLimit | undefined;
+  const timer = createWakeUpTimer(() => {
+    post({ type: 'engineEvent', event: { type: 'timerFired' } });
+  });
   let isStopped = false;
 
   const engine = createGroupEngine({
@@ -193,12 +195,7 @@
       askMember(questionId, member, { type: 'follow', term, primary, primaryAddress });
     },
     publishPrimary: ({ term, primary }) => options.onPrimaryPromoted({ term, primary }),
-    setTimer: ({ at }) => {
-      timer?.cancel();
-      timer = startTimeLimit(at - clock(), () =>
-        post({ type: 'engineEvent', event: { type: 'timerFired' } }),
-      );
-    },
+    setTimer: ({ at }) => timer.set(at - clock()),
     record: ({ record }) => options.record(record),
   };
 
@@ -369,7 +366,7 @@
     countUnfinished: () => runs.size + transactions.getSize(),
     stop: () => {
       isStopped = true;
-      timer?.cancel();
+      timer.stop();
       clearInterval(sweepTimer);
       runs.forEach(({ timeLimit }) => timeLimit?.cancel());
       members.destroy();
--- a/packages/proxy/src/lib/statements/group/statementRun.ts
+++ b/packages/proxy/src/lib/statements/group/statementRun.ts
@@ -1,7 +1,7 @@
 import type { Access } from '@wisterialift/core';
 import type { CompletedAnswer, UpstreamStatement } from '@wisterialift/mysql';
 import type { CallerMailbox } from '../callerMessages';
-import type { TimeLimit } from './timeLimit';
+import type { TimeLimit } from './timers';
 import type { Lease } from './upstreamPool';
 
 /** A statement that a group task has received and not yet answered. @internal */
