--- a/packages/proxy/src/test/statements.test.ts
+++ b/packages/proxy/src/test/statements.test.ts
@@ -43,12 +43,9 @@
   },
 };
 
-/** With the default deadline, reads could fail on a heavily loaded machine. */
-const LONG_DEADLINE_KINDS = { default: { deadlineMilliseconds: 600_000 } };
-
 describe.each(Object.keys(drivers))('statements of %s', (name) => {
   const open = async () => {
-    const fixture = await startStatementPath({ kinds: LONG_DEADLINE_KINDS });
+    const fixture = await startStatementPath();
     return (drivers[name] as (fixture: Fixture) => Promise<Driver>)(fixture);
   };
 
