--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -3,7 +3,7 @@
 import { createStalenessSamples } from '../reads/stalenessSamples';
 import { createRequestRouter } from '../routing/requestRouter';
 import { createStatementAttempts } from './statementAttempts';
-import type { AttemptResult } from './statementAttempts';
+import type { AttemptReference, AttemptResult } from './statementAttempts';
 import { createRequestCompletion } from './requestCompletion';
 import { measureRequest } from './requestTimes';
 import type { Member } from './memberTable';
@@ -19,7 +19,7 @@
   onArrived: (request: EngineRequest, now: number) => void;
   onCancelled: (requestId: string, now: number) => void;
   onFinished: (finished: AttemptResult, now: number) => void;
-  onAnswerContinued: (attempt: Omit<AttemptResult, 'result'>, now: number) => void;
+  onAnswerContinued: (attempt: AttemptReference, now: number) => void;
   onTransactionFinished: (transactionId: string) => void;
   /** Updates floors, staleness, confirmations and routes after a status response. */
   onAnswered: (member: Member, now: number) => void;
--- a/packages/core/src/lib/engine/statementAttempts.ts
+++ b/packages/core/src/lib/engine/statementAttempts.ts
@@ -8,10 +8,14 @@
 import type { RequestContext } from './requestContext';
 import type { TrackedRequest } from './requestTable';
 
-/** Result of one attempt to run a statement. @internal */
-export interface AttemptResult {
+/** Identifies one attempt to run a statement. @internal */
+export interface AttemptReference {
   requestId: string;
   attempt: number;
+}
+
+/** Result of one attempt to run a statement. @internal */
+export interface AttemptResult extends AttemptReference {
   result: StatementResult;
 }
 
@@ -32,7 +36,7 @@
    * Grants the time limit anew from each forwarded part of an answer: the limit bounds the wait for an
    * answer, not the time that a long one takes.
    */
-  onAnswerContinued: (attempt: Omit<AttemptResult, 'result'>, now: number) => void;
+  onAnswerContinued: (attempt: AttemptReference, now: number) => void;
   onTransactionFinished: (transactionId: string) => void;
   getTransaction: (request: TrackedRequest) => OpenTransaction | undefined;
   /** Ends the running attempt and frees its capacity; a response that arrives later is dropped. */
@@ -99,15 +103,12 @@
     lost: onLost,
   };
 
-  function findRunning({
-    requestId,
-    attempt,
-  }: Omit<AttemptResult, 'result'>): TrackedRequest | undefined {
+  function findRunning({ requestId, attempt }: AttemptReference): TrackedRequest | undefined {
     const request = requests.get(requestId);
     return request?.phase === 'running' && request.attempt === attempt ? request : undefined;
   }
 
-  function onAnswerContinued(attempt: Omit<AttemptResult, 'result'>, now: number): void {
+  function onAnswerContinued(attempt: AttemptReference, now: number): void {
     const request = findRunning(attempt);
     if (!request) return;
     request.answer = { firstAt: request.answer?.firstAt ?? now, lastAt: now };
