--- a/packages/proxy/src/test/statementsFailures.test.ts
+++ b/packages/proxy/src/test/statementsFailures.test.ts
@@ -4,6 +4,7 @@
 import type { Caller } from '@wisterialift/schema';
 import type { Connection as CallbackConnection, RowDataPacket } from 'mysql2';
 import type { Connection } from 'mysql2/promise';
+import { blockProcess } from './blockProcess';
 import {
   GROUP,
   OTHER_GROUP,
@@ -38,12 +39,6 @@
     socket.once('close', resolve);
   });
 
-/** Blocks the event loop of the process. */
-function blockProcess(milliseconds: number): void {
-  const endsAt = performance.now() + milliseconds;
-  while (performance.now() < endsAt);
-}
-
 describe('a login', () => {
   it('fails with the error code of the reason', async () => {
     const { connect, port } = await startStatementPath({ connectionLimit: 2 });
