Serve teams: keys, connections of their own, limits over all instances

Cause: the caller listener dropped the key, connections to databases were opened as `wisterialift` and handed to any session, no limit existed.

Change: the adapter digests keys, beyond it there are no keys. The configuration in force grants or refuses a database to a digest; an unknown one asks for a newer version first. A version that takes a key away ends the sessions that hold it. A connection belongs to the team under whose name it was opened; the pool closes the idle one that was used least recently to make room for another team. A team's limit is divided among one instance in each data centre, which grant permits of token buckets that do not depend on each other; an operation takes one permit at the caller's instance, however often it is retried, hedged or relayed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -101,3 +101,11 @@
   applyJitter,
   type BackOffTimes,
 } from './lib/membership/backOff';
+export { createTokenBucket, type BucketSize, type TokenBucket } from './lib/limits/tokenBucket';
+export {
+  computeLimitShare,
+  type LimitShare,
+  type LimitTolerance,
+  type RateLimit,
+} from './lib/limits/limitShares';
+export { createPermitReserve, type PermitReserve } from './lib/limits/permitReserve';
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,10 +5,13 @@
   type GatewayTimes,
 } from './lib/createGateway';
 export {
+  createTeamDirectory,
   type Consistency,
   type GatewayConfiguration,
   type GroupLimits,
   type Route,
+  type Team,
+  type TeamDirectory,
 } from './lib/configuration/gatewayConfiguration';
 export { UpstreamLostError } from './lib/errors/upstreamLostError';
 export { UpstreamRefusedError } from './lib/errors/upstreamRefusedError';
@@ -21,6 +24,7 @@
 } from './lib/ports/callerPort';
 export {
   type InstanceEntry,
+  type InstanceListing,
   type InstanceRegistry,
   type RelayTransport,
 } from './lib/ports/instancePort';
--- a/packages/gateway/src/lib/configuration/activeConfiguration.ts
+++ b/packages/gateway/src/lib/configuration/activeConfiguration.ts
@@ -1,4 +1,6 @@
 import type { CancelTimer, Clock } from '../ports/clock';
+import { findCallerAccess } from './callerAccess';
+import type { CallerAccess, CallerIdentity } from './callerAccess';
 import type { GatewayConfiguration, Route } from './gatewayConfiguration';
 
 /** Wait for the configuration watch to deliver a version that another instance already has. */
@@ -20,6 +22,8 @@
   getVersion: () => number;
   /** Returns undefined before the first version is adopted. */
   findRoute: (database: string) => VersionedRoute | undefined;
+  /** Returns undefined before the first version is adopted. */
+  findAccess: (identity: CallerIdentity) => CallerAccess | undefined;
   /** Resolves to true once `version` or a newer one is active, or to false after `milliseconds`. */
   waitForVersion: (version: number, milliseconds: number) => Promise<boolean>;
 }
@@ -55,6 +59,7 @@
         version: configuration.version,
         route: configuration.routes.get(database),
       },
+    findAccess: (identity) => configuration && findCallerAccess(configuration, identity),
     waitForVersion: (minimumVersion, milliseconds) =>
       new Promise((resolve) => {
         if (getVersion() >= minimumVersion) {
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,10 +1,13 @@
+import type { LimitTolerance } from '@wisterialift/core';
 import type { Logger } from '@wisterialift/telemetry';
-import type { GatewayConfiguration } from './configuration/gatewayConfiguration';
+import type { GatewayConfiguration, GroupLimits } from './configuration/gatewayConfiguration';
 import { createActiveConfiguration } from './configuration/activeConfiguration';
 import { createDirectoryCache } from './directory/directoryCache';
 import type { StatementRunner } from './groups/statementRunner';
 import { createGroupRouter } from './groups/groupRouter';
 import type { GroupRouter } from './groups/groupRouter';
+import { createTeamLimits } from './limits/teamLimits';
+import type { LimitCounters } from './limits/teamLimiter';
 import type { Mechanism, IsMechanismEnabled } from './mechanisms';
 import type { CallerAcceptor } from './ports/callerPort';
 import type { Clock } from './ports/clock';
@@ -52,6 +55,8 @@
   orders: PromotionOrderClient;
   registry: InstanceRegistry;
   transport: RelayTransport;
+  /** By how much the rate limits of teams may be exceeded. */
+  limitTolerance: LimitTolerance;
   /** Returns a uniform number in [0, 1), used for jitter. */
   random: () => number;
   /** Mechanisms disabled for an experiment. */
@@ -73,6 +78,8 @@
    */
   drain: (stopAccepting: () => void) => Promise<void>;
   getCounters: () => Record<string, GroupRouter['counters']>;
+  /** Operations of this instance's callers that their teams' limits admitted and refused, by team. */
+  getLimitCounters: () => ReadonlyMap<string, LimitCounters>;
   countSessions: () => number;
   close: () => void;
 }
@@ -129,6 +136,16 @@
   const isMechanismEnabled: IsMechanismEnabled = (mechanism) =>
     !options.disabledMechanisms?.has(mechanism);
 
+  const holders = createHolderSelector({
+    ...options,
+    isMechanismEnabled,
+    onHoldersAssigned: () => listenToInstances(),
+  });
+  const limits = createTeamLimits({
+    ...options,
+    configuration,
+    findLink: holders.findLink,
+  });
   // Clocks are checked before each statement: after a suspension, old positions would look fresh.
   const relay = createRelayService({
     configuration,
@@ -137,17 +154,16 @@
       return localGroups.get(group);
     },
     waitForFreshState,
+    grantPermits: limits.grantPermits,
     clock,
     logger,
   });
-  const holders = createHolderSelector({
-    ...options,
-    isMechanismEnabled,
-    onHoldersAssigned: () => transport.listen(relay.accept),
-  });
-
   const stopClockChecks = clock.runEvery(CLOCK_CHECK_INTERVAL_MILLISECONDS, checkClockDrift);
-  registry.registerInstance(holders.updateInstances);
+  registry.registerInstance((instances, listing) => {
+    limits.updateInstances(instances, listing);
+    holders.updateInstances(instances);
+    listenIfAllocator();
+  });
   options.configuration.subscribe({ onChange: configuration.adopt, isPrompt: needsPromptChanges });
   options.directory.subscribe({
     onChange: (entries, freshness) => {
@@ -165,6 +181,7 @@
    */
   function needsPromptChanges(): boolean {
     if (localGroups.size === 0 || clock.now() < statementsRunUntil) return true;
+    if (limits.isAllocator()) return true;
     return [...localGroups.keys()].some(holders.isHolder);
   }
 
@@ -230,19 +247,30 @@
       former: previousVersion,
       routes: next.routes.size,
     });
-    for (const limits of next.groups.values()) {
-      holders.updateLimits(limits.name, limits.maximumConnections);
-      const router = localGroups.get(limits.name);
-      if (router) router.updateLimits(limits);
-      else openGroup(limits.name, limits);
+    for (const group of next.groups.values()) {
+      holders.updateLimits(group.name, group.maximumConnections);
+      const router = localGroups.get(group.name);
+      if (router) router.updateLimits(group);
+      else openGroup(group.name, group);
     }
+    for (const session of [...sessions]) session.checkKey();
+    listenIfAllocator();
+  }
+
+  /** Other instances ask an allocator for permits. */
+  function listenIfAllocator(): void {
+    if (limits.isAllocator()) listenToInstances();
+  }
+
+  function listenToInstances(): void {
+    transport.listen(relay.accept);
   }
 
-  function openGroup(group: string, limits: { name: string; maximumConnections: number }): void {
+  function openGroup(group: string, groupLimits: GroupLimits): void {
     const router = createGroupRouter({
       ...options,
       group,
-      limits,
+      limits: groupLimits,
       isMechanismEnabled,
       isHolder: () => holders.isHolder(group),
       hasOtherHolders: () => holders.hasOtherHolders(group),
@@ -281,6 +309,7 @@
     if (change < CLOCK_DRIFT_THRESHOLD_MILLISECONDS) return;
     logger.warn('clocksDisagree', { changeMilliseconds: Math.round(change) });
     for (const router of localGroups.values()) router.clearPositionSamples();
+    limits.clearPermits();
   }
 
   const acceptCaller: CallerAcceptor = (link) => {
@@ -294,6 +323,7 @@
         checkClockDrift();
         return relayedGroups.get(group);
       },
+      requestPermit: limits.requestPermit,
       onEnd: () => sessions.delete(session),
       onAnswered: options.onAnswered,
     });
@@ -335,6 +365,7 @@
     drain,
     getCounters: () =>
       Object.fromEntries([...localGroups].map(([group, router]) => [group, router.counters])),
+    getLimitCounters: limits.getCounters,
     countSessions: () => sessions.size,
     close: () => {
       stopClockChecks();
--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -121,7 +121,12 @@
   const { priority } = request.route;
   let connection: PooledConnection;
   try {
-    connection = await member.pool.acquire({ session, deadlineAt, priority });
+    connection = await member.pool.acquire({
+      session,
+      owner: request.team,
+      deadlineAt,
+      priority,
+    });
   } catch (error) {
     if (error instanceof NoConnectionError) return { type: 'notSent', cause: 'noConnection' };
     backOffFromMember(member, context.clock.now());
--- a/packages/gateway/src/lib/groups/sendMemberCommand.ts
+++ b/packages/gateway/src/lib/groups/sendMemberCommand.ts
@@ -26,6 +26,8 @@
     const session = createSessionState();
     const pendingConnection = member.pool.acquire({
       session,
+      owner: undefined,
+      acceptsAnyOwner: true,
       deadlineAt,
       priority: CONTROL_COMMAND_PRIORITY,
     });
--- a/packages/gateway/src/lib/groups/statementRequest.ts
+++ b/packages/gateway/src/lib/groups/statementRequest.ts
@@ -17,6 +17,10 @@
   text: string;
   prepared?: { statement: PreparedStatement; argumentsText: string };
   session: GroupSession;
+  /** Name of the caller's team, under which the statement runs; undefined if it belongs to none. */
+  team?: string;
+  /** Digest of the caller's key; undefined if it presented none or another instance checked it. */
+  keyDigest?: string;
   route: Route;
   /** Version of the configuration that contains the route. */
   configurationVersion: number;
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -1,11 +1,15 @@
 import {
   applyStateCommand,
-  chooseNextStatement,
+  canUseConnection,
+  chooseWaitingStatement,
   countVariableCommands,
   createConnectionState,
+  findUncoveredStatements,
   planStateRestore,
 } from '@wisterialift/pooling';
 import type {
+  ConnectionNeed,
+  ConnectionOwner,
   ConnectionState,
   PreparedStatement,
   QueuedStatement,
@@ -23,11 +27,13 @@
 /** An upstream connection and its session state. */
 export interface PooledConnection {
   upstream: UpstreamConnection;
+  /** Team under whose name the connection was opened. */
+  owner: ConnectionOwner;
   state: ConnectionState;
   idleSince: number;
 }
 
-export interface AcquireOptions {
+export interface AcquireOptions extends ConnectionNeed {
   session: SessionState;
   deadlineAt: number;
   /** Priority; lower values go first. */
@@ -125,12 +131,13 @@
   let refusedAt = -Infinity;
   let raisedAt = -Infinity;
   let pausedUntil = -Infinity;
-  let openingCount = 0;
+  /** Owners of the connections that are being opened. */
+  const opening: ConnectionOwner[] = [];
   let pinnedCount = 0;
   let isClosed = false;
 
   function acquire(request: AcquireOptions): Promise<PooledConnection> {
-    const ready = takeIdle(request.session);
+    const ready = takeIdle(request);
     if (ready) return Promise.resolve(ready);
     return new Promise((resolve, reject) => {
       let cancelTimeout: CancelTimer | undefined;
@@ -156,13 +163,14 @@
   }
 
   /** Takes the idle connection that needs the fewest commands to match the session. */
-  function takeIdle(session: SessionState): PooledConnection | undefined {
+  function takeIdle(request: AcquireOptions): PooledConnection | undefined {
     let best: PooledConnection | undefined;
     let lowestCommandCount = Infinity;
     // Prefer recently used connections, because long-idle ones are more likely to be dead.
     for (const candidate of idle.toReversed()) {
-      const commandCount = countVariableCommands(session, candidate.state);
-      if (candidate.upstream.isOpen() && commandCount < lowestCommandCount) {
+      const commandCount = countVariableCommands(request.session, candidate.state);
+      const isUsable = candidate.upstream.isOpen() && canUseConnection(request, candidate);
+      if (isUsable && commandCount < lowestCommandCount) {
         best = candidate;
         lowestCommandCount = commandCount;
       }
@@ -173,44 +181,60 @@
 
   function openForWaiters(): void {
     if (clock.now() < pausedUntil) return;
-    if (waiters.length > 0) raiseLimit();
-    while (
-      openingCount < waiters.length &&
-      connections.size + openingCount < calculateCapacity() &&
-      !isClosed
-    ) {
-      openingCount += 1;
-      void openConnection();
+    for (const { owner } of findUncoveredStatements(waiters, opening)) {
+      if (isClosed || !makeRoom()) return;
+      opening.push(owner);
+      void openConnection(owner);
     }
   }
 
+  /** Closes the idle connection that was used least recently if there is no room for another one. */
+  function makeRoom(): boolean {
+    if (!isFull()) return true;
+    const evicted = idle.shift();
+    if (evicted) {
+      connections.delete(evicted);
+      evicted.upstream.close();
+      return true;
+    }
+    raiseLimit();
+    return !isFull();
+  }
+
+  function isFull(): boolean {
+    return connections.size + opening.length >= calculateCapacity();
+  }
+
   function raiseLimit(): void {
     const now = clock.now();
-    if (connections.size + openingCount < calculateCapacity()) return;
+    if (!isFull()) return;
     if (now - refusedAt < REFUSAL_MILLISECONDS || now - raisedAt < RAISE_PAUSE_MILLISECONDS) return;
     raisedLimit = Math.min(maximum, calculateCapacity() + 1);
     raisedAt = now;
   }
 
-  async function openConnection(): Promise<void> {
+  async function openConnection(owner: ConnectionOwner): Promise<void> {
+    const finishOpening = () => opening.splice(opening.indexOf(owner), 1);
     try {
       const target = {
         group,
         memberId,
         address,
+        team: owner,
         timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
       };
       const upstream = await driver.connect(target);
-      openingCount -= 1;
+      finishOpening();
       if (isClosed) {
         upstream.close();
         return;
       }
-      const connection = { upstream, state: createConnectionState(), idleSince: clock.now() };
+      const state = createConnectionState();
+      const connection = { upstream, owner, state, idleSince: clock.now() };
       connections.add(connection);
       assignConnection(connection);
     } catch (error) {
-      openingCount -= 1;
+      finishOpening();
       handleOpenFailure(error as Error);
     }
   }
@@ -234,19 +258,15 @@
   }
 
   function assignConnection(connection: PooledConnection): void {
-    const next = takeWaiter();
+    const next = chooseWaitingStatement(waiters, connection);
     if (next) {
+      removeWaiter(next);
       next.grant(connection);
       return;
     }
     Object.assign(connection, { idleSince: clock.now() });
     idle.push(connection);
-  }
-
-  function takeWaiter(): Waiter | undefined {
-    const next = chooseNextStatement(waiters);
-    if (next) removeWaiter(next);
-    return next;
+    openForWaiters();
   }
 
   function removeWaiter(waiter: Waiter): void {
--- /dev/null
+++ b/packages/gateway/src/lib/limits/teamLimits.ts
@@ -0,0 +1,81 @@
+import type { LimitTolerance } from '@wisterialift/core';
+import type { Logger } from '@wisterialift/telemetry';
+import type { ActiveConfiguration } from '../configuration/activeConfiguration';
+import type { Clock } from '../ports/clock';
+import type { PeerLink } from '../relay/peerLink';
+import { createAllocatorPlans } from './allocatorPlans';
+import type { AllocatorPlans } from './allocatorPlans';
+import { createOperationLimiter } from './operationLimiter';
+import type { OperationLimiter } from './operationLimiter';
+import { createPermitAllocator } from './permitAllocator';
+import type { PermitAllocator, PermitGrant } from './permitAllocator';
+
+/** Rate limits of teams, as this instance applies them to its callers and shares them out. */
+export interface TeamLimits extends Pick<OperationLimiter, 'requestPermit' | 'getCounters'> {
+  /** Grants permits to another instance. */
+  grantPermits: PermitAllocator['grant'];
+  /** Whether this instance shares out the limit of any team. */
+  isAllocator: () => boolean;
+  updateInstances: AllocatorPlans['updateInstances'];
+  /** Discards permits whose age is unknown, after the process was suspended. */
+  clearPermits: () => void;
+}
+
+/**
+ * Longest wait for an allocator's answer, beyond which the next one is asked: two round trips between
+ * data centres and a pause of a busy process.
+ */
+const ANSWER_TIMEOUT_MILLISECONDS = 200;
+
+export function createTeamLimits(options: {
+  instance: string;
+  dataCentre: string;
+  clock: Clock;
+  logger: Logger;
+  limitTolerance: LimitTolerance;
+  /** Returns a uniform number in [0, 1), used for jitter. */
+  random: () => number;
+  configuration: ActiveConfiguration;
+  /** Returns the link to an instance; undefined if it cannot be reached at present. */
+  findLink: (instance: string) => PeerLink | undefined;
+}): TeamLimits {
+  const { instance, clock, limitTolerance: tolerance, configuration, findLink } = options;
+  const plans = createAllocatorPlans(options);
+  const findLimit = (team: string) => configuration.get()?.teams?.byName.get(team)?.limit;
+  const allocator = createPermitAllocator({
+    clock,
+    tolerance,
+    findLimit,
+    countAllocators: plans.countAllocators,
+  });
+
+  async function askAllocator(
+    name: string,
+    request: { team: string; count: number },
+  ): Promise<PermitGrant | undefined> {
+    if (name === instance) return allocator.grant(request.team, request.count);
+    const link = findLink(name);
+    if (!link) return undefined;
+    const answerBy = clock.now() + ANSWER_TIMEOUT_MILLISECONDS;
+    const outcome = await link.request({ permits: request }, answerBy);
+    if (outcome.type !== 'answered') return undefined;
+    return outcome.response.permits;
+  }
+
+  const limiter = createOperationLimiter({
+    ...options,
+    tolerance,
+    findLimit,
+    findAllocators: plans.findAllocators,
+    askAllocator,
+  });
+
+  return {
+    requestPermit: limiter.requestPermit,
+    getCounters: limiter.getCounters,
+    grantPermits: allocator.grant,
+    isAllocator: () => plans.isAllocatorOfAny(configuration.get()?.teams?.byName.keys() ?? []),
+    updateInstances: plans.updateInstances,
+    clearPermits: limiter.clear,
+  };
+}
--- a/packages/gateway/src/lib/ports/callerPort.ts
+++ b/packages/gateway/src/lib/ports/callerPort.ts
@@ -17,7 +17,8 @@
 
 /** Protocol events of a session. @public */
 export interface CallerEvents {
-  onStart: (database: string) => void;
+  /** @param keyDigest - digest of the key that identifies the caller, if it presented one. */
+  onStart: (database: string, keyDigest?: string) => void;
   onStatement: (statement: CallerStatement) => void;
   onDisconnect: () => void;
 }
--- a/packages/gateway/src/lib/ports/instancePort.ts
+++ b/packages/gateway/src/lib/ports/instancePort.ts
@@ -7,10 +7,21 @@
   address: string;
 }
 
+/** How a list of instances relates to the lists of other instances. @public */
+export interface InstanceListing {
+  /**
+   * Whether others may still have the former list, or one without this instance if it is the first list
+   * of the process.
+   */
+  mayOthersLag: boolean;
+}
+
 /** Registry of all instances, including this one. @public */
 export interface InstanceRegistry {
   /** Registers this instance and calls `onChange` with the full list at each change. */
-  registerInstance: (onChange: (instances: InstanceEntry[]) => void) => void;
+  registerInstance: (
+    onChange: (instances: InstanceEntry[], listing: InstanceListing) => void,
+  ) => void;
   /** Reports an unreachable instance, which is removed unless it has registered again. */
   reportUnreachable: (instance: string) => void;
 }
--- a/packages/gateway/src/lib/ports/upstreamPort.ts
+++ b/packages/gateway/src/lib/ports/upstreamPort.ts
@@ -14,6 +14,8 @@
   memberId: string;
   address: string;
   timeoutMilliseconds: number;
+  /** Team whose statements the connection runs; undefined if they belong to none. */
+  team: string | undefined;
 }
 
 /** Client of the database protocol. @public */
--- a/packages/gateway/src/lib/relay/holderSelector.ts
+++ b/packages/gateway/src/lib/relay/holderSelector.ts
@@ -21,6 +21,8 @@
    * @param refusing - links to holders that do not reach the members.
    */
   selectOtherLink: (group: string, refusing: ReadonlySet<PeerLink>) => PeerLink | undefined;
+  /** Returns the link to an instance; undefined if it is unknown or cannot be reached at present. */
+  findLink: (instance: string) => PeerLink | undefined;
   /** Whether instances other than this one hold connections to the group's members. */
   hasOtherHolders: (group: string) => boolean;
   /** Whether this instance holds connections to the group's members. */
@@ -189,6 +191,11 @@
   return {
     selectLink,
     selectOtherLink,
+    findLink: (name) => {
+      const peer = peers.get(name);
+      if (!peer || !isReachable(name)) return undefined;
+      return openLink(peer);
+    },
     hasOtherHolders: (group) => getPlan(group).type === 'holders',
     isHolder: (group) => {
       const plan = getPlan(group);
--- a/packages/gateway/src/lib/relay/peerLink.ts
+++ b/packages/gateway/src/lib/relay/peerLink.ts
@@ -138,6 +138,7 @@
       rolledBackTransaction: 0,
       wantsConfiguration: false,
       configurationJson: '',
+      permits: undefined,
       ...content,
     });
   }
@@ -160,6 +161,7 @@
 
   async function request(content: RelayRequestFields, answerBy: number): Promise<RelayOutcome> {
     await waitUntilOpen();
+    if (clock.now() >= answerBy) return { type: 'notSent' };
     if (state === 'lost') return { type: 'notSent' };
     lastRequestNumber += 1;
     const number = lastRequestNumber;
--- a/packages/gateway/src/lib/relay/relayMessages.ts
+++ b/packages/gateway/src/lib/relay/relayMessages.ts
@@ -56,6 +56,7 @@
     lastCommit: encodeCommit(session.lastCommit, now),
     route: encodeRoute(route, configurationVersion),
     timeLeftMilliseconds: Math.max(0, Math.round(deadlineAt - now)),
+    team: request.team ?? '',
   };
 }
 
@@ -92,6 +93,7 @@
       argumentsText: prepared.argumentsText,
     },
     session,
+    team: statement.team === '' ? undefined : statement.team,
     route,
     configurationVersion: version,
     arrivalStamp,
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -13,6 +13,7 @@
 import type { GroupRouter } from '../groups/groupRouter';
 import type { StatementRunner, Transaction } from '../groups/statementRunner';
 import type { StatementRequest } from '../groups/statementRequest';
+import type { PermitAllocator } from '../limits/permitAllocator';
 import type { Clock } from '../ports/clock';
 import { decodeAction, decodeRoute, decodeStatement, encodeAnswer } from './relayMessages';
 import type { RelayAction } from './relayMessages';
@@ -34,6 +35,8 @@
   findRunner: (group: string) => RelayTarget | undefined;
   /** Resolves once the directory and the configuration are fresh, or after a timeout. */
   waitForFreshState: () => Promise<void>;
+  /** Grants permits of this instance's share of a team's limit. */
+  grantPermits: PermitAllocator['grant'];
   clock: Clock;
   logger: Logger;
 }
@@ -62,7 +65,7 @@
 }) => Promise<UpstreamAnswer>;
 
 export function createRelayService(options: RelayServiceOptions): RelayService {
-  const { configuration, findRunner, waitForFreshState, clock, logger } = options;
+  const { configuration, findRunner, waitForFreshState, grantPermits, clock, logger } = options;
   const streams = new Map<Respond, StreamTransactions>();
   let runningStatements = 0;
   let isDraining = false;
@@ -181,12 +184,15 @@
   }
 
   async function handleRequest(
-    { number, statement, ...rest }: RelayRequest,
+    { number, statement, permits, ...rest }: RelayRequest,
     { respond, transactions }: { respond: Respond; transactions: StreamTransactions },
   ): Promise<void> {
     const { rolledBackTransaction, wantsConfiguration, configurationJson } = rest;
     if (rolledBackTransaction > 0) {
       rollBack(transactions, rolledBackTransaction);
+    } else if (permits) {
+      const granted = grantPermits(permits.team, permits.count);
+      respond(createResponse(number, { permits: granted }));
     } else if (statement) {
       runningStatements += 1;
       const outcome = await handleStatement(statement, transactions)
@@ -211,7 +217,7 @@
 
   function createResponse(
     number: number,
-    content: Partial<Pick<RelayResponse, 'answer' | 'configurationJson' | 'isOutOfReach'>> = {},
+    content: Partial<Omit<RelayResponse, 'number' | 'isLeaving' | 'version'>> = {},
   ): RelayResponse {
     const version = Math.max(0, configuration.getVersion());
     return {
@@ -221,6 +227,7 @@
       answer: undefined,
       configurationJson: '',
       isOutOfReach: false,
+      permits: undefined,
       ...content,
     };
   }
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -106,21 +106,26 @@
     }
   }
 
-  /** @returns a refusal if the database is no longer routed to this group. */
+  /**
+   * @returns a refusal if the database is no longer routed to this group, or the caller's key no longer
+   *   belongs to its team.
+   */
   function applyCurrentRoute(request: StatementRequest): UpstreamAnswer | undefined {
-    const found = configuration.findRoute(request.route.database);
-    if (found?.route?.group !== group) return refuseRerouted(request);
-    Object.assign(request, { route: found.route, configurationVersion: found.version });
+    const { keyDigest, route } = request;
+    const { database } = route;
+    const access = configuration.findAccess({ database, keyDigest });
+    if (!access) return refuseTemporarily(refusalContext, request, 'busy', 'no configuration');
+    if (access.type === 'refused') return refuse(request, access.reason, access.detail);
+    if (access.team?.name !== request.team) {
+      return refuse(request, 'unauthenticated', 'the key belongs to another team now');
+    }
+    if (access.route.group !== group) {
+      return refuseTemporarily(refusalContext, request, 'busy', `${database} has just moved`);
+    }
+    Object.assign(request, { route: access.route, configurationVersion: access.version });
     return undefined;
   }
 
-  function refuseRerouted(request: StatementRequest): UpstreamAnswer {
-    const { database } = request.route;
-    const isDropped = !configuration.findRoute(database)?.route;
-    if (isDropped) return refuse(request, 'unknownDatabase', `no route leads to ${database}`);
-    return refuseTemporarily(refusalContext, request, 'busy', `${database} has just moved`);
-  }
-
   function refuse(
     request: StatementRequest,
     reason: FailureReason,
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -3,11 +3,13 @@
 import type { Logger } from '@wisterialift/telemetry';
 import type { Route } from '../configuration/gatewayConfiguration';
 import type { ActiveConfiguration } from '../configuration/activeConfiguration';
+import type { CallerAccess, CallerIdentity } from '../configuration/callerAccess';
 import type { StatementRunner, Transaction } from '../groups/statementRunner';
 import type { SequencedTime } from '../groups/groupContext';
 import type { GroupSession, StatementRequest } from '../groups/statementRequest';
 import type { CallerAnswer, CallerEvents, CallerLink } from '../ports/callerPort';
 import type { CancelTimer, Clock } from '../ports/clock';
+import type { RequestPermit } from '../limits/operationLimiter';
 
 /** Runs the statements of one caller in order. */
 export interface CallerSession {
@@ -16,6 +18,8 @@
   drain: () => void;
   /** Rolls back the open transaction and marks it as failed. */
   abortTransaction: () => void;
+  /** Ends the session if the active configuration no longer accepts its key for its team. */
+  checkKey: () => void;
 }
 
 export interface CallerSessionOptions {
@@ -26,6 +30,8 @@
   /** Takes over a newer configuration if there is one; resolves at once if changes arrive promptly. */
   checkForNewerConfiguration: () => Promise<void>;
   findRunner: (group: string) => StatementRunner | undefined;
+  /** Counts an operation against the limit of a team, if there is one. */
+  requestPermit: RequestPermit;
   onEnd: () => void;
   onAnswered: (sample: AnswerSample) => void;
 }
@@ -38,11 +44,16 @@
   milliseconds: number;
 }
 
-/** An open transaction; it takes a connection on its first statement. */
-interface OpenTransaction {
+/** Where the statements of a caller run. */
+interface RoutedGroup {
   route: Route;
   version: number;
+  team: string | undefined;
   runner: StatementRunner;
+}
+
+/** An open transaction; it takes a connection on its first statement. */
+interface OpenTransaction extends RoutedGroup {
   isReadOnly: boolean;
   beginStamp: SequencedTime;
   upstream?: Transaction;
@@ -53,15 +64,20 @@
 const START_TIMEOUT_MILLISECONDS = 1_500;
 const START_POLL_INTERVAL_MILLISECONDS = 20;
 
+const REVOKED_DETAIL = 'the key is no longer valid';
+
 type Handler<Type extends CallerStatement['type']> = (
   statement: CallerStatement & { type: Type },
 ) => Promise<CallerAnswer> | CallerAnswer;
 
 export function createCallerSession(options: CallerSessionOptions): CallerSession {
   const { link, clock, logger, configuration, findRunner, onEnd, onAnswered } = options;
-  const { checkForNewerConfiguration } = options;
+  const { checkForNewerConfiguration, requestPermit } = options;
   const session: GroupSession = { state: createSessionState(), lastCommit: undefined };
-  let database = '';
+  let identity: CallerIdentity = { database: '', keyDigest: undefined };
+  let team: string | undefined;
+  let isAccepted = false;
+  let isRevoked = false;
   let transaction: OpenTransaction | undefined;
   let pendingStatements = 0;
   let statementQueue = Promise.resolve();
@@ -69,7 +85,8 @@
   let isEnded = false;
   let cancelIdleTimer: CancelTimer | undefined;
 
-  const hasRoute = () => configuration.findRoute(database)?.route !== undefined;
+  const findAccess = () => configuration.findAccess(identity);
+  const hasAccess = () => findAccess()?.type === 'granted';
 
   const handlers: { [Type in CallerStatement['type']]: Handler<Type> } = {
     begin: ({ isReadOnly }) => begin(isReadOnly),
@@ -100,45 +117,64 @@
     unknown: ({ text }) => createRefusal('malformed', `not a statement: ${text.slice(0, 40)}`),
   };
 
-  function onStart(name: string): void {
-    database = name;
-    const found = configuration.findRoute(name);
-    if (!found) {
-      void startWhenConfigured(name, clock.now() + START_TIMEOUT_MILLISECONDS);
-      return;
-    }
-    if (found.route) link.accept();
-    else void startIfRouted(name);
+  function onStart(database: string, keyDigest?: string): void {
+    identity = { database, keyDigest };
+    const access = findAccess();
+    if (!access) void startWhenConfigured(clock.now() + START_TIMEOUT_MILLISECONDS);
+    else if (access.type === 'granted') acceptCaller(access);
+    else void startIfAllowed();
   }
 
-  async function startIfRouted(name: string): Promise<void> {
+  function acceptCaller(access: CallerAccess & { type: 'granted' }): void {
+    isAccepted = true;
+    team = access.team?.name;
+    link.accept();
+  }
+
+  async function startIfAllowed(): Promise<void> {
     await checkForNewerConfiguration();
     if (isEnded) return;
-    if (hasRoute()) link.accept();
-    else refuseStart('unknownDatabase', `no route leads to ${name}`);
+    const access = findAccess()!;
+    if (access.type === 'granted') acceptCaller(access);
+    else refuseStart(access.reason, access.detail);
   }
 
   /** Waits for the first configuration after a process start instead of refusing the session. */
-  async function startWhenConfigured(name: string, waitUntil: number): Promise<void> {
+  async function startWhenConfigured(waitUntil: number): Promise<void> {
     while (!isEnded && !configuration.get() && clock.now() < waitUntil) {
       await clock.sleep(START_POLL_INTERVAL_MILLISECONDS);
     }
     if (isEnded) return;
-    if (configuration.get()) onStart(name);
+    if (configuration.get()) onStart(identity.database, identity.keyDigest);
     else refuseStart('busy', 'no configuration is known yet, come back later');
   }
 
   function refuseStart(reason: FailureReason, detail: string): void {
-    logger.info('sessionRefused', {
-      database,
-      reason,
-      detail,
-      version: configuration.get()?.version,
-    });
+    const { database } = identity;
+    const version = configuration.get()?.version;
+    logger.info('sessionRefused', { database, reason, detail, version });
     link.refuse(reason, detail);
     endSession();
   }
 
+  function checkKey(): void {
+    if (!isAccepted || isEnded || isRevoked) return;
+    const access = findAccess();
+    if (!access || !isKeyLost(access, team)) return;
+    isRevoked = true;
+    const { database } = identity;
+    logger.info('sessionRevoked', { database, team, version: access.version });
+    abortTransaction();
+    endIfRevoked();
+  }
+
+  /** Lets a running statement finish: it was sent while the key was valid. */
+  function endIfRevoked(): void {
+    if (!isRevoked || isEnded || pendingStatements > 0) return;
+    link.refuse('unauthenticated', REVOKED_DETAIL);
+    endSession();
+  }
+
   function onStatement(statement: CallerStatement): void {
     if (isEnded) return;
     pendingStatements += 1;
@@ -148,7 +184,7 @@
   }
 
   async function answerStatement(statement: CallerStatement, arrivedAt: number): Promise<void> {
-    const route = transaction?.route ?? configuration.findRoute(database)?.route;
+    const route = transaction?.route ?? configuration.findRoute(identity.database)?.route;
     const answer = await handleStatement(statement);
     pendingStatements -= 1;
     const outcome = answer.outcome === 'refused' ? answer.reason : 'completed';
@@ -156,15 +192,17 @@
     if (isEnded) return;
     link.answer(answer);
     startIdleTimer();
+    endIfRevoked();
     endIfDrained();
   }
 
   async function handleStatement(statement: CallerStatement): Promise<CallerAnswer> {
+    if (isRevoked) return createRefusal('unauthenticated', REVOKED_DETAIL);
     if (transaction?.isFailed && statement.type !== 'rollback' && statement.type !== 'commit') {
       return createRefusal('malformed', 'the transaction has failed and must be ended');
     }
     try {
-      if (!transaction && !hasRoute()) await checkForNewerConfiguration();
+      if (!transaction && !hasAccess()) await checkForNewerConfiguration();
       const handler = handlers[statement.type] as Handler<CallerStatement['type']>;
       return await handler(statement);
     } catch (error) {
@@ -176,31 +214,35 @@
     }
   }
 
-  function begin(isReadOnly: boolean): CallerAnswer {
+  async function begin(isReadOnly: boolean): Promise<CallerAnswer> {
     if (transaction) return createRefusal('malformed', 'a transaction is open already');
-    const found = findRoutedGroup();
-    if ('refusal' in found) return found.refusal;
-    const { route, version, runner } = found;
-    transaction = {
-      route,
-      version,
-      runner,
-      isReadOnly,
-      beginStamp: runner.createArrivalStamp(),
-      isFailed: false,
-    };
+    const admitted = await admitOperation();
+    if ('refusal' in admitted) return admitted.refusal;
+    const beginStamp = admitted.runner.createArrivalStamp();
+    transaction = { ...admitted, isReadOnly, beginStamp, isFailed: false };
     return createCompletedAnswer();
   }
 
-  function findRoutedGroup():
-    { route: Route; version: number; runner: StatementRunner } | { refusal: CallerAnswer } {
-    const found = configuration.findRoute(database);
-    if (!found?.route) {
-      return { refusal: createRefusal('unknownDatabase', `no route leads to ${database}`) };
+  /** Counts a statement or transaction that begins, then determines where it runs. */
+  async function admitOperation(): Promise<RoutedGroup | { refusal: CallerAnswer }> {
+    const found = findRoutedGroup();
+    if ('refusal' in found || found.team === undefined) return found;
+    const permit = await requestPermit(found.team);
+    if (permit.type === 'refused') return { refusal: createRefusal('busy', permit.detail) };
+    // The configuration may have changed during the wait.
+    if (isRevoked) return { refusal: createRefusal('unauthenticated', REVOKED_DETAIL) };
+    return findRoutedGroup();
+  }
+
+  function findRoutedGroup(): RoutedGroup | { refusal: CallerAnswer } {
+    const access = findAccess();
+    if (!access) return { refusal: createRefusal('busy', 'no configuration is known yet') };
+    if (access.type === 'refused') {
+      return { refusal: createRefusal(access.reason, access.detail) };
     }
-    const { route, version } = found;
+    const { route, version } = access;
     const runner = findRunner(route.group);
-    if (runner) return { route, version, runner };
+    if (runner) return { route, version, team: access.team?.name, runner };
     return {
       refusal: createRefusal('busy', `no database of ${route.group} is known, come back later`),
     };
@@ -211,10 +253,10 @@
     prepared?: StatementRequest['prepared'],
   ): Promise<CallerAnswer> {
     if (transaction) return runInTransaction(transaction, statement, prepared);
-    const found = findRoutedGroup();
-    if ('refusal' in found) return found.refusal;
-    const { runner } = found;
-    const request = createRequest(statement, found, prepared);
+    const admitted = await admitOperation();
+    if ('refusal' in admitted) return admitted.refusal;
+    const { runner } = admitted;
+    const request = createRequest(statement, admitted, prepared);
     const isWrite = (prepared?.statement.access ?? statement.type) === 'write';
     const answer = await (isWrite ? runner.write(request) : runner.read(request));
     return toCallerAnswer(answer, 'idle');
@@ -222,15 +264,7 @@
 
   function createRequest(
     { id, text }: CallerStatement,
-    {
-      route,
-      version,
-      runner,
-    }: {
-      route: Route;
-      version: number;
-      runner: StatementRunner;
-    },
+    { route, version, team: owner, runner }: RoutedGroup,
     prepared?: StatementRequest['prepared'],
   ): StatementRequest {
     const deadlineAt = clock.now() + route.timeout;
@@ -240,6 +274,8 @@
       text,
       prepared,
       session,
+      team: owner,
+      keyDigest: identity.keyDigest,
       route,
       configurationVersion: version,
       arrivalStamp,
@@ -334,7 +370,7 @@
     const idle = configuration.get()?.transactionIdle;
     if (!open?.upstream || open.isFailed || !idle) return;
     cancelIdleTimer = clock.runAfter(idle, () => {
-      logger.info('transactionIdle', { database, idleMilliseconds: idle });
+      logger.info('transactionIdle', { database: identity.database, idleMilliseconds: idle });
       abortTransaction();
     });
   }
@@ -366,5 +402,12 @@
       endIfDrained();
     },
     abortTransaction,
+    checkKey,
   };
 }
+
+/** Whether a key that identified a caller of `team` does not do so any more. */
+function isKeyLost(access: CallerAccess, team: string | undefined): boolean {
+  if (access.type === 'refused') return access.reason === 'unauthenticated';
+  return access.team?.name !== team;
+}
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -49,6 +49,7 @@
       listen: noop,
       close: noop,
     },
+    limitTolerance: { windowMilliseconds: 5_000, excess: 0.1, slack: 20 },
     onAnswered: noop,
     ...changes,
   };
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -56,6 +56,7 @@
     isOutOfReach: () => options.isOutOfReach,
   };
   const service = createRelayService({
+    grantPermits: () => ({ count: 0, retryAfterMilliseconds: 0 }),
     configuration: createConfiguration(),
     findRunner: () => target,
     waitForFreshState: async () => undefined,
@@ -87,6 +88,7 @@
     holders: {
       selectLink: () => links[0],
       selectOtherLink: (_, refusing) => links.find((link) => !refusing.has(link)),
+      findLink: () => undefined,
       hasOtherHolders: () => true,
       isHolder: () => false,
       countConnectedInstances: () => 2,
--- a/packages/gateway/src/test/peerLink.test.ts
+++ b/packages/gateway/src/test/peerLink.test.ts
@@ -36,6 +36,7 @@
     version: 3,
     configurationJson: '',
     isOutOfReach: false,
+    permits: undefined,
   };
 }
 
--- a/packages/gateway/src/test/relayService.test.ts
+++ b/packages/gateway/src/test/relayService.test.ts
@@ -17,6 +17,7 @@
   id: 'q1',
   text: 'WRITE lamp-1 lost',
   prepared: undefined,
+  team: '',
   values: {},
   lastCommit: undefined,
   timeLeftMilliseconds: 1_000,
@@ -39,6 +40,7 @@
     rolledBackTransaction: 0,
     wantsConfiguration: false,
     configurationJson: '',
+    permits: undefined,
     ...content,
   };
 }
@@ -71,6 +73,7 @@
     },
   };
   const service = createRelayService({
+    grantPermits: () => ({ count: 0, retryAfterMilliseconds: 0 }),
     configuration,
     findRunner: () => group as RelayTarget,
     waitForFreshState: () => new Promise(setImmediate),
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -73,6 +73,7 @@
   relayConfiguration.adopt(relayInitialConfiguration);
   holderConfiguration.adopt(holderInitialConfiguration);
   const service = createRelayService({
+    grantPermits: () => ({ count: 0, retryAfterMilliseconds: 0 }),
     configuration: holderConfiguration,
     findRunner: () => group,
     waitForFreshState: async () => {
@@ -105,6 +106,7 @@
     holders: {
       selectLink: () => (isLost ? undefined : link),
       selectOtherLink: () => undefined,
+      findLink: () => undefined,
       hasOtherHolders: () => true,
       isHolder: () => false,
       countConnectedInstances: () => 2,
--- a/packages/gateway/src/test/startupConnections.test.ts
+++ b/packages/gateway/src/test/startupConnections.test.ts
@@ -33,7 +33,8 @@
         refresh: async () => undefined,
       },
       registry: {
-        registerInstance: (onChange) => instanceList && onChange(instanceList),
+        registerInstance: (onChange) =>
+          instanceList && onChange(instanceList, { mayOthersLag: false }),
         reportUnreachable: noop,
       },
     }),
--- a/packages/gateway/src/test/suspension.test.ts
+++ b/packages/gateway/src/test/suspension.test.ts
@@ -38,7 +38,7 @@
       },
       registry: {
         registerInstance: (onChange) =>
-          onChange(['instance-1', 'instance-2'].map(createInstanceEntry)),
+          onChange(['instance-1', 'instance-2'].map(createInstanceEntry), { mayOthersLag: false }),
         reportUnreachable: noop,
       },
       transport: {
@@ -56,6 +56,7 @@
       rolledBackTransaction: 0,
       wantsConfiguration: false,
       configurationJson: '',
+      permits: undefined,
       statement: {
         action: 'read',
         transaction: 0,
@@ -64,6 +65,7 @@
         id: 'q1',
         text: 'READ lamp-1',
         prepared: undefined,
+        team: '',
         values: {},
         lastCommit: undefined,
         timeLeftMilliseconds: 0,
--- a/packages/gateway/src/test/unknownDatabase.test.ts
+++ b/packages/gateway/src/test/unknownDatabase.test.ts
@@ -44,6 +44,7 @@
       if (newer) configuration.adopt(newer);
     },
     findRunner: () => undefined,
+    requestPermit: async () => ({ type: 'granted' }),
     onEnd: noop,
     onAnswered: noop,
   });
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -25,6 +25,13 @@
   type PreparedStatement,
   type SessionState,
 } from './lib/session/sessionState';
+export {
+  canUseConnection,
+  chooseWaitingStatement,
+  findUncoveredStatements,
+  type ConnectionNeed,
+  type ConnectionOwner,
+} from './lib/connections/connectionOwnership';
 export {
   DISTANT_PAST_READINGS,
   computeAgeUpperBound,
@@ -40,11 +47,9 @@
 export { computeMaximumQueueWait } from './lib/routing/queueWaitLimit';
 export { chooseNextStatement, type QueuedStatement } from './lib/routing/chooseNextStatement';
 export { createLatencyEstimate, type LatencyEstimate } from './lib/routing/latencyEstimate';
-export {
-  planConnectionHolders,
-  type ConnectionHolderCandidate,
-  type ConnectionHolderPlan,
-} from './lib/routing/connectionHolders';
+export { planConnectionHolders, type ConnectionHolderPlan } from './lib/routing/connectionHolders';
+export { type ConnectionHolderCandidate } from './lib/routing/holdingInstances';
+export { planLimitAllocators, type LimitAllocatorPlan } from './lib/routing/limitAllocators';
 export { orderMembersForRead, type MemberLoad } from './lib/routing/orderMembersForRead';
 export { isDirectoryValid, MEMBER_SETTLING_MILLISECONDS } from './lib/membership/directoryValidity';
 export { choosePromotionCandidate, type PausedReplica } from './lib/promotion/promotionCandidate';
--- a/packages/pooling/src/lib/statements/upstreamCommand.ts
+++ b/packages/pooling/src/lib/statements/upstreamCommand.ts
@@ -29,7 +29,7 @@
  * Why a statement did not complete.
  *
  * - `busy`, `lagging`, `readOnly`, `wrongMember`, `tooManyConnections`, `unknownStatement`,
- *   `malformed`, `unknownDatabase`: it did not run.
+ *   `malformed`, `unknownDatabase`, `unauthenticated`: it did not run.
  * - `aborted`: it had no lasting effect.
  * - `failed`: it ran and failed.
  * - `timeout`, `unknownOutcome`: it may or may not have run.
@@ -48,7 +48,9 @@
   | 'timeout'
   | 'unknownOutcome'
   | 'malformed'
-  | 'unknownDatabase';
+  | 'unknownDatabase'
+  /** The caller's key is missing, unknown or no longer valid. */
+  | 'unauthenticated';
 
 /**
  * A member's complete answer; `position` is the end of its applied log, if it reported one.
--- a/stand-ins/line-platform/src/index.ts
+++ b/stand-ins/line-platform/src/index.ts
@@ -24,4 +24,5 @@
   type ConfigurationChanges,
   type InstanceSettings,
   type PlatformEntries,
+  type TeamEntry,
 } from './lib/platformEntries';
--- a/stand-ins/line-platform/src/lib/lineCaller.ts
+++ b/stand-ins/line-platform/src/lib/lineCaller.ts
@@ -37,8 +37,10 @@
   port: number;
   database: string;
   prefix?: string;
+  /** Key that the caller presents. */
+  key?: string;
 }): Promise<LineCaller> {
-  const { port, database, prefix = 'q' } = options;
+  const { port, database, prefix = 'q', key = 'tester' } = options;
   return new Promise((resolve, reject) => {
     const socket = connect({ host: '127.0.0.1', port, noDelay: true });
     let isClosed = false;
@@ -100,7 +102,7 @@
       for (const { fail } of waiting.splice(0)) fail(error);
       reject(error);
     });
-    socket.write(`STARTUP ${database} tester\r\n`);
+    socket.write(`STARTUP ${database} ${key}\r\n`);
   });
 }
 
--- a/stand-ins/line-platform/src/lib/lineDatabase.ts
+++ b/stand-ins/line-platform/src/lib/lineDatabase.ts
@@ -8,6 +8,8 @@
 export interface StatementRun {
   memberId: string;
   connection: number;
+  /** Who the connection was opened for. */
+  client: string;
   id: string;
   text: string;
   values: Record<string, string>;
@@ -77,6 +79,7 @@
   const { socket, group, member, runs, connection } = options;
   const values: Record<string, string> = {};
   const prepared = new Map<string, { access: string; shape: string }>();
+  let client = '';
   let transaction: OpenTransaction | undefined;
   let isFailed = false;
   let rest = '';
@@ -103,6 +106,7 @@
     runs.push({
       memberId: member.id,
       connection,
+      client,
       id,
       text,
       values: { ...values },
@@ -245,6 +249,7 @@
   function readLine(line: string): void {
     const [word, ...words] = line.split(' ');
     if (word === 'STARTUP') {
+      client = words[1] ?? '';
       const isExpected = words[0] === group.name && (words[2] ?? member.id) === member.id;
       if (isExpected) ready();
       else socket.end(`ERROR WRONGNODE ${member.id}\r\n`);
--- a/stand-ins/line-platform/src/lib/platformEntries.ts
+++ b/stand-ins/line-platform/src/lib/platformEntries.ts
@@ -26,6 +26,19 @@
   /** Limit of a statement, in milliseconds. */
   timeout?: number;
   maximumConnections?: number;
+  /** Teams of callers; left out, callers need no key. */
+  teams?: TeamEntry[];
+  /** A database that needs no key although there are teams. */
+  publicDatabase?: string;
+}
+
+/** A team of callers as the operator writes it. */
+export interface TeamEntry {
+  name: string;
+  keys: string[];
+  /** Operations a second, and how many may come at once. */
+  rate?: number;
+  burst?: number;
 }
 
 /** What the platform, its operator and its databases write, for one group. */
@@ -54,7 +67,8 @@
         born: startedAt,
       });
     },
-    configure: ({ without, timeout = 1_000, maximumConnections = 30 } = {}) => {
+    configure: (changes = {}) => {
+      const { without, timeout = 1_000, maximumConnections = 30, teams, publicDatabase } = changes;
       version += 3;
       const routes = Object.values(DATABASES)
         .filter((host) => host !== without)
@@ -65,12 +79,21 @@
           max_staleness_ms: STALENESS[host],
           timeout_ms: timeout,
           priority: 1,
+          public: host === publicDatabase,
         }));
+      const tenants = teams?.map(({ name, keys, rate = 1_000, burst = 1_000 }) => ({
+        name,
+        api_keys: keys,
+        rate_per_s: rate,
+        burst,
+        priority: 1,
+      }));
       store.put('config', 'main', {
         version,
         routes,
         services: [{ name: group, max_conns: maximumConnections }],
         limits: { tx_idle_ms: TRANSACTION_IDLE_MILLISECONDS },
+        tenants,
       });
     },
   };
@@ -97,6 +120,10 @@
     'ip=127.0.0.1',
     `internal_ports=${relayPort},${relayPort}`,
     `bounds.grace_s=${stopGrace}`,
+    'bounds.quota_window_s=5',
+    'bounds.quota_excess=0.1',
+    'bounds.quota_slack=20',
+    'bootstrap=true',
     `listen.frontend=${callers}`,
     `listen.readiness=${readiness}`,
     `platform.address=${store}`,
