--- a/tools/world/src/lib/callers/callerConnection.ts
+++ b/tools/world/src/lib/callers/callerConnection.ts
@@ -23,8 +23,9 @@
   caller: Host;
   instance: SimulatedInstance;
   database: string;
+  keyDigest?: string;
 }): Promise<CallerConnection | undefined> {
-  const { simulation, clock, caller, instance, database } = options;
+  const { simulation, clock, caller, instance, database, keyDigest } = options;
   return new Promise((resolve) => {
     let waiting: ((answer: CallerAnswer | undefined) => void) | undefined;
     const end = openStream<CallerMessage, CallerReply>({
@@ -32,7 +33,7 @@
       client: caller,
       server: instance.host,
       accept: instance.accept,
-      onOpen: () => end.send({ type: 'startup', database }),
+      onOpen: () => end.send({ type: 'startup', database, keyDigest }),
       events: {
         onMessage: (reply) => {
           if (reply.type === 'ready') accept();
--- a/tools/world/src/lib/callers/load.ts
+++ b/tools/world/src/lib/callers/load.ts
@@ -9,6 +9,7 @@
 import { drawOperation, runAttempt } from './operation';
 import type { Operation } from './operation';
 import type { Oracle } from './oracle';
+import type { WorldTeams } from './teams';
 
 /** One operation as its caller saw it. @internal */
 export interface Outcome {
@@ -34,9 +35,10 @@
   balancer: Balancer;
   oracle: Oracle;
   groups: readonly string[];
+  teams: WorldTeams;
   onOutcome: (outcome: Outcome) => void;
 }): void {
-  const { experiment, simulation, clock, balancer, oracle, groups, onOutcome } = options;
+  const { experiment, simulation, clock, balancer, oracle, groups, teams, onOutcome } = options;
   const { random } = simulation;
   const idle: IdleSessions = new Map();
   let operations = 0;
@@ -57,6 +59,7 @@
       id: `q${operations}`,
       kind,
       group: random.pick(groups),
+      team: teams.draw(random),
     });
     const askedAt = clock.now();
     let pauses = 0;
@@ -119,7 +122,8 @@
     return random.between(shortest, longest) * 2 ** (attempt - 1);
   }
 
-  const keyOf = ({ kind, group }: Operation, { name }: Host) => `${name} ${kind.name} ${group}`;
+  const keyOf = ({ kind, group, team }: Operation, { name }: Host) =>
+    `${name} ${kind.name} ${group} ${team?.name}`;
 
   async function findSession(
     operation: Operation,
@@ -131,7 +135,8 @@
     if (kept) return kept;
     const instance = balancer.choose(caller.dataCentre, tried);
     const database = `${kind.name}@${group}`;
-    return connectCaller({ simulation, clock, caller, instance, database });
+    const keyDigest = operation.team?.keyDigest;
+    return connectCaller({ simulation, clock, caller, instance, database, keyDigest });
   }
 
   function takeKept(key: string): CallerConnection | undefined {
--- a/tools/world/src/lib/callers/operation.ts
+++ b/tools/world/src/lib/callers/operation.ts
@@ -5,12 +5,15 @@
 import type { AttemptEnd } from './attemptEnd';
 import type { Oracle } from './oracle';
 import type { CallerConnection } from './callerConnection';
+import type { WorldTeam } from './teams';
 
 /** What a caller wants done, as one statement or one transaction. @internal */
 export interface Operation {
   id: string;
   kind: RequestKind;
   group: string;
+  /** Team whose caller asks for it; undefined where there are no teams. */
+  team: WorldTeam | undefined;
   isWrite: boolean;
   /** Statements of a transaction; 0 for a single statement. */
   transactionLength: number;
@@ -32,7 +35,7 @@
 /** Draws what a caller does next. @internal */
 export function drawOperation(
   random: Random,
-  options: { id: string; kind: RequestKind; group: string },
+  options: { id: string; kind: RequestKind; group: string; team: WorldTeam | undefined },
 ): Operation {
   const { kind } = options;
   const isTransaction = random.chance(kind.transactionShare);
@@ -58,6 +61,7 @@
   const { id, kind, group, isWrite, transactionLength } = operation;
   const attemptId = `${id}.${attempt}`;
   const session = connection;
+  oracle.teams.noteAttempt(attemptId, operation.team);
   let number = 0;
 
   const run = (type: CallerStatement['type'], text: string) => {
--- a/tools/world/src/lib/callers/oracle.ts
+++ b/tools/world/src/lib/callers/oracle.ts
@@ -5,16 +5,31 @@
 import type { ReplicatedLog } from '../databases/replicatedLog';
 import type { RequestKind } from '../experiment/experimentSchema';
 import type { AttemptEnd } from './attemptEnd';
+import { createTeamOracle } from './teamOracle';
+import type { TeamOracle } from './teamOracle';
+import type { WorldTeam } from './teams';
 
 /** A promise that was seen broken. @internal */
 export interface BrokenPromise {
-  promise: 'stale' | 'ownWrite' | 'lost' | 'doubled' | 'falseRefusal' | 'leaving' | 'replaced';
+  promise:
+    | 'stale'
+    | 'ownWrite'
+    | 'lost'
+    | 'doubled'
+    | 'falseRefusal'
+    | 'leaving'
+    | 'replaced'
+    | 'wrongTeam'
+    | 'revokedKey'
+    | 'overLimit';
   at: number;
   detail: string;
 }
 
 /** Holds what callers were told against what the databases have. @internal */
 export interface Oracle {
+  /** Holds the teams' keys and limits. */
+  teams: TeamOracle;
   noteSent: (group: string, id: string) => void;
   noteWriteEnd: (options: { group: string; id: string; session: object; end: AttemptEnd }) => void;
   /** @param options.rows - the position that the read showed, as the databases write it. */
@@ -46,6 +61,7 @@
 export function createOracle(
   scheduler: Scheduler,
   groups: ReadonlyMap<string, ReplicatedLog>,
+  teams: readonly WorldTeam[] = [],
 ): Oracle {
   const acknowledged = new Map<string, Acknowledged[]>();
   const refused = new Map<string, Set<string>>();
@@ -136,6 +152,7 @@
   }
 
   return {
+    teams: createTeamOracle({ scheduler, teams, report }),
     noteSent: (group) => {
       if (!acknowledged.has(group)) acknowledged.set(group, []);
       if (!refused.has(group)) refused.set(group, new Set());
--- a/tools/world/src/lib/databases/simulatedDatabase.ts
+++ b/tools/world/src/lib/databases/simulatedDatabase.ts
@@ -14,7 +14,7 @@
 
 /** What an instance sends to a database. @internal */
 export type DatabaseRequest =
-  | { type: 'startup'; group: string; memberId: string }
+  | { type: 'startup'; group: string; memberId: string; client?: string }
   | { type: 'command'; command: UpstreamCommand };
 
 /** What a database answers. @internal */
@@ -32,6 +32,15 @@
   handshakeTime: number;
 }
 
+/** A statement of a caller that arrives at a database. @internal */
+export interface StatementArrival {
+  statementId: string;
+  /** Whom its connection was opened for. */
+  client: string | undefined;
+  /** Whether it is outside of a transaction, or the first one of a transaction. */
+  isFirst: boolean;
+}
+
 /** One database behind a machine of its own. @internal */
 export interface SimulatedDatabase {
   group: string;
@@ -42,8 +51,8 @@
   connectionCount: () => number;
   /** Whether it has followed the primary at the usual pace for some time. */
   hasFollowed: (milliseconds: number) => boolean;
-  /** Calls back as a statement outside of a transaction arrives, or the first one of a transaction. */
-  onNewWork: (listener: (requestId: string) => void) => void;
+  /** Calls back as a statement of a caller arrives. */
+  onStatement: (listener: (arrival: StatementArrival) => void) => void;
   /** Share of statements whose answer is lost after they ran. */
   setAnswerLoss: (share: number) => void;
   /** Falls silent, with its connections. */
@@ -57,6 +66,7 @@
 
 interface Connection {
   end: StreamEnd<DatabaseReply>;
+  client: string | undefined;
   transaction: TransactionState;
   isReadOnly: boolean;
   writes: string[];
@@ -89,12 +99,13 @@
   const { slots: count, queueLength } = limits;
   const slots = createSlotQueue({ slots: count, queueLength, scheduler });
   const connections = new Set<Connection>();
-  const newWorkListeners: ((requestId: string) => void)[] = [];
+  const statementListeners: ((arrival: StatementArrival) => void)[] = [];
   let answerLoss = 0;
 
   const accept: SimulatedDatabase['accept'] = (streamEnd) => {
     const connection: Connection = {
       end: streamEnd,
+      client: undefined,
       transaction: 'idle',
       isReadOnly: false,
       writes: [],
@@ -124,6 +135,7 @@
       refuseConnection(connection, 'tooManyConnections');
       return;
     }
+    Object.assign(connection, { client: request.client });
     connections.add(connection);
     slots.submit({
       begin: () => (connection.isOpen ? limits.handshakeTime : undefined),
@@ -150,8 +162,9 @@
     if (command.type !== 'forward' && command.type !== 'execute') return;
     const isLater = connection.transaction === 'open' && connection.hasBegun;
     Object.assign(connection, { hasBegun: true });
-    if (isLater) return;
-    for (const listener of newWorkListeners) listener(command.id);
+    const { client } = connection;
+    const arrival = { statementId: command.id, client, isFirst: !isLater };
+    for (const listener of statementListeners) listener(arrival);
   }
 
   function workOn(connection: Connection): void {
@@ -310,7 +323,7 @@
     state,
     slots,
     accept,
-    onNewWork: (listener) => newWorkListeners.push(listener),
+    onStatement: (listener) => statementListeners.push(listener),
     connectionCount: () => connections.size,
     hasFollowed: (milliseconds) => {
       const since = replication.followsSince(state.memberId);
--- a/tools/world/src/lib/databases/simulatedDriver.ts
+++ b/tools/world/src/lib/databases/simulatedDriver.ts
@@ -22,7 +22,7 @@
   const reports = new WeakMap<UpstreamAnswer, MemberReport>();
 
   return {
-    connect: ({ address, group, memberId, timeoutMilliseconds }) =>
+    connect: ({ address, group, memberId, team, timeoutMilliseconds }) =>
       new Promise((resolve, reject) => {
         const database = findDatabase(address);
         if (!database) {
@@ -40,7 +40,7 @@
           client: host,
           server: database.host,
           accept: () => database.accept,
-          onOpen: () => end.send({ type: 'startup', group, memberId }),
+          onOpen: () => end.send({ type: 'startup', group, memberId, client: team }),
           events: {
             onMessage: (reply) => {
               if (reply.type === 'ready') {
--- a/tools/world/src/lib/experiment/buildWorld.ts
+++ b/tools/world/src/lib/experiment/buildWorld.ts
@@ -1,6 +1,8 @@
 import { createNetwork, createRandom, createScheduler } from '@wisterialift/fuzz';
 import type { Mechanism } from '@wisterialift/gateway';
 import type { Logger } from '@wisterialift/telemetry';
+import { createWorldTeams } from '../callers/teams';
+import type { WorldTeams } from '../callers/teams';
 import type { ReplicatedLog } from '../databases/replicatedLog';
 import type { SimulatedDatabase } from '../databases/simulatedDatabase';
 import type { SimulatedInstance } from '../instances/simulatedInstance';
@@ -18,6 +20,9 @@
   databases: ReadonlyMap<string, SimulatedDatabase>;
   platform: SimulatedPlatform;
   instances: readonly SimulatedInstance[];
+  teams: WorldTeams;
+  /** Publishes a version of the configuration with the teams as they are now. */
+  publish: () => void;
 }
 
 const JITTER_MILLISECONDS = 0.3;
@@ -42,7 +47,14 @@
   const { slots } = experiment.deployment;
   const platform = createSimulatedPlatform({ simulation, databases, groups, slots });
   for (const group of groups.values()) group.onRoleChange(platform.review);
-  platform.configure(createConfiguration(experiment, [...groups.keys()]));
+  const teams = createWorldTeams(experiment);
+  let version = 0;
+  const publish = () => {
+    version += 1;
+    const configuration = createConfiguration(experiment, [...groups.keys()]);
+    platform.configure({ ...configuration, version, teams: teams.describe() });
+  };
+  publish();
   platform.review();
   const instances = createInstances({
     experiment,
@@ -54,7 +66,7 @@
     without,
     onOpened: onConnectionOpened,
   });
-  return { simulation, groups, databases, platform, instances };
+  return { simulation, groups, databases, platform, instances, teams, publish };
 }
 
 function createSimulation(
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -105,6 +105,27 @@
     factor: z.number().positive(),
     member: z.number().int().nonnegative().default(1),
   }),
+  z.strictObject({
+    kind: z.literal('busyTeam'),
+    at: z.number(),
+    seconds: z.number(),
+    /** Rank of the team by its usual load, from 1. */
+    rank: z.number().int().positive(),
+    /** Its load, relative to the usual one. */
+    factor: z.number().positive(),
+  }),
+  z.strictObject({
+    kind: z.literal('revokeTeam'),
+    at: z.number(),
+    rank: z.number().int().positive(),
+  }),
+  z.strictObject({
+    kind: z.literal('changeLimit'),
+    at: z.number(),
+    rank: z.number().int().positive(),
+    /** New limit, relative to the former one. */
+    factor: z.number().nonnegative(),
+  }),
   z.strictObject({
     kind: z.literal('lostAnswers'),
     at: z.number(),
@@ -143,6 +164,13 @@
     sameDataCentreDelay: time.default(0.2),
     otherDataCentreDelay: time,
     callerDelay: time,
+    teams: z
+      .strictObject({
+        count: z.number().int().positive(),
+        /** Limit of a team, relative to its usual load. */
+        headroom: z.number().positive(),
+      })
+      .optional(),
   }),
   load: z.strictObject({ factor: z.number().positive().default(1) }).prefault({}),
   kinds: z.array(kindSchema).min(1),
--- a/tools/world/src/lib/experiment/runExperiment.ts
+++ b/tools/world/src/lib/experiment/runExperiment.ts
@@ -79,6 +79,7 @@
   const end = LEAD_MILLISECONDS + experiment.seconds * 1_000 + CLOSING_MILLISECONDS;
   await runWorldUntil(scheduler, end);
   oracle.checkLogs();
+  oracle.teams.checkWindows();
   const system = addUpSystem(world.instances, counts);
   for (const instance of world.instances) instance.losePower();
   const callers = computeFigures(experiment, outcomes);
@@ -87,11 +88,11 @@
 
 /** Has the callers come and the faults strike; the load's clock starts at 0. */
 async function startCallers(experiment: Experiment, world: World) {
-  const { simulation, groups, databases, platform, instances } = world;
+  const { simulation, groups, databases, platform, instances, teams } = world;
   const { scheduler, random } = simulation;
   const outcomes: Outcome[] = [];
   const samples: DatabaseSample[] = [];
-  const oracle = createOracle(scheduler, groups);
+  const oracle = createOracle(scheduler, groups, teams.all);
   const worldClock = createSimulatedClock(scheduler, () => true);
   const clock = { ...worldClock, now: () => worldClock.now() - LEAD_MILLISECONDS };
   const balancer = createBalancer({ instances, clock: worldClock, random });
@@ -103,6 +104,7 @@
     balancer,
     oracle,
     groups: [...groups.keys()],
+    teams,
     onOutcome: (outcome) => outcomes.push(outcome),
   });
   clock.runEvery(SAMPLE_MILLISECONDS, () => {
@@ -110,12 +112,16 @@
     if (!isOver) samples.push(sampleDatabases(clock.now(), databases));
   });
   for (const [memberId, database] of databases) {
-    database.onNewWork((id) =>
-      oracle.checkNewWork({ memberId, id, leavingAt: platform.leavingAt(memberId) }),
-    );
+    database.onStatement((arrival) => {
+      oracle.teams.checkStatement(arrival);
+      const { isFirst, statementId: id } = arrival;
+      if (isFirst) oracle.checkNewWork({ memberId, id, leavingAt: platform.leavingAt(memberId) });
+    });
   }
   const { network } = simulation;
-  scheduleFaults(experiment.faults, { clock, instances, groups, databases, platform, network });
+  const operator = { teams, oracle: oracle.teams, publish: world.publish };
+  const targets = { clock, instances, groups, databases, platform, network, operator };
+  scheduleFaults(experiment.faults, targets);
   return { outcomes, samples, oracle };
 }
 
--- a/tools/world/src/lib/experiment/worldInstances.ts
+++ b/tools/world/src/lib/experiment/worldInstances.ts
@@ -12,6 +12,9 @@
 import type { Host, Simulation } from '../simulation/host';
 import type { Experiment } from './experimentSchema';
 
+/** By how much the platform lets the limits of teams be exceeded. */
+const LIMIT_TOLERANCE = { windowMilliseconds: 5_000, excess: 0.1, slack: 20 };
+
 /** Routes of every kind to every group. @internal */
 export function createConfiguration(
   experiment: Experiment,
@@ -73,6 +76,7 @@
         onOpened: options.onOpened,
       }),
       transport: createSimulatedTransport({ simulation, host, hosts, listeners }),
+      limitTolerance: LIMIT_TOLERANCE,
       disabledMechanisms: new Set(without),
     };
   };
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -3,6 +3,8 @@
 import type { LogState, ReplicatedLog } from '../databases/replicatedLog';
 import type { SimulatedDatabase } from '../databases/simulatedDatabase';
 import type { PlannedFault } from '../experiment/experimentSchema';
+import type { TeamOracle } from '../callers/teamOracle';
+import type { WorldTeams } from '../callers/teams';
 import type { SimulatedInstance } from '../instances/simulatedInstance';
 import type { SimulatedPlatform } from '../platform/simulatedPlatform';
 
@@ -14,6 +16,12 @@
   databases: ReadonlyMap<string, SimulatedDatabase>;
   platform: SimulatedPlatform;
   network: Network;
+  operator: {
+    teams: WorldTeams;
+    oracle: TeamOracle;
+    /** Publishes the teams as they are now. */
+    publish: () => void;
+  };
 }
 
 type Handler<Kind extends PlannedFault['kind']> = (
@@ -148,6 +156,28 @@
     slots.setSlowness(factor);
     clock.runAfter(seconds * 1_000, () => slots.setSlowness(1));
   },
+  busyTeam: ({ seconds, rank, factor }, { clock, operator }) => {
+    const team = operator.teams.all[rank - 1]!;
+    const usual = team.weight;
+    const busy = usual * factor;
+    team.weight = busy;
+    clock.runAfter(seconds * 1_000, () => {
+      team.weight = usual;
+    });
+  },
+  revokeTeam: ({ rank }, { operator }) => {
+    const team = operator.teams.all[rank - 1]!;
+    team.isRevoked = true;
+    operator.oracle.noteRevoked(team);
+    operator.publish();
+  },
+  changeLimit: ({ rank, factor }, { operator }) => {
+    const team = operator.teams.all[rank - 1]!;
+    team.rate = Math.round(team.rate * factor);
+    team.burst = Math.round(team.burst * factor);
+    if (factor < 1) operator.oracle.noteLimitLowered(team);
+    operator.publish();
+  },
   lostAnswers: ({ seconds, share }, { clock, databases }) => {
     for (const database of databases.values()) database.setAnswerLoss(share);
     clock.runAfter(seconds * 1_000, () => {
--- a/tools/world/src/lib/instances/simulatedInstance.ts
+++ b/tools/world/src/lib/instances/simulatedInstance.ts
@@ -8,7 +8,8 @@
 
 /** What a caller sends over its connection to an instance. @internal */
 export type CallerMessage =
-  { type: 'startup'; database: string } | { type: 'statement'; statement: CallerStatement };
+  | { type: 'startup'; database: string; keyDigest?: string }
+  | { type: 'statement'; statement: CallerStatement };
 
 /** What an instance sends to a caller. @internal */
 export type CallerReply =
@@ -139,7 +140,7 @@
   });
   return {
     onMessage: (message) => {
-      if (message.type === 'startup') events.onStart(message.database);
+      if (message.type === 'startup') events.onStart(message.database, message.keyDigest);
       else events.onStatement(message.statement);
     },
     onClose: events.onDisconnect,
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -260,7 +260,7 @@
       registry: {
         registerInstance: (onChange) => {
           instances.set(own.instance, own);
-          follow(host, () => onChange([...instances.values()]));
+          follow(host, () => onChange([...instances.values()], { mayOthersLag: false }));
           notify();
         },
         reportUnreachable: (instance) => {
--- a/tools/world/src/test/fixture.ts
+++ b/tools/world/src/test/fixture.ts
@@ -59,7 +59,13 @@
   }
 
   const connect = (memberId: string): Promise<UpstreamConnection> =>
-    driver.connect({ group: GROUP, memberId, address: memberId, timeoutMilliseconds: 700 });
+    driver.connect({
+      group: GROUP,
+      memberId,
+      address: memberId,
+      timeoutMilliseconds: 700,
+      team: undefined,
+    });
 
   const write = (connection: UpstreamConnection, value: string) =>
     connection.run({ type: 'forward', id: value, text: `WRITE item ${value}` });
