Look for a newer configuration less often for keys that were refused; read where a team has a connection

What callers saw: nothing; the operator paid. A look that the store did not answer was repeated at once.

Reads prefer a member to which their team has an idle connection: each other one costs a handshake, whose time is measured. To make room, the second connection of a team is closed before the only one of another.

--- a/packages/gateway/src/lib/configuration/activeConfiguration.ts
+++ b/packages/gateway/src/lib/configuration/activeConfiguration.ts
@@ -31,14 +31,17 @@
 /**
  * Creates a holder of the newest configuration version seen.
  *
- * @param options.onAdopted - called with each newly active configuration and the previous version.
+ * @param options.onAdopted - called with each newly active configuration and the former one.
  */
 export function createActiveConfiguration({
   clock,
   onAdopted,
 }: {
   clock: Clock;
-  onAdopted: (configuration: GatewayConfiguration, previousVersion: number | undefined) => void;
+  onAdopted: (
+    configuration: GatewayConfiguration,
+    former: GatewayConfiguration | undefined,
+  ) => void;
 }): ActiveConfiguration {
   const waiters = new Set<() => void>();
   let configuration: GatewayConfiguration | undefined;
@@ -47,9 +50,9 @@
   return {
     adopt: (next) => {
       if (next.version <= getVersion()) return;
-      const previousVersion = configuration?.version;
+      const former = configuration;
       configuration = next;
-      onAdopted(next, previousVersion);
+      onAdopted(next, former);
       for (const notify of [...waiters]) notify();
     },
     get: () => configuration,
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -2,6 +2,8 @@
 import type { Logger } from '@wisterialift/telemetry';
 import type { GatewayConfiguration, GroupLimits } from './configuration/gatewayConfiguration';
 import { createActiveConfiguration } from './configuration/activeConfiguration';
+import { createConfigurationCheck } from './configuration/configurationCheck';
+import { createKeyRefusals } from './configuration/keyRefusals';
 import { createDirectoryCache } from './directory/directoryCache';
 import type { StatementRunner } from './groups/statementRunner';
 import { createGroupRouter } from './groups/groupRouter';
@@ -24,7 +26,6 @@
 import { createRelayedGroup } from './relay/relayedGroup';
 import { createRelayService } from './relay/relayService';
 import { createConfigurationSynchronizer } from './relay/configurationSynchronizer';
-import { settleWithTimeout } from './timing/promiseTimeout';
 import { createCallerSession } from './sessions/callerSession';
 import type { AnswerSample, CallerSession } from './sessions/callerSession';
 
@@ -105,9 +106,6 @@
 const REFRESH_TIMEOUT_MILLISECONDS = 600;
 const REFRESH_POLL_MILLISECONDS = 20;
 
-/** Time for which a check of the configuration holds; well within the bound for a new version. */
-const CHECK_VALIDITY_MILLISECONDS = 1_500;
-
 const CLOCK_CHECK_INTERVAL_MILLISECONDS = 250;
 
 /** Change of the clock offset that indicates a suspension or a step of the time of day. */
@@ -126,10 +124,17 @@
     onAdopted: handleConfigurationChange,
   });
   const synchronizer = createConfigurationSynchronizer({ configuration, clock, logger });
+  const keyRefusals = createKeyRefusals(clock);
+  const configurationCheck = createConfigurationCheck({
+    port: options.configuration,
+    configuration,
+    keyRefusals,
+    askOtherInstance: askHolderForConfiguration,
+    clock,
+    logger,
+  });
   const cache = createDirectoryCache(clock);
   let statementsRunUntil = -Infinity;
-  let configurationCheckedAt = -Infinity;
-  let pendingCheck: Promise<void> | undefined;
   let isDraining = false;
   let clockOffset = getClockOffset(clock);
 
@@ -197,34 +202,6 @@
     while (!isFresh() && clock.now() < until) await clock.sleep(REFRESH_POLL_MILLISECONDS);
   }
 
-  /**
-   * Reads the configuration from the store before a database is refused as unknown, unless that was
-   * done lately. A holder's word would not do: its configuration may be old as well, as that of an
-   * instance which only this one takes for a holder.
-   */
-  function checkForNewerConfiguration(): Promise<void> {
-    const isKnown = clock.now() - configurationCheckedAt < CHECK_VALIDITY_MILLISECONDS;
-    if (options.configuration.isFresh() || isKnown) return Promise.resolve();
-    pendingCheck ??= refreshConfiguration().finally(() => {
-      pendingCheck = undefined;
-    });
-    return pendingCheck;
-  }
-
-  async function refreshConfiguration(): Promise<void> {
-    const checkedAt = clock.now();
-    const refreshed = options.configuration.refresh();
-    const result = await settleWithTimeout(clock, refreshed, REFRESH_TIMEOUT_MILLISECONDS);
-    if (result.type === 'value') {
-      configurationCheckedAt = checkedAt;
-      return;
-    }
-    const error = result.type === 'error' ? result.error : undefined;
-    const version = configuration.getVersion();
-    logger.warn('configurationNotRefreshed', { outcome: result.type, version, error });
-    await askHolderForConfiguration();
-  }
-
   async function askHolderForConfiguration(): Promise<void> {
     const link = selectAnyLink();
     if (link) await synchronizer.updateFrom(link);
@@ -240,11 +217,11 @@
 
   function handleConfigurationChange(
     next: GatewayConfiguration,
-    previousVersion: number | undefined,
+    former: GatewayConfiguration | undefined,
   ): void {
     logger.info('configurationAdopted', {
       version: next.version,
-      former: previousVersion,
+      former: former?.version,
       routes: next.routes.size,
     });
     for (const group of next.groups.values()) {
@@ -253,6 +230,7 @@
       if (router) router.updateLimits(group);
       else openGroup(group.name, group);
     }
+    keyRefusals.update(next, former);
     for (const session of [...sessions]) session.checkKey();
     listenIfAllocator();
   }
@@ -273,6 +251,7 @@
       limits: groupLimits,
       isMechanismEnabled,
       isHolder: () => holders.isHolder(group),
+      areConnectionsOwned: () => configuration.get()?.teams !== undefined,
       hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
       areInstancesKnown: holders.isReady,
@@ -318,7 +297,7 @@
       clock,
       logger,
       configuration,
-      checkForNewerConfiguration,
+      checkForNewerConfiguration: configurationCheck.checkFor,
       findRunner: (group) => {
         checkClockDrift();
         return relayedGroups.get(group);
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -61,7 +61,7 @@
         hasExclusiveStatements: member === primary && isMechanismEnabled('reservedPrimary'),
         load: member.admission.countStatements(),
         capacity: member.admission.calculateCapacity(),
-        delay: member.pool.estimateDelay(),
+        delay: member.pool.estimateOwnerDelay(request.team),
         ...estimateWait(member, member === primary ? undefined : required, now),
       }));
     return orderMembersForRead(candidates);
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -1,6 +1,7 @@
 import {
   applyStateCommand,
   canUseConnection,
+  chooseConnectionToClose,
   chooseWaitingStatement,
   countVariableCommands,
   createConnectionState,
@@ -57,6 +58,8 @@
   raiseLimit: () => void;
   /** Estimates the milliseconds until a connection not held by a transaction is available. */
   estimateDelay: () => number;
+  /** Estimates the milliseconds until a connection for statements of `owner` is available. */
+  estimateOwnerDelay: (owner: ConnectionOwner) => number;
   setMaximum: (connections: number) => void;
   /** Opens connections for waiting requests and closes surplus idle ones. */
   maintain: () => void;
@@ -92,8 +95,11 @@
  */
 const CONNECT_TIMEOUT_MILLISECONDS = 700;
 
-/** Usual time to open a connection, including network. */
-const EXPECTED_CONNECT_MILLISECONDS = 60;
+/** Expected time to open a connection, including network, before the first was opened. */
+const INITIAL_CONNECT_MILLISECONDS = 60;
+
+/** Weight of a new measurement in the average time to open a connection. */
+const CONNECT_TIME_SMOOTHING = 1 / 8;
 
 /**
  * Idle time after which a connection above the fair share is closed. Short, so that other instances
@@ -134,6 +140,7 @@
   /** Owners of the connections that are being opened. */
   const opening: ConnectionOwner[] = [];
   let pinnedCount = 0;
+  let connectTime = INITIAL_CONNECT_MILLISECONDS;
   let isClosed = false;
 
   function acquire(request: AcquireOptions): Promise<PooledConnection> {
@@ -188,11 +195,12 @@
     }
   }
 
-  /** Closes the idle connection that was used least recently if there is no room for another one. */
+  /** Closes an idle connection if there is no room for another one. */
   function makeRoom(): boolean {
     if (!isFull()) return true;
-    const evicted = idle.shift();
+    const evicted = chooseConnectionToClose(idle);
     if (evicted) {
+      idle.splice(idle.indexOf(evicted), 1);
       connections.delete(evicted);
       evicted.upstream.close();
       return true;
@@ -215,6 +223,7 @@
 
   async function openConnection(owner: ConnectionOwner): Promise<void> {
     const finishOpening = () => opening.splice(opening.indexOf(owner), 1);
+    const startedAt = clock.now();
     try {
       const target = {
         group,
@@ -229,6 +238,7 @@
         upstream.close();
         return;
       }
+      connectTime += CONNECT_TIME_SMOOTHING * (clock.now() - startedAt - connectTime);
       const state = createConnectionState();
       const connection = { upstream, owner, state, idleSince: clock.now() };
       connections.add(connection);
@@ -312,7 +322,15 @@
     if (connections.size > pinnedCount) return 0;
     return clock.now() - refusedAt < EXPECTED_EXHAUSTION_MILLISECONDS
       ? EXPECTED_EXHAUSTION_MILLISECONDS
-      : EXPECTED_CONNECT_MILLISECONDS;
+      : connectTime;
+  }
+
+  /** Callers without a team share all connections; those of a team only what is open for it. */
+  function estimateOwnerDelay(owner: ConnectionOwner): number {
+    if (owner === undefined || idle.some((connection) => connection.owner === owner)) {
+      return estimateDelay();
+    }
+    return Math.max(connectTime, estimateDelay());
   }
 
   function maintain(): void {
@@ -336,6 +354,7 @@
     pin,
     raiseLimit,
     estimateDelay,
+    estimateOwnerDelay,
     setMaximum: (value) => {
       maximum = value;
       raisedLimit = Math.min(raisedLimit, value);
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 import { createLatencyRecorder } from '@wisterialift/telemetry/latency';
 import { Counter, Gauge, Registry } from 'prom-client';
 import type { Gateway } from '../createGateway';
+import { listBusiestTeams } from './busiestTeams';
 import type { AnswerSample } from '../sessions/callerSession';
 
 /** Answer counters, latency quantiles and session count of one instance. @public */
@@ -76,6 +77,20 @@
     });
   }
 
+  const teamOperations: Gauge = new Gauge({
+    name: 'wisterialift_team_operations_total',
+    help: 'operations that the limits of teams admitted or refused, of the busiest teams and all others',
+    labelNames: ['team', 'outcome'],
+    registers,
+    collect: () => {
+      teamOperations.reset();
+      for (const { team, admitted, refused } of listBusiestTeams(gateway.getLimitCounters())) {
+        teamOperations.set({ team, outcome: 'admitted' }, admitted);
+        teamOperations.set({ team, outcome: 'refused' }, refused);
+      }
+    },
+  });
+
   const storeCalls: Gauge = new Gauge({
     name: 'wisterialift_store_calls_total',
     help: 'calls to the object store of the platform',
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -28,7 +28,7 @@
   logger: Logger;
   configuration: ActiveConfiguration;
   /** Takes over a newer configuration if there is one; resolves at once if changes arrive promptly. */
-  checkForNewerConfiguration: () => Promise<void>;
+  checkForNewerConfiguration: (identity: CallerIdentity) => Promise<void>;
   findRunner: (group: string) => StatementRunner | undefined;
   /** Counts an operation against the limit of a team, if there is one. */
   requestPermit: RequestPermit;
@@ -132,7 +132,7 @@
   }
 
   async function startIfAllowed(): Promise<void> {
-    await checkForNewerConfiguration();
+    await checkForNewerConfiguration(identity);
     if (isEnded) return;
     const access = findAccess()!;
     if (access.type === 'granted') acceptCaller(access);
@@ -202,7 +202,7 @@
       return createRefusal('malformed', 'the transaction has failed and must be ended');
     }
     try {
-      if (!transaction && !hasAccess()) await checkForNewerConfiguration();
+      if (!transaction && !hasAccess()) await checkForNewerConfiguration(identity);
       const handler = handlers[statement.type] as Handler<CallerStatement['type']>;
       return await handler(statement);
     } catch (error) {
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -27,6 +27,7 @@
 } from './lib/session/sessionState';
 export {
   canUseConnection,
+  chooseConnectionToClose,
   chooseWaitingStatement,
   findUncoveredStatements,
   type ConnectionNeed,
