--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -167,7 +167,7 @@
   registry.registerInstance((instances, listing) => {
     limits.updateInstances(instances, listing);
     holders.updateInstances(instances);
-    listenIfAllocator();
+    prepareAllocation();
   });
   options.configuration.subscribe({ onChange: configuration.adopt, isPrompt: needsPromptChanges });
   options.directory.subscribe({
@@ -232,12 +232,13 @@
     }
     keyRefusals.update(next, former);
     for (const session of [...sessions]) session.checkKey();
-    listenIfAllocator();
+    prepareAllocation();
   }
 
-  /** Other instances ask an allocator for permits. */
-  function listenIfAllocator(): void {
+  /** Lets other instances ask this one for permits, and prepares to ask them. */
+  function prepareAllocation(): void {
     if (limits.isAllocator()) listenToInstances();
+    limits.openLinks();
   }
 
   function listenToInstances(): void {
@@ -251,7 +252,6 @@
       limits: groupLimits,
       isMechanismEnabled,
       isHolder: () => holders.isHolder(group),
-      areConnectionsOwned: () => configuration.get()?.teams !== undefined,
       hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
       areInstancesKnown: holders.isReady,
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -57,8 +57,6 @@
   isMechanismEnabled: IsMechanismEnabled;
   /** Whether this instance keeps connections to the members, for itself or for other instances. */
   isHolder: () => boolean;
-  /** Whether each connection belongs to a team, so that more of them are kept idle. */
-  areConnectionsOwned: () => boolean;
   /** Whether other instances hold connections to the members, for this one as well. */
   hasOtherHolders: () => boolean;
   /** Number of instances that keep connections to the members, including this one. */
@@ -89,12 +87,6 @@
  */
 const EVENLY_DIVIDED_SHARE = 0.6;
 
-/**
- * The same part if connections belong to teams. A statement that finds none of its team's costs a
- * handshake, so idle connections are worth more than room for those that dead instances leave behind.
- */
-const EVENLY_DIVIDED_OWNED_SHARE = 0.85;
-
 /** With fewer connections, two open transactions could block all other statements. */
 const MINIMUM_CONNECTIONS = 4;
 
@@ -288,8 +280,7 @@
   }
 
   function calculateFairShare(): number {
-    const part = options.areConnectionsOwned() ? EVENLY_DIVIDED_OWNED_SHARE : EVENLY_DIVIDED_SHARE;
-    const shared = limits.maximumConnections * part;
+    const shared = limits.maximumConnections * EVENLY_DIVIDED_SHARE;
     return Math.max(1, Math.floor(shared / countConnectedInstances()));
   }
 
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -61,12 +61,17 @@
         hasExclusiveStatements: member === primary && isMechanismEnabled('reservedPrimary'),
         load: member.admission.countStatements(),
         capacity: member.admission.calculateCapacity(),
-        delay: member.pool.estimateOwnerDelay(request.team),
+        delay: estimateDelay(member, request),
         ...estimateWait(member, member === primary ? undefined : required, now),
       }));
     return orderMembersForRead(candidates);
   }
 
+  function estimateDelay({ pool }: Member, { team }: StatementRequest): number {
+    if (!isMechanismEnabled('readingWhereConnected')) return pool.estimateDelay();
+    return pool.estimateOwnerDelay(team);
+  }
+
   function isUnavailableReplica(member: Member, primary: Member | undefined): boolean {
     if (member.missingSince !== undefined) return true;
     return member.entry.isLeaving && member !== primary;
--- a/packages/gateway/src/lib/limits/allocatorPlans.ts
+++ b/packages/gateway/src/lib/limits/allocatorPlans.ts
@@ -13,6 +13,8 @@
    * them, or has been only for so short a time that others may still ask its predecessor.
    */
   countAllocators: (team: string) => number | undefined;
+  /** Instances of this data centre that share out the limits of any of the teams. */
+  listNearAllocators: (teams: Iterable<string>) => Set<string>;
   /** Whether this instance shares out the limit of any of the teams. */
   isAllocatorOfAny: (teams: Iterable<string>) => boolean;
 }
@@ -76,6 +78,13 @@
       if (!current || !isAllocatorIn(current, team)) return undefined;
       return isSettledAllocator(team) ? getPlan(current, team).allocators.length : undefined;
     },
+    listNearAllocators: (teams) => {
+      const names = new Set<string>();
+      for (const team of current ? teams : []) {
+        for (const name of getPlan(current!, team).near) names.add(name);
+      }
+      return names;
+    },
     isAllocatorOfAny: (teams) => {
       if (!current) return false;
       for (const team of teams) if (isAllocatorIn(current, team)) return true;
--- a/packages/gateway/src/lib/limits/teamLimiter.ts
+++ b/packages/gateway/src/lib/limits/teamLimiter.ts
@@ -37,6 +37,12 @@
   ) => Promise<PermitGrant | undefined>;
 }
 
+/**
+ * Allocators with nothing left to grant after which an operation is refused. Any of them may be short of
+ * permits for a moment, but if several are, the team is at its limit.
+ */
+const MAXIMUM_EXHAUSTED_ALLOCATORS = 4;
+
 /** Pause before an allocator that did not answer is asked again. */
 const UNAVAILABLE_MILLISECONDS = 300;
 
@@ -106,12 +112,14 @@
 
   /** Asks one allocator after the other; only the first askable one if no statement waits. */
   async function askAllocators(): Promise<void> {
+    let exhausted = 0;
     for (const allocator of findAllocators(team).filter(canAsk)) {
       const count = countMissing();
-      if (count <= 0) return;
+      if (count <= 0 || exhausted === MAXIMUM_EXHAUSTED_ALLOCATORS) return;
       const requestedAt = clock.now();
       const grant = await askAllocator(allocator, { team, count });
       recordAnswer({ allocator, grant, wanted: count });
+      if (grant) exhausted += 1;
       const unused = serveWaiters(grant?.count ?? 0);
       reserve.add(unused, requestedAt + lifetime);
       if (waiters.length === 0) return;
--- a/packages/gateway/src/lib/limits/teamLimits.ts
+++ b/packages/gateway/src/lib/limits/teamLimits.ts
@@ -17,6 +17,8 @@
   /** Whether this instance shares out the limit of any team. */
   isAllocator: () => boolean;
   updateInstances: AllocatorPlans['updateInstances'];
+  /** Opens links to the allocators of this data centre, so that no operation waits for one to open. */
+  openLinks: () => void;
   /** Discards permits whose age is unknown, after the process was suspended. */
   clearPermits: () => void;
 }
@@ -70,12 +72,19 @@
     askAllocator,
   });
 
+  const listTeams = () => configuration.get()?.teams?.byName.keys() ?? [];
+
   return {
     requestPermit: limiter.requestPermit,
     getCounters: limiter.getCounters,
     grantPermits: allocator.grant,
-    isAllocator: () => plans.isAllocatorOfAny(configuration.get()?.teams?.byName.keys() ?? []),
+    isAllocator: () => plans.isAllocatorOfAny(listTeams()),
     updateInstances: plans.updateInstances,
+    openLinks: () => {
+      for (const name of plans.listNearAllocators(listTeams())) {
+        if (name !== instance) findLink(name);
+      }
+    },
     clearPermits: limiter.clear,
   };
 }
--- a/packages/gateway/src/lib/mechanisms.ts
+++ b/packages/gateway/src/lib/mechanisms.ts
@@ -18,6 +18,8 @@
   'lookingAhead',
   /** Closes idle connections above the fair share early, freeing them for other instances. */
   'closingIdle',
+  /** Prefers members to which a team has an idle connection for its reads. */
+  'readingWhereConnected',
   /** Shares the connections of a few instances if members accept too few for all. */
   'holders',
   /** Sends a statement to another holder if the nearest is partitioned from the members. */
--- a/packages/pooling/src/lib/routing/limitAllocators.ts
+++ b/packages/pooling/src/lib/routing/limitAllocators.ts
@@ -6,6 +6,8 @@
 export interface LimitAllocatorPlan {
   /** All allocators; each grants an equal share of the limit. */
   allocators: string[];
+  /** Those of the data centre. */
+  near: string[];
   /** Those that an instance of the data centre asks, in this order. */
   askedInOrder: string[];
 }
@@ -16,9 +18,6 @@
 /** With more, the shares would be too small for whole operations of a small team. */
 const MAXIMUM_DATA_CENTRES = 8;
 
-/** Allocators of other data centres that are asked once those of the own one have nothing to grant. */
-const MAXIMUM_REMOTE_ALLOCATORS = 3;
-
 /**
  * Plans which instances share out the limit of a team: some of each data centre, so that callers rarely
  * wait for another data centre, and few enough that each share is of use.
@@ -45,11 +44,10 @@
   const remoteNames = chosenNames.filter((name) => name !== dataCentre);
   const remote = orderByRendezvous({ key: `${team}/${dataCentre}`, names: remoteNames });
   const remoteAllocators = remote.flatMap((name) => byDataCentre.get(name)!);
+  const near = byDataCentre.get(dataCentre) ?? [];
   return {
     allocators: [...byDataCentre.values()].flat(),
-    askedInOrder: [
-      ...(byDataCentre.get(dataCentre) ?? []),
-      ...remoteAllocators.slice(0, MAXIMUM_REMOTE_ALLOCATORS),
-    ],
+    near,
+    askedInOrder: [...near, ...remoteAllocators],
   };
 }
--- a/tools/world/src/lib/callers/load.ts
+++ b/tools/world/src/lib/callers/load.ts
@@ -9,13 +9,15 @@
 import { drawOperation, runAttempt } from './operation';
 import type { Operation } from './operation';
 import type { Oracle } from './oracle';
-import type { WorldTeams } from './teams';
+import type { WorldTeam, WorldTeams } from './teams';
 
 /** One operation as its caller saw it. @internal */
 export interface Outcome {
   kind: RequestKind;
   dataCentre: string;
   askedAt: number;
+  /** Whether its team asked for no more than usual, and had its keys, so that it should be served. */
+  isOwed: boolean;
   type: 'inGoal' | 'late' | 'refused' | 'failed';
   /** Time until the answer without the caller's own pauses. */
   milliseconds: number;
@@ -44,7 +46,7 @@
   let operations = 0;
 
   function scheduleNext(caller: Host, load: number): void {
-    const perSecond = load * experiment.load.factor;
+    const perSecond = load * experiment.load.factor * teams.loadFactor();
     clock.runAfter(random.exponential(1_000 / perSecond), () => {
       if (clock.now() > experiment.seconds * 1_000) return;
       void runOperation(caller);
@@ -62,6 +64,7 @@
       team: teams.draw(random),
     });
     const askedAt = clock.now();
+    const isOwed = isUsual(operation.team);
     let pauses = 0;
     const onPause = (milliseconds: number) => {
       pauses += milliseconds;
@@ -74,6 +77,7 @@
       kind,
       dataCentre: caller.dataCentre,
       askedAt,
+      isOwed: isOwed && isUsual(operation.team),
       type: type === 'served' ? served : type,
       milliseconds,
     });
@@ -163,6 +167,11 @@
   }
 }
 
+/** Whether a team may expect to be served whatever it asks for at present. */
+function isUsual(team: WorldTeam | undefined): boolean {
+  return !team || (team.weight <= team.usualWeight && !team.isRevoked && !team.isLimitLowered);
+}
+
 function pickKind(random: Random, kinds: readonly RequestKind[]): RequestKind {
   const total = kinds.reduce((sum, { share }) => sum + share, 0);
   let left = random.next() * total;
--- a/tools/world/src/lib/callers/teams.ts
+++ b/tools/world/src/lib/callers/teams.ts
@@ -9,14 +9,19 @@
   keyDigest: string;
   /** Part of all operations, relative to the other teams. */
   weight: number;
+  /** Its usual part. */
+  usualWeight: number;
   rate: number;
   burst: number;
   isRevoked: boolean;
+  isLimitLowered: boolean;
 }
 
 /** The teams of a world, as its operator and its callers change them. @internal */
 export interface WorldTeams {
   all: readonly WorldTeam[];
+  /** The load now, relative to the usual one. */
+  loadFactor: () => number;
   /** Draws the team of an operation by weight. */
   draw: (random: Random) => WorldTeam | undefined;
   /** What the configuration says of them; undefined where there are none. */
@@ -33,7 +38,17 @@
   const all = weights.map((weight, index): WorldTeam => {
     const rate = Math.ceil((total * weight * teams!.headroom) / totalWeight);
     const name = `team-${index + 1}`;
-    return { name, keyDigest: `digest-${name}`, weight, rate, burst: rate, isRevoked: false };
+    const keyDigest = `digest-${name}`;
+    return {
+      name,
+      keyDigest,
+      weight,
+      usualWeight: weight,
+      rate,
+      burst: rate,
+      isRevoked: false,
+      isLimitLowered: false,
+    };
   });
 
   const describeTeam = ({ name, keyDigest, rate, burst, isRevoked }: WorldTeam): Team => ({
@@ -42,11 +57,13 @@
     limit: { rate, burst },
   });
 
+  const sumWeights = () => all.reduce((sum, { weight }) => sum + weight, 0);
+
   return {
     all,
+    loadFactor: () => (teams ? sumWeights() / totalWeight : 1),
     draw: (random) => {
-      const sum = all.reduce((weight, team) => weight + team.weight, 0);
-      let left = random.next() * sum;
+      let left = random.next() * sumWeights();
       for (const team of all) {
         left -= team.weight;
         if (left < 0) return team;
