--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -108,6 +108,9 @@
 
 const CLOCK_CHECK_INTERVAL_MILLISECONDS = 250;
 
+/** Interval at which other instances are told whether this one follows the configuration promptly. */
+const CURRENCY_CHECK_INTERVAL_MILLISECONDS = 250;
+
 /** Change of the clock offset that indicates a suspension or a step of the time of day. */
 const CLOCK_DRIFT_THRESHOLD_MILLISECONDS = 100;
 
@@ -136,6 +139,8 @@
   const cache = createDirectoryCache(clock);
   let statementsRunUntil = -Infinity;
   let isDraining = false;
+  let isTakingVersion = false;
+  let wasConfigurationCurrent = false;
   let clockOffset = getClockOffset(clock);
 
   const isMechanismEnabled: IsMechanismEnabled = (mechanism) =>
@@ -144,6 +149,7 @@
   const holders = createHolderSelector({
     ...options,
     isMechanismEnabled,
+    onVersion: handlePeerVersion,
     onHoldersAssigned: () => listenToInstances(),
   });
   const limits = createTeamLimits({
@@ -160,16 +166,27 @@
     },
     waitForFreshState,
     grantPermits: limits.grantPermits,
+    isConfigurationCurrent: options.configuration.isCurrent,
     clock,
     logger,
   });
+  const stopCurrencyChecks = clock.runEvery(CURRENCY_CHECK_INTERVAL_MILLISECONDS, () => {
+    const isCurrent = options.configuration.isCurrent();
+    if (isCurrent === wasConfigurationCurrent) return;
+    wasConfigurationCurrent = isCurrent;
+    relay.announceConfiguration();
+  });
   const stopClockChecks = clock.runEvery(CLOCK_CHECK_INTERVAL_MILLISECONDS, checkClockDrift);
   registry.registerInstance((instances, listing) => {
     limits.updateInstances(instances, listing);
     holders.updateInstances(instances);
     prepareAllocation();
   });
-  options.configuration.subscribe({ onChange: configuration.adopt, isPrompt: needsPromptChanges });
+  options.configuration.subscribe({
+    onChange: configuration.adopt,
+    isPrompt: needsPromptChanges,
+    isInformed: holders.isInformed,
+  });
   options.directory.subscribe({
     onChange: (entries, freshness) => {
       cache.update(entries, freshness);
@@ -207,6 +224,21 @@
     if (link) await synchronizer.updateFrom(link);
   }
 
+  /**
+   * Takes over a newer version of another instance. One that follows the store itself receives it from
+   * there, unless the store does not answer it.
+   */
+  function handlePeerVersion(link: PeerLink, version: number): void {
+    if (isTakingVersion || !configuration.get() || version <= configuration.getVersion()) return;
+    isTakingVersion = true;
+    const taking = options.configuration.isFresh()
+      ? synchronizer.synchronize(link, version)
+      : synchronizer.take(link);
+    void taking.finally(() => {
+      isTakingVersion = false;
+    });
+  }
+
   function selectAnyLink(): PeerLink | undefined {
     for (const group of localGroups.keys()) {
       const link = holders.selectLink(group);
@@ -232,6 +264,7 @@
     }
     keyRefusals.update(next, former);
     for (const session of [...sessions]) session.checkKey();
+    relay.announceConfiguration();
     prepareAllocation();
   }
 
@@ -348,6 +381,7 @@
     countSessions: () => sessions.size,
     close: () => {
       stopClockChecks();
+      stopCurrencyChecks();
       holders.close();
       transport.close();
       for (const router of localGroups.values()) router.close();
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -62,10 +62,13 @@
    *
    * @param options.isPrompt - whether versions must arrive within the bounds of the platform; if
    *   not, they may arrive seconds late.
+   * @param options.isInformed - whether other instances tell of new versions, so that versions that need
+   *   not be prompt need not be read.
    */
   subscribe: (options: {
     onChange: (configuration: GatewayConfiguration) => void;
     isPrompt: () => boolean;
+    isInformed: () => boolean;
   }) => void;
   /**
    * Reads the configuration again and calls `onChange` before it resolves.
@@ -75,6 +78,8 @@
   refresh: () => Promise<void>;
   /** Whether the last version was read fresh and later ones arrive promptly. */
   isFresh: () => boolean;
+  /** Whether `isFresh` and the last call to the store was answered. */
+  isCurrent: () => boolean;
 }
 
 /** A stored record and the revision to pass to the next replacement. @public */
--- a/packages/gateway/src/lib/relay/configurationSynchronizer.ts
+++ b/packages/gateway/src/lib/relay/configurationSynchronizer.ts
@@ -20,6 +20,8 @@
    * @returns false if it did not answer.
    */
   updateFrom: (link: PeerLink) => Promise<boolean>;
+  /** Takes over the configuration of the other side of a link, which has a newer version. */
+  take: (link: PeerLink) => Promise<void>;
 }
 
 /** Allows for configurations of up to 250 kB. */
@@ -56,6 +58,7 @@
 
   return {
     synchronize,
+    take,
     updateFrom: async (link) => {
       const outcome = await link.request({}, getAnswerBy());
       if (outcome.type !== 'answered') return false;
--- a/packages/gateway/src/lib/relay/holderSelector.ts
+++ b/packages/gateway/src/lib/relay/holderSelector.ts
@@ -29,6 +29,8 @@
   isHolder: (group: string) => boolean;
   /** Number of instances that may connect to the group's members; Infinity if unknown. */
   countConnectedInstances: (group: string) => number;
+  /** Whether an instance of this data centre tells of new configuration versions promptly. */
+  isInformed: () => boolean;
   /** Whether the list of instances has been received. */
   isReady: () => boolean;
   updateInstances: (instances: InstanceEntry[]) => void;
@@ -44,6 +46,8 @@
   transport: RelayTransport;
   registry: InstanceRegistry;
   isMechanismEnabled: IsMechanismEnabled;
+  /** Called with the configuration version of each response of another instance. */
+  onVersion: (link: PeerLink, version: number) => void;
   /** Called when a group is assigned to holders, so that relayed statements may arrive. */
   onHoldersAssigned: () => void;
 }
@@ -74,6 +78,7 @@
     registry,
     isMechanismEnabled,
     onHoldersAssigned,
+    onVersion,
   } = options;
   const peers = new Map<string, Peer>();
   const limits = new Map<string, number>();
@@ -144,10 +149,11 @@
 
   function openLink(peer: Peer): PeerLink {
     if (peer.link) return peer.link;
-    const link = createPeerLink({
+    const link: PeerLink = createPeerLink({
       transport,
       address: peer.entry.address,
       clock,
+      onVersion: (version) => onVersion(link, version),
       onOpen: () => Object.assign(peer, { failures: 0, failingSince: undefined }),
       onLost: (error) => handleLost(peer, error),
     });
@@ -207,6 +213,10 @@
       const plan = getPlan(group);
       return plan.type === 'everyone' ? instances.length : plan.nearCount + plan.far.length;
     },
+    isInformed: () =>
+      [...peers.values()].some(
+        ({ entry, link }) => entry.dataCentre === dataCentre && (link?.tellsVersions() ?? false),
+      ),
     isReady: () => instances !== undefined,
     updateInstances,
     updateLimits: (group, maximumConnections) => {
--- a/packages/gateway/src/lib/relay/peerLink.ts
+++ b/packages/gateway/src/lib/relay/peerLink.ts
@@ -23,6 +23,8 @@
   /** Whether new statements may be sent; also true while the stream is opening. */
   isUsable: () => boolean;
   isOpen: () => boolean;
+  /** Whether the other instance tells of new configuration versions promptly. */
+  tellsVersions: () => boolean;
   countPendingRequests: () => number;
   close: () => void;
 }
@@ -32,6 +34,8 @@
   address: string;
   clock: Clock;
   onOpen: () => void;
+  /** Called with the configuration version of each response. */
+  onVersion: (version: number) => void;
   onLost: (error: Error) => void;
 }
 
@@ -57,10 +61,11 @@
 
 /** Opens a stream to another instance. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
-  const { transport, address, clock, onOpen, onLost } = options;
+  const { transport, address, clock, onOpen, onVersion, onLost } = options;
   const pendingRequests = new Map<number, PendingRequest>();
   const openWaiters: (() => void)[] = [];
   let state: LinkState = 'opening';
+  let isCurrent = false;
   let lastRequestNumber = 0;
   let lastTransactionNumber = 0;
   let lastReceivedAt = clock.now();
@@ -77,7 +82,7 @@
   });
 
   function handleResponse(response: RelayResponse): void {
-    const { number, isLeaving } = response;
+    const { number, isLeaving, version, isConfigurationCurrent } = response;
     lastReceivedAt = clock.now();
     probeSentAt = undefined;
     if (state === 'opening') {
@@ -85,7 +90,9 @@
       onOpen();
     }
     if (isLeaving) state = 'draining';
+    isCurrent = isConfigurationCurrent;
     if (number > 0) settleRequest(number, { type: 'answered', response });
+    onVersion(version);
   }
 
   function finishOpening(next: LinkState): void {
@@ -191,6 +198,7 @@
       send(0, { rolledBackTransaction: transaction });
     },
     isOpen: () => state === 'open',
+    tellsVersions: () => state === 'open' && isCurrent,
     isUsable: () => state === 'opening' || state === 'open',
     countPendingRequests: () => pendingRequests.size,
     close: () => {
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -9,6 +9,7 @@
 import { CONFIGURATION_WAIT_MILLISECONDS } from '../configuration/activeConfiguration';
 import type { ActiveConfiguration } from '../configuration/activeConfiguration';
 import { decodeConfiguration, encodeConfiguration } from '../configuration/gatewayConfiguration';
+import type { GatewayConfiguration } from '../configuration/gatewayConfiguration';
 import { RelayMessageError } from '../errors/relayMessageError';
 import type { GroupRouter } from '../groups/groupRouter';
 import type { StatementRunner, Transaction } from '../groups/statementRunner';
@@ -23,6 +24,8 @@
   accept: RelayAcceptor;
   /** Notifies the other instances that they must send new statements elsewhere. */
   announceDrain: () => void;
+  /** Tells the other instances the active version, and whether it is known to be current. */
+  announceConfiguration: () => void;
   /** Rolls back all open transactions, for a shutdown. */
   abortTransactions: () => void;
   /** Returns the number of running statements plus open transactions. */
@@ -35,6 +38,8 @@
   findRunner: (group: string) => RelayTarget | undefined;
   /** Resolves once the directory and the configuration are fresh, or after a timeout. */
   waitForFreshState: () => Promise<void>;
+  /** Whether this instance learns of new configuration versions promptly. */
+  isConfigurationCurrent: () => boolean;
   /** Grants permits of this instance's share of a team's limit. */
   grantPermits: PermitAllocator['grant'];
   clock: Clock;
@@ -44,6 +49,8 @@
 /** Runs relayed statements of a group. */
 export type RelayTarget = StatementRunner & Pick<GroupRouter, 'isOutOfReach'>;
 
+type ResponseContent = 'answer' | 'configurationJson' | 'isOutOfReach' | 'permits';
+
 type Respond = (response: RelayResponse) => void;
 
 /** A transaction relayed from another instance. */
@@ -66,9 +73,11 @@
 
 export function createRelayService(options: RelayServiceOptions): RelayService {
   const { configuration, findRunner, waitForFreshState, grantPermits, clock, logger } = options;
+  const { isConfigurationCurrent } = options;
   const streams = new Map<Respond, StreamTransactions>();
   let runningStatements = 0;
   let isDraining = false;
+  let encoded: { version: number; json: string } | undefined;
 
   const handlers: Record<RelayAction, Handler> = {
     read: ({ request, runner }) => runner.read(request),
@@ -87,6 +96,14 @@
     },
   };
 
+  /** Encodes each version once, since all instances of the data centre ask for it. */
+  function encodeOnce(current: GatewayConfiguration): string {
+    if (encoded?.version !== current.version) {
+      encoded = { version: current.version, json: encodeConfiguration(current) };
+    }
+    return encoded.json;
+  }
+
   /** Must run before any wait, so that a rollback that arrives meanwhile finds the transaction. */
   function registerTransaction(
     { isFirst, transaction: number }: RelayStatement,
@@ -209,7 +226,7 @@
       const current = wantsConfiguration ? configuration.get() : undefined;
       respond(
         createResponse(number, {
-          configurationJson: current ? encodeConfiguration(current) : '',
+          configurationJson: current ? encodeOnce(current) : '',
         }),
       );
     }
@@ -217,7 +234,7 @@
 
   function createResponse(
     number: number,
-    content: Partial<Omit<RelayResponse, 'number' | 'isLeaving' | 'version'>> = {},
+    content: Partial<Pick<RelayResponse, ResponseContent>> = {},
   ): RelayResponse {
     const version = Math.max(0, configuration.getVersion());
     return {
@@ -228,6 +245,7 @@
       configurationJson: '',
       isOutOfReach: false,
       permits: undefined,
+      isConfigurationCurrent: isConfigurationCurrent(),
       ...content,
     };
   }
@@ -249,12 +267,17 @@
     };
   };
 
+  function announce(): void {
+    for (const respond of streams.keys()) respond(createResponse(0));
+  }
+
   return {
     accept,
     announceDrain: () => {
       isDraining = true;
-      for (const respond of streams.keys()) respond(createResponse(0));
+      announce();
     },
+    announceConfiguration: announce,
     abortTransactions: () => {
       for (const transactions of streams.values()) rollBackAll(transactions);
     },
--- a/packages/gateway/src/test/configurationCheck.test.ts
+++ b/packages/gateway/src/test/configurationCheck.test.ts
@@ -40,6 +40,7 @@
     port: {
       subscribe: noop,
       isFresh: () => false,
+      isCurrent: () => false,
       refresh: async () => {
         reads += 1;
         if (!stored) throw new Error('the store does not answer');
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -33,6 +33,7 @@
     configuration: {
       refresh: async () => undefined,
       isFresh: () => true,
+      isCurrent: () => true,
       subscribe: ({ onChange }) =>
         onChange({
           version: 3,
--- a/packages/gateway/src/test/peerLink.test.ts
+++ b/packages/gateway/src/test/peerLink.test.ts
@@ -23,6 +23,7 @@
     address: 'holder:1',
     clock,
     onOpen: () => undefined,
+    onVersion: () => undefined,
     onLost: ({ message }) => losses.push(message),
   });
   return { link, losses };
@@ -37,6 +38,7 @@
     configurationJson: '',
     isOutOfReach: false,
     permits: undefined,
+    isConfigurationCurrent: true,
   };
 }
 
--- a/packages/gateway/src/test/relayService.test.ts
+++ b/packages/gateway/src/test/relayService.test.ts
@@ -74,6 +74,7 @@
   };
   const service = createRelayService({
     grantPermits: () => ({ count: 0, retryAfterMilliseconds: 0 }),
+    isConfigurationCurrent: () => true,
     configuration,
     findRunner: () => group as RelayTarget,
     waitForFreshState: () => new Promise(setImmediate),
--- a/packages/gateway/src/test/suspension.test.ts
+++ b/packages/gateway/src/test/suspension.test.ts
@@ -28,6 +28,7 @@
       configuration: {
         refresh: async () => undefined,
         isFresh: () => true,
+        isCurrent: () => true,
         subscribe: ({ onChange }) =>
           onChange({
             version: 3,
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -175,6 +175,7 @@
       configuration: {
         refresh: async () => undefined,
         isFresh: () => true,
+        isCurrent: () => true,
         subscribe: ({ onChange }) =>
           onChange({
             version: 1,
--- a/packages/gateway/src/test/unknownDatabase.test.ts
+++ b/packages/gateway/src/test/unknownDatabase.test.ts
@@ -75,6 +75,7 @@
       createTestOptions({
         configuration: {
           isFresh: () => false,
+          isCurrent: () => false,
           refresh: async () => {
             reads += 1;
             adopt(createConfiguration(2, [route]));
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -251,6 +251,7 @@
       configuration: {
         refresh: async () => undefined,
         isFresh: () => true,
+        isCurrent: () => true,
         subscribe: ({ onChange }) => {
           follow(host, () => configuration && onChange(configuration));
         },
