Spread those who share out limits over more instances of a data centre

The eight largest instances of a data centre share out limits, each as many teams as any other. They need not read the configuration from the store: instances that do tell them its versions.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -203,7 +203,6 @@
    */
   function needsPromptChanges(): boolean {
     if (localGroups.size === 0 || clock.now() < statementsRunUntil) return true;
-    if (limits.isAllocator()) return true;
     return [...localGroups.keys()].some(holders.isHolder);
   }
 
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -1,7 +1,6 @@
 import {
   applyStateCommand,
   canUseConnection,
-  chooseConnectionToClose,
   chooseWaitingStatement,
   countVariableCommands,
   createConnectionState,
@@ -195,12 +194,11 @@
     }
   }
 
-  /** Closes an idle connection if there is no room for another one. */
+  /** Closes the idle connection that was used least recently if there is no room for another one. */
   function makeRoom(): boolean {
     if (!isFull()) return true;
-    const evicted = chooseConnectionToClose(idle);
+    const evicted = idle.shift();
     if (evicted) {
-      idle.splice(idle.indexOf(evicted), 1);
       connections.delete(evicted);
       evicted.upstream.close();
       return true;
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -27,7 +27,6 @@
 } from './lib/session/sessionState';
 export {
   canUseConnection,
-  chooseConnectionToClose,
   chooseWaitingStatement,
   findUncoveredStatements,
   type ConnectionNeed,
--- a/packages/pooling/src/lib/connections/connectionOwnership.ts
+++ b/packages/pooling/src/lib/connections/connectionOwnership.ts
@@ -24,27 +24,6 @@
   return acceptsAnyOwner || owner === connection.owner;
 }
 
-/**
- * Chooses the idle connection to close for one of another owner.
- *
- * Keeps one connection of as many teams as possible: which team's statement comes next is not known, and a
- * second idle connection of a team is rarely needed.
- *
- * @param idle - idle connections, least recently used first.
- * @public
- */
-export function chooseConnectionToClose<Connection extends { owner: ConnectionOwner }>(
-  idle: readonly Connection[],
-): Connection | undefined {
-  const seen = new Set<ConnectionOwner>();
-  const surplus = idle.toReversed().filter(({ owner }) => {
-    const isSurplus = owner === undefined || seen.has(owner);
-    seen.add(owner);
-    return isSurplus;
-  });
-  return surplus.at(-1) ?? idle[0];
-}
-
 /**
  * Longest time by which a statement overtakes an older one of another team because a connection of its
  * own team has become idle.
--- a/packages/pooling/src/lib/routing/holdingInstances.ts
+++ b/packages/pooling/src/lib/routing/holdingInstances.ts
@@ -35,7 +35,7 @@
 ): ConnectionHolderCandidate[] {
   const minimumCount = Math.max(MINIMUM_HOLDING_INSTANCES, 2 * nearCount);
   const requiredCapacity = sumWeights(candidates) * HOLDING_CAPACITY_FRACTION;
-  const largestFirst = [...candidates].sort(compareCapacity);
+  const largestFirst = sortByCapacity(candidates);
   const count = largestFirst.findIndex(
     (_, index) =>
       index + 1 >= minimumCount && sumWeights(largestFirst.slice(0, index + 1)) >= requiredCapacity,
@@ -43,6 +43,13 @@
   return count === -1 ? largestFirst : largestFirst.slice(0, count + 1);
 }
 
+/** Sorts instances by capacity, the largest first. */
+export function sortByCapacity(
+  candidates: readonly ConnectionHolderCandidate[],
+): ConnectionHolderCandidate[] {
+  return [...candidates].sort(compareCapacity);
+}
+
 /** Sorts by name where capacities are equal, so that all instances select the same ones. */
 function compareCapacity(
   left: ConnectionHolderCandidate,
--- a/packages/pooling/src/lib/routing/limitAllocators.ts
+++ b/packages/pooling/src/lib/routing/limitAllocators.ts
@@ -1,5 +1,5 @@
 import { orderByRendezvous } from '@wisterialift/core';
-import { groupByDataCentre, orderByWeight, selectHoldingInstances } from './holdingInstances';
+import { groupByDataCentre, sortByCapacity } from './holdingInstances';
 import type { ConnectionHolderCandidate } from './holdingInstances';
 
 /** Which instances share out the rate limit of a team. @public */
@@ -15,6 +15,12 @@
 /** With fewer, the loss of one would leave too small a part of the limit. */
 const MINIMUM_ALLOCATORS = 3;
 
+/**
+ * Instances of a data centre that share out the limits of all teams. With fewer, one side of a partition
+ * could be left without any; with more, each instance would need links to more of them.
+ */
+const MAXIMUM_CANDIDATES = 8;
+
 /** With more, the shares would be too small for whole operations of a small team. */
 const MAXIMUM_DATA_CENTRES = 8;
 
@@ -37,8 +43,9 @@
   const chosenNames = chosen.slice(0, MAXIMUM_DATA_CENTRES);
   const countPerDataCentre = Math.ceil(MINIMUM_ALLOCATORS / Math.max(1, chosenNames.length));
   const allocatorsOf = (name: string) => {
-    const holding = selectHoldingInstances(dataCentres.get(name) ?? [], countPerDataCentre);
-    return orderByWeight(team, holding).slice(0, countPerDataCentre);
+    const largest = sortByCapacity(dataCentres.get(name) ?? []).slice(0, MAXIMUM_CANDIDATES);
+    const names = largest.map(({ instance }) => instance);
+    return orderByRendezvous({ key: team, names }).slice(0, countPerDataCentre);
   };
   const byDataCentre = new Map(chosenNames.map((name) => [name, allocatorsOf(name)]));
   const remoteNames = chosenNames.filter((name) => name !== dataCentre);
--- a/packages/pooling/src/test/connectionOwnership.test.ts
+++ b/packages/pooling/src/test/connectionOwnership.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { chooseConnectionToClose, chooseWaitingStatement, findUncoveredStatements } from '../index';
+import { chooseWaitingStatement, findUncoveredStatements } from '../index';
 
 const waitFor = (owner: string | undefined, arrivedAt: number, priority = 1) => ({
   owner,
@@ -39,22 +39,3 @@
     expect(findUncoveredStatements(waiting, ['north'])).toEqual([waiting[1], waiting[2]]);
   });
 });
-
-describe('the connection to close for another team', () => {
-  it('is one of a team that has several, the least recently used of them', () => {
-    // Guards against closing the only connection of many teams for the second one of a busy team.
-    const idle = [{ owner: 'south' }, { owner: 'north' }, { owner: 'west' }, { owner: 'north' }];
-    expect(chooseConnectionToClose(idle)).toBe(idle[1]);
-  });
-
-  it('is the least recently used one if each team has one', () => {
-    const idle = [{ owner: 'south' }, { owner: 'north' }];
-    expect(chooseConnectionToClose(idle)).toBe(idle[0]);
-    expect(chooseConnectionToClose([])).toBeUndefined();
-  });
-
-  it('is rather one that belongs to no team', () => {
-    const idle = [{ owner: 'south' }, { owner: undefined }];
-    expect(chooseConnectionToClose(idle)).toBe(idle[1]);
-  });
-});
