--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -180,7 +180,7 @@
   registry.registerInstance((instances, listing) => {
     limits.updateInstances(instances, listing);
     holders.updateInstances(instances);
-    prepareAllocation();
+    listenIfAllocator();
   });
   options.configuration.subscribe({
     onChange: configuration.adopt,
@@ -264,13 +264,12 @@
     keyRefusals.update(next, former);
     for (const session of [...sessions]) session.checkKey();
     relay.announceConfiguration();
-    prepareAllocation();
+    listenIfAllocator();
   }
 
-  /** Lets other instances ask this one for permits, and prepares to ask them. */
-  function prepareAllocation(): void {
+  /** Other instances ask an allocator for permits. */
+  function listenIfAllocator(): void {
     if (limits.isAllocator()) listenToInstances();
-    limits.openLinks();
   }
 
   function listenToInstances(): void {
--- a/packages/gateway/src/lib/limits/allocatorPlans.ts
+++ b/packages/gateway/src/lib/limits/allocatorPlans.ts
@@ -1,5 +1,5 @@
-import { planLimitAllocators } from '@wisterialift/pooling';
-import type { LimitAllocatorPlan } from '@wisterialift/pooling';
+import { createLimitAllocatorPlanner } from '@wisterialift/pooling';
+import type { LimitAllocatorPlanner } from '@wisterialift/pooling';
 import type { Clock } from '../ports/clock';
 import type { InstanceEntry, InstanceListing } from '../ports/instancePort';
 
@@ -13,8 +13,6 @@
    * them, or has been only for so short a time that others may still ask its predecessor.
    */
   countAllocators: (team: string) => number | undefined;
-  /** Instances of this data centre that share out the limits of any of the teams. */
-  listNearAllocators: (teams: Iterable<string>) => Set<string>;
   /** Whether this instance shares out the limit of any of the teams. */
   isAllocatorOfAny: (teams: Iterable<string>) => boolean;
 }
@@ -25,11 +23,10 @@
  */
 const LIST_SETTLING_MILLISECONDS = 35_000;
 
-interface InstanceList {
-  instances: InstanceEntry[];
-  /** When a later list replaced it; undefined for the current one. */
-  replacedAt: number | undefined;
-  plans: Map<string, LimitAllocatorPlan>;
+/** Plans by a former list of instances. */
+interface FormerPlanner {
+  planner: LimitAllocatorPlanner;
+  replacedAt: number;
 }
 
 export function createAllocatorPlans(options: {
@@ -38,52 +35,33 @@
   clock: Clock;
 }): AllocatorPlans {
   const { instance, dataCentre, clock } = options;
-  let current: InstanceList | undefined;
+  let current: LimitAllocatorPlanner | undefined;
   /** Lists by which other instances may still ask. */
-  let former: InstanceList[] = [];
+  let former: FormerPlanner[] = [];
 
-  function getPlan(list: InstanceList, team: string): LimitAllocatorPlan {
-    const known = list.plans.get(team);
-    if (known) return known;
-    const plan = planLimitAllocators({ team, candidates: list.instances, dataCentre });
-    list.plans.set(team, plan);
-    return plan;
-  }
+  const createPlanner = (candidates: InstanceEntry[]) =>
+    createLimitAllocatorPlanner({ candidates, dataCentre });
 
-  const isAllocatorIn = (list: InstanceList, team: string) =>
-    getPlan(list, team).allocators.includes(instance);
+  const isAllocatorIn = (planner: LimitAllocatorPlanner, team: string) =>
+    planner.plan(team).allocators.includes(instance);
 
   function isSettledAllocator(team: string): boolean {
-    former = former.filter(
-      ({ replacedAt }) => clock.now() - replacedAt! < LIST_SETTLING_MILLISECONDS,
-    );
-    return former.every((list) => isAllocatorIn(list, team));
+    const since = clock.now() - LIST_SETTLING_MILLISECONDS;
+    former = former.filter(({ replacedAt }) => replacedAt > since);
+    return former.every(({ planner }) => isAllocatorIn(planner, team));
   }
 
-  const createList = (instances: InstanceEntry[]): InstanceList => ({
-    instances,
-    replacedAt: undefined,
-    plans: new Map(),
-  });
-
   return {
     updateInstances: (instances, { mayOthersLag }) => {
       const others = instances.filter((entry) => entry.instance !== instance);
-      const replaced = current ?? createList(others);
-      if (mayOthersLag) former.push({ ...replaced, replacedAt: clock.now() });
-      current = createList(instances);
+      const planner = current ?? createPlanner(others);
+      if (mayOthersLag) former.push({ planner, replacedAt: clock.now() });
+      current = createPlanner(instances);
     },
-    findAllocators: (team) => (current ? getPlan(current, team).askedInOrder : []),
+    findAllocators: (team) => current?.plan(team).askedInOrder ?? [],
     countAllocators: (team) => {
       if (!current || !isAllocatorIn(current, team)) return undefined;
-      return isSettledAllocator(team) ? getPlan(current, team).allocators.length : undefined;
-    },
-    listNearAllocators: (teams) => {
-      const names = new Set<string>();
-      for (const team of current ? teams : []) {
-        for (const name of getPlan(current!, team).near) names.add(name);
-      }
-      return names;
+      return isSettledAllocator(team) ? current.plan(team).allocators.length : undefined;
     },
     isAllocatorOfAny: (teams) => {
       if (!current) return false;
--- a/packages/gateway/src/lib/limits/permitAllocator.ts
+++ b/packages/gateway/src/lib/limits/permitAllocator.ts
@@ -42,7 +42,7 @@
 
   function findAllocation(team: string): Allocation | undefined {
     const limit = findLimit(team);
-    const count = countAllocators(team);
+    const count = limit && countAllocators(team);
     if (!limit || count === undefined) {
       // If it shares in the limit again, it begins anew.
       allocations.delete(team);
--- a/packages/gateway/src/lib/limits/teamLimits.ts
+++ b/packages/gateway/src/lib/limits/teamLimits.ts
@@ -3,6 +3,7 @@
 import type { ActiveConfiguration } from '../configuration/activeConfiguration';
 import type { Clock } from '../ports/clock';
 import type { PeerLink } from '../relay/peerLink';
+import { settleWithTimeout } from '../timing/promiseTimeout';
 import { createAllocatorPlans } from './allocatorPlans';
 import type { AllocatorPlans } from './allocatorPlans';
 import { createOperationLimiter } from './operationLimiter';
@@ -17,8 +18,6 @@
   /** Whether this instance shares out the limit of any team. */
   isAllocator: () => boolean;
   updateInstances: AllocatorPlans['updateInstances'];
-  /** Opens links to the allocators of this data centre, so that no operation waits for one to open. */
-  openLinks: () => void;
   /** Discards permits whose age is unknown, after the process was suspended. */
   clearPermits: () => void;
 }
@@ -59,9 +58,11 @@
     const link = findLink(name);
     if (!link) return undefined;
     const answerBy = clock.now() + ANSWER_TIMEOUT_MILLISECONDS;
-    const outcome = await link.request({ permits: request }, answerBy);
-    if (outcome.type !== 'answered') return undefined;
-    return outcome.response.permits;
+    const asked = link.request({ permits: request }, answerBy);
+    // The link may still be opening, for longer than the wait.
+    const settled = await settleWithTimeout(clock, asked, ANSWER_TIMEOUT_MILLISECONDS);
+    if (settled.type !== 'value' || settled.value.type !== 'answered') return undefined;
+    return settled.value.response.permits;
   }
 
   const limiter = createOperationLimiter({
@@ -80,11 +81,6 @@
     grantPermits: allocator.grant,
     isAllocator: () => plans.isAllocatorOfAny(listTeams()),
     updateInstances: plans.updateInstances,
-    openLinks: () => {
-      for (const name of plans.listNearAllocators(listTeams())) {
-        if (name !== instance) findLink(name);
-      }
-    },
     clearPermits: limiter.clear,
   };
 }
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -253,10 +253,11 @@
     prepared?: StatementRequest['prepared'],
   ): Promise<CallerAnswer> {
     if (transaction) return runInTransaction(transaction, statement, prepared);
+    const receivedAt = clock.now();
     const admitted = await admitOperation();
     if ('refusal' in admitted) return admitted.refusal;
     const { runner } = admitted;
-    const request = createRequest(statement, admitted, prepared);
+    const request = createRequest(statement, admitted, { prepared, receivedAt });
     const isWrite = (prepared?.statement.access ?? statement.type) === 'write';
     const answer = await (isWrite ? runner.write(request) : runner.read(request));
     return toCallerAnswer(answer, 'idle');
@@ -265,9 +266,10 @@
   function createRequest(
     { id, text }: CallerStatement,
     { route, version, team: owner, runner }: RoutedGroup,
-    prepared?: StatementRequest['prepared'],
+    timing: { prepared?: StatementRequest['prepared']; receivedAt?: number } = {},
   ): StatementRequest {
-    const deadlineAt = clock.now() + route.timeout;
+    const { prepared, receivedAt = clock.now() } = timing;
+    const deadlineAt = receivedAt + route.timeout;
     const arrivalStamp = runner.createArrivalStamp();
     return {
       id,
@@ -288,7 +290,7 @@
     statement: CallerStatement,
     prepared?: StatementRequest['prepared'],
   ): Promise<CallerAnswer> {
-    const request = createRequest(statement, open, prepared);
+    const request = createRequest(statement, open, { prepared });
     const refusal = await openUpstreamTransaction(open, request);
     if (refusal) return failTransaction(open, refusal);
     const answer = await open.upstream!.run(request);
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -49,7 +49,11 @@
 export { createLatencyEstimate, type LatencyEstimate } from './lib/routing/latencyEstimate';
 export { planConnectionHolders, type ConnectionHolderPlan } from './lib/routing/connectionHolders';
 export { type ConnectionHolderCandidate } from './lib/routing/holdingInstances';
-export { planLimitAllocators, type LimitAllocatorPlan } from './lib/routing/limitAllocators';
+export {
+  createLimitAllocatorPlanner,
+  type LimitAllocatorPlan,
+  type LimitAllocatorPlanner,
+} from './lib/routing/limitAllocators';
 export { orderMembersForRead, type MemberLoad } from './lib/routing/orderMembersForRead';
 export { isDirectoryValid, MEMBER_SETTLING_MILLISECONDS } from './lib/membership/directoryValidity';
 export { choosePromotionCandidate, type PausedReplica } from './lib/promotion/promotionCandidate';
--- a/packages/pooling/src/lib/routing/limitAllocators.ts
+++ b/packages/pooling/src/lib/routing/limitAllocators.ts
@@ -24,37 +24,57 @@
 /** With more, the shares would be too small for whole operations of a small team. */
 const MAXIMUM_DATA_CENTRES = 8;
 
+/** Plans by one list of instances. @public */
+export interface LimitAllocatorPlanner {
+  plan: (team: string) => LimitAllocatorPlan;
+}
+
 /**
- * Plans which instances share out the limit of a team: some of each data centre, so that callers rarely
- * wait for another data centre, and few enough that each share is of use.
+ * Creates a planner of the instances that share out the limit of each team: some of each data centre, so
+ * that callers rarely wait for another data centre, and few enough that each share is of use.
  *
- * Instances with the same list of candidates compute the same plan without communicating.
+ * Instances with the same list of candidates make the same plans without communicating.
  *
  * @public
  */
-export function planLimitAllocators(options: {
-  team: string;
+export function createLimitAllocatorPlanner(options: {
   candidates: readonly ConnectionHolderCandidate[];
   dataCentre: string;
-}): LimitAllocatorPlan {
-  const { team, candidates, dataCentre } = options;
-  const dataCentres = groupByDataCentre(candidates);
-  const chosen = orderByRendezvous({ key: team, names: [...dataCentres.keys()] });
-  const chosenNames = chosen.slice(0, MAXIMUM_DATA_CENTRES);
-  const countPerDataCentre = Math.ceil(MINIMUM_ALLOCATORS / Math.max(1, chosenNames.length));
-  const allocatorsOf = (name: string) => {
-    const largest = sortByCapacity(dataCentres.get(name) ?? []).slice(0, MAXIMUM_CANDIDATES);
-    const names = largest.map(({ instance }) => instance);
-    return orderByRendezvous({ key: team, names }).slice(0, countPerDataCentre);
-  };
-  const byDataCentre = new Map(chosenNames.map((name) => [name, allocatorsOf(name)]));
-  const remoteNames = chosenNames.filter((name) => name !== dataCentre);
-  const remote = orderByRendezvous({ key: `${team}/${dataCentre}`, names: remoteNames });
-  const remoteAllocators = remote.flatMap((name) => byDataCentre.get(name)!);
-  const near = byDataCentre.get(dataCentre) ?? [];
+}): LimitAllocatorPlanner {
+  const { candidates, dataCentre } = options;
+  const largestByDataCentre = new Map(
+    [...groupByDataCentre(candidates)].map(([name, local]) => [name, selectLargest(local)]),
+  );
+  const plans = new Map<string, LimitAllocatorPlan>();
+
+  function createPlan(team: string): LimitAllocatorPlan {
+    const names = orderByRendezvous({ key: team, names: [...largestByDataCentre.keys()] });
+    const chosen = names.slice(0, MAXIMUM_DATA_CENTRES);
+    const count = Math.ceil(MINIMUM_ALLOCATORS / Math.max(1, chosen.length));
+    const allocatorsOf = (name: string) =>
+      orderByRendezvous({ key: team, names: largestByDataCentre.get(name)! }).slice(0, count);
+    const near = chosen.includes(dataCentre) ? allocatorsOf(dataCentre) : [];
+    const remoteNames = chosen.filter((name) => name !== dataCentre);
+    const remote = orderByRendezvous({ key: `${team}/${dataCentre}`, names: remoteNames });
+    return {
+      allocators: chosen.toSorted().flatMap(allocatorsOf),
+      near,
+      askedInOrder: [...near, ...remote.flatMap(allocatorsOf)],
+    };
+  }
+
   return {
-    allocators: [...byDataCentre.values()].flat(),
-    near,
-    askedInOrder: [...near, ...remoteAllocators],
+    plan: (team) => {
+      const known = plans.get(team);
+      if (known) return known;
+      const plan = createPlan(team);
+      plans.set(team, plan);
+      return plan;
+    },
   };
 }
+
+function selectLargest(candidates: readonly ConnectionHolderCandidate[]): string[] {
+  const largest = sortByCapacity(candidates).slice(0, MAXIMUM_CANDIDATES);
+  return largest.map(({ instance }) => instance);
+}
--- a/packages/pooling/src/test/limitAllocators.test.ts
+++ b/packages/pooling/src/test/limitAllocators.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { planLimitAllocators } from '../index';
+import { createLimitAllocatorPlanner } from '../index';
 import type { ConnectionHolderCandidate } from '../index';
 
 /** Two large instances and others in each data centre. */
@@ -11,6 +11,15 @@
   });
 }
 
+const planLimitAllocators = ({
+  team,
+  ...options
+}: {
+  team: string;
+  candidates: ConnectionHolderCandidate[];
+  dataCentre: string;
+}) => createLimitAllocatorPlanner(options).plan(team);
+
 const teams = Array.from({ length: 87 }, (_, index) => `team-${index}`);
 
 describe('the instances that share out a limit', () => {
