Compile the libraries of the streams between instances ahead of a start

The build stores the code compiled for them, as it does for the program, after one request over a stream.

--- a/scripts/bundle-instance.mjs
+++ b/scripts/bundle-instance.mjs
@@ -39,18 +39,25 @@
 };
 
 // Code that was compiled for a former program of the same length would be taken for that of this one.
-rmSync('target/program.cache', { force: true });
+for (const name of ['program', 'relayLibrary']) rmSync(`target/${name}.cache`, { force: true });
 
-await build({ ...options, plugins: [], entryPoints: { relay: 'packages/peer/src/relay.ts' } });
+await build({
+  ...options,
+  plugins: [],
+  entryPoints: { relayLibrary: 'packages/peer/src/relay.ts' },
+});
 await build({
   ...options,
   entryPoints: {
     wisterialift: 'platform/src/main.ts',
     instance: 'platform/src/cachedProgram.ts',
+    relay: 'platform/src/cachedRelay.ts',
     program: 'platform/src/lib/startInstance.ts',
   },
 });
 
 /** Compiled code is taken only by a runtime with the same flags; these are those of the deploy file. */
 const FLAGS = ['--max-old-space-size=200'];
-execFileSync(process.execPath, [...FLAGS, 'scripts/compile-program.mjs'], { stdio: 'inherit' });
+for (const script of ['compile-program', 'compile-relay']) {
+  execFileSync(process.execPath, [...FLAGS, `scripts/${script}.mjs`], { stdio: 'inherit' });
+}
--- a/scripts/compile-program.mjs
+++ b/scripts/compile-program.mjs
@@ -26,7 +26,7 @@
 process.env.WISTERIALIFT_BOOT = settingsPath;
 process.stdout.write = () => true;
 
-const { compiledCode, startInstance } = createRequire(import.meta.url)(
+const { getCompiledCode, startInstance } = createRequire(import.meta.url)(
   resolve('target/instance.cjs'),
 );
 startInstance({
@@ -35,6 +35,6 @@
 });
 
 setTimeout(() => {
-  writeFileSync('target/program.cache', compiledCode());
+  writeFileSync('target/program.cache', getCompiledCode());
   process.exit(0);
 }, RUN_MILLISECONDS);
