--- a/tools/soak/src/lib/load/soakCaller.ts
+++ b/tools/soak/src/lib/load/soakCaller.ts
@@ -5,6 +5,7 @@
 import type { World } from '../world/startWorld';
 import { numberOf } from './history';
 import type { History, WriteOutcome } from './history';
+import { teamOfCaller } from './soakTeams';
 
 export interface SoakCallerOptions {
   world: World;
@@ -45,7 +46,8 @@
     const { callers } = random.pick(world.instances);
     session = `${name}.${random.between(0, 1e9)}.`;
     try {
-      return await connectLineCaller({ port: callers.port, database, prefix: session });
+      const [key] = teamOfCaller(name).keys;
+      return await connectLineCaller({ port: callers.port, database, prefix: session, key });
     } catch {
       // Refused or cut, as callers are while an instance is away; another one may serve them.
       await pause(COME_BACK_MILLISECONDS);
--- a/tools/soak/src/lib/runSoak.ts
+++ b/tools/soak/src/lib/runSoak.ts
@@ -3,12 +3,14 @@
 import { createRandom } from '@wisterialift/fuzz';
 import { DATABASES, connectLineCaller } from '@wisterialift/stand-in-line-platform';
 import { checkLeaving } from './checks/checkLeaving';
+import { checkTeams } from './checks/checkTeams';
 import { checkLog } from './checks/checkLog';
 import { injectFaults } from './faults/injectFaults';
 import { createFaultPlan, createLeavingPlan } from './faults/faultPlan';
 import type { FaultPlan } from './faults/faultPlan';
 import { createHistory } from './load/history';
 import type { Violation } from './load/history';
+import { SOAK_TEAMS } from './load/soakTeams';
 import { runSoakCaller } from './load/soakCaller';
 import { startWorld } from './world/startWorld';
 import type { World } from './world/startWorld';
@@ -84,6 +86,7 @@
   const violations = [
     ...history.violations,
     ...checkLog(world, history),
+    ...checkTeams(world),
     ...checkLeaving(world, stalls.max / NANOSECONDS_PER_MILLISECOND),
   ];
   for (const instance of world.instances) {
@@ -123,8 +126,9 @@
 
 async function isServed(port: number): Promise<boolean> {
   try {
+    const [key] = SOAK_TEAMS[0].keys;
     for (const database of Object.values(DATABASES)) {
-      const caller = await connectLineCaller({ port, database, prefix: 'check.' });
+      const caller = await connectLineCaller({ port, database, prefix: 'check.', key });
       const texts = database === DATABASES.aged ? ['READ first'] : ['WRITE check 1', 'READ check'];
       for (const text of texts) {
         if (!(await caller.query(text)).end.startsWith('COMPLETE')) return false;
--- a/tools/soak/src/lib/world/startWorld.ts
+++ b/tools/soak/src/lib/world/startWorld.ts
@@ -14,6 +14,7 @@
   LineMember,
   ObjectStoreServer,
 } from '@wisterialift/stand-in-line-platform';
+import { SOAK_TEAMS } from '../load/soakTeams';
 import { startSoakDatabase } from './soakDatabase';
 import type { SoakDatabase } from './soakDatabase';
 import { startSoakInstance } from './soakInstance';
@@ -78,7 +79,7 @@
   }
 
   const configure = (changes: { timeout?: number } = {}) =>
-    entries.configure({ ...changes, maximumConnections });
+    entries.configure({ ...changes, maximumConnections, teams: SOAK_TEAMS });
 
   for (const member of group.members.values()) {
     databases.push(await startSoakDatabase(group, member));
