--- a/tools/world/src/test/teams.test.ts
+++ b/tools/world/src/test/teams.test.ts
@@ -1,4 +1,5 @@
 import { join } from 'node:path';
+import { createRandom } from '@wisterialift/fuzz';
 import { describe, expect, it } from 'vitest';
 import { readExperiment, runExperiment } from '../index';
 import type { PlannedFault } from '../lib/experiment/experimentSchema';
@@ -45,4 +46,23 @@
     ];
     expect(await play(faults, seed)).toEqual([]);
   });
+
+  it.each([1, 2, 3, 4])(
+    'keep keys and limits that change at any moment of restarts (seed %i)',
+    async (seed) => {
+      // Guards against a change that an instance misses because it starts, stops or is cut off meanwhile.
+      const random = createRandom(seed);
+      const at = () => random.between(10, 90) / 10;
+      const faults: PlannedFault[] = [
+        busyTeam,
+        { kind: 'rollingStops', at: at(), pause: 0.4 },
+        { kind: 'killInstance', at: at(), count: random.between(1, 14) },
+        { kind: 'storeCut', at: at(), seconds: 3, instances: random.between(1, 14) },
+        { kind: 'changeLimit', at: at(), rank: 1, factor: 0.3 },
+        { kind: 'revokeTeam', at: at(), rank: 2 },
+        { kind: 'changeLimit', at: at(), rank: 4, factor: 2 },
+      ];
+      expect(await play(faults, seed)).toEqual([]);
+    },
+  );
 });
