--- a/packages/gateway/src/test/configurationCheck.test.ts
+++ b/packages/gateway/src/test/configurationCheck.test.ts
@@ -3,18 +3,10 @@
 import { createConfigurationCheck } from '../lib/configuration/configurationCheck';
 import { createKeyRefusals } from '../lib/configuration/keyRefusals';
 import { createTeamDirectory } from '../index';
-import type { Clock, GatewayConfiguration, Route } from '../index';
-import { createTestLogger, GROUP, noop } from './fixture';
+import type { Clock, GatewayConfiguration } from '../index';
+import { createTestLogger, createTestRoute, noop } from './fixture';
 
-const route: Route = {
-  database: 'history',
-  group: GROUP,
-  consistency: 'primary',
-  maximumStaleness: 0,
-  timeout: 1_000,
-  goal: 500,
-  priority: 1,
-};
+const route = createTestRoute();
 
 const createVersion = (version: number, keyDigests: string[]): GatewayConfiguration => ({
   version,
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -1,11 +1,25 @@
 import type { Logger } from '@wisterialift/telemetry';
 import { createProcessClock } from '../index';
-import type { GatewayOptions } from '../index';
+import type { GatewayOptions, Route } from '../index';
 
 export const GROUP = 'group-1';
 
 export const noop = () => undefined;
 
+/** A route of the test group whose reads are those of the primary; `changes` override its fields. */
+export function createTestRoute(changes: Partial<Route> = {}): Route {
+  return {
+    database: 'history',
+    group: GROUP,
+    consistency: 'primary',
+    maximumStaleness: 0,
+    timeout: 1_000,
+    goal: 500,
+    priority: 1,
+    ...changes,
+  };
+}
+
 /** Creates a logger that passes the event name of every line to `write`. */
 export function createTestLogger(write: (event: string) => void = noop): Logger {
   return { trace: write, debug: write, info: write, warn: write, error: write };
--- a/packages/gateway/src/test/unknownDatabase.test.ts
+++ b/packages/gateway/src/test/unknownDatabase.test.ts
@@ -4,17 +4,9 @@
 import { createProcessClock } from '../lib/ports/clock';
 import { createCallerSession } from '../lib/sessions/callerSession';
 import { createGateway } from '../index';
-import { createTestLogger, createTestOptions, GROUP, noop } from './fixture';
+import { createTestLogger, createTestOptions, createTestRoute, noop } from './fixture';
 
-const route: Route = {
-  database: 'history',
-  group: GROUP,
-  consistency: 'primary',
-  maximumStaleness: 0,
-  timeout: 1_000,
-  goal: 500,
-  priority: 1,
-};
+const route = createTestRoute();
 
 const createConfiguration = (version: number, routes: Route[]): GatewayConfiguration => ({
   version,
