--- a/scripts/bundle-instance.mjs
+++ b/scripts/bundle-instance.mjs
@@ -58,6 +58,4 @@
 
 /** Compiled code is taken only by a runtime with the same flags; these are those of the deploy file. */
 const FLAGS = ['--max-old-space-size=200'];
-for (const script of ['compile-program', 'compile-relay']) {
-  execFileSync(process.execPath, [...FLAGS, `scripts/${script}.mjs`], { stdio: 'inherit' });
-}
+execFileSync(process.execPath, [...FLAGS, 'scripts/compile-ahead.mjs'], { stdio: 'inherit' });
