--- a/packages/gateway/src/lib/limits/teamLimiter.ts
+++ b/packages/gateway/src/lib/limits/teamLimiter.ts
@@ -1,7 +1,6 @@
 import { computeLimitShare, createPermitReserve } from '@wisterialift/core';
 import type { LimitTolerance, RateLimit } from '@wisterialift/core';
 import { computeRetryDelay } from '@wisterialift/pooling';
-import type { Logger } from '@wisterialift/telemetry';
 import type { Clock } from '../ports/clock';
 import type { PermitGrant } from './permitAllocator';
 
@@ -24,7 +23,6 @@
 export interface TeamLimiterOptions {
   team: string;
   clock: Clock;
-  logger: Logger;
   tolerance: LimitTolerance;
   /** Returns a uniform number in [0, 1), used for jitter. */
   random: () => number;
@@ -57,7 +55,7 @@
 }
 
 export function createTeamLimiter(options: TeamLimiterOptions): TeamLimiter {
-  const { team, clock, logger, tolerance, random, findAllocators, askAllocator } = options;
+  const { team, clock, tolerance, random, findAllocators, askAllocator } = options;
   const reserve = createPermitReserve();
   const counters: LimitCounters = { admitted: 0, refused: 0 };
   const waiters: Waiter[] = [];
@@ -159,7 +157,6 @@
     );
     const expectedWait = waits.length > 0 ? Math.max(0, Math.min(...waits)) : undefined;
     const milliseconds = computeRetryDelay({ expectedWait, jitter: random() });
-    logger.info('operationLimited', { team, rate, milliseconds });
     const detail = `${team} may start ${rate} operations a second, come back in ${milliseconds} ms`;
     return { type: 'refused', detail };
   }
--- a/packages/gateway/src/lib/limits/teamLimits.ts
+++ b/packages/gateway/src/lib/limits/teamLimits.ts
@@ -1,5 +1,4 @@
 import type { LimitTolerance } from '@wisterialift/core';
-import type { Logger } from '@wisterialift/telemetry';
 import type { ActiveConfiguration } from '../configuration/activeConfiguration';
 import type { Clock } from '../ports/clock';
 import type { PeerLink } from '../relay/peerLink';
@@ -32,7 +31,6 @@
   instance: string;
   dataCentre: string;
   clock: Clock;
-  logger: Logger;
   limitTolerance: LimitTolerance;
   /** Returns a uniform number in [0, 1), used for jitter. */
   random: () => number;
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -89,7 +89,7 @@
   const hasAccess = () => findAccess()?.type === 'granted';
 
   const handlers: { [Type in CallerStatement['type']]: Handler<Type> } = {
-    begin: ({ isReadOnly }) => begin(isReadOnly),
+    begin: (statement) => begin(statement),
     commit: (statement) => commit(statement),
     rollback: () => rollBack(),
     read: (statement) => runStatement(statement),
@@ -214,9 +214,12 @@
     }
   }
 
-  async function begin(isReadOnly: boolean): Promise<CallerAnswer> {
+  async function begin({
+    id,
+    isReadOnly,
+  }: CallerStatement & { type: 'begin' }): Promise<CallerAnswer> {
     if (transaction) return createRefusal('malformed', 'a transaction is open already');
-    const admitted = await admitOperation();
+    const admitted = await admitOperation(id);
     if ('refusal' in admitted) return admitted.refusal;
     const beginStamp = admitted.runner.createArrivalStamp();
     transaction = { ...admitted, isReadOnly, beginStamp, isFailed: false };
@@ -224,11 +227,18 @@
   }
 
   /** Counts a statement or transaction that begins, then determines where it runs. */
-  async function admitOperation(): Promise<RoutedGroup | { refusal: CallerAnswer }> {
+  async function admitOperation(
+    requestId: string,
+  ): Promise<RoutedGroup | { refusal: CallerAnswer }> {
     const found = findRoutedGroup();
     if ('refusal' in found || found.team === undefined) return found;
     const permit = await requestPermit(found.team);
-    if (permit.type === 'refused') return { refusal: createRefusal('busy', permit.detail) };
+    if (permit.type === 'refused') {
+      const { detail } = permit;
+      const { version } = found;
+      logger.info('operationLimited', { requestId, team: found.team, version, detail });
+      return { refusal: createRefusal('busy', detail) };
+    }
     // The configuration may have changed during the wait.
     if (isRevoked) return { refusal: createRefusal('unauthenticated', REVOKED_DETAIL) };
     return findRoutedGroup();
@@ -254,7 +264,7 @@
   ): Promise<CallerAnswer> {
     if (transaction) return runInTransaction(transaction, statement, prepared);
     const receivedAt = clock.now();
-    const admitted = await admitOperation();
+    const admitted = await admitOperation(statement.id);
     if ('refusal' in admitted) return admitted.refusal;
     const { runner } = admitted;
     const request = createRequest(statement, admitted, { prepared, receivedAt });
--- a/packages/gateway/src/test/teamLimits.test.ts
+++ b/packages/gateway/src/test/teamLimits.test.ts
@@ -4,7 +4,7 @@
 import type { PermitGrant } from '../lib/limits/permitAllocator';
 import { createTeamLimiter } from '../lib/limits/teamLimiter';
 import type { Clock, InstanceEntry } from '../index';
-import { createTestLogger, noop } from './fixture';
+import { noop } from './fixture';
 
 const TOLERANCE = { windowMilliseconds: 5_000, excess: 0.1, slack: 20 };
 
@@ -101,7 +101,6 @@
     const limiter = createTeamLimiter({
       team: 'north',
       clock,
-      logger: createTestLogger(),
       tolerance: TOLERANCE,
       random: () => 0,
       findAllocators: () => Object.keys(answers),
