--- a/packages/gateway/src/lib/limits/allocatorPlans.ts
+++ b/packages/gateway/src/lib/limits/allocatorPlans.ts
@@ -18,8 +18,8 @@
 }
 
 /**
- * Time after which all instances have the current list: a poll, one that failed, and the age of a list
- * that may be stale.
+ * Time after which all instances have the current list: the wait of a watch, a pause after one that
+ * failed, and the age of a list that may be stale.
  */
 const LIST_SETTLING_MILLISECONDS = 35_000;
 
@@ -45,9 +45,13 @@
   const isAllocatorIn = (planner: LimitAllocatorPlanner, team: string) =>
     planner.plan(team).allocators.includes(instance);
 
-  function isSettledAllocator(team: string): boolean {
+  function dropSettledLists(): void {
     const since = clock.now() - LIST_SETTLING_MILLISECONDS;
     former = former.filter(({ replacedAt }) => replacedAt > since);
+  }
+
+  function isSettledAllocator(team: string): boolean {
+    dropSettledLists();
     return former.every(({ planner }) => isAllocatorIn(planner, team));
   }
 
@@ -55,6 +59,7 @@
     updateInstances: (instances, { mayOthersLag }) => {
       const others = instances.filter((entry) => entry.instance !== instance);
       const planner = current ?? createPlanner(others);
+      dropSettledLists();
       if (mayOthersLag) former.push({ planner, replacedAt: clock.now() });
       current = createPlanner(instances);
     },
