Let an instance that joined wait until a failed watch is made up for; hold all waits to a bound

Found in review: an instance grants no permits for 35 s after it joined, until no other asks by a list without it. A watch of that list takes 20 s, a second to be noticed as silent and 15 s until the next read, whose data may be seconds old: 41 s. Two instances could grant the same share for six seconds. The wait is 45 s, a part of the port's contract.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -23,6 +23,7 @@
   type CallerLink,
 } from './lib/ports/callerPort';
 export {
+  LIST_SETTLING_MILLISECONDS,
   type InstanceEntry,
   type InstanceListing,
   type InstanceRegistry,
--- a/packages/gateway/src/lib/limits/allocatorPlans.ts
+++ b/packages/gateway/src/lib/limits/allocatorPlans.ts
@@ -1,6 +1,7 @@
 import { createLimitAllocatorPlanner } from '@wisterialift/pooling';
 import type { LimitAllocatorPlanner } from '@wisterialift/pooling';
 import type { Clock } from '../ports/clock';
+import { LIST_SETTLING_MILLISECONDS } from '../ports/instancePort';
 import type { InstanceEntry, InstanceListing } from '../ports/instancePort';
 
 /** Which instances share out the limits of the teams, by this instance's list of instances. */
@@ -17,12 +18,6 @@
   isAllocatorOfAny: (teams: Iterable<string>) => boolean;
 }
 
-/**
- * Time after which all instances have the current list: the wait of a watch, a pause after one that
- * failed, and the age of a list that may be stale.
- */
-const LIST_SETTLING_MILLISECONDS = 35_000;
-
 /** Plans by a former list of instances. */
 interface FormerPlanner {
   planner: LimitAllocatorPlanner;
--- a/packages/gateway/src/lib/ports/instancePort.ts
+++ b/packages/gateway/src/lib/ports/instancePort.ts
@@ -7,6 +7,13 @@
   address: string;
 }
 
+/**
+ * Time within which a registry that reaches its store must report a change, also after a failed call.
+ *
+ * @public
+ */
+export const LIST_SETTLING_MILLISECONDS = 45_000;
+
 /** How a list of instances relates to the lists of other instances. @public */
 export interface InstanceListing {
   /**
--- a/packages/gateway/src/test/teamLimits.test.ts
+++ b/packages/gateway/src/test/teamLimits.test.ts
@@ -3,14 +3,12 @@
 import { createPermitAllocator } from '../lib/limits/permitAllocator';
 import type { PermitGrant } from '../lib/limits/permitAllocator';
 import { createTeamLimiter } from '../lib/limits/teamLimiter';
+import { LIST_SETTLING_MILLISECONDS } from '../index';
 import type { Clock, InstanceEntry } from '../index';
 import { noop } from './fixture';
 
 const TOLERANCE = { windowMilliseconds: 5_000, excess: 0.1, slack: 20 };
 
-/** Longer than any instance may have an old list. */
-const SETTLED_MILLISECONDS = 36_000;
-
 /** A clock that the test advances. */
 function createTestClock() {
   let now = 0;
@@ -41,7 +39,9 @@
     const teams = Array.from({ length: 40 }, (_, index) => `team-${index}`);
     const count = () => teams.filter((team) => plans.countAllocators(team) !== undefined).length;
     expect(count()).toBe(0);
-    advance(SETTLED_MILLISECONDS);
+    advance(LIST_SETTLING_MILLISECONDS - 1);
+    expect(count()).toBe(0);
+    advance(1);
     expect(count()).toBeGreaterThan(0);
   });
 
