Log which values each attempt of a repeated read is sent with

A read that is hedged, or repeated after an attempt that may have run, now logs `readAttemptSent` for each attempt: member, connection, number of the attempt, and three versions of the session's variables: at the arrival of the statement, on the connection, and of the session at the send. `readAttemptNotSent` says why an attempt was given up. An attempt that was prepared after the answer shows as a connection with a later version than the statement; one that only arrives late does not.

Bounded: most reads take one attempt and write nothing; hedges have a budget and a repetition follows a lost or unverified answer. A relayed statement carries the version, so that a holder's lines compare with those of the caller's instance.

--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -41,6 +41,8 @@
   queueTimeout?: number;
   /** Whether the statement has been answered, so that the command must not be sent any more. */
   isAbandoned?: () => boolean;
+  /** Called right before the command is sent. */
+  onSend?: (connection: PooledConnection) => void;
 }
 
 /**
@@ -84,7 +86,7 @@
   member: Member,
   options: AttemptOptions & { queuedAt: number },
 ): Promise<AttemptOutcome> {
-  const { request, command, deadlineAt, queuedAt, isAbandoned = () => false } = options;
+  const { request, command, deadlineAt, queuedAt, isAbandoned = () => false, onSend } = options;
   if (isAbandoned()) return { type: 'notSent', cause: 'abandoned' };
   const sendDeadlineAt = context.leavingPolicy.limitDeadline(member, deadlineAt);
   const acquired = await acquireConnection(context, member, request, sendDeadlineAt);
@@ -101,6 +103,7 @@
   }
   if (command.type !== 'begin') logIfLeaving(context, member, { requestId: request.id, queuedAt });
   const sentStamp = createSequencedTime(context);
+  onSend?.(acquired);
   const outcome = await runWithDeadline(context, { connection: acquired, command, deadlineAt });
   if (command.type !== 'begin') recordLatency(context, member, sentStamp, outcome);
   if (outcome.type === 'lost') {
--- a/packages/gateway/src/lib/groups/hedgedReads.ts
+++ b/packages/gateway/src/lib/groups/hedgedReads.ts
@@ -7,6 +7,7 @@
 import type { GroupContext } from './groupContext';
 import { releaseConnection } from './releaseConnection';
 import type { Member } from './member';
+import type { ReadAttemptLog } from './readAttemptLog';
 import type { ReadCandidate } from './readCandidates';
 import type { StatementRequest } from './statementRequest';
 
@@ -26,6 +27,7 @@
   run: (options: {
     request: StatementRequest;
     createCommand: ReadCommandFactory;
+    attemptLog: ReadAttemptLog;
     first: ReadCandidate;
     second: ReadCandidate | undefined;
   }) => Promise<ReadAttempt>;
@@ -34,6 +36,7 @@
 interface AttemptReadOptions {
   request: StatementRequest;
   createCommand: ReadCommandFactory;
+  attemptLog: ReadAttemptLog;
   isAbandoned: () => boolean;
 }
 
@@ -54,11 +57,12 @@
   async function run({
     request,
     createCommand,
+    attemptLog,
     first,
     second,
   }: Parameters<HedgedReads['run']>[0]): Promise<ReadAttempt> {
     let isAnswered = false;
-    const options = { request, createCommand, isAbandoned: () => isAnswered };
+    const options = { request, createCommand, attemptLog, isAbandoned: () => isAnswered };
     const firstAttempt = attemptRead(first, options);
     if (!second || second.wait > 0 || !isMechanismEnabled('hedging')) return firstAttempt;
     const hedgeDelay = calculateHedgeDelay(first.member);
@@ -78,6 +82,7 @@
       secondMemberId: second.member.entry.memberId,
       waitedMilliseconds: Math.round(hedgeDelay),
     });
+    attemptLog.start();
     counters.retries += 1;
     const result = await resolveFirstCompleted(context, [
       firstAttempt,
@@ -96,11 +101,11 @@
 
   async function attemptRead(
     candidate: ReadCandidate,
-    { request, createCommand, isAbandoned }: AttemptReadOptions,
+    { request, createCommand, attemptLog, isAbandoned }: AttemptReadOptions,
   ): Promise<ReadAttempt> {
     const command = createCommand(candidate.after);
     const { deadlineAt } = request;
-    const { lag } = candidate.member;
+    const { entry, lag } = candidate.member;
     if (candidate.isTrialRead) lag.beginTrialRead();
     const outcome = await attemptCommand(context, candidate.member, {
       request,
@@ -108,7 +113,9 @@
       deadlineAt,
       queueTimeout: chooseQueueTimeout(request),
       isAbandoned,
+      onSend: (connection) => attemptLog.recordSent(entry.memberId, connection),
     });
+    if (outcome.type === 'notSent') attemptLog.recordNotSent(entry.memberId, outcome.cause);
     if (candidate.isTrialRead) lag.endTrialRead();
     return { candidate, outcome };
   }
--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -9,6 +9,7 @@
 import type { Member } from './member';
 import { calculatePollDelay } from './primaryVerifier';
 import type { PrimaryVerifier } from './primaryVerifier';
+import { createReadAttemptLog } from './readAttemptLog';
 import { createReadCandidates, STALENESS_MARGIN_MILLISECONDS } from './readCandidates';
 import type { ReadCandidate } from './readCandidates';
 import { refuseUnroutable } from './refusals';
@@ -96,6 +97,7 @@
     hedgedReads.recordRead();
     if (leavingPolicy.isGroupClosed()) return { answer: refuseRead(request) };
     if (canUseReplica(request) && !candidates.hasPosition(request)) await readPositions.refresh();
+    const attemptLog = createReadAttemptLog(context, request);
     const search: ReadSearch = { excludedMembers: new Set(), hasRefreshedReadPosition: false };
     for (;;) {
       const found = await findMembers(request, search);
@@ -103,6 +105,7 @@
       const { candidate, outcome } = await hedgedReads.run({
         request,
         createCommand,
+        attemptLog,
         ...found,
       });
       const verdict = await evaluateOutcome(request, candidate, outcome);
@@ -116,6 +119,7 @@
         if (!isMechanismEnabled('secondChoice')) return { answer: refuseRead(request) };
         search.excludedMembers.add(candidate.member);
       }
+      if (mayHaveRun(outcome)) attemptLog.start();
       counters.retries += 1;
     }
   }
@@ -243,3 +247,9 @@
 
   return { run };
 }
+
+/** Whether the member may have run the read of this attempt. */
+function mayHaveRun(outcome: AttemptOutcome): boolean {
+  if (outcome.type !== 'answered') return outcome.type === 'lost';
+  return outcome.answer.outcome === 'completed';
+}
--- a/packages/gateway/src/lib/groups/statementRequest.ts
+++ b/packages/gateway/src/lib/groups/statementRequest.ts
@@ -17,6 +17,8 @@
   text: string;
   prepared?: { statement: PreparedStatement; argumentsText: string };
   session: GroupSession;
+  /** Version of the session's variables at the arrival of the statement; for the log. */
+  sessionVersion: number;
   /** Name of the caller's team, under which the statement runs; undefined if it belongs to none. */
   team?: string;
   /** Digest of the caller's key; undefined if it presented none or another instance checked it. */
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -26,10 +26,14 @@
 
 /** An upstream connection and its session state. */
 export interface PooledConnection {
+  /** Counts the connections of the pool; identifies this one in the log. */
+  number: number;
   upstream: UpstreamConnection;
   /** Team under whose name the connection was opened. */
   owner: ConnectionOwner;
   state: ConnectionState;
+  /** Version of the session's variables that the connection was last prepared with. */
+  preparedVersion?: number;
   idleSince: number;
 }
 
@@ -138,6 +142,7 @@
   let pausedUntil = -Infinity;
   /** Owners of the connections that are being opened. */
   const opening: ConnectionOwner[] = [];
+  let openedCount = 0;
   let pinnedCount = 0;
   let connectTime = INITIAL_CONNECT_MILLISECONDS;
   let isClosed = false;
@@ -238,7 +243,8 @@
       }
       connectTime += CONNECT_TIME_SMOOTHING * (clock.now() - startedAt - connectTime);
       const state = createConnectionState();
-      const connection = { upstream, owner, state, idleSince: clock.now() };
+      openedCount += 1;
+      const connection = { number: openedCount, upstream, owner, state, idleSince: clock.now() };
       connections.add(connection);
       assignConnection(connection);
     } catch (error) {
@@ -379,6 +385,7 @@
   statement?: PreparedStatement,
 ): Promise<UpstreamAnswer | undefined> {
   const commands = planStateRestore({ session, connection: connection.state, statement });
+  Object.assign(connection, { preparedVersion: session.version });
   if (commands.length === 0) return undefined;
   const answers = await Promise.all(commands.map((command) => connection.upstream.run(command)));
   commands.forEach((command, index) => {
--- a/packages/gateway/src/lib/relay/relayMessages.ts
+++ b/packages/gateway/src/lib/relay/relayMessages.ts
@@ -42,7 +42,8 @@
   request: StatementRequest,
   options: { action: RelayAction; transaction?: RelayedTransaction; now: number },
 ): RelayStatement {
-  const { id, text, prepared, session, route, configurationVersion, deadlineAt } = request;
+  const { id, text, prepared, session, sessionVersion, route, configurationVersion, deadlineAt } =
+    request;
   const { action, transaction, now } = options;
   return {
     action,
@@ -53,6 +54,7 @@
     text,
     prepared: prepared && { ...prepared.statement, argumentsText: prepared.argumentsText },
     values: Object.fromEntries(session.state.values),
+    sessionVersion,
     lastCommit: encodeCommit(session.lastCommit, now),
     route: encodeRoute(route, configurationVersion),
     timeLeftMilliseconds: Math.max(0, Math.round(deadlineAt - now)),
@@ -75,11 +77,16 @@
   statement: RelayStatement,
   options: { arrivalStamp: SequencedTime },
 ): StatementRequest {
-  const { id, text, prepared, values, lastCommit, timeLeftMilliseconds } = statement;
+  const { id, text, prepared, values, sessionVersion, lastCommit, timeLeftMilliseconds } =
+    statement;
   const { arrivalStamp } = options;
   const { route, version } = decodeRoute(statement);
   const session: GroupSession = {
-    state: { ...createSessionState(), values: new Map(Object.entries(values)) },
+    state: {
+      ...createSessionState(),
+      version: sessionVersion,
+      values: new Map(Object.entries(values)),
+    },
     lastCommit: decodeCommit(lastCommit, arrivalStamp.at),
   };
   return {
@@ -93,6 +100,7 @@
       argumentsText: prepared.argumentsText,
     },
     session,
+    sessionVersion,
     team: statement.team === '' ? undefined : statement.team,
     route,
     configurationVersion: version,
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -96,6 +96,7 @@
     write: (statement) => runStatement(statement),
     set: ({ name, value }) => {
       session.state.values.set(name, value);
+      session.state.version += 1;
       return createCompletedAnswer();
     },
     prepare: ({ name, access, shape }) => {
@@ -285,6 +286,7 @@
       text,
       prepared,
       session,
+      sessionVersion: session.state.version,
       team: owner,
       keyDigest: identity.keyDigest,
       route,
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -20,8 +20,10 @@
   };
 }
 
-/** Creates a logger that passes the event name of every line to `write`. */
-export function createTestLogger(write: (event: string) => void = noop): Logger {
+/** Creates a logger that passes every line to `write`. */
+export function createTestLogger(
+  write: (event: string, fields?: Record<string, unknown>) => void = noop,
+): Logger {
   return { trace: write, debug: write, info: write, warn: write, error: write };
 }
 
--- a/packages/gateway/src/test/hedgedReads.test.ts
+++ b/packages/gateway/src/test/hedgedReads.test.ts
@@ -23,22 +23,28 @@
   vi.useRealTimers();
 });
 
+/** Hedges a read of a session that sets a value; the second attempt prepares its connection. */
+async function hedgeRead() {
+  const replica = { memberId: 'db-2', address: 'db-2:1', isPrimary: false };
+  gateway.updateMembers([createDirectoryEntry(), createDirectoryEntry(replica)]);
+  await vi.advanceTimersByTimeAsync(100);
+  const session = gateway.openSession();
+  session.set();
+  session.read('earlier');
+  await settle();
+  gateway.forwarded[0]!.answer();
+  await settle();
+  gateway.holdAnswers('set');
+  session.read('hedged');
+  await vi.advanceTimersByTimeAsync(HEDGE_MILLISECONDS);
+  expect(gateway.events).toContain('readHedged');
+  return session;
+}
+
 describe('a read that is tried at a second member', () => {
   it('is not sent there once the first has answered', async () => {
     // Guards against running a statement with values that its caller has set since.
-    const replica = { memberId: 'db-2', address: 'db-2:1', isPrimary: false };
-    gateway.updateMembers([createDirectoryEntry(), createDirectoryEntry(replica)]);
-    await vi.advanceTimersByTimeAsync(100);
-    const session = gateway.openSession();
-    session.set();
-    session.read('earlier');
-    await settle();
-    gateway.forwarded[0]!.answer();
-    await settle();
-    gateway.holdAnswers('set');
-    session.read('hedged');
-    await vi.advanceTimersByTimeAsync(HEDGE_MILLISECONDS);
-    expect(gateway.events).toContain('readHedged');
+    const session = await hedgeRead();
     gateway.forwarded[1]!.answer();
     session.set();
     await settle();
@@ -48,4 +54,18 @@
     expect(gateway.getForwardedIds('db-1')).toEqual([]);
     expect(gateway.getForwardedIds('db-2')).toEqual(['earlier', 'hedged']);
   });
+
+  it('logs the values of each attempt, and whether it was sent', async () => {
+    // Guards against a statement that ran twice and whose log does not tell with which values.
+    await hedgeRead();
+    gateway.forwarded[1]!.answer();
+    await settle();
+    gateway.releaseAnswers();
+    await settle();
+    const attempts = [
+      ...gateway.findLines('readAttemptSent'),
+      ...gateway.findLines('readAttemptNotSent'),
+    ];
+    expect(attempts).toMatchSnapshot();
+  });
 });
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -121,6 +121,7 @@
     id,
     text: 'WRITE lamp-1 v1',
     session: { state: createSessionState(), lastCommit: undefined },
+    sessionVersion: 0,
     route,
     configurationVersion: 1,
     arrivalStamp,
--- a/packages/gateway/src/test/relayService.test.ts
+++ b/packages/gateway/src/test/relayService.test.ts
@@ -19,6 +19,7 @@
   prepared: undefined,
   team: '',
   values: {},
+  sessionVersion: 0,
   lastCommit: undefined,
   timeLeftMilliseconds: 1_000,
   route: {
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -160,6 +160,7 @@
     id: 'q1',
     text: 'READ lamp-1',
     session,
+    sessionVersion: 0,
     route: route!,
     configurationVersion: version,
     arrivalStamp,
--- a/packages/gateway/src/test/suspension.test.ts
+++ b/packages/gateway/src/test/suspension.test.ts
@@ -68,6 +68,7 @@
         prepared: undefined,
         team: '',
         values: {},
+        sessionVersion: 0,
         lastCommit: undefined,
         timeLeftMilliseconds: 0,
         route: {
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -81,6 +81,7 @@
 } = {}) {
   const forwarded: ForwardedStatement[] = [];
   const events: string[] = [];
+  const lines: Record<string, unknown>[] = [];
   let updateDirectory:
     ((entries: DirectoryEntry[], freshness: DirectoryFreshness) => void) | undefined;
   let currentEntries: DirectoryEntry[] = [];
@@ -139,7 +140,10 @@
   const gateway = createGateway(
     createTestOptions({
       clock: createProcessClock(),
-      logger: createTestLogger((event) => events.push(event)),
+      logger: createTestLogger((event, fields) => {
+        events.push(event);
+        lines.push({ event, ...fields });
+      }),
       driver: {
         connect: async ({ memberId }) => {
           const state: FakeConnection = { transaction: 'idle', values: new Map() };
@@ -222,6 +226,8 @@
   return {
     forwarded,
     events,
+    /** Finds the lines of one event in the log. */
+    findLines: (name: string) => lines.filter(({ event }) => event === name),
     openSession,
     /** Publishes a directory snapshot; without `changedAfter`, the time of its changes is unknown. */
     updateMembers,
--- a/packages/pooling/src/lib/session/sessionState.ts
+++ b/packages/pooling/src/lib/session/sessionState.ts
@@ -14,6 +14,8 @@
  * @public
  */
 export interface SessionState {
+  /** Number of changes of the values since the session began. */
+  version: number;
   values: Map<string, string>;
   preparedStatements: Map<string, PreparedStatement>;
 }
@@ -30,7 +32,7 @@
 
 /** @public */
 export function createSessionState(): SessionState {
-  return { values: new Map(), preparedStatements: new Map() };
+  return { version: 0, values: new Map(), preparedStatements: new Map() };
 }
 
 /** @public */
