Run every attempt of a statement with the values of its arrival

Cause: a statement's request held the session itself, and an attempt read the session's values when it prepared its connection.

Change: the state of a session is immutable and replaced by each SET. A request holds the state of its arrival, and every attempt, transaction step and relay message takes it from there. A request reaches nothing of the session but its last commit and the version of its state, for the log.

Test: hedgedReads.test.ts, "runs there with the values that it arrived with", with real session, router and pool in a fixed order of events: failed before (values { a: '2' }), passes.

Why it holds: no attempt can reach values that are later than its statement, at whatever moment it is prepared or sent.

--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -91,7 +91,7 @@
   const sendDeadlineAt = context.leavingPolicy.limitDeadline(member, deadlineAt);
   const acquired = await acquireConnection(context, member, request, sendDeadlineAt);
   if ('type' in acquired) return acquired;
-  // The caller may have changed its session since another attempt answered the statement.
+  // Another attempt may have answered the statement while this one waited for its connection.
   if (isAbandoned()) {
     member.pool.release(acquired);
     return { type: 'notSent', cause: 'abandoned' };
@@ -120,7 +120,7 @@
   request: StatementRequest,
   deadlineAt: number,
 ): Promise<PooledConnection | AttemptOutcome> {
-  const { state: session } = request.session;
+  const { sessionState: session } = request;
   const { priority } = request.route;
   let connection: PooledConnection;
   try {
--- a/packages/gateway/src/lib/groups/readAttemptLog.ts
+++ b/packages/gateway/src/lib/groups/readAttemptLog.ts
@@ -23,7 +23,7 @@
 
 export function createReadAttemptLog(
   { group, clock, logger }: GroupContext,
-  { id: requestId, session, sessionVersion }: StatementRequest,
+  { id: requestId, session, sessionState }: StatementRequest,
 ): ReadAttemptLog {
   const unwritten: AttemptLine[] = [];
   let sentCount = 0;
@@ -51,9 +51,9 @@
         memberId,
         connection: number,
         attempt: sentCount,
-        statementVersion: sessionVersion,
+        statementVersion: sessionState.version,
         preparedVersion,
-        sessionVersion: session.state.version,
+        sessionVersion: session.stateVersion,
       });
     },
     recordNotSent: (memberId, cause) => record('readAttemptNotSent', { memberId, cause }),
--- a/packages/gateway/src/lib/groups/statementRequest.ts
+++ b/packages/gateway/src/lib/groups/statementRequest.ts
@@ -4,9 +4,10 @@
 import type { Route } from '../configuration/gatewayConfiguration';
 import type { SequencedTime } from './groupContext';
 
-/** State of a caller's session in its group. */
+/** What the statements of a caller's session share. */
 export interface GroupSession {
-  state: SessionState;
+  /** Version of the session's variables, which may be later than that of a waiting statement. */
+  stateVersion: number;
   /** Last acknowledged commit of the session and when its answer arrived. */
   lastCommit: { position: Position; seenAt: number } | undefined;
 }
@@ -17,8 +18,8 @@
   text: string;
   prepared?: { statement: PreparedStatement; argumentsText: string };
   session: GroupSession;
-  /** Version of the session's variables at the arrival of the statement; for the log. */
-  sessionVersion: number;
+  /** Variables of the session at the arrival of the statement, with which every attempt runs. */
+  sessionState: SessionState;
   /** Name of the caller's team, under which the statement runs; undefined if it belongs to none. */
   team?: string;
   /** Digest of the caller's key; undefined if it presented none or another instance checked it. */
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -136,9 +136,9 @@
     }
 
     async function sendOnce(request: StatementRequest): Promise<StepOutcome> {
-      const { session, prepared } = request;
+      const { sessionState, prepared } = request;
       const queuedAt = clock.now();
-      const refused = await prepareForStatement(request, session.state, prepared?.statement);
+      const refused = await prepareForStatement(request, sessionState, prepared?.statement);
       if (refused) return refused;
       const deadlineAt = calculateSendDeadline(request);
       // The transaction holds a connection and locks, so its statements take priority.
@@ -184,7 +184,7 @@
     async function prepareForStatement(
       request: StatementRequest,
       ...[session, statement]: [
-        StatementRequest['session']['state'],
+        StatementRequest['sessionState'],
         Parameters<typeof prepareConnection>[2],
       ]
     ): Promise<StepOutcome | undefined> {
--- a/packages/gateway/src/lib/relay/relayMessages.ts
+++ b/packages/gateway/src/lib/relay/relayMessages.ts
@@ -6,7 +6,6 @@
   RelayStatement,
 } from '@wisterialift/peer/relay';
 import type { FailureReason, TransactionState, UpstreamAnswer } from '@wisterialift/pooling';
-import { createSessionState } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import type { Consistency, Route } from '../configuration/gatewayConfiguration';
 import type { SequencedTime } from '../groups/groupContext';
@@ -42,7 +41,7 @@
   request: StatementRequest,
   options: { action: RelayAction; transaction?: RelayedTransaction; now: number },
 ): RelayStatement {
-  const { id, text, prepared, session, sessionVersion, route, configurationVersion, deadlineAt } =
+  const { id, text, prepared, session, sessionState, route, configurationVersion, deadlineAt } =
     request;
   const { action, transaction, now } = options;
   return {
@@ -53,8 +52,8 @@
     id,
     text,
     prepared: prepared && { ...prepared.statement, argumentsText: prepared.argumentsText },
-    values: Object.fromEntries(session.state.values),
-    sessionVersion,
+    values: Object.fromEntries(sessionState.values),
+    sessionVersion: sessionState.version,
     lastCommit: encodeCommit(session.lastCommit, now),
     route: encodeRoute(route, configurationVersion),
     timeLeftMilliseconds: Math.max(0, Math.round(deadlineAt - now)),
@@ -82,11 +81,7 @@
   const { arrivalStamp } = options;
   const { route, version } = decodeRoute(statement);
   const session: GroupSession = {
-    state: {
-      ...createSessionState(),
-      version: sessionVersion,
-      values: new Map(Object.entries(values)),
-    },
+    stateVersion: sessionVersion,
     lastCommit: decodeCommit(lastCommit, arrivalStamp.at),
   };
   return {
@@ -100,7 +95,7 @@
       argumentsText: prepared.argumentsText,
     },
     session,
-    sessionVersion,
+    sessionState: { version: sessionVersion, values: new Map(Object.entries(values)) },
     team: statement.team === '' ? undefined : statement.team,
     route,
     configurationVersion: version,
--- a/packages/gateway/src/lib/sessions/callerSession.ts
+++ b/packages/gateway/src/lib/sessions/callerSession.ts
@@ -1,5 +1,10 @@
-import { createSessionState } from '@wisterialift/pooling';
-import type { CallerStatement, FailureReason, UpstreamAnswer } from '@wisterialift/pooling';
+import { createSessionState, setSessionValue } from '@wisterialift/pooling';
+import type {
+  CallerStatement,
+  FailureReason,
+  PreparedStatement,
+  UpstreamAnswer,
+} from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
 import type { Route } from '../configuration/gatewayConfiguration';
 import type { ActiveConfiguration } from '../configuration/activeConfiguration';
@@ -73,7 +78,9 @@
 export function createCallerSession(options: CallerSessionOptions): CallerSession {
   const { link, clock, logger, configuration, findRunner, onEnd, onAnswered } = options;
   const { checkForNewerConfiguration, requestPermit } = options;
-  const session: GroupSession = { state: createSessionState(), lastCommit: undefined };
+  const session: GroupSession = { stateVersion: 0, lastCommit: undefined };
+  const preparedStatements = new Map<string, PreparedStatement>();
+  let sessionState = createSessionState();
   let identity: CallerIdentity = { database: '', keyDigest: undefined };
   let team: string | undefined;
   let isAccepted = false;
@@ -95,16 +102,16 @@
     read: (statement) => runStatement(statement),
     write: (statement) => runStatement(statement),
     set: ({ name, value }) => {
-      session.state.values.set(name, value);
-      session.state.version += 1;
+      sessionState = setSessionValue(sessionState, name, value);
+      session.stateVersion = sessionState.version;
       return createCompletedAnswer();
     },
     prepare: ({ name, access, shape }) => {
-      session.state.preparedStatements.set(name, { access, shape });
+      preparedStatements.set(name, { access, shape });
       return createCompletedAnswer();
     },
     execute: (statement) => {
-      const prepared = session.state.preparedStatements.get(statement.name);
+      const prepared = preparedStatements.get(statement.name);
       if (!prepared) return createRefusal('unknownStatement', `${statement.name} is not prepared`);
       return runStatement(statement, {
         statement: prepared,
@@ -112,7 +119,7 @@
       });
     },
     deallocate: ({ name }) => {
-      if (session.state.preparedStatements.delete(name)) return createCompletedAnswer();
+      if (preparedStatements.delete(name)) return createCompletedAnswer();
       return createRefusal('unknownStatement', `${name} is not prepared`);
     },
     unknown: ({ text }) => createRefusal('malformed', `not a statement: ${text.slice(0, 40)}`),
@@ -286,7 +293,7 @@
       text,
       prepared,
       session,
-      sessionVersion: session.state.version,
+      sessionState,
       team: owner,
       keyDigest: identity.keyDigest,
       route,
--- a/packages/gateway/src/test/hedgedReads.test.ts
+++ b/packages/gateway/src/test/hedgedReads.test.ts
@@ -2,7 +2,10 @@
 import { createDirectoryEntry, startTestGateway } from './testGateway';
 
 /** Longer than the time after which a read is tried at a second member. */
-const HEDGE_MILLISECONDS = 400;
+const HEDGE_MILLISECONDS = 260;
+
+/** Number of statements of one instance that run concurrently at a test member. */
+const STATEMENT_LIMIT = 2;
 
 const settle = () => vi.advanceTimersByTimeAsync(1);
 
@@ -23,8 +26,40 @@
   vi.useRealTimers();
 });
 
-/** Hedges a read of a session that sets a value; the second attempt prepares its connection. */
-async function hedgeRead() {
+const findForwarded = (id: string, memberId: string) =>
+  gateway.forwarded.find((sent) => sent.id === id && sent.memberId === memberId);
+
+/** What a second attempt, which always goes to `db-1`, can wait for. */
+const waits = {
+  connection: {
+    prepare: async () => {
+      const other = gateway.openSession();
+      other.begin();
+      other.write('other');
+      await settle();
+      gateway.holdConnections('db-1');
+    },
+    end: () => gateway.releaseConnections(),
+  },
+  preparation: {
+    prepare: async () => gateway.holdAnswers('set'),
+    end: () => gateway.releaseAnswers(),
+  },
+  admission: {
+    prepare: async () => {
+      for (let count = 0; count < STATEMENT_LIMIT; count += 1) {
+        gateway.openSession().write('other');
+      }
+      await settle();
+    },
+    end: () => findForwarded('other', 'db-1')!.answer(),
+  },
+};
+
+type WaitName = keyof typeof waits;
+
+/** Hedges the read `hedged` of a session that has set `a` to 1; its second attempt waits. */
+async function hedgeRead(waitName: WaitName) {
   const replica = { memberId: 'db-2', address: 'db-2:1', isPrimary: false };
   gateway.updateMembers([createDirectoryEntry(), createDirectoryEntry(replica)]);
   await vi.advanceTimersByTimeAsync(100);
@@ -32,33 +67,67 @@
   session.set();
   session.read('earlier');
   await settle();
-  gateway.forwarded[0]!.answer();
+  findForwarded('earlier', 'db-2')!.answer();
   await settle();
-  gateway.holdAnswers('set');
+  await waits[waitName].prepare();
   session.read('hedged');
   await vi.advanceTimersByTimeAsync(HEDGE_MILLISECONDS);
   expect(gateway.events).toContain('readHedged');
+  expect(findForwarded('hedged', 'db-1')).toBeUndefined();
   return session;
 }
 
 describe('a read that is tried at a second member', () => {
-  it('is not sent there once the first has answered', async () => {
+  it.each(Object.keys(waits) as WaitName[])(
+    'is not sent there once the first has answered, during its wait for its %s',
+    async (waitName) => {
+      // Guards against running a statement with values that its caller has set since.
+      const session = await hedgeRead(waitName);
+      findForwarded('hedged', 'db-2')!.answer();
+      session.set('a', '2');
+      await settle();
+      waits[waitName].end();
+      await settle();
+      expect(session.answers.map(({ outcome }) => outcome)).toEqual(Array(4).fill('completed'));
+      expect(gateway.findLines('readAttemptNotSent')).toMatchObject([{ cause: 'abandoned' }]);
+      expect(gateway.getForwardedIds('db-1')).not.toContain('hedged');
+      expect(gateway.getForwardedIds('db-2')).toEqual(['earlier', 'hedged']);
+    },
+  );
+
+  it('takes no connection there once the first attempt is answered', async () => {
+    // Guards against opening or preparing a connection for a statement that is over.
+    const session = await hedgeRead('admission');
+    findForwarded('hedged', 'db-2')!.answer();
+    session.set('a', '2');
+    await settle();
+    waits.admission.end();
+    await settle();
+    expect(gateway.countCommands('db-1', 'set')).toBe(0);
+  });
+
+  it('runs there with the values that it arrived with, although its caller was told of a failure', async () => {
     // Guards against running a statement with values that its caller has set since.
-    const session = await hedgeRead();
-    gateway.forwarded[1]!.answer();
-    session.set();
+    const session = await hedgeRead('connection');
+    findForwarded('hedged', 'db-2')!.answerMalformed();
     await settle();
-    gateway.releaseAnswers();
+    session.set('a', '2');
+    await settle();
+    gateway.releaseConnections();
     await settle();
-    expect(session.answers.map(({ outcome }) => outcome)).toEqual(Array(4).fill('completed'));
-    expect(gateway.getForwardedIds('db-1')).toEqual([]);
-    expect(gateway.getForwardedIds('db-2')).toEqual(['earlier', 'hedged']);
+    expect(session.answers.map(({ outcome }) => outcome)).toEqual([
+      'completed',
+      'completed',
+      'refused',
+      'completed',
+    ]);
+    expect(findForwarded('hedged', 'db-1')).toMatchObject({ values: { a: '1' } });
   });
 
   it('logs the values of each attempt, and whether it was sent', async () => {
     // Guards against a statement that ran twice and whose log does not tell with which values.
-    await hedgeRead();
-    gateway.forwarded[1]!.answer();
+    await hedgeRead('preparation');
+    findForwarded('hedged', 'db-2')!.answer();
     await settle();
     gateway.releaseAnswers();
     await settle();
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -120,8 +120,8 @@
   return {
     id,
     text: 'WRITE lamp-1 v1',
-    session: { state: createSessionState(), lastCommit: undefined },
-    sessionVersion: 0,
+    session: { stateVersion: 0, lastCommit: undefined },
+    sessionState: createSessionState(),
     route,
     configurationVersion: 1,
     arrivalStamp,
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -154,13 +154,13 @@
 function createRequest(activeConfiguration: ActiveConfiguration): StatementRequest {
   const { route, version } = activeConfiguration.findRoute('history')!;
   const arrivalStamp = { sequence: 0, at: clock.now() };
-  const session = { state: createSessionState(), lastCommit: undefined };
+  const session = { stateVersion: 0, lastCommit: undefined };
   const deadlineAt = arrivalStamp.at + 2_000;
   return {
     id: 'q1',
     text: 'READ lamp-1',
     session,
-    sessionVersion: 0,
+    sessionState: createSessionState(),
     route: route!,
     configurationVersion: version,
     arrivalStamp,
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -49,6 +49,8 @@
   /** Session values that were set on its connection. */
   values: Record<string, string>;
   answer: () => void;
+  /** Answers with something that the gateway cannot process. */
+  answerMalformed: () => void;
 }
 
 /** State of a connection as the member has it. */
@@ -88,6 +90,9 @@
   let heldCommandType: UpstreamCommand['type'] | undefined;
   let refusedCommandType: UpstreamCommand['type'] | undefined;
   const heldAnswers: (() => void)[] = [];
+  const unreachedMembers = new Set<string>();
+  const heldConnections: (() => void)[] = [];
+  const commands: { memberId: string; type: UpstreamCommand['type'] }[] = [];
   const reports = new WeakMap<UpstreamAnswer, string>();
   const store = createRecordStore();
   const orders: string[] = [];
@@ -113,6 +118,7 @@
     state: FakeConnection,
     command: UpstreamCommand,
   ): Promise<UpstreamAnswer> {
+    commands.push({ memberId, type: command.type });
     return new Promise((resolve) => {
       if (command.type === refusedCommandType) {
         refusedCommandType = undefined;
@@ -123,6 +129,7 @@
       if (command.type === 'reset') state.values.clear();
       if (command.type === 'set') state.values.set(command.name, command.value);
       const answer = () => resolve(createCompletedAnswer(memberId, state.transaction));
+      const answerMalformed = () => resolve(undefined as unknown as UpstreamAnswer);
       if (command.type === 'begin') Object.assign(state, { transaction: 'open' });
       if (command.type === 'demote') {
         demoted.add(memberId);
@@ -131,8 +138,9 @@
       if (silent.has(memberId)) return;
       if (command.type === 'rollback') Object.assign(state, { transaction: 'idle' });
       const values = Object.fromEntries(state.values);
-      if (command.type === 'forward') forwarded.push({ memberId, id: command.id, values, answer });
-      else if (command.type === heldCommandType) heldAnswers.push(answer);
+      if (command.type === 'forward') {
+        forwarded.push({ memberId, id: command.id, values, answer, answerMalformed });
+      } else if (command.type === heldCommandType) heldAnswers.push(answer);
       else answer();
     });
   }
@@ -147,6 +155,11 @@
       driver: {
         connect: async ({ memberId }) => {
           const state: FakeConnection = { transaction: 'idle', values: new Map() };
+          if (unreachedMembers.has(memberId)) {
+            await new Promise<void>((resolve) => {
+              heldConnections.push(resolve);
+            });
+          }
           return {
             run: (command) => run(memberId, state, command),
             isOpen: () => true,
@@ -254,6 +267,15 @@
     refuseNext: (type: UpstreamCommand['type']) => {
       refusedCommandType = type;
     },
+    /** Delays new connections to a member until `releaseConnections` is called. */
+    holdConnections: (memberId: string) => unreachedMembers.add(memberId),
+    releaseConnections: () => {
+      unreachedMembers.clear();
+      for (const connect of heldConnections.splice(0)) connect();
+    },
+    /** Counts the commands of this type that were sent to a member. */
+    countCommands: (memberId: string, type: UpstreamCommand['type']) =>
+      commands.filter((sent) => sent.memberId === memberId && sent.type === type).length,
     releaseAnswers: () => {
       for (const answer of heldAnswers.splice(0)) answer();
     },
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -21,6 +21,7 @@
   createSessionState,
   planStateRestore,
   getSharedStatementName,
+  setSessionValue,
   type ConnectionState,
   type PreparedStatement,
   type SessionState,
--- a/packages/pooling/src/lib/session/sessionState.ts
+++ b/packages/pooling/src/lib/session/sessionState.ts
@@ -9,15 +9,16 @@
 }
 
 /**
- * Variables and prepared statements of a caller's session, whichever connection serves it.
+ * Variables of a caller's session, whichever connection serves it.
+ *
+ * Immutable, so that a statement runs with the variables of its arrival however long it waits.
  *
  * @public
  */
 export interface SessionState {
-  /** Number of changes of the values since the session began. */
-  version: number;
-  values: Map<string, string>;
-  preparedStatements: Map<string, PreparedStatement>;
+  /** Number of changes since the session began. */
+  readonly version: number;
+  readonly values: ReadonlyMap<string, string>;
 }
 
 /** Variables and prepared statements that are set on one connection. @public */
@@ -32,7 +33,16 @@
 
 /** @public */
 export function createSessionState(): SessionState {
-  return { version: 0, values: new Map(), preparedStatements: new Map() };
+  return { version: 0, values: new Map() };
+}
+
+/** Returns the state of the session after it has set a variable. @public */
+export function setSessionValue(
+  { version, values }: SessionState,
+  name: string,
+  value: string,
+): SessionState {
+  return { version: version + 1, values: new Map(values).set(name, value) };
 }
 
 /** @public */
--- a/packages/pooling/src/test/decisions.test.ts
+++ b/packages/pooling/src/test/decisions.test.ts
@@ -9,6 +9,7 @@
   isClaimValid,
   orderMembersForRead,
   planStateRestore,
+  setSessionValue,
   determineWriteOutcome,
 } from '../index';
 import type { PreparedStatement } from '../index';
@@ -20,9 +21,8 @@
     sessionVariables: Record<string, string>,
     connectionVariables: Record<string, string>,
   ) {
-    const session = createSessionState();
+    const session = { version: 0, values: new Map(Object.entries(sessionVariables)) };
     const connection = createConnectionState();
-    Object.entries(sessionVariables).forEach((entry) => session.values.set(...entry));
     Object.entries(connectionVariables).forEach((entry) => connection.values.set(...entry));
     connection.preparedNames.add('r_q1');
     return planStateRestore({ session, connection, statement });
@@ -37,9 +37,8 @@
   });
 
   it('takes no commands after the planned ones were applied', () => {
-    const session = createSessionState();
+    const session = setSessionValue(createSessionState(), 'a', '1');
     const connection = createConnectionState();
-    session.values.set('a', '1');
     const request = { session, connection, statement };
     for (const command of planStateRestore(request)) applyStateCommand(connection, command);
     expect(planStateRestore(request)).toEqual([]);
