End the preparation of a transaction's connection at the statement's time limit

What callers saw: nothing was reported. A statement of a transaction whose session had set a value or prepared a name since, at a member that had gone silent, was never answered; its connection stayed with the transaction, and the statement was sent whenever the member answered again, after its time limit.

Cause: single statements wait for the preparation of their connection until their time limit, those of a transaction without one. Found while the ways on which a preparation can outlast its statement were gone through in a fixed order of events.

Change: both use one function, which ends at the time limit. The transaction then ends as for any answer that is lost: the connection is closed, which rolls it back at the member, and the caller is told that it was aborted.

Test: connectionState.test.ts, "fails at the time limit of the statement": before, the statement had no answer 10 ms after its limit of 5 s; passes.

Why it holds: no statement waits for anything without its limit, and a connection whose preparation was not answered is never used again.

--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -1,12 +1,12 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import { NoConnectionError } from '../errors/noConnectionError';
 import { settleWithTimeout } from '../timing/promiseTimeout';
+import { prepareConnection } from './connectionPreparation';
 import { createSequencedTime, logIfLeaving, observeAnswer } from './groupContext';
 import type { SequencedTime, GroupContext } from './groupContext';
 import { backOffFromMember } from './member';
 import type { Member } from './member';
 import type { StatementRequest } from './statementRequest';
-import { prepareConnection } from './upstreamPool';
 import type { PooledConnection } from './upstreamPool';
 
 /** Why a command was not sent. */
@@ -135,13 +135,8 @@
     backOffFromMember(member, context.clock.now());
     return { type: 'notSent', cause: 'unreachable' };
   }
-  const preparation = prepareConnection(connection, session, request.prepared?.statement);
-  const { clock } = context;
-  const prepared = await settleWithTimeout(clock, preparation, deadlineAt - clock.now());
-  if (prepared.type === 'value' && !prepared.value) return connection;
-  const { group, logger } = context;
-  const { memberId } = member.entry;
-  logger.warn('connectionNotPrepared', { group, memberId, requestId: request.id, prepared });
+  const preparation = await prepareConnection(context, member, { connection, request, deadlineAt });
+  if (preparation.type === 'ready') return connection;
   member.pool.discard(connection);
   return { type: 'notSent', cause: 'refused' };
 }
--- /dev/null
+++ b/packages/gateway/src/lib/groups/connectionPreparation.ts
@@ -0,0 +1,57 @@
+import { applyStateCommand, planStateRestore } from '@wisterialift/pooling';
+import type { UpstreamAnswer } from '@wisterialift/pooling';
+import { settleWithTimeout } from '../timing/promiseTimeout';
+import type { GroupContext } from './groupContext';
+import type { Member } from './member';
+import type { StatementRequest } from './statementRequest';
+import type { PooledConnection } from './upstreamPool';
+
+/** Whether a connection has the state that a statement requires. */
+export type Preparation =
+  | { type: 'ready' }
+  | { type: 'refused'; answer: UpstreamAnswer }
+  /** Not answered; the connection must be discarded. */
+  | { type: 'lost' };
+
+/**
+ * Brings a connection into the state that a statement requires, and logs why if that fails.
+ *
+ * Send the statement only if it is ready; otherwise another session's values may be visible to it.
+ */
+export async function prepareConnection(
+  { clock, group, logger }: GroupContext,
+  { entry }: Member,
+  options: { connection: PooledConnection; request: StatementRequest; deadlineAt: number },
+): Promise<Preparation> {
+  const { connection, request, deadlineAt } = options;
+  const restoring = restoreState(connection, request);
+  const prepared = await settleWithTimeout(clock, restoring, deadlineAt - clock.now());
+  if (prepared.type === 'value' && !prepared.value) return { type: 'ready' };
+  const { memberId } = entry;
+  logger.warn('connectionNotPrepared', { group, memberId, requestId: request.id, prepared });
+  if (prepared.type === 'value' && prepared.value) {
+    return { type: 'refused', answer: prepared.value };
+  }
+  return { type: 'lost' };
+}
+
+/** @returns the first refusal, or undefined if the connection is ready. */
+async function restoreState(
+  connection: PooledConnection,
+  { sessionState, prepared }: StatementRequest,
+): Promise<UpstreamAnswer | undefined> {
+  const commands = planStateRestore({
+    session: sessionState,
+    connection: connection.state,
+    statement: prepared?.statement,
+  });
+  Object.assign(connection, { preparedVersion: sessionState.version });
+  if (commands.length === 0) return undefined;
+  const answers = await Promise.all(commands.map((command) => connection.upstream.run(command)));
+  commands.forEach((command, index) => {
+    // Each command has its effect even if the member refused another one.
+    const isCompleted = answers[index]?.outcome === 'completed';
+    if (isCompleted) applyStateCommand(connection.state, command);
+  });
+  return answers.find(({ outcome }) => outcome === 'refused');
+}
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -1,6 +1,7 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import { attemptCommand, recordLatency, runWithDeadline } from './attemptCommand';
+import { prepareConnection } from './connectionPreparation';
 import { createSequencedTime, logIfLeaving, observeAnswer } from './groupContext';
 import type { StatementRunner, OpenTransactionOptions, Transaction } from './statementRunner';
 import type { GroupContext } from './groupContext';
@@ -13,7 +14,6 @@
 import { isWrite, toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 import type { SoleMemberGuard } from './soleMemberGuard';
-import { prepareConnection } from './upstreamPool';
 import type { PooledConnection } from './upstreamPool';
 import type { WriteRouter } from './writeRouter';
 
@@ -47,7 +47,7 @@
     soleMemberGuard: SoleMemberGuard;
   },
 ): TransactionOpener {
-  const { clock, logger, group } = context;
+  const { clock } = context;
   const { reads, writes, primaryVerifier, soleMemberGuard } = components;
 
   async function open(
@@ -136,10 +136,9 @@
     }
 
     async function sendOnce(request: StatementRequest): Promise<StepOutcome> {
-      const { sessionState, prepared } = request;
       const queuedAt = clock.now();
-      const refused = await prepareForStatement(request, sessionState, prepared?.statement);
-      if (refused) return refused;
+      const unprepared = await prepareForStatement(request);
+      if (unprepared) return unprepared;
       const deadlineAt = calculateSendDeadline(request);
       // The transaction holds a connection and locks, so its statements take priority.
       const { goal } = request.route;
@@ -181,25 +180,16 @@
       return hasRun ? deadlineAt : context.leavingPolicy.limitDeadline(member, deadlineAt);
     }
 
+    /** @returns the outcome of the statement if the connection could not be prepared. */
     async function prepareForStatement(
       request: StatementRequest,
-      ...[session, statement]: [
-        StatementRequest['sessionState'],
-        Parameters<typeof prepareConnection>[2],
-      ]
     ): Promise<StepOutcome | undefined> {
-      try {
-        const answer = await prepareConnection(connection, session, statement);
-        return answer && { type: 'answered', answer };
-      } catch (error) {
-        logger.warn('transactionConnectionLost', {
-          group,
-          requestId: request.id,
-          memberId: member.entry.memberId,
-          error: error as Error,
-        });
-        return { type: 'lost' };
-      }
+      const { deadlineAt } = request;
+      const options = { connection, request, deadlineAt };
+      const preparation = await prepareConnection(context, member, options);
+      if (preparation.type === 'ready') return undefined;
+      if (preparation.type === 'refused') return { type: 'answered', answer: preparation.answer };
+      return { type: 'lost' };
     }
 
     async function run(request: StatementRequest): Promise<UpstreamAnswer> {
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -1,20 +1,16 @@
 import {
-  applyStateCommand,
   canUseConnection,
   chooseWaitingStatement,
   countVariableCommands,
   createConnectionState,
   findUncoveredStatements,
-  planStateRestore,
 } from '@wisterialift/pooling';
 import type {
   ConnectionNeed,
   ConnectionOwner,
   ConnectionState,
-  PreparedStatement,
   QueuedStatement,
   SessionState,
-  UpstreamAnswer,
 } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
 import { NoConnectionError } from '../errors/noConnectionError';
@@ -371,27 +367,3 @@
     },
   };
 }
-
-/**
- * Brings a connection into the state that a statement requires.
- *
- * Send the statement only after this resolves; otherwise another session's values may be visible to it.
- *
- * @returns the first refusal, or undefined if the connection is ready.
- */
-export async function prepareConnection(
-  connection: PooledConnection,
-  session: SessionState,
-  statement?: PreparedStatement,
-): Promise<UpstreamAnswer | undefined> {
-  const commands = planStateRestore({ session, connection: connection.state, statement });
-  Object.assign(connection, { preparedVersion: session.version });
-  if (commands.length === 0) return undefined;
-  const answers = await Promise.all(commands.map((command) => connection.upstream.run(command)));
-  commands.forEach((command, index) => {
-    // Each command has its effect even if the member refused another one.
-    const isCompleted = answers[index]?.outcome === 'completed';
-    if (isCompleted) applyStateCommand(connection.state, command);
-  });
-  return answers.find(({ outcome }) => outcome === 'refused');
-}
--- a/packages/gateway/src/test/connectionState.test.ts
+++ b/packages/gateway/src/test/connectionState.test.ts
@@ -4,6 +4,9 @@
 /** Longer than it takes until a replica has shown that the primary's answers are current. */
 const EVIDENCE_MILLISECONDS = 500;
 
+/** Time limit of a statement on the test route. */
+const STATEMENT_TIMEOUT_MILLISECONDS = 5_000;
+
 const settle = () => vi.advanceTimersByTimeAsync(1);
 
 let gateway: ReturnType<typeof startTestGateway>;
@@ -56,3 +59,26 @@
     ]);
   });
 });
+
+describe('a transaction on a connection whose values are not set in time', () => {
+  it('fails at the time limit of the statement', async () => {
+    // Guards against a caller that waits for as long as a member which has gone silent.
+    gateway.updateMembers([createDirectoryEntry()]);
+    await vi.advanceTimersByTimeAsync(100);
+    const session = gateway.openSession();
+    session.begin();
+    session.write('earlier');
+    await settle();
+    gateway.forwarded[0]!.answer();
+    await vi.advanceTimersByTimeAsync(EVIDENCE_MILLISECONDS);
+    gateway.holdAnswers('set');
+    session.set();
+    session.write('late');
+    await vi.advanceTimersByTimeAsync(STATEMENT_TIMEOUT_MILLISECONDS + 10);
+    expect(session.answers).toHaveLength(4);
+    expect(session.answers.at(-1)).toMatchObject({ outcome: 'refused', reason: 'aborted' });
+    gateway.releaseAnswers();
+    await settle();
+    expect(gateway.getForwardedIds('db-1')).toEqual(['earlier']);
+  });
+});
