--- a/stand-ins/line-platform/src/lib/lineDatabase.ts
+++ b/stand-ins/line-platform/src/lib/lineDatabase.ts
@@ -41,6 +41,9 @@
   isSilent?: boolean;
 }
 
+/** Interval at which a held statement looks whether it may start. */
+const HOLD_CHECK_MILLISECONDS = 5;
+
 let transactions = 0;
 
 export async function startLineDatabase(
@@ -228,6 +231,10 @@
     return lacks || entry?.term !== term;
   }
 
+  async function waitWhileHeld(): Promise<void> {
+    while (member.faults.isHolding && member.isUp) await pause(HOLD_CHECK_MILLISECONDS);
+  }
+
   async function run(id: string, words: string[], text: string): Promise<void> {
     const [verb = '', ...operands] = words;
     if (verb === 'AFTER') {
@@ -236,7 +243,10 @@
       else await run(id, statement, statement.join(' '));
       return;
     }
-    if (WORKING.has(verb)) await pause(member.faults.workTime);
+    if (WORKING.has(verb)) {
+      await waitWhileHeld();
+      await pause(member.faults.workTime);
+    }
     if (WORKING.has(verb) && member.faults.busyAnswers > 0) {
       member.faults.busyAnswers -= 1;
       reply({ error: 'BUSY all slots are taken' });
@@ -251,7 +261,8 @@
     if (word === 'STARTUP') {
       client = words[1] ?? '';
       const isExpected = words[0] === group.name && (words[2] ?? member.id) === member.id;
-      if (isExpected) ready();
+      if (member.faults.isFull) socket.end(`ERROR TOOMANY ${member.id}\r\n`);
+      else if (isExpected) ready();
       else socket.end(`ERROR WRONGNODE ${member.id}\r\n`);
     } else if (word === 'QUERY') {
       const [id = '', ...statement] = words;
--- a/stand-ins/line-platform/src/lib/lineGroup.ts
+++ b/stand-ins/line-platform/src/lib/lineGroup.ts
@@ -18,6 +18,10 @@
   applyDelay: number;
   /** Milliseconds that a read or a write takes. */
   workTime: number;
+  /** Starts no statement that reads or writes. */
+  isHolding: boolean;
+  /** Refuses new connections because there are too many. */
+  isFull: boolean;
 }
 
 /** State of one database of a group. */
@@ -60,6 +64,8 @@
   isDeaf: false,
   applyDelay: 5,
   workTime: 1,
+  isHolding: false,
+  isFull: false,
 };
 
 export function createLineGroup(options: LineGroupOptions): LineGroup {
