--- a/packages/gateway/src/test/hedgedReads.test.ts
+++ b/packages/gateway/src/test/hedgedReads.test.ts
@@ -4,6 +4,9 @@
 /** Longer than the time after which a read is tried at a second member. */
 const HEDGE_MILLISECONDS = 260;
 
+/** Time limit of a statement on the test route. */
+const STATEMENT_TIMEOUT_MILLISECONDS = 5_000;
+
 /** Number of statements of one instance that run concurrently at a test member. */
 const STATEMENT_LIMIT = 2;
 
@@ -58,17 +61,28 @@
 
 type WaitName = keyof typeof waits;
 
-/** Hedges the read `hedged` of a session that has set `a` to 1; its second attempt waits. */
-async function hedgeRead(waitName: WaitName) {
+/** Lists the primary `db-1` and the replica `db-2`. */
+async function listMembers(): Promise<void> {
   const replica = { memberId: 'db-2', address: 'db-2:1', isPrimary: false };
   gateway.updateMembers([createDirectoryEntry(), createDirectoryEntry(replica)]);
   await vi.advanceTimersByTimeAsync(100);
+}
+
+/** Opens a session that has set `a` to 1 and whose first read ran at `db-2`. */
+async function openSession() {
+  await listMembers();
   const session = gateway.openSession();
   session.set();
   session.read('earlier');
   await settle();
   findForwarded('earlier', 'db-2')!.answer();
   await settle();
+  return session;
+}
+
+/** Hedges the read `hedged` of a session that has set `a` to 1; its second attempt waits. */
+async function hedgeRead(waitName: WaitName) {
+  const session = await openSession();
   await waits[waitName].prepare();
   session.read('hedged');
   await vi.advanceTimersByTimeAsync(HEDGE_MILLISECONDS);
@@ -124,6 +138,77 @@
     expect(findForwarded('hedged', 'db-1')).toMatchObject({ values: { a: '1' } });
   });
 
+  it('runs there as it was prepared, although its caller has used the name again', async () => {
+    // Guards against running another statement than the caller had prepared under the name.
+    const session = await openSession();
+    session.prepare('s1', 'shape-1');
+    await waits.connection.prepare();
+    gateway.holdAnswers('execute');
+    session.execute('s1');
+    await vi.advanceTimersByTimeAsync(HEDGE_MILLISECONDS);
+    expect(gateway.events).toContain('readHedged');
+    gateway.spoilFirstAnswer();
+    await settle();
+    session.prepare('s1', 'shape-2');
+    session.execute('s1');
+    await settle();
+    waits.connection.end();
+    await settle();
+    const executed = gateway.executed.map(({ memberId, name }) => `${memberId} ${name}`);
+    expect(executed).toEqual(['db-2 r_shape-1', 'db-2 r_shape-2', 'db-1 r_shape-1']);
+    expect(gateway.executed.every(({ isPrepared }) => isPrepared)).toBe(true);
+  });
+
+  it.each(['connection', 'preparation'] as const)(
+    'is not sent there after its time limit, during its wait for its %s',
+    async (waitName) => {
+      // Guards against running a statement with values that its caller has set since a refusal.
+      const session = await hedgeRead(waitName);
+      await vi.advanceTimersByTimeAsync(STATEMENT_TIMEOUT_MILLISECONDS);
+      session.set('a', '2');
+      await settle();
+      waits[waitName].end();
+      await settle();
+      expect(session.answers.map(({ outcome }) => outcome)).toEqual([
+        'completed',
+        'completed',
+        'refused',
+        'completed',
+      ]);
+      expect(gateway.getForwardedIds('db-1')).not.toContain('hedged');
+    },
+  );
+
+  it.each([
+    ['answer, then connection', 'connection', ['answer', 'end']],
+    ['connection, then answer', 'connection', ['end', 'answer']],
+    ['answer, then preparation', 'preparation', ['answer', 'end']],
+    ['preparation, then answer', 'preparation', ['end', 'answer']],
+  ] as const)(
+    'runs with the values of its arrival if its instance has paused: %s',
+    async (_, waitName, order) => {
+      // Guards against later values where a pause lets several events come at once.
+      const session = await hedgeRead(waitName);
+      const events = {
+        answer: () => findForwarded('hedged', 'db-2')!.answer(),
+        end: () => waits[waitName].end(),
+      };
+      for (const event of order) events[event]();
+      session.set('a', '2');
+      session.read('next');
+      await settle();
+      const values = gateway.forwarded
+        .filter(({ id }) => id === 'hedged')
+        .map((run) => run.values.a);
+      expect(new Set(values)).toEqual(new Set(['1']));
+      gateway.releaseAnswers();
+      await settle();
+      expect(findForwarded('next', 'db-2') ?? findForwarded('next', 'db-1')).toMatchObject({
+        values: { a: '2' },
+      });
+    },
+  );
+
   it('logs the values of each attempt, and whether it was sent', async () => {
     // Guards against a statement that ran twice and whose log does not tell with which values.
     await hedgeRead('preparation');
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -1,11 +1,12 @@
 import { createSessionState } from '@wisterialift/pooling';
 import type { UpstreamAnswer } from '@wisterialift/pooling';
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import { createActiveConfiguration } from '../lib/configuration/activeConfiguration';
 import type { Route } from '../lib/configuration/gatewayConfiguration';
 import type { GroupRouter } from '../lib/groups/groupRouter';
 import type { StatementRequest } from '../lib/groups/statementRequest';
-import type { Transaction } from '../lib/groups/statementRunner';
+import type { StatementRunner, Transaction } from '../lib/groups/statementRunner';
+import type { CallerAnswer } from '../lib/ports/callerPort';
 import { createProcessClock } from '../lib/ports/clock';
 import type { RelayTransport } from '../lib/ports/instancePort';
 import { createConfigurationSynchronizer } from '../lib/relay/configurationSynchronizer';
@@ -14,11 +15,15 @@
 import { createRelayedGroup } from '../lib/relay/relayedGroup';
 import { createRelayService } from '../lib/relay/relayService';
 import type { RelayTarget } from '../lib/relay/relayService';
+import { createCallerSession } from '../lib/sessions/callerSession';
 import { createTestLogger, GROUP, noop } from './fixture';
 
 const clock = createProcessClock();
 const logger = createTestLogger();
 
+/** No part of a check: longer than any wait on a busy machine. */
+const WAIT_OPTIONS = { timeout: 20_000 };
+
 const route: Route = {
   database: 'history',
   group: GROUP,
@@ -40,11 +45,20 @@
   return configuration;
 }
 
-/** Creates a link to a holder that records what it runs. */
-function createHolder(options: { isOutOfReach: boolean }) {
+/**
+ * Creates a link to a holder that records what it runs.
+ *
+ * @param options.mayRun - resolves when the holder may run what it has received.
+ */
+function createHolder(options: { isOutOfReach: boolean; mayRun?: Promise<void> }) {
+  const received: string[] = [];
   const ran: string[] = [];
-  const run = async ({ id }: StatementRequest): Promise<UpstreamAnswer> => {
+  const values: Record<string, string>[] = [];
+  const run = async ({ id, sessionState }: StatementRequest): Promise<UpstreamAnswer> => {
+    received.push(id);
+    await options.mayRun;
     ran.push(id);
+    values.push(Object.fromEntries(sessionState.values));
     return { outcome: 'completed', rows: [], signature: 's', transaction: 'idle' };
   };
   const transaction: Transaction = { run, commit: run, rollBack: noop };
@@ -82,19 +96,23 @@
     onVersion: noop,
     onLost: noop,
   });
-  return { link, ran };
+  return { link, received, ran, values };
 }
 
 /** Creates an instance that relays to the first of the holders, then to the others. */
 function createRelay(links: PeerLink[]) {
   const configuration = createConfiguration();
   const counters = { relayed: 0, refusals: 0 } as GroupRouter['counters'];
-  const local = { counters, isOutOfReach: () => false } as Partial<GroupRouter> as GroupRouter;
+  const local = {
+    counters,
+    createArrivalStamp: () => ({ sequence: 0, at: clock.now() }),
+    isOutOfReach: () => false,
+  } as Partial<GroupRouter> as GroupRouter;
   return createRelayedGroup({
     group: GROUP,
     local,
     holders: {
-      selectLink: () => links[0],
+      selectLink: () => links.find((link) => link.isUsable()),
       selectOtherLink: (_, refusing) => links.find((link) => !refusing.has(link)),
       findLink: () => undefined,
       isInformed: () => false,
@@ -129,6 +147,50 @@
   };
 }
 
+/** Opens a session whose statements a relay sends to holders. */
+function openSession(relay: StatementRunner) {
+  const answers: CallerAnswer[] = [];
+  const { events } = createCallerSession({
+    link: { accept: noop, refuse: noop, answer: (answer) => answers.push(answer), close: noop },
+    clock,
+    logger,
+    configuration: createConfiguration(),
+    checkForNewerConfiguration: async () => undefined,
+    findRunner: () => relay,
+    requestPermit: async () => ({ type: 'granted' }),
+    onEnd: noop,
+    onAnswered: noop,
+  });
+  events.onStart(route.database);
+  return { answers, onStatement: events.onStatement };
+}
+
+describe('a holder that is lost while a read of its waits', () => {
+  it('runs it with the values that it arrived with, although another one has answered', async () => {
+    // Guards against running a statement with values that its caller has set since.
+    let allowRun: () => void = noop;
+    const mayRun = new Promise<void>((resolve) => {
+      allowRun = resolve;
+    });
+    const lost = createHolder({ isOutOfReach: false, mayRun });
+    const other = createHolder({ isOutOfReach: false });
+    const session = openSession(createRelay([lost.link, other.link]));
+    const set = (value: string) =>
+      session.onStatement({ type: 'set', id: 'set', text: `SET a ${value}`, name: 'a', value });
+    set('1');
+    session.onStatement({ type: 'read', id: 'read', text: 'READ lamp-1' });
+    await vi.waitUntil(() => lost.received.length === 1, WAIT_OPTIONS);
+    lost.link.close();
+    await vi.waitUntil(() => session.answers.length === 2, WAIT_OPTIONS);
+    set('2');
+    await vi.waitUntil(() => session.answers.length === 3, WAIT_OPTIONS);
+    allowRun();
+    await vi.waitUntil(() => lost.ran.length === 1, WAIT_OPTIONS);
+    expect(session.answers.map(({ outcome }) => outcome)).toEqual(Array(3).fill('completed'));
+    expect([lost.values, other.values]).toEqual([[{ a: '1' }], [{ a: '1' }]]);
+  });
+});
+
 describe('a holder that is partitioned from the members', () => {
   // Guards against callers of one data centre that are refused for as long as a partition lasts,
   // although the holders of another data centre reach the members.
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -46,6 +46,8 @@
 interface ForwardedStatement {
   memberId: string;
   id: string;
+  /** State of the transaction on its connection before it runs. */
+  transaction: UpstreamAnswer['transaction'];
   /** Session values that were set on its connection. */
   values: Record<string, string>;
   answer: () => void;
@@ -57,6 +59,15 @@
 interface FakeConnection {
   transaction: UpstreamAnswer['transaction'];
   values: Map<string, string>;
+  preparedNames: Set<string>;
+}
+
+/** A prepared statement that a member ran, with the session values of its connection. */
+interface ExecutedStatement {
+  memberId: string;
+  name: string;
+  isPrepared: boolean;
+  values: Record<string, string>;
 }
 
 /** Keeps one promotion record in memory. */
@@ -82,6 +93,7 @@
   changes?: Partial<Route>;
 } = {}) {
   const forwarded: ForwardedStatement[] = [];
+  const executed: ExecutedStatement[] = [];
   const events: string[] = [];
   const lines: Record<string, unknown>[] = [];
   let updateDirectory:
@@ -89,7 +101,7 @@
   let currentEntries: DirectoryEntry[] = [];
   let heldCommandType: UpstreamCommand['type'] | undefined;
   let refusedCommandType: UpstreamCommand['type'] | undefined;
-  const heldAnswers: (() => void)[] = [];
+  const heldAnswers: Pick<ForwardedStatement, 'answer' | 'answerMalformed'>[] = [];
   const unreachedMembers = new Set<string>();
   const heldConnections: (() => void)[] = [];
   const commands: { memberId: string; type: UpstreamCommand['type'] }[] = [];
@@ -126,8 +138,12 @@
         resolve({ outcome: 'refused', reason: 'readOnly', detail: memberId, transaction });
         return;
       }
-      if (command.type === 'reset') state.values.clear();
+      if (command.type === 'reset') {
+        state.values.clear();
+        state.preparedNames.clear();
+      }
       if (command.type === 'set') state.values.set(command.name, command.value);
+      if (command.type === 'prepare') state.preparedNames.add(command.name);
       const answer = () => resolve(createCompletedAnswer(memberId, state.transaction));
       const answerMalformed = () => resolve(undefined as unknown as UpstreamAnswer);
       if (command.type === 'begin') Object.assign(state, { transaction: 'open' });
@@ -138,9 +154,15 @@
       if (silent.has(memberId)) return;
       if (command.type === 'rollback') Object.assign(state, { transaction: 'idle' });
       const values = Object.fromEntries(state.values);
+      const { transaction } = state;
+      if (command.type === 'execute') {
+        const { name } = command;
+        executed.push({ memberId, name, isPrepared: state.preparedNames.has(name), values });
+      }
       if (command.type === 'forward') {
-        forwarded.push({ memberId, id: command.id, values, answer, answerMalformed });
-      } else if (command.type === heldCommandType) heldAnswers.push(answer);
+        const { id } = command;
+        forwarded.push({ memberId, id, transaction, values, answer, answerMalformed });
+      } else if (command.type === heldCommandType) heldAnswers.push({ answer, answerMalformed });
       else answer();
     });
   }
@@ -154,7 +176,11 @@
       }),
       driver: {
         connect: async ({ memberId }) => {
-          const state: FakeConnection = { transaction: 'idle', values: new Map() };
+          const state: FakeConnection = {
+            transaction: 'idle',
+            values: new Map(),
+            preparedNames: new Set(),
+          };
           if (unreachedMembers.has(memberId)) {
             await new Promise<void>((resolve) => {
               heldConnections.push(resolve);
@@ -229,8 +255,25 @@
       write: (id: string) => caller.onStatement({ type: 'write', id, text: 'WRITE lamp-1 v1' }),
       set: (name = 'a', value = '1') =>
         caller.onStatement({ type: 'set', id: 'set', text: `SET ${name} ${value}`, name, value }),
-      begin: () =>
-        caller.onStatement({ type: 'begin', id: 'begin', text: 'BEGIN', isReadOnly: false }),
+      prepare: (name: string, shape: string) =>
+        caller.onStatement({
+          type: 'prepare',
+          id: 'prepare',
+          text: `PREPARE ${name} READ ${shape}`,
+          name,
+          access: 'read',
+          shape,
+        }),
+      execute: (name: string) =>
+        caller.onStatement({
+          type: 'execute',
+          id: 'execute',
+          text: `EXECUTE ${name} lamp-1`,
+          name,
+          argumentsText: 'lamp-1',
+        }),
+      begin: (isReadOnly = false) =>
+        caller.onStatement({ type: 'begin', id: 'begin', text: 'BEGIN', isReadOnly }),
       rollback: () => caller.onStatement({ type: 'rollback', id: 'rollback', text: 'ROLLBACK' }),
       commit: () => caller.onStatement({ type: 'commit', id: 'commit', text: 'COMMIT' }),
     };
@@ -238,6 +281,7 @@
 
   return {
     forwarded,
+    executed,
     events,
     /** Finds the lines of one event in the log. */
     findLines: (name: string) => lines.filter(({ event }) => event === name),
@@ -276,8 +320,12 @@
     /** Counts the commands of this type that were sent to a member. */
     countCommands: (memberId: string, type: UpstreamCommand['type']) =>
       commands.filter((sent) => sent.memberId === memberId && sent.type === type).length,
+    /** Sends the answer that was delayed last. */
+    releaseLastAnswer: () => heldAnswers.pop()!.answer(),
+    /** Answers the command that was delayed first with something that the gateway cannot process. */
+    spoilFirstAnswer: () => heldAnswers.shift()!.answerMalformed(),
     releaseAnswers: () => {
-      for (const answer of heldAnswers.splice(0)) answer();
+      for (const { answer } of heldAnswers.splice(0)) answer();
     },
     close: gateway.close,
   };
