Play a transaction that moves to another holder, and a caller that leaves during a wait

Guards against values that stay behind at the holder which a transaction has left, and against those of a caller that has gone on the connection that its attempt gives back. Both pass on the product's code as it is.

--- a/packages/gateway/src/test/hedgedReads.test.ts
+++ b/packages/gateway/src/test/hedgedReads.test.ts
@@ -138,6 +138,21 @@
     expect(findForwarded('hedged', 'db-1')).toMatchObject({ values: { a: '1' } });
   });
 
+  it('leaves none of its values to the next session if its caller leaves meanwhile', async () => {
+    // Guards against a statement that runs with the values which another session has set.
+    const session = await hedgeRead('preparation');
+    session.leave();
+    gateway.releaseAnswers();
+    await settle();
+    for (const run of gateway.forwarded) run.answer();
+    await settle();
+    gateway.openSession().write('other');
+    await settle();
+    expect(gateway.getForwardedIds('db-1')).toEqual(['hedged', 'other']);
+    expect(findForwarded('hedged', 'db-1')).toMatchObject({ values: { a: '1' } });
+    expect(findForwarded('other', 'db-1')).toMatchObject({ values: {} });
+  });
+
   it('runs there as it was prepared, although its caller has used the name again', async () => {
     // Guards against running another statement than the caller had prepared under the name.
     const session = await openSession();
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -61,7 +61,11 @@
     values.push(Object.fromEntries(sessionState.values));
     return { outcome: 'completed', rows: [], signature: 's', transaction: 'idle' };
   };
-  const transaction: Transaction = { run, commit: run, rollBack: noop };
+  const runInTransaction = async (request: StatementRequest): Promise<UpstreamAnswer> => ({
+    ...(await run(request)),
+    transaction: 'open',
+  });
+  const transaction: Transaction = { run: runInTransaction, commit: run, rollBack: noop };
   const target: RelayTarget = {
     read: run,
     write: run,
@@ -191,6 +195,28 @@
   });
 });
 
+describe('a transaction that moves to another holder', () => {
+  it('runs each statement with the values that were set before it', async () => {
+    // Guards against values that stay behind at the holder which the transaction has left.
+    const partitioned = createHolder({ isOutOfReach: true });
+    const other = createHolder({ isOutOfReach: false });
+    const session = openSession(createRelay([partitioned.link, other.link]));
+    const set = (value: string) =>
+      session.onStatement({ type: 'set', id: 'set', text: `SET a ${value}`, name: 'a', value });
+    const write = (id: string) =>
+      session.onStatement({ type: 'write', id, text: 'WRITE lamp-1 v1' });
+    session.onStatement({ type: 'begin', id: 'begin', text: 'BEGIN', isReadOnly: false });
+    set('1');
+    write('first');
+    set('2');
+    write('second');
+    await vi.waitUntil(() => session.answers.length === 5, WAIT_OPTIONS);
+    expect(partitioned.ran).toEqual([]);
+    expect(other.ran).toEqual(['first', 'second']);
+    expect(other.values).toEqual([{ a: '1' }, { a: '2' }]);
+  });
+});
+
 describe('a holder that is partitioned from the members', () => {
   // Guards against callers of one data centre that are refused for as long as a partition lasts,
   // although the holders of another data centre reach the members.
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -275,6 +275,7 @@
       begin: (isReadOnly = false) =>
         caller.onStatement({ type: 'begin', id: 'begin', text: 'BEGIN', isReadOnly }),
       rollback: () => caller.onStatement({ type: 'rollback', id: 'rollback', text: 'ROLLBACK' }),
+      leave: () => caller.onDisconnect(),
       commit: () => caller.onStatement({ type: 'commit', id: 'commit', text: 'COMMIT' }),
     };
   }
