Hold the tests of session values to the connection that they are about

Two of them passed with their guard out: the next statement ran on another connection. They now use the connection that was left, and count its reset or its end.

--- a/packages/gateway/src/test/sessionValues.test.ts
+++ b/packages/gateway/src/test/sessionValues.test.ts
@@ -7,6 +7,9 @@
 /** Longer than it takes until a replica has shown that the primary's answers are current. */
 const EVIDENCE_MILLISECONDS = 500;
 
+/** Number of statements of one instance that run concurrently at a test member. */
+const STATEMENT_LIMIT = 2;
+
 /** Time limit of a statement on the test route. */
 const STATEMENT_TIMEOUT_MILLISECONDS = 5_000;
 
@@ -49,6 +52,20 @@
   await settle();
 }
 
+/** Runs a write to its end, which includes that a replica has been seen to hold it. */
+async function completeWrite(session: Session, id: string): Promise<void> {
+  session.write(id);
+  await settle();
+  findRuns(id)[0]!.answer();
+  await vi.advanceTimersByTimeAsync(EVIDENCE_MILLISECONDS);
+}
+
+/** Starts writes of as many new sessions, so that they use all connections to the primary. */
+async function startWrites(id: string, count: number): Promise<void> {
+  for (let index = 0; index < count; index += 1) gateway.openSession().write(id);
+  await vi.advanceTimersByTimeAsync(100);
+}
+
 describe('a statement', () => {
   it('has the values that were set in a transaction, also after its roll-back', async () => {
     // Guards against values that are undone with a transaction although their setting was acknowledged.
@@ -60,10 +77,12 @@
     await vi.advanceTimersByTimeAsync(EVIDENCE_MILLISECONDS);
     session.set('a', '1');
     session.rollback();
-    await completeRead(session, 'later');
-    await completeRead(gateway.openSession(), 'other');
+    await completeWrite(session, 'later');
+    await startWrites('other', STATEMENT_LIMIT);
     expect(findRuns('later')).toMatchObject([{ values: { a: '1' }, transaction: 'idle' }]);
-    expect(findRuns('other')).toMatchObject([{ values: {}, transaction: 'idle' }]);
+    const withoutValues = { values: {}, transaction: 'idle' };
+    expect(findRuns('other')).toMatchObject(Array(STATEMENT_LIMIT).fill(withoutValues));
+    expect(gateway.countCommands('db-1', 'reset')).toBe(1);
   });
 
   it('has no value whose setting was refused in a failed transaction', async () => {
@@ -103,12 +122,11 @@
     // Guards against a statement that runs with the values which another session has set.
     const session = gateway.openSession();
     session.set('a', '1');
-    await completeRead(session, 'first');
+    await completeWrite(session, 'first');
     gateway.refuseNext('reset');
-    const other = gateway.openSession();
-    await completeRead(other, 'other');
-    expect(listOutcomes(other)).toEqual(['completed']);
-    expect(findRuns('other')).toMatchObject([{ values: {} }]);
+    await startWrites('other', STATEMENT_LIMIT);
+    expect(gateway.countCommands('db-1', 'reset')).toBe(1);
+    expect(findRuns('other')).toMatchObject(Array(STATEMENT_LIMIT).fill({ values: {} }));
   });
 
   it('has its own values beside a connection whose preparation ran into the time limit', async () => {
@@ -116,15 +134,15 @@
     const session = gateway.openSession();
     session.set('a', '1');
     gateway.holdAnswers('set');
-    session.read('late');
-    await vi.advanceTimersByTimeAsync(STATEMENT_TIMEOUT_MILLISECONDS + 10);
+    session.write('late');
+    await vi.advanceTimersByTimeAsync(STATEMENT_TIMEOUT_MILLISECONDS + 100);
     expect(listOutcomes(session)).toEqual(['completed', 'refused']);
-    await completeRead(gateway.openSession(), 'other');
+    expect(gateway.countClosedConnections('db-1')).toBe(1);
+    await startWrites('other', 1);
     gateway.releaseAnswers();
-    await completeRead(gateway.openSession(), 'another');
+    await settle();
     expect(findRuns('late')).toEqual([]);
     expect(findRuns('other')).toMatchObject([{ values: {} }]);
-    expect(findRuns('another')).toMatchObject([{ values: {} }]);
   });
 });
 
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -105,6 +105,8 @@
   const unreachedMembers = new Set<string>();
   const heldConnections: (() => void)[] = [];
   const commands: { memberId: string; type: UpstreamCommand['type'] }[] = [];
+  /** Members of the connections that were closed. */
+  const closed: string[] = [];
   const reports = new WeakMap<UpstreamAnswer, string>();
   const store = createRecordStore();
   const orders: string[] = [];
@@ -189,7 +191,7 @@
           return {
             run: (command) => run(memberId, state, command),
             isOpen: () => true,
-            close: noop,
+            close: () => closed.push(memberId),
           };
         },
         readReport: (answer) => {
@@ -318,6 +320,8 @@
       unreachedMembers.clear();
       for (const connect of heldConnections.splice(0)) connect();
     },
+    countClosedConnections: (memberId: string) =>
+      closed.filter((member) => member === memberId).length,
     /** Counts the commands of this type that were sent to a member. */
     countCommands: (memberId: string, type: UpstreamCommand['type']) =>
       commands.filter((sent) => sent.memberId === memberId && sent.type === type).length,
