--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,12 @@
   type Team,
   type TeamDirectory,
 } from './lib/configuration/gatewayConfiguration';
+export {
+  LOAD_CONTROLS,
+  loadControlsSchema,
+  type IsLoadControlEnabled,
+  type LoadControl,
+} from './lib/configuration/loadControls';
 export { UpstreamLostError } from './lib/errors/upstreamLostError';
 export { UpstreamRefusedError } from './lib/errors/upstreamRefusedError';
 export { MECHANISMS, type Mechanism } from './lib/mechanisms';
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,6 +1,7 @@
 import type { LimitTolerance } from '@wisterialift/core';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GatewayConfiguration, GroupLimits } from './configuration/gatewayConfiguration';
+import type { IsLoadControlEnabled, LoadControl } from './configuration/loadControls';
 import { createActiveConfiguration } from './configuration/activeConfiguration';
 import { createConfigurationCheck } from './configuration/configurationCheck';
 import { createKeyRefusals } from './configuration/keyRefusals';
@@ -62,6 +63,8 @@
   random: () => number;
   /** Mechanisms disabled for an experiment. */
   disabledMechanisms?: ReadonlySet<Mechanism>;
+  /** Load controls that the deployment asks for; none if omitted. */
+  loadControls?: ReadonlySet<LoadControl>;
   onAnswered: (sample: AnswerSample) => void;
 }
 
@@ -146,6 +149,9 @@
   const isMechanismEnabled: IsMechanismEnabled = (mechanism) =>
     !options.disabledMechanisms?.has(mechanism);
 
+  const isLoadControlEnabled: IsLoadControlEnabled = (control) =>
+    options.loadControls?.has(control) ?? false;
+
   const holders = createHolderSelector({
     ...options,
     isMechanismEnabled,
@@ -282,6 +288,7 @@
       group,
       limits: groupLimits,
       isMechanismEnabled,
+      isLoadControlEnabled,
       isHolder: () => holders.isHolder(group),
       hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -67,6 +67,7 @@
     arrivedAt: request.arrivalStamp.at,
     deadlineAt,
     queueTimeout,
+    team: request.team,
   };
   const admissionResult = isAdmissionRequired
     ? await admission.requestAdmission(admissionRequest)
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -2,6 +2,7 @@
 import type { Position } from '@wisterialift/schema';
 import type { Logger } from '@wisterialift/telemetry';
 import type { IsMechanismEnabled } from '../mechanisms';
+import type { IsLoadControlEnabled } from '../configuration/loadControls';
 import type { Clock } from '../ports/clock';
 import type { UpstreamDriver } from '../ports/upstreamPort';
 import type { LeavingMemberPolicy } from './leavingMemberPolicy';
@@ -23,6 +24,7 @@
   counters: GroupCounters;
   leavingPolicy: LeavingMemberPolicy;
   isMechanismEnabled: IsMechanismEnabled;
+  isLoadControlEnabled: IsLoadControlEnabled;
   /** Returns a uniformly distributed number in [0, 1). */
   random: () => number;
 }
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -2,6 +2,7 @@
 import type { ClockReadings, TermOrigin, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GroupLimits } from '../configuration/gatewayConfiguration';
+import type { IsLoadControlEnabled } from '../configuration/loadControls';
 import type { Clock } from '../ports/clock';
 import type { IsMechanismEnabled } from '../mechanisms';
 import { isSameProcess } from '../directory/directoryCache';
@@ -55,6 +56,7 @@
   random: () => number;
   logger: Logger;
   isMechanismEnabled: IsMechanismEnabled;
+  isLoadControlEnabled: IsLoadControlEnabled;
   /** Whether this instance keeps connections to the members, for itself or for other instances. */
   isHolder: () => boolean;
   /** Whether other instances hold connections to the members, for this one as well. */
@@ -106,6 +108,7 @@
     logger,
     missingMemberRetentionMilliseconds,
     isMechanismEnabled,
+    isLoadControlEnabled,
   } = options;
   const members = new Map<string, Member>();
   const evidence = createReplicationTracker();
@@ -142,6 +145,7 @@
     counters,
     leavingPolicy,
     isMechanismEnabled,
+    isLoadControlEnabled,
     random: options.random,
     suspectPrimary: (cause, member) => onSuspicion(cause, member),
   };
@@ -276,6 +280,7 @@
       isSameDataCentre: entry.dataCentre === dataCentre,
       clock,
       isMechanismEnabled,
+      isLoadControlEnabled,
     });
   }
 
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -5,6 +5,7 @@
   MEMBER_SETTLING_MILLISECONDS,
 } from '@wisterialift/pooling';
 import type { ClockReadings, LatencyEstimate, LagEstimate } from '@wisterialift/pooling';
+import type { IsLoadControlEnabled } from '../configuration/loadControls';
 import type { IsMechanismEnabled } from '../mechanisms';
 import type { Clock } from '../ports/clock';
 import type { CachedDirectoryEntry } from '../directory/directoryCache';
@@ -51,13 +52,15 @@
   isSameDataCentre: boolean;
   clock: Clock;
   isMechanismEnabled: IsMechanismEnabled;
+  isLoadControlEnabled: IsLoadControlEnabled;
 }): Member {
   const { entry, pool, isSameDataCentre, clock, isMechanismEnabled } = options;
   const { sameDataCentre, otherDataCentre } = INITIAL_LATENCY_MILLISECONDS;
   const latency = createLatencyEstimate(isSameDataCentre ? sameDataCentre : otherDataCentre);
+  const limit = Math.max(2, Math.ceil(entry.slots * STATEMENTS_PER_SLOT));
   const admission = createStatementAdmission({
     clock,
-    limit: Math.max(2, Math.ceil(entry.slots * STATEMENTS_PER_SLOT)),
+    getLimit: () => limit,
     countFreeConnections: pool.countFreeConnections,
     estimateStatementTime: () => latency.getCurrent(clock.now()),
     estimateConnectionDelay: pool.estimateDelay,
--- a/packages/gateway/src/lib/groups/statementAdmission.ts
+++ b/packages/gateway/src/lib/groups/statementAdmission.ts
@@ -17,6 +17,8 @@
   queueTimeout?: number;
   /** Whether the statement runs on the connection of its transaction. */
   hasConnection?: boolean;
+  /** Team of the caller; undefined if it belongs to none. */
+  team?: string;
 }
 
 /**
@@ -43,8 +45,8 @@
 
 export interface StatementAdmissionOptions {
   clock: Clock;
-  /** Maximum number of concurrent statements. */
-  limit: number;
+  /** Maximum number of concurrent statements, which may change over time. */
+  getLimit: () => number;
   /** Number of connections available to statements outside transactions. */
   countFreeConnections: () => number;
   /** Expected duration of one statement at the member, in milliseconds. */
@@ -70,7 +72,7 @@
 export function createStatementAdmission(options: StatementAdmissionOptions): StatementAdmission {
   const {
     clock,
-    limit,
+    getLimit,
     countFreeConnections,
     estimateStatementTime,
     estimateConnectionDelay,
@@ -85,7 +87,7 @@
   let queuedSince: number | undefined;
 
   const canRun = ({ hasConnection = false }: Pick<AdmissionRequest, 'hasConnection'>) =>
-    running < limit && (hasConnection || runningOutsideTransactions < countFreeConnections());
+    running < getLimit() && (hasConnection || runningOutsideTransactions < countFreeConnections());
 
   function startRunning({ hasConnection }: Pick<AdmissionRequest, 'hasConnection'>): void {
     running += 1;
@@ -104,7 +106,7 @@
    * instances take an unknown part of the member's slots.
    */
   function estimateQueueWait(statements: number): number {
-    const interval = service.estimateCompletionInterval() || estimateStatementTime() / limit;
+    const interval = service.estimateCompletionInterval() || estimateStatementTime() / getLimit();
     return (statements + 1) * interval;
   }
 
@@ -181,7 +183,7 @@
       admitWaiting();
     },
     countStatements: () => running + waiters.length,
-    calculateCapacity: () => Math.min(limit, countFreeConnections()),
+    calculateCapacity: () => Math.min(getLimit(), countFreeConnections()),
     estimateWait: () => estimateConnectionDelay() + estimateQueueWait(waiters.length),
     hasRoom: () => canRun({}),
     admitWaiting,
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -148,6 +148,7 @@
         arrivedAt: clock.now(),
         deadlineAt,
         hasConnection: true,
+        team: request.team,
       };
       const admissionResult = await member.admission.requestAdmission(admissionRequest);
       // Without admission, the transaction ends as if the answer were lost.
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -245,6 +245,7 @@
       configurationJson: '',
       isOutOfReach: false,
       permits: undefined,
+      load: undefined,
       isConfigurationCurrent: isConfigurationCurrent(),
       ...content,
     };
--- a/packages/gateway/src/test/statementAdmission.test.ts
+++ b/packages/gateway/src/test/statementAdmission.test.ts
@@ -10,7 +10,7 @@
 function createAdmissionWithoutConnections(): StatementAdmission {
   return createStatementAdmission({
     clock,
-    limit: 1,
+    getLimit: () => 1,
     countFreeConnections: () => 0,
     estimateStatementTime: () => 10,
     estimateConnectionDelay: () => 500,
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -1,3 +1,4 @@
+import { loadControlsSchema } from '@wisterialift/gateway';
 import { z } from 'zod';
 
 /** Times are in milliseconds, shares between 0 and 1. */
@@ -164,6 +165,8 @@
     sameDataCentreDelay: time.default(0.2),
     otherDataCentreDelay: time,
     callerDelay: time,
+    /** Load controls that the deployment asks for. */
+    loadControls: loadControlsSchema.prefault([]),
     teams: z
       .strictObject({
         count: z.number().int().positive(),
--- a/tools/world/src/lib/experiment/worldInstances.ts
+++ b/tools/world/src/lib/experiment/worldInstances.ts
@@ -53,7 +53,7 @@
   onOpened: () => void;
 }): SimulatedInstance[] {
   const { experiment, simulation, databases, platform, places, logger, without } = options;
-  const { dataCentres, startTime } = experiment.deployment;
+  const { dataCentres, startTime, loadControls } = experiment.deployment;
   const listeners: RelayListeners = new Map();
   const hosts = new Map<string, Host>();
   const findDatabase = (address: string) => databases.get(address);
@@ -78,6 +78,7 @@
       transport: createSimulatedTransport({ simulation, host, hosts, listeners }),
       limitTolerance: LIMIT_TOLERANCE,
       disabledMechanisms: new Set(without),
+      loadControls,
     };
   };
   return dataCentres.flatMap(({ name: place, instances: count }) =>
