--- a/packages/gateway/src/lib/configuration/loadControls.ts
+++ b/packages/gateway/src/lib/configuration/loadControls.ts
@@ -24,5 +24,9 @@
 
 /** A list of the controls that are enabled; each is disabled by default. @public */
 export const loadControlsSchema = z
-  .array(z.enum(LOAD_CONTROLS))
+  .array(
+    z.enum(LOAD_CONTROLS, {
+      error: ({ input }) => `expected one of ${LOAD_CONTROLS.join(', ')}, received ${input}`,
+    }),
+  )
   .transform((names) => new Set(names));
