Eject replicas that fail their runs, and repeat failed reads elsewhere

Each instance now compares the outcomes of the runs at the members, ejects a replica that fails far more than the others, and readmits it by trial runs. A read outside of a transaction that a replica fails is repeated once at another member, within a budget of its own. Nothing changes where failureEjection is not enabled.

Metrics by member, log lines memberEjected, memberReadmitted and failedReadRepeated.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,15 @@
   type ConcurrencyLimit,
   type ConcurrencyLimitOptions,
 } from './lib/admission/concurrencyLimit';
+export {
+  createFailureDetector,
+  type FailureDetector,
+  type FailureEvent,
+  type MemberFailures,
+  type MemberRun,
+  type MemberStatus,
+  type ReadmissionCause,
+} from './lib/routing/failureDetector';
 export { classifyStatement } from './lib/session/classifyStatement';
 export { InvalidSessionVariableError, createSession, type Session } from './lib/session/session';
 export {
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -7,6 +7,7 @@
 import { createKeyRefusals } from './configuration/keyRefusals';
 import { createDirectoryCache } from './directory/directoryCache';
 import type { StatementRunner } from './groups/statementRunner';
+import type { MemberFailureCounts } from './groups/failureEjection';
 import { createGroupRouter } from './groups/groupRouter';
 import type { GroupRouter } from './groups/groupRouter';
 import { createTeamLimits } from './limits/teamLimits';
@@ -82,6 +83,8 @@
    */
   drain: (stopAccepting: () => void) => Promise<void>;
   getCounters: () => Record<string, GroupRouter['counters']>;
+  /** Returns the failures of members by group; empty unless failing members are ejected. */
+  listMemberFailures: () => Record<string, MemberFailureCounts[]>;
   /** Operations of this instance's callers that their teams' limits admitted and refused, by team. */
   getLimitCounters: () => ReadonlyMap<string, LimitCounters>;
   countSessions: () => number;
@@ -382,6 +385,10 @@
     drain,
     getCounters: () =>
       Object.fromEntries([...localGroups].map(([group, router]) => [group, router.counters])),
+    listMemberFailures: () =>
+      Object.fromEntries(
+        [...localGroups].map(([group, router]) => [group, router.listMemberFailures()]),
+      ),
     getLimitCounters: limits.getCounters,
     countSessions: () => sessions.size,
     close: () => {
--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -6,6 +6,7 @@
 import type { SequencedTime, GroupContext } from './groupContext';
 import { backOffFromMember } from './member';
 import type { Member } from './member';
+import { isWrite } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 import type { PooledConnection } from './upstreamPool';
 
@@ -18,7 +19,9 @@
   | 'refused'
   | 'leaving'
   /** The statement was answered by another attempt. */
-  | 'abandoned';
+  | 'abandoned'
+  /** The member was ejected while the statement waited for it. */
+  | 'ejected';
 
 /** How one attempt at a member ended. */
 export type AttemptOutcome =
@@ -41,6 +44,8 @@
   queueTimeout?: number;
   /** Whether the statement has been answered, so that the command must not be sent any more. */
   isAbandoned?: () => boolean;
+  /** Whether the member has been ejected since it was chosen. */
+  isEjected?: () => boolean;
   /** Called right before the command is sent. */
   onSend?: (connection: PooledConnection) => void;
 }
@@ -87,8 +92,10 @@
   member: Member,
   options: AttemptOptions & { queuedAt: number },
 ): Promise<AttemptOutcome> {
-  const { request, command, deadlineAt, queuedAt, isAbandoned = () => false, onSend } = options;
+  const { request, command, deadlineAt, queuedAt, onSend } = options;
+  const { isAbandoned = () => false, isEjected = () => false } = options;
   if (isAbandoned()) return { type: 'notSent', cause: 'abandoned' };
+  if (isEjected()) return { type: 'notSent', cause: 'ejected' };
   const sendDeadlineAt = context.leavingPolicy.limitDeadline(member, deadlineAt);
   const acquired = await acquireConnection(context, member, request, sendDeadlineAt);
   if ('type' in acquired) return acquired;
@@ -97,6 +104,10 @@
     member.pool.release(acquired);
     return { type: 'notSent', cause: 'abandoned' };
   }
+  if (isEjected()) {
+    member.pool.release(acquired);
+    return { type: 'notSent', cause: 'ejected' };
+  }
   // The member may have reached its leaving time limit while the command was queued.
   if (!context.leavingPolicy.canAccept(member)) {
     member.pool.release(acquired);
@@ -107,6 +118,9 @@
   onSend?.(acquired);
   const outcome = await runWithDeadline(context, { connection: acquired, command, deadlineAt });
   if (command.type !== 'begin') recordLatency(context, member, sentStamp, outcome);
+  if (!isWrite(request)) {
+    context.failureEjection.recordRun(member, { request, command, sentStamp, outcome });
+  }
   if (outcome.type === 'lost') {
     member.pool.discard(acquired);
     return outcome;
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -5,6 +5,7 @@
 import type { IsLoadControlEnabled } from '../configuration/loadControls';
 import type { Clock } from '../ports/clock';
 import type { UpstreamDriver } from '../ports/upstreamPort';
+import type { FailureEjection } from './failureEjection';
 import type { LeavingMemberPolicy } from './leavingMemberPolicy';
 import { describeLeavingTime } from './member';
 import type { Member } from './member';
@@ -23,6 +24,7 @@
   suspectPrimary: (cause: SuspicionCause, member: Member | undefined) => void;
   counters: GroupCounters;
   leavingPolicy: LeavingMemberPolicy;
+  failureEjection: FailureEjection;
   isMechanismEnabled: IsMechanismEnabled;
   isLoadControlEnabled: IsLoadControlEnabled;
   /** Returns a uniformly distributed number in [0, 1). */
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -15,6 +15,8 @@
 import { createReadPositionRefresher } from './readPositionRefresher';
 import { createEvidencePoller } from './evidencePoller';
 import { createSequencedTime } from './groupContext';
+import { createFailureEjection } from './failureEjection';
+import type { MemberFailureCounts } from './failureEjection';
 import type { StatementRunner } from './statementRunner';
 import type { GroupContext, GroupCounters } from './groupContext';
 import { createLeavingMemberPolicy } from './leavingMemberPolicy';
@@ -39,6 +41,8 @@
   /** Discards age-based observations after the process was suspended. */
   clearPositionSamples: () => void;
   counters: GroupCounters;
+  /** Failures by member; empty unless failing members are ejected. */
+  listMemberFailures: () => MemberFailureCounts[];
   close: () => void;
 }
 
@@ -119,6 +123,7 @@
     clock,
     timeLimit: options.leavingGracePeriodMilliseconds,
   });
+  const failureEjection = createFailureEjection({ ...options, members, primaryTracker });
   const counters: GroupCounters = {
     probes: 0,
     retries: 0,
@@ -144,6 +149,7 @@
     driver,
     counters,
     leavingPolicy,
+    failureEjection,
     isMechanismEnabled,
     isLoadControlEnabled,
     random: options.random,
@@ -240,6 +246,7 @@
     const { memberId } = entry;
     logger.warn('memberRestarted', { group, memberId, former: former.startedAt });
     pool.close();
+    failureEjection.removeMember(memberId);
     primaryTracker.discardConfirmations(memberId);
     ignoreDuringPromotions(entry);
   }
@@ -304,6 +311,7 @@
         logger.warn('memberGone', { group, memberId });
         members.delete(memberId);
         evidence.removeMember(memberId);
+        failureEjection.removeMember(memberId);
         member.pool.close();
       }
     }
@@ -331,6 +339,7 @@
     isOutOfReach: reachMonitor.isOutOfReach,
     clearPositionSamples: evidence.clearPositionSamples,
     counters,
+    listMemberFailures: failureEjection.listMembers,
     close: () => {
       stopMaintenance();
       evidencePoller.stop();
--- a/packages/gateway/src/lib/groups/hedgedReads.ts
+++ b/packages/gateway/src/lib/groups/hedgedReads.ts
@@ -15,6 +15,8 @@
 export interface ReadAttempt {
   candidate: ReadCandidate;
   outcome: AttemptOutcome;
+  /** Whether the read was also sent to a second member. */
+  isHedged: boolean;
 }
 
 /** Creates the command for a read that requires `after` to be applied. */
@@ -40,6 +42,9 @@
   isAbandoned: () => boolean;
 }
 
+/** An attempt at one member, whether or not there is another. */
+type SingleAttempt = Omit<ReadAttempt, 'isHedged'>;
+
 /** Multiple of the expected latency after which a read is hedged. */
 const HEDGE_LATENCY_MULTIPLE = 5;
 const MINIMUM_HEDGE_DELAY_MILLISECONDS = 250;
@@ -51,7 +56,7 @@
 const QUEUE_TIMEOUT_MILLISECONDS = 100;
 
 export function createHedgedReads(context: GroupContext): HedgedReads {
-  const { clock, counters, group, logger, isMechanismEnabled } = context;
+  const { clock, counters, failureEjection, group, logger, isMechanismEnabled } = context;
   const budget = createRetryBudget(HEDGE_BUDGET);
 
   async function run({
@@ -64,7 +69,9 @@
     let isAnswered = false;
     const options = { request, createCommand, attemptLog, isAbandoned: () => isAnswered };
     const firstAttempt = attemptRead(first, options);
-    if (!second || second.wait > 0 || !isMechanismEnabled('hedging')) return firstAttempt;
+    if (!second || second.wait > 0 || !isMechanismEnabled('hedging')) {
+      return markSingle(await firstAttempt);
+    }
     const hedgeDelay = calculateHedgeDelay(first.member);
     const timeLeft = request.deadlineAt - clock.now();
     const earlyResult = await resolveWithTimeout(
@@ -72,8 +79,8 @@
       firstAttempt,
       Math.min(hedgeDelay, timeLeft),
     );
-    if (earlyResult) return earlyResult;
-    if (!budget.trySpendRetry(clock.now())) return firstAttempt;
+    if (earlyResult) return markSingle(earlyResult);
+    if (!budget.trySpendRetry(clock.now())) return markSingle(await firstAttempt);
     // Reads are idempotent, and the first attempt continues because it may still finish first.
     logger.info('readHedged', {
       group,
@@ -89,7 +96,7 @@
       attemptRead(second, options),
     ]);
     isAnswered = true;
-    return result;
+    return { ...result, isHedged: true };
   }
 
   function calculateHedgeDelay(member: Member): number {
@@ -102,7 +109,24 @@
   async function attemptRead(
     candidate: ReadCandidate,
     { request, createCommand, attemptLog, isAbandoned }: AttemptReadOptions,
-  ): Promise<ReadAttempt> {
+  ): Promise<SingleAttempt> {
+    const { member } = candidate;
+    const isTrial = candidate.status === 'trial';
+    if (isTrial && !failureEjection.tryBeginTrial(member)) {
+      return { candidate, outcome: { type: 'notSent', cause: 'ejected' } };
+    }
+    if (candidate.status === 'ejected') failureEjection.recordLastResort(member);
+    try {
+      return await attemptAtMember(candidate, { request, createCommand, attemptLog, isAbandoned });
+    } finally {
+      if (isTrial) failureEjection.endTrial(member);
+    }
+  }
+
+  async function attemptAtMember(
+    candidate: ReadCandidate,
+    { request, createCommand, attemptLog, isAbandoned }: AttemptReadOptions,
+  ): Promise<SingleAttempt> {
     const command = createCommand(candidate.after);
     const { deadlineAt } = request;
     const { entry, lag } = candidate.member;
@@ -113,6 +137,7 @@
       deadlineAt,
       queueTimeout: chooseQueueTimeout(request),
       isAbandoned,
+      isEjected: () => hasBeenEjected(candidate),
       onSend: (connection) => attemptLog.recordSent(entry.memberId, connection),
     });
     if (outcome.type === 'notSent') attemptLog.recordNotSent(entry.memberId, outcome.cause);
@@ -120,6 +145,11 @@
     return { candidate, outcome };
   }
 
+  /** Whether a member that was available when it was chosen is no longer so. */
+  function hasBeenEjected({ status, member }: ReadCandidate): boolean {
+    return status === 'available' && failureEjection.getStatus(member, true) !== 'available';
+  }
+
   /** Returns no timeout for a read that only the primary can serve. */
   function chooseQueueTimeout({ route }: StatementRequest): number | undefined {
     const canTryElsewhere = route.consistency !== 'primary' && isMechanismEnabled('lookingAgain');
@@ -129,18 +159,22 @@
   return { recordRead: () => budget.recordFirstAttempt(clock.now()), run };
 }
 
+function markSingle(attempt: SingleAttempt): ReadAttempt {
+  return { ...attempt, isHedged: false };
+}
+
 /**
  * Resolves with the first completed attempt, or with the last attempt if none completes, and
  * releases the connections of the others.
  */
 function resolveFirstCompleted(
   context: GroupContext,
-  attempts: Promise<ReadAttempt>[],
-): Promise<ReadAttempt> {
+  attempts: Promise<SingleAttempt>[],
+): Promise<SingleAttempt> {
   return new Promise((resolve, reject) => {
     let pending = attempts.length;
     let isResolved = false;
-    const settle = (result: ReadAttempt) => {
+    const settle = (result: SingleAttempt) => {
       pending -= 1;
       const { candidate, outcome } = result;
       const isCompleted = outcome.type === 'answered' && outcome.answer.outcome === 'completed';
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -1,3 +1,4 @@
+import type { MemberStatus } from '@wisterialift/core';
 import { orderMembersForRead } from '@wisterialift/pooling';
 import type { RequiredPosition } from '@wisterialift/pooling';
 import { isAtMost } from '@wisterialift/schema';
@@ -19,16 +20,26 @@
   after: Position | undefined;
   /** Expected milliseconds until a connection is available. */
   delay: number;
+  /** Whether the member has been ejected because it fails its runs. */
+  status: MemberStatus;
+}
+
+/** How members are ranked for a read. */
+export interface RankOptions {
+  /** Members to leave out of the ranking because they have no capacity at present. */
+  excludedMembers?: ReadonlySet<Member>;
+  /** Member at which the read has failed. */
+  failedMember?: Member;
+  /** Whether the read can be repeated at another member if it fails; true if omitted. */
+  canRepeat?: boolean;
+  /** Whether to include members that are avoided for a moment, because they were busy or lagged. */
+  includesAvoided?: boolean;
 }
 
 /** Selects members that can run a read. */
 export interface ReadCandidates {
-  /**
-   * Returns the members that can run a read, best first.
-   *
-   * @param excludedMembers - members to leave out of the ranking.
-   */
-  rank: (request: StatementRequest, excludedMembers: ReadonlySet<Member>) => ReadCandidate[];
+  /** Returns the members that can run a read, best first. */
+  rank: (request: StatementRequest, options?: RankOptions) => ReadCandidate[];
   /** Whether some member is expected to run the read without delay. */
   hasIdle: (request: StatementRequest) => boolean;
   /** Whether a position is known from which replicas can serve the read. */
@@ -42,15 +53,19 @@
   context: GroupContext,
   verifier: PrimaryVerifier,
 ): ReadCandidates {
-  const { primaryTracker, clock, evidence, leavingPolicy, members, isMechanismEnabled } = context;
+  const { primaryTracker, clock, evidence, failureEjection, leavingPolicy, members } = context;
+  const { isMechanismEnabled } = context;
 
-  function rank(request: StatementRequest, excludedMembers: ReadonlySet<Member>): ReadCandidate[] {
+  function rank(
+    request: StatementRequest,
+    { excludedMembers, failedMember, canRepeat = true, includesAvoided }: RankOptions = {},
+  ): ReadCandidate[] {
     const now = clock.now();
     const primary = primaryTracker.find();
     const required = findRequiredLog(request);
     const candidates = [...members.values()]
       .filter((member) => (member === primary ? !verifier.isStalled() : required !== undefined))
-      .filter((member) => !excludedMembers.has(member) && member.avoidUntil <= now)
+      .filter((member) => member !== failedMember)
       .filter((member) => !isUnavailableReplica(member, primary) && leavingPolicy.canAccept(member))
       .map((member) => ({
         memberId: member.entry.memberId,
@@ -62,9 +77,38 @@
         load: member.admission.countStatements(),
         capacity: member.admission.calculateCapacity(),
         delay: estimateDelay(member, request),
+        status: failureEjection.getStatus(member, canRepeat),
         ...estimateWait(member, member === primary ? undefined : required, now),
       }));
-    return orderMembersForRead(candidates);
+    const isPresent = ({ member }: ReadCandidate) =>
+      member.avoidUntil <= now || (includesAvoided && !isUnreachable(member));
+    return orderMembersForRead(
+      leaveOutEjected(candidates, request.deadlineAt - now)
+        .filter(({ member }) => !excludedMembers?.has(member))
+        .filter(isPresent),
+    );
+  }
+
+  /**
+   * Leaves ejected members out if another member can run the read. A replica that is full for the
+   * moment can, but a primary without room cannot: writes have no other place to go.
+   */
+  function leaveOutEjected<Candidate extends ReadCandidate>(
+    candidates: Candidate[],
+    timeLeft: number,
+  ): Candidate[] {
+    const others = candidates.filter(({ status }) => status !== 'ejected');
+    if (others.length === candidates.length) return candidates;
+    const canRunElsewhere = others.some(
+      ({ member, isPrimary, wait }) =>
+        wait <= timeLeft && (isPrimary ? member.admission.hasRoom() : !isUnreachable(member)),
+    );
+    return canRunElsewhere ? others : candidates;
+  }
+
+  /** Whether the member is avoided because of lost connections, and not just because it is busy. */
+  function isUnreachable({ avoidUntil, failures }: Member): boolean {
+    return failures > 0 && avoidUntil > clock.now();
   }
 
   function estimateDelay({ pool }: Member, { team }: StatementRequest): number {
@@ -109,7 +153,7 @@
   }
 
   const hasIdle = (request: StatementRequest) =>
-    rank(request, new Set()).some(
+    rank(request).some(
       ({ member, wait, delay }) => wait === 0 && delay === 0 && member.admission.hasRoom(),
     );
 
--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -4,7 +4,7 @@
 import type { GroupContext } from './groupContext';
 import { releaseConnection } from './releaseConnection';
 import { createHedgedReads } from './hedgedReads';
-import type { ReadCommandFactory } from './hedgedReads';
+import type { ReadAttempt, ReadCommandFactory } from './hedgedReads';
 import { backOffFromMember } from './member';
 import type { Member } from './member';
 import { calculatePollDelay } from './primaryVerifier';
@@ -51,6 +51,12 @@
   /** Members without capacity or leaving, left out of the ranking. */
   excludedMembers: Set<Member>;
   hasRefreshedReadPosition: boolean;
+  /** Member at which the read has failed, if it is repeated elsewhere. */
+  failedMember?: Member;
+  /** Its answer, which the caller gets if no other member can run the read. */
+  failedAnswer?: UpstreamAnswer;
+  /** Whether the read may be repeated; the start of a transaction is not. */
+  canRepeat: boolean;
 }
 
 /** The best two candidates that can meet the read's deadline. */
@@ -78,6 +84,7 @@
     clock,
     counters,
     evidence,
+    failureEjection,
     leavingPolicy,
     logger,
     group,
@@ -95,28 +102,36 @@
     createCommand: ReadCommandFactory,
   ): Promise<{ answer: UpstreamAnswer; routed?: RoutedRead }> {
     hedgedReads.recordRead();
+    failureEjection.recordRead();
     if (leavingPolicy.isGroupClosed()) return { answer: refuseRead(request) };
     if (canUseReplica(request) && !candidates.hasPosition(request)) await readPositions.refresh();
     const attemptLog = createReadAttemptLog(context, request);
-    const search: ReadSearch = { excludedMembers: new Set(), hasRefreshedReadPosition: false };
+    const search: ReadSearch = {
+      excludedMembers: new Set(),
+      hasRefreshedReadPosition: false,
+      canRepeat: createCommand().type !== 'begin',
+    };
+    const refuse = () => ({ answer: search.failedAnswer ?? refuseRead(request) });
     for (;;) {
       const found = await findMembers(request, search);
-      if (!found) return { answer: refuseRead(request) };
-      const { candidate, outcome } = await hedgedReads.run({
-        request,
-        createCommand,
-        attemptLog,
-        ...found,
-      });
+      if (!found) return refuse();
+      const options = { request, createCommand, attemptLog, ...found };
+      const attempt = await hedgedReads.run(options);
+      const { candidate, outcome } = attempt;
       const verdict = await evaluateOutcome(request, candidate, outcome);
       if (outcome.type === 'answered') {
         const { answer, connection } = outcome;
         if (verdict === 'accepted') return { answer, routed: { ...candidate, answer, connection } };
         releaseConnection(context, { ...candidate, connection, transaction: answer.transaction });
-        if (verdict === 'final') return { answer };
+        if (verdict === 'final') {
+          if (!tryRepeat(request, search, attempt)) return { answer };
+          Object.assign(search, { failedMember: candidate.member, failedAnswer: answer });
+          logRepeat(request, candidate);
+          attemptLog.start();
+        }
       }
       if (verdict === 'excludeMember') {
-        if (!isMechanismEnabled('secondChoice')) return { answer: refuseRead(request) };
+        if (!isMechanismEnabled('secondChoice')) return refuse();
         search.excludedMembers.add(candidate.member);
       }
       if (mayHaveRun(outcome)) attemptLog.start();
@@ -124,13 +139,39 @@
     }
   }
 
+  /**
+   * Whether to repeat a read that a replica has answered with a failure at another member. A hedged
+   * read has been sent to two members already.
+   */
+  function tryRepeat(
+    request: StatementRequest,
+    search: ReadSearch,
+    { candidate: { member, isPrimary }, outcome, isHedged }: ReadAttempt,
+  ): boolean {
+    if (outcome.type !== 'answered' || outcome.answer.outcome !== 'refused') return false;
+    if (outcome.answer.reason !== 'failed' || isPrimary || isHedged) return false;
+    if (!search.canRepeat || search.failedMember) return false;
+    if (!canRunElsewhere(request, { ...search, failedMember: member })) return false;
+    return failureEjection.tryRepeat(member);
+  }
+
+  /** Whether a member at which the read has not failed can run it, if not at once. */
+  function canRunElsewhere(request: StatementRequest, search: ReadSearch): boolean {
+    const others = candidates.rank(request, { ...search, includesAvoided: true });
+    return others.some(({ wait }) => wait <= timeLeftOf(request));
+  }
+
+  function logRepeat({ id: requestId }: StatementRequest, { member }: ReadCandidate): void {
+    logger.info('failedReadRepeated', { group, requestId, memberId: member.entry.memberId });
+  }
+
   /** Waits until a member can run the read; undefined if none can before the deadline. */
   async function findMembers(
     request: StatementRequest,
     search: ReadSearch,
   ): Promise<RankedCandidates | undefined> {
     while (timeLeftOf(request) > 0 && !leavingPolicy.isGroupClosed()) {
-      const all = candidates.rank(request, search.excludedMembers);
+      const all = candidates.rank(request, search);
       const [first, second] = all.filter(({ wait }) => wait <= timeLeftOf(request));
       if (!first && all.length > 0) return undefined;
       if (!first && search.excludedMembers.size > 0) {
@@ -140,6 +181,7 @@
         continue;
       }
       if (!first && verifier.isStalled()) return undefined;
+      if (!first && search.failedMember && !canRunElsewhere(request, search)) return undefined;
       if (first && shouldRefreshReadPosition(request, search, first)) {
         Object.assign(search, { hasRefreshedReadPosition: true });
         await readPositions.refresh();
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -167,6 +167,9 @@
       });
       const outcome = await running.finally(() => member.admission.release(admissionRequest));
       recordLatency(context, member, sentStamp, outcome);
+      if (!hasWritten && !isWrite(request)) {
+        context.failureEjection.recordRun(member, { request, command, sentStamp, outcome });
+      }
       if (outcome.type === 'answered') observeAnswer(context, member, sentStamp, outcome.answer);
       hasRun ||= !isBusy(outcome);
       return outcome;
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -1,6 +1,7 @@
 import { createLatencyRecorder } from '@wisterialift/telemetry/latency';
 import { Counter, Gauge, Registry } from 'prom-client';
 import type { Gateway } from '../createGateway';
+import type { MemberFailureCounts } from '../groups/failureEjection';
 import { listBusiestTeams } from './busiestTeams';
 import type { AnswerSample } from '../sessions/callerSession';
 
@@ -26,6 +27,44 @@
     'statements of groups of one member that an old list of members left unconfirmed',
 } as const;
 
+/** Metrics of members where failing ones are ejected; no values elsewhere. */
+const MEMBER_FAILURE_METRICS: {
+  name: string;
+  help: string;
+  read: (counts: MemberFailureCounts) => number;
+}[] = [
+  {
+    name: 'failure_rate',
+    help: 'part of the latest runs at the member that failed',
+    read: ({ failureRate }) => failureRate,
+  },
+  {
+    name: 'ejected',
+    help: 'whether this instance keeps reads away from the member',
+    read: ({ isEjected }) => (isEjected ? 1 : 0),
+  },
+  {
+    name: 'ejections_total',
+    help: 'ejections of the member because it failed statements',
+    read: ({ ejections }) => ejections,
+  },
+  {
+    name: 'repeated_reads_total',
+    help: 'reads that failed at the member and were repeated at another one',
+    read: ({ repeatedReads }) => repeatedReads,
+  },
+  {
+    name: 'repeat_budget_exhausted_total',
+    help: 'reads that failed at the member and were not repeated because the budget was spent',
+    read: ({ budgetExhausted }) => budgetExhausted,
+  },
+  {
+    name: 'last_resort_reads_total',
+    help: 'reads sent to the member during its ejection because no other member could run them',
+    read: ({ lastResortReads }) => lastResortReads,
+  },
+];
+
 /** Number of calls to the platform's store for one purpose. @public */
 export interface StoreCallCount {
   purpose: string;
@@ -91,6 +130,21 @@
     },
   });
 
+  for (const { name, help, read } of MEMBER_FAILURE_METRICS) {
+    const gauge: Gauge = new Gauge({
+      name: `wisterialift_member_${name}`,
+      help,
+      labelNames: ['group', 'member'],
+      registers,
+      collect: () => {
+        gauge.reset();
+        for (const [group, members] of Object.entries(gateway.listMemberFailures())) {
+          for (const counts of members) gauge.set({ group, member: counts.memberId }, read(counts));
+        }
+      },
+    });
+  }
+
   const storeCalls: Gauge = new Gauge({
     name: 'wisterialift_store_calls_total',
     help: 'calls to the object store of the platform',
--- a/tools/world/src/lib/databases/simulatedDatabase.ts
+++ b/tools/world/src/lib/databases/simulatedDatabase.ts
@@ -41,6 +41,14 @@
   isFirst: boolean;
 }
 
+/** How a database fails a share of the statements of callers. @internal */
+export interface DatabaseFailure {
+  share: number;
+  manner: 'failed' | 'closed' | 'silent';
+  /** Time that a statement that fails occupies a slot. */
+  milliseconds: number;
+}
+
 /** One database behind a machine of its own. @internal */
 export interface SimulatedDatabase {
   group: string;
@@ -55,6 +63,10 @@
   onStatement: (listener: (arrival: StatementArrival) => void) => void;
   /** Share of statements whose answer is lost after they ran. */
   setAnswerLoss: (share: number) => void;
+  /** Which statements of callers fail; none if undefined. */
+  setFailure: (failure: DatabaseFailure | undefined) => void;
+  /** Statements that failed so far because of it. */
+  failedStatements: () => number;
   /** Falls silent, with its connections. */
   losePower: () => void;
   /** Runs again, with or without what it held. */
@@ -101,6 +113,8 @@
   const connections = new Set<Connection>();
   const statementListeners: ((arrival: StatementArrival) => void)[] = [];
   let answerLoss = 0;
+  let failure: DatabaseFailure | undefined;
+  let failedStatements = 0;
 
   const accept: SimulatedDatabase['accept'] = (streamEnd) => {
     const connection: Connection = {
@@ -159,7 +173,7 @@
   }
 
   function noteArrival(connection: Connection, command: UpstreamCommand): void {
-    if (command.type !== 'forward' && command.type !== 'execute') return;
+    if (!isCallers(command)) return;
     const isLater = connection.transaction === 'open' && connection.hasBegun;
     Object.assign(connection, { hasBegun: true });
     const { client } = connection;
@@ -172,6 +186,10 @@
     Object.assign(connection, { isWorking: request !== undefined && connection.isOpen });
     if (!connection.isWorking || request?.type !== 'command') return;
     const { command } = request;
+    if (isCallers(command) && failure && random.chance(failure.share)) {
+      submitFailing(connection, command, failure);
+      return;
+    }
     const milliseconds = timeOf(command);
     if (milliseconds === 0) {
       reply(connection, command, run(connection, command));
@@ -184,6 +202,40 @@
     if (!isTaken) reply(connection, command, refusal('busy', 'all slots are taken'));
   }
 
+  function submitFailing(
+    connection: Connection,
+    command: UpstreamCommand,
+    { manner, milliseconds }: DatabaseFailure,
+  ): void {
+    const isTaken = slots.submit({
+      begin: () => beginWork(connection, command, milliseconds),
+      finish: () => failWork(connection, command, manner),
+    });
+    if (!isTaken) reply(connection, command, refusal('busy', 'all slots are taken'));
+  }
+
+  function failWork(
+    connection: Connection,
+    command: UpstreamCommand,
+    manner: DatabaseFailure['manner'],
+  ): void {
+    if (!connection.isOpen) return;
+    failedStatements += 1;
+    const handlers: Record<DatabaseFailure['manner'], () => void> = {
+      failed: () => {
+        if (connection.transaction === 'open') Object.assign(connection, { transaction: 'failed' });
+        reply(connection, command, refusal('failed', 'the database is faulty'));
+      },
+      closed: () => {
+        Object.assign(connection, { isOpen: false });
+        connections.delete(connection);
+        connection.end.close();
+      },
+      silent: () => undefined,
+    };
+    handlers[manner]();
+  }
+
   /** A statement that its log cannot serve costs no slot. */
   function beginWork(
     connection: Connection,
@@ -200,8 +252,7 @@
   function finishWork(connection: Connection, command: UpstreamCommand): void {
     if (!connection.isOpen) return;
     const effect = run(connection, command);
-    const isCallers = command.type === 'forward' || command.type === 'execute';
-    if (isCallers && random.chance(answerLoss)) {
+    if (isCallers(command) && random.chance(answerLoss)) {
       workOn(connection);
       return;
     }
@@ -333,6 +384,10 @@
     setAnswerLoss: (share) => {
       answerLoss = share;
     },
+    setFailure: (next) => {
+      failure = next;
+    },
+    failedStatements: () => failedStatements,
     losePower: () => {
       state.isUp = false;
       endConnections();
@@ -348,7 +403,10 @@
   };
 }
 
-function refusal(reason: 'busy' | 'lagging' | 'readOnly' | 'aborted', detail: string): Effect {
+function refusal(
+  reason: 'busy' | 'lagging' | 'readOnly' | 'aborted' | 'failed',
+  detail: string,
+): Effect {
   return { outcome: 'refused', reason, detail };
 }
 
@@ -356,6 +414,13 @@
   return type === 'status' || type === 'pause' || type === 'resume' || type === 'demote';
 }
 
+/** Whether it is a statement of a caller. */
+function isCallers(
+  command: UpstreamCommand,
+): command is UpstreamCommand & { type: 'forward' | 'execute' } {
+  return command.type === 'forward' || command.type === 'execute';
+}
+
 function isWriteCommand(command: UpstreamCommand): boolean {
   return command.type === 'forward' && command.text.startsWith('WRITE');
 }
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -106,6 +106,19 @@
     factor: z.number().positive(),
     member: z.number().int().nonnegative().default(1),
   }),
+  z.strictObject({
+    kind: z.literal('failingDatabase'),
+    at: z.number(),
+    seconds: z.number(),
+    /** Share of the statements of callers that it fails; its control commands run well. */
+    share,
+    /** Whether it answers with a failure, closes the connection or falls silent. */
+    manner: z.enum(['failed', 'closed', 'silent']).default('failed'),
+    /** Time that a statement that fails occupies a slot. */
+    milliseconds: time.default(2),
+    /** Members of the first group that fail, the primary being 0. */
+    members: z.array(z.number().int().nonnegative()).min(1).default([1]),
+  }),
   z.strictObject({
     kind: z.literal('busyTeam'),
     at: z.number(),
--- a/tools/world/src/lib/experiment/runExperiment.ts
+++ b/tools/world/src/lib/experiment/runExperiment.ts
@@ -57,13 +57,21 @@
   options: RunOptions,
 ): Promise<ExperimentResult> {
   const { seed, without = [], onLog } = options;
-  const counts: WorldCounts = { opened: 0, exhausted: 0, refusedBesideIdleSlot: 0 };
+  const counts: WorldCounts = {
+    opened: 0,
+    exhausted: 0,
+    refusedBesideIdleSlot: 0,
+    ejections: 0,
+    repeatedReads: 0,
+  };
   const world = buildWorld(experiment, {
     seed,
     without,
     createLogger: (databases, { scheduler }) =>
       createWorldLogger((event, fields) => {
         if (event === 'connectionPlacesExhausted') counts.exhausted += 1;
+        if (event === 'memberEjected') counts.ejections += 1;
+        if (event === 'failedReadRepeated') counts.repeatedReads += 1;
         const isRefusal = event === 'statementRefused';
         if (isRefusal && isBesideIdle(fields, databases)) counts.refusedBesideIdleSlot += 1;
         onLog?.({ at: scheduler.now(), event, fields });
@@ -80,7 +88,7 @@
   await runWorldUntil(scheduler, end);
   oracle.checkLogs();
   oracle.teams.checkWindows();
-  const system = addUpSystem(world.instances, counts);
+  const system = addUpSystem(world.instances, counts, world.databases);
   for (const instance of world.instances) instance.losePower();
   const callers = computeFigures(experiment, outcomes);
   return { seed, callers, system, samples, broken: oracle.broken() };
--- a/tools/world/src/lib/experiment/systemFigures.ts
+++ b/tools/world/src/lib/experiment/systemFigures.ts
@@ -18,6 +18,12 @@
   refusedBesideIdle: number;
   /** Part of reads outside of transactions that replicas served. */
   replicaShare: number;
+  /** Statements that databases failed because of a fault. */
+  failedStatements: number;
+  /** Ejections of members by instances. */
+  ejections: number;
+  /** Reads that failed at one member and were repeated at another. */
+  repeatedReads: number;
 }
 
 /** What is counted while a world runs. @internal */
@@ -25,6 +31,8 @@
   opened: number;
   exhausted: number;
   refusedBesideIdleSlot: number;
+  ejections: number;
+  repeatedReads: number;
 }
 
 /**
@@ -49,6 +57,7 @@
 export function addUpSystem(
   instances: readonly SimulatedInstance[],
   counts: WorldCounts,
+  databases: ReadonlyMap<string, SimulatedDatabase>,
 ): SystemFigures {
   const sums = {
     refusals: 0,
@@ -71,6 +80,12 @@
     connectionsOpened: counts.opened,
     placesExhausted: counts.exhausted,
     refusedBesideIdleSlot: counts.refusedBesideIdleSlot,
+    ejections: counts.ejections,
+    repeatedReads: counts.repeatedReads,
+    failedStatements: [...databases.values()].reduce(
+      (sum, { failedStatements }) => sum + failedStatements(),
+      0,
+    ),
     replicaShare: reads.all === 0 ? 1 : roundTo(reads.replica / reads.all, SHARE_PLACES),
   };
 }
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -156,6 +156,15 @@
     slots.setSlowness(factor);
     clock.runAfter(seconds * 1_000, () => slots.setSlowness(1));
   },
+  failingDatabase: (fault, { clock, groups, databases }) => {
+    const { seconds, members, share, manner, milliseconds } = fault;
+    const memberIds = [...[...groups.values()][0]!.members.keys()];
+    for (const member of members) {
+      const database = databases.get(memberIds[member]!)!;
+      database.setFailure({ share, manner, milliseconds });
+      clock.runAfter(seconds * 1_000, () => database.setFailure(undefined));
+    }
+  },
   busyTeam: ({ seconds, rank, factor }, { clock, operator }) => {
     const team = operator.teams.all[rank - 1]!;
     team.weight = team.usualWeight * factor;
--- a/tools/world/src/lib/report/summarize.ts
+++ b/tools/world/src/lib/report/summarize.ts
@@ -28,6 +28,9 @@
   refusedBesideIdleSlot: ({ system }: ExperimentResult) => system.refusedBesideIdleSlot,
   connectionsOpened: ({ system }: ExperimentResult) => system.connectionsOpened,
   placesExhausted: ({ system }: ExperimentResult) => system.placesExhausted,
+  failedStatements: ({ system }: ExperimentResult) => system.failedStatements,
+  ejections: ({ system }: ExperimentResult) => system.ejections,
+  repeatedReads: ({ system }: ExperimentResult) => system.repeatedReads,
   probes: ({ system }: ExperimentResult) => system.probes,
 };
 
