--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -5,6 +5,7 @@
   CallerAnswer,
   DirectoryFreshness,
   DirectoryEntry,
+  GatewayOptions,
   PromotionStore,
   Route,
   StoredPromotionRecord,
@@ -50,7 +51,11 @@
   transaction: UpstreamAnswer['transaction'];
   /** Session values that were set on its connection. */
   values: Record<string, string>;
+  /** Position that the member must have applied. */
+  after: Position | undefined;
   answer: () => void;
+  /** Answers that the statement ran and failed. */
+  fail: () => void;
   /** Answers with something that the gateway cannot process. */
   answerMalformed: () => void;
 }
@@ -87,10 +92,13 @@
 export function startTestGateway({
   getPosition = getUsualPosition,
   changes = {},
+  loadControls,
 }: {
   getPosition?: (memberId: string) => Position;
   /** Fields of the route that differ. */
   changes?: Partial<Route>;
+  /** Load controls that are enabled; none if omitted. */
+  loadControls?: GatewayOptions['loadControls'];
 } = {}) {
   const forwarded: ForwardedStatement[] = [];
   const executed: ExecutedStatement[] = [];
@@ -162,8 +170,11 @@
         executed.push({ memberId, name, isPrepared: state.preparedNames.has(name), values });
       }
       if (command.type === 'forward') {
-        const { id } = command;
-        forwarded.push({ memberId, id, transaction, values, answer, answerMalformed });
+        const { id, after } = command;
+        const fail = () =>
+          resolve({ outcome: 'refused', reason: 'failed', detail: memberId, transaction });
+        const statement = { memberId, id, transaction, values, after };
+        forwarded.push({ ...statement, answer, fail, answerMalformed });
       } else if (command.type === heldCommandType) heldAnswers.push({ answer, answerMalformed });
       else answer();
     });
@@ -171,6 +182,7 @@
 
   const gateway = createGateway(
     createTestOptions({
+      loadControls,
       clock: createProcessClock(),
       logger: createTestLogger((event, fields) => {
         events.push(event);
@@ -283,6 +295,7 @@
   }
 
   return {
+    listMemberFailures: () => gateway.listMemberFailures()[GROUP] ?? [],
     forwarded,
     executed,
     events,
