--- a/packages/gateway/src/lib/groups/hedgedReads.ts
+++ b/packages/gateway/src/lib/groups/hedgedReads.ts
@@ -15,8 +15,8 @@
 export interface ReadAttempt {
   candidate: ReadCandidate;
   outcome: AttemptOutcome;
-  /** Whether the read was also sent to a second member. */
-  isHedged: boolean;
+  /** Whether the read was also sent to a second member; not if omitted. */
+  isHedged?: boolean;
 }
 
 /** Creates the command for a read that requires `after` to be applied. */
@@ -42,9 +42,6 @@
   isAbandoned: () => boolean;
 }
 
-/** An attempt at one member, whether or not there is another. */
-type SingleAttempt = Omit<ReadAttempt, 'isHedged'>;
-
 /** Multiple of the expected latency after which a read is hedged. */
 const HEDGE_LATENCY_MULTIPLE = 5;
 const MINIMUM_HEDGE_DELAY_MILLISECONDS = 250;
@@ -69,9 +66,7 @@
     let isAnswered = false;
     const options = { request, createCommand, attemptLog, isAbandoned: () => isAnswered };
     const firstAttempt = attemptRead(first, options);
-    if (!second || second.wait > 0 || !isMechanismEnabled('hedging')) {
-      return markSingle(await firstAttempt);
-    }
+    if (!second || second.wait > 0 || !isMechanismEnabled('hedging')) return firstAttempt;
     const hedgeDelay = calculateHedgeDelay(first.member);
     const timeLeft = request.deadlineAt - clock.now();
     const earlyResult = await resolveWithTimeout(
@@ -79,8 +74,8 @@
       firstAttempt,
       Math.min(hedgeDelay, timeLeft),
     );
-    if (earlyResult) return markSingle(earlyResult);
-    if (!budget.trySpendRetry(clock.now())) return markSingle(await firstAttempt);
+    if (earlyResult) return earlyResult;
+    if (!budget.trySpendRetry(clock.now())) return firstAttempt;
     // Reads are idempotent, and the first attempt continues because it may still finish first.
     logger.info('readHedged', {
       group,
@@ -109,42 +104,35 @@
   async function attemptRead(
     candidate: ReadCandidate,
     { request, createCommand, attemptLog, isAbandoned }: AttemptReadOptions,
-  ): Promise<SingleAttempt> {
-    const { member } = candidate;
-    const isTrial = candidate.status === 'trial';
-    if (isTrial && !failureEjection.tryBeginTrial(member)) {
+  ): Promise<ReadAttempt> {
+    const command = createCommand(candidate.after);
+    const { deadlineAt } = request;
+    const { member, status } = candidate;
+    const { entry, lag } = member;
+    if (status === 'trial' && !failureEjection.tryBeginTrial(member)) {
       return { candidate, outcome: { type: 'notSent', cause: 'ejected' } };
     }
-    if (candidate.status === 'ejected') failureEjection.recordLastResort(member);
+    if (status === 'ejected') failureEjection.recordLastResort(member);
+    if (candidate.isTrialRead) lag.beginTrialRead();
     try {
-      return await attemptAtMember(candidate, { request, createCommand, attemptLog, isAbandoned });
+      const outcome = await attemptCommand(context, member, {
+        request,
+        command,
+        deadlineAt,
+        queueTimeout: chooseQueueTimeout(request),
+        isAbandoned,
+        isEjected: () => hasBeenEjected(candidate),
+        onSend: (connection) => attemptLog.recordSent(entry.memberId, connection),
+      });
+      if (outcome.type === 'notSent') attemptLog.recordNotSent(entry.memberId, outcome.cause);
+      if (candidate.isTrialRead) lag.endTrialRead();
+      return { candidate, outcome };
     } finally {
-      if (isTrial) failureEjection.endTrial(member);
+      // Also after an answer that cannot be processed; the member would stay ejected otherwise.
+      if (status === 'trial') failureEjection.endTrial(member);
     }
   }
 
-  async function attemptAtMember(
-    candidate: ReadCandidate,
-    { request, createCommand, attemptLog, isAbandoned }: AttemptReadOptions,
-  ): Promise<SingleAttempt> {
-    const command = createCommand(candidate.after);
-    const { deadlineAt } = request;
-    const { entry, lag } = candidate.member;
-    if (candidate.isTrialRead) lag.beginTrialRead();
-    const outcome = await attemptCommand(context, candidate.member, {
-      request,
-      command,
-      deadlineAt,
-      queueTimeout: chooseQueueTimeout(request),
-      isAbandoned,
-      isEjected: () => hasBeenEjected(candidate),
-      onSend: (connection) => attemptLog.recordSent(entry.memberId, connection),
-    });
-    if (outcome.type === 'notSent') attemptLog.recordNotSent(entry.memberId, outcome.cause);
-    if (candidate.isTrialRead) lag.endTrialRead();
-    return { candidate, outcome };
-  }
-
   /** Whether a member that was available when it was chosen is no longer so. */
   function hasBeenEjected({ status, member }: ReadCandidate): boolean {
     return status === 'available' && failureEjection.getStatus(member, true) !== 'available';
@@ -159,22 +147,18 @@
   return { recordRead: () => budget.recordFirstAttempt(clock.now()), run };
 }
 
-function markSingle(attempt: SingleAttempt): ReadAttempt {
-  return { ...attempt, isHedged: false };
-}
-
 /**
  * Resolves with the first completed attempt, or with the last attempt if none completes, and
  * releases the connections of the others.
  */
 function resolveFirstCompleted(
   context: GroupContext,
-  attempts: Promise<SingleAttempt>[],
-): Promise<SingleAttempt> {
+  attempts: Promise<ReadAttempt>[],
+): Promise<ReadAttempt> {
   return new Promise((resolve, reject) => {
     let pending = attempts.length;
     let isResolved = false;
-    const settle = (result: SingleAttempt) => {
+    const settle = (result: ReadAttempt) => {
       pending -= 1;
       const { candidate, outcome } = result;
       const isCompleted = outcome.type === 'answered' && outcome.answer.outcome === 'completed';
--- a/packages/gateway/src/test/failureEjection.test.ts
+++ b/packages/gateway/src/test/failureEjection.test.ts
@@ -205,6 +205,20 @@
     expect(gateway.listMemberFailures()).toMatchObject([{ isEjected: false, ejections: 1 }, {}]);
   });
 
+  it('is tried again after a trial read with an answer that cannot be processed', async () => {
+    // Guards against a trial that never ends, which would keep the replica out for good.
+    await start();
+    const session = await failReads(5);
+    await vi.advanceTimersByTimeAsync(500);
+    session.read('malformed');
+    await settle();
+    findForwarded('malformed', 'db-2')!.answerMalformed();
+    await settle();
+    session.read('trial');
+    await settle();
+    expect(listRuns('trial')).toEqual(['db-2']);
+  });
+
   it('gets no read-only transaction before a read has tried it', async () => {
     // Guards against a transaction that fails halfway, as its statements cannot be repeated.
     await start();
