--- a/packages/gateway/src/lib/groups/hedgedReads.ts
+++ b/packages/gateway/src/lib/groups/hedgedReads.ts
@@ -15,6 +15,8 @@
 export interface ReadAttempt {
   candidate: ReadCandidate;
   outcome: AttemptOutcome;
+  /** Whether the read was also sent to a second member; not if omitted. */
+  isHedged?: boolean;
 }
 
 /** Creates the command for a read that requires `after` to be applied. */
@@ -51,7 +53,7 @@
 const QUEUE_TIMEOUT_MILLISECONDS = 100;
 
 export function createHedgedReads(context: GroupContext): HedgedReads {
-  const { clock, counters, group, logger, isMechanismEnabled } = context;
+  const { clock, counters, failureEjection, group, logger, isMechanismEnabled } = context;
   const budget = createRetryBudget(HEDGE_BUDGET);
 
   async function run({
@@ -89,7 +91,7 @@
       attemptRead(second, options),
     ]);
     isAnswered = true;
-    return result;
+    return { ...result, isHedged: true };
   }
 
   function calculateHedgeDelay(member: Member): number {
@@ -105,19 +107,35 @@
   ): Promise<ReadAttempt> {
     const command = createCommand(candidate.after);
     const { deadlineAt } = request;
-    const { entry, lag } = candidate.member;
+    const { member, status } = candidate;
+    const { entry, lag } = member;
+    if (status === 'trial' && !failureEjection.tryBeginTrial(member)) {
+      return { candidate, outcome: { type: 'notSent', cause: 'ejected' } };
+    }
+    if (status === 'ejected') failureEjection.recordLastResort(member);
     if (candidate.isTrialRead) lag.beginTrialRead();
-    const outcome = await attemptCommand(context, candidate.member, {
-      request,
-      command,
-      deadlineAt,
-      queueTimeout: chooseQueueTimeout(request),
-      isAbandoned,
-      onSend: (connection) => attemptLog.recordSent(entry.memberId, connection),
-    });
-    if (outcome.type === 'notSent') attemptLog.recordNotSent(entry.memberId, outcome.cause);
-    if (candidate.isTrialRead) lag.endTrialRead();
-    return { candidate, outcome };
+    try {
+      const outcome = await attemptCommand(context, member, {
+        request,
+        command,
+        deadlineAt,
+        queueTimeout: chooseQueueTimeout(request),
+        isAbandoned,
+        isEjected: () => hasBeenEjected(candidate),
+        onSend: (connection) => attemptLog.recordSent(entry.memberId, connection),
+      });
+      if (outcome.type === 'notSent') attemptLog.recordNotSent(entry.memberId, outcome.cause);
+      if (candidate.isTrialRead) lag.endTrialRead();
+      return { candidate, outcome };
+    } finally {
+      // Also after an answer that cannot be processed; the member would stay ejected otherwise.
+      if (status === 'trial') failureEjection.endTrial(member);
+    }
+  }
+
+  /** Whether a member that was available when it was chosen is no longer so. */
+  function hasBeenEjected({ status, member }: ReadCandidate): boolean {
+    return status === 'available' && failureEjection.getStatus(member, true) !== 'available';
   }
 
   /** Returns no timeout for a read that only the primary can serve. */
