Send statements for the primary alone to the holder beside it

Every holder opened a connection of each team at the primary, which needs most of its connections for that. Statements that only the primary can run now go to the holder in the primary's data centre where a deployment enables primaryHolder; it keeps most idle connections there, those of the teams with the most statements.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -24,6 +24,7 @@
 import type { UpstreamDriver } from './ports/upstreamPort';
 import { createHolderSelector } from './relay/holderSelector';
 import type { PeerLink } from './relay/peerLink';
+import { createPrimaryRoute } from './relay/primaryRoute';
 import { createRelayedGroup } from './relay/relayedGroup';
 import { createRelayService } from './relay/relayService';
 import { createConfigurationSynchronizer } from './relay/configurationSynchronizer';
@@ -82,6 +83,8 @@
    */
   drain: (stopAccepting: () => void) => Promise<void>;
   getCounters: () => Record<string, GroupRouter['counters']>;
+  /** Connections opened and closed by this instance, by group, member and cause. */
+  getConnectionCounts: () => Record<string, ReturnType<GroupRouter['getConnectionCounts']>>;
   /** Operations of this instance's callers that their teams' limits admitted and refused, by team. */
   getLimitCounters: () => ReadonlyMap<string, LimitCounters>;
   countSessions: () => number;
@@ -172,6 +175,9 @@
     },
     waitForFreshState,
     grantPermits: limits.grantPermits,
+    findPrimaryDataCentre: isLoadControlEnabled('primaryHolder')
+      ? (group) => localGroups.get(group)?.findPrimaryDataCentre()
+      : undefined,
     isConfigurationCurrent: options.configuration.isCurrent,
     clock,
     logger,
@@ -292,6 +298,7 @@
       isHolder: () => holders.isHolder(group),
       hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
+      countHoldersIn: (dataCentre) => holders.countHoldersIn(group, dataCentre),
       areInstancesKnown: holders.isReady,
       missingMemberRetentionMilliseconds: times.missingMemberRetentionMilliseconds,
       leavingGracePeriodMilliseconds: times.leavingGracePeriodMilliseconds,
@@ -300,10 +307,14 @@
       refreshDirectory: options.directory.refresh,
     });
     localGroups.set(group, router);
+    const { dataCentre } = options;
     const runner = createRelayedGroup({
       group,
       local: router,
       holders,
+      primaryRoute: isLoadControlEnabled('primaryHolder')
+        ? createPrimaryRoute({ group, dataCentre, local: router, holders, clock, logger })
+        : undefined,
       configuration,
       synchronizer,
       waitForFreshState,
@@ -382,6 +393,10 @@
     drain,
     getCounters: () =>
       Object.fromEntries([...localGroups].map(([group, router]) => [group, router.counters])),
+    getConnectionCounts: () =>
+      Object.fromEntries(
+        [...localGroups].map(([group, router]) => [group, router.getConnectionCounts()]),
+      ),
     getLimitCounters: limits.getCounters,
     countSessions: () => sessions.size,
     close: () => {
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -48,6 +48,10 @@
   sentToLeaving: number;
   /** Statements that a group's only member could not confirm because the directory was too old. */
   unconfirmedAlone: number;
+  /** Statements that only the primary can run, sent to the holder in the primary's data centre. */
+  sentToPrimaryHolder: number;
+  /** Statements that only the primary can run and that took the usual path. */
+  sentToNearHolder: number;
 }
 
 /** Sequence number and time of an event, used to order it relative to observations. */
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -1,4 +1,10 @@
-import { CLAIM_TAKEOVER_MILLISECONDS, createReplicationTracker } from '@wisterialift/pooling';
+import {
+  CLAIM_TAKEOVER_MILLISECONDS,
+  computeConnectionShare,
+  computeEvenShare,
+  createReplicationTracker,
+  MAXIMUM_CONNECTION_PART,
+} from '@wisterialift/pooling';
 import type { ClockReadings, TermOrigin, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GroupLimits } from '../configuration/gatewayConfiguration';
@@ -28,6 +34,7 @@
 import type { StatementRequest } from './statementRequest';
 import { createTransactionOpener } from './transactionOpener';
 import { createUpstreamPool } from './upstreamPool';
+import type { ConnectionCount } from './connectionCounters';
 import { createWriteRouter } from './writeRouter';
 
 /** Runs the statements of one group and promotes a new primary when necessary. */
@@ -38,7 +45,11 @@
   isUsable: () => boolean;
   /** Discards age-based observations after the process was suspended. */
   clearPositionSamples: () => void;
+  /** Returns the data centre of the member that this instance considers the primary. */
+  findPrimaryDataCentre: () => string | undefined;
   counters: GroupCounters;
+  /** Connections opened and closed, by member and cause. */
+  getConnectionCounts: () => (ConnectionCount & { memberId: string })[];
   close: () => void;
 }
 
@@ -63,6 +74,8 @@
   hasOtherHolders: () => boolean;
   /** Number of instances that keep connections to the members, including this one. */
   countConnectedInstances: () => number;
+  /** Number of those in a data centre; 0 if every instance connects for its own callers. */
+  countHoldersIn: (dataCentre: string) => number;
   /** Whether the list of instances is known; until then each instance acts as a holder. */
   areInstancesKnown: () => boolean;
   /** Milliseconds for which a member's entry may be missing before the member is removed. */
@@ -77,18 +90,6 @@
   refreshDirectory: () => Promise<void>;
 }
 
-/**
- * Largest part of a member's connections that one instance opens. It exceeds an even share because
- * callers are distributed unevenly.
- */
-const MAXIMUM_CONNECTION_SHARE = 0.5;
-
-/**
- * Part of a member's connections that instances share evenly. The rest covers uneven load and dead
- * connections that a member still counts after an outage.
- */
-const EVENLY_DIVIDED_SHARE = 0.6;
-
 /** With fewer connections, two open transactions could block all other statements. */
 const MINIMUM_CONNECTIONS = 4;
 
@@ -130,6 +131,8 @@
     primaryReads: 0,
     sentToLeaving: 0,
     unconfirmedAlone: 0,
+    sentToPrimaryHolder: 0,
+    sentToNearHolder: 0,
   };
   let { limits } = options;
   let onSuspicion: GroupContext['suspectPrimary'] = () => undefined;
@@ -267,10 +270,11 @@
       group,
       memberId: entry.memberId,
       address: entry.address,
-      calculateFairShare,
-      maximumConnections: calculateMaximumConnections(limits, MAXIMUM_CONNECTION_SHARE),
+      calculateFairShare: () => calculateFairShare(entry.memberId),
+      maximumConnections: calculateMaximumConnections(limits),
       isHolder,
       isMechanismEnabled,
+      isLoadControlEnabled,
       onUnpinned: () => members.get(entry.memberId)?.admission.admitWaiting(),
       onUnreachable: () => handleUnreachable(entry.memberId),
     });
@@ -284,9 +288,22 @@
     });
   }
 
-  function calculateFairShare(): number {
-    const shared = limits.maximumConnections * EVENLY_DIVIDED_SHARE;
-    return Math.max(1, Math.floor(shared / countConnectedInstances()));
+  /** Returns how many connections this instance may keep to a member. */
+  function calculateFairShare(memberId: string): number {
+    const { maximumConnections } = limits;
+    const holders = countConnectedInstances();
+    const member = members.get(memberId);
+    if (!member || !isLoadControlEnabled('primaryHolder')) {
+      return computeEvenShare(maximumConnections, holders);
+    }
+    const { entry } = member;
+    return computeConnectionShare({
+      maximumConnections,
+      holders,
+      holdersNearMember: options.countHoldersIn(entry.dataCentre),
+      isNearMember: entry.dataCentre === dataCentre && isHolder(),
+      isPrimary: primaryTracker.find() === member,
+    });
   }
 
   function handleUnreachable(memberId: string): void {
@@ -324,13 +341,18 @@
     updateMembers,
     updateLimits: (next) => {
       limits = next;
-      const maximum = calculateMaximumConnections(limits, MAXIMUM_CONNECTION_SHARE);
+      const maximum = calculateMaximumConnections(limits);
       for (const member of members.values()) member.pool.setMaximum(maximum);
     },
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
     isOutOfReach: reachMonitor.isOutOfReach,
     clearPositionSamples: evidence.clearPositionSamples,
+    findPrimaryDataCentre: () => primaryTracker.find()?.entry.dataCentre,
     counters,
+    getConnectionCounts: () =>
+      [...members].flatMap(([memberId, { pool }]) =>
+        pool.listConnectionCounts().map((count) => ({ memberId, ...count })),
+      ),
     close: () => {
       stopMaintenance();
       evidencePoller.stop();
@@ -341,8 +363,8 @@
   };
 }
 
-function calculateMaximumConnections({ maximumConnections }: GroupLimits, share: number): number {
-  return Math.max(MINIMUM_CONNECTIONS, Math.floor(maximumConnections * share));
+function calculateMaximumConnections({ maximumConnections }: GroupLimits): number {
+  return Math.max(MINIMUM_CONNECTIONS, Math.floor(maximumConnections * MAXIMUM_CONNECTION_PART));
 }
 
 function hasStatusChanged(before: CachedDirectoryEntry, after: CachedDirectoryEntry): boolean {
--- a/packages/gateway/src/lib/groups/reachMonitor.ts
+++ b/packages/gateway/src/lib/groups/reachMonitor.ts
@@ -39,6 +39,11 @@
  */
 const PRIMARY_LIFE_SIGN_MILLISECONDS = 1_500;
 
+/** Whether only the primary can run a statement. */
+export function needsPrimary({ request, beginsReadWriteTransaction = false }: StatementNeeds) {
+  return beginsReadWriteTransaction || request.route.consistency === 'primary' || isWrite(request);
+}
+
 /** @param options.hasOtherHolders - whether statements can be sent to another instance. */
 export function createReachMonitor(
   context: GroupContext,
@@ -108,9 +113,6 @@
     }
   }
 
-  const needsPrimary = ({ request, beginsReadWriteTransaction = false }: StatementNeeds) =>
-    beginsReadWriteTransaction || request.route.consistency === 'primary' || isWrite(request);
-
   return {
     reportSilentReplicas: () => {
       areReplicasSilent = true;
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -1,8 +1,10 @@
 import {
   canUseConnection,
+  chooseConnectionToClose,
   chooseWaitingStatement,
   countVariableCommands,
   createConnectionState,
+  createOwnerUsage,
   findUncoveredStatements,
 } from '@wisterialift/pooling';
 import type {
@@ -16,9 +18,12 @@
 import { NoConnectionError } from '../errors/noConnectionError';
 import { UpstreamLostError } from '../errors/upstreamLostError';
 import { UpstreamRefusedError } from '../errors/upstreamRefusedError';
+import type { IsLoadControlEnabled } from '../configuration/loadControls';
 import type { IsMechanismEnabled } from '../mechanisms';
 import type { CancelTimer, Clock } from '../ports/clock';
 import type { UpstreamConnection, UpstreamDriver } from '../ports/upstreamPort';
+import { createConnectionCounters } from './connectionCounters';
+import type { CloseCause, ConnectionCount, OpenCause } from './connectionCounters';
 
 /** An upstream connection and its session state. */
 export interface PooledConnection {
@@ -31,6 +36,8 @@
   /** Version of the session's variables that the connection was last prepared with. */
   preparedVersion?: number;
   idleSince: number;
+  /** When a statement last took it over. */
+  usedSince: number;
 }
 
 export interface AcquireOptions extends ConnectionNeed {
@@ -62,6 +69,7 @@
   setMaximum: (connections: number) => void;
   /** Opens connections for waiting requests and closes surplus idle ones. */
   maintain: () => void;
+  listConnectionCounts: () => ConnectionCount[];
   close: () => void;
 }
 
@@ -78,6 +86,7 @@
   /** Whether this instance keeps idle connections up to its fair share. */
   isHolder: () => boolean;
   isMechanismEnabled: IsMechanismEnabled;
+  isLoadControlEnabled: IsLoadControlEnabled;
   /** Called when a transaction no longer holds a connection. */
   onUnpinned: () => void;
   onUnreachable: (error: UpstreamLostError) => void;
@@ -131,6 +140,9 @@
   const connections = new Set<PooledConnection>();
   const idle: PooledConnection[] = [];
   const waiters: Waiter[] = [];
+  const usage = createOwnerUsage();
+  const counters = createConnectionCounters(clock.now);
+  const isChosenByUsage = options.isLoadControlEnabled('primaryHolder');
   let maximum = options.maximumConnections;
   let raisedLimit = 0;
   let refusedAt = -Infinity;
@@ -182,7 +194,10 @@
         lowestCommandCount = commandCount;
       }
     }
-    if (best) idle.splice(idle.indexOf(best), 1);
+    if (best) {
+      idle.splice(idle.indexOf(best), 1);
+      best.usedSince = clock.now();
+    }
     return best;
   }
 
@@ -190,24 +205,39 @@
     if (clock.now() < pausedUntil) return;
     for (const { owner } of findUncoveredStatements(waiters, opening)) {
       if (isClosed || !makeRoom()) return;
+      const hasConnections = [...connections].some((connection) => connection.owner === owner);
+      const cause = counters.findOpenCause(owner, hasConnections || opening.includes(owner));
       opening.push(owner);
-      void openConnection(owner);
+      void openConnection(owner, cause);
     }
   }
 
-  /** Closes the idle connection that was used least recently if there is no room for another one. */
+  /** Closes an idle connection if there is no room for another one. */
   function makeRoom(): boolean {
     if (!isFull()) return true;
-    const evicted = idle.shift();
+    const evicted = chooseIdleToClose(idle);
     if (evicted) {
-      connections.delete(evicted);
-      evicted.upstream.close();
+      closeConnection(evicted, 'forOther');
       return true;
     }
     raiseLimit();
     return !isFull();
   }
 
+  /** Chooses by usage, or the least recently used one; candidates are in the order of last use. */
+  function chooseIdleToClose(candidates: PooledConnection[]): PooledConnection | undefined {
+    if (!isChosenByUsage) return candidates[0];
+    const inUse = [...connections].filter((connection) => !idle.includes(connection));
+    return chooseConnectionToClose(candidates, { inUse, usage, now: clock.now() });
+  }
+
+  function closeConnection(connection: PooledConnection, cause: CloseCause): void {
+    if (connections.delete(connection)) counters.recordClosed(connection.owner, cause);
+    const index = idle.indexOf(connection);
+    if (index >= 0) idle.splice(index, 1);
+    connection.upstream.close();
+  }
+
   function isFull(): boolean {
     return connections.size + opening.length >= calculateCapacity();
   }
@@ -220,7 +250,7 @@
     raisedAt = now;
   }
 
-  async function openConnection(owner: ConnectionOwner): Promise<void> {
+  async function openConnection(owner: ConnectionOwner, cause: OpenCause): Promise<void> {
     const finishOpening = () => opening.splice(opening.indexOf(owner), 1);
     const startedAt = clock.now();
     try {
@@ -240,7 +270,16 @@
       connectTime += CONNECT_TIME_SMOOTHING * (clock.now() - startedAt - connectTime);
       const state = createConnectionState();
       openedCount += 1;
-      const connection = { number: openedCount, upstream, owner, state, idleSince: clock.now() };
+      counters.recordOpened(cause);
+      const now = clock.now();
+      const connection = {
+        number: openedCount,
+        upstream,
+        owner,
+        state,
+        idleSince: now,
+        usedSince: now,
+      };
       connections.add(connection);
       assignConnection(connection);
     } catch (error) {
@@ -271,6 +310,7 @@
     const next = chooseWaitingStatement(waiters, connection);
     if (next) {
       removeWaiter(next);
+      Object.assign(connection, { usedSince: clock.now() });
       next.grant(connection);
       return;
     }
@@ -289,14 +329,13 @@
       discard(connection);
       return;
     }
+    const now = clock.now();
+    if (isChosenByUsage) usage.record(connection.owner, now - connection.usedSince, now);
     assignConnection(connection);
   }
 
   function discard(connection: PooledConnection): void {
-    connections.delete(connection);
-    const index = idle.indexOf(connection);
-    if (index >= 0) idle.splice(index, 1);
-    connection.upstream.close();
+    closeConnection(connection, 'unusable');
     openForWaiters();
   }
 
@@ -335,14 +374,24 @@
 
   function maintain(): void {
     openForWaiters();
-    for (const connection of [...idle]) {
-      const limit = options.isMechanismEnabled('closingIdle')
-        ? SHORT_IDLE_MILLISECONDS
-        : LONG_IDLE_MILLISECONDS;
-      const isStale = clock.now() - connection.idleSince > limit;
-      const isSpare =
-        idle.length > (options.isHolder() ? options.calculateFairShare() : 0) && isStale;
-      if (isSpare || !connection.upstream.isOpen()) discard(connection);
+    for (const connection of [...idle]) if (!connection.upstream.isOpen()) discard(connection);
+    closeSurplus();
+    usage.removeIdle(clock.now());
+    counters.removeOld();
+  }
+
+  /** Closes connections above the fair share that have been idle for some time. */
+  function closeSurplus(): void {
+    const limit = options.isMechanismEnabled('closingIdle')
+      ? SHORT_IDLE_MILLISECONDS
+      : LONG_IDLE_MILLISECONDS;
+    const share = options.isHolder() ? options.calculateFairShare() : 0;
+    while (idle.length > share) {
+      const stale = idle.filter(({ idleSince }) => clock.now() - idleSince > limit);
+      const surplus = chooseIdleToClose(stale);
+      if (!surplus) return;
+      closeConnection(surplus, 'asIdle');
+      openForWaiters();
     }
   }
 
@@ -360,6 +409,7 @@
       raisedLimit = Math.min(raisedLimit, value);
     },
     maintain,
+    listConnectionCounts: counters.list,
     close: () => {
       isClosed = true;
       for (const waiter of waiters.splice(0)) waiter.fail(new UpstreamLostError('pool is closed'));
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -24,6 +24,9 @@
   sentToLeaving: 'statements sent to a member that leaves',
   unconfirmedAlone:
     'statements of groups of one member that an old list of members left unconfirmed',
+  sentToPrimaryHolder:
+    "statements for the primary alone, sent to the holder in the primary's data centre",
+  sentToNearHolder: 'statements for the primary alone that took the usual path',
 } as const;
 
 /** Number of calls to the platform's store for one purpose. @public */
@@ -77,6 +80,21 @@
     });
   }
 
+  const connections: Gauge = new Gauge({
+    name: 'wisterialift_connections_total',
+    help: 'connections to members that this instance opened and closed, by cause',
+    labelNames: ['group', 'member', 'event', 'cause'],
+    registers,
+    collect: () => {
+      connections.reset();
+      for (const [group, counts] of Object.entries(gateway.getConnectionCounts())) {
+        for (const { memberId: member, event, cause, count } of counts) {
+          connections.set({ group, member, event, cause }, count);
+        }
+      }
+    },
+  });
+
   const teamOperations: Gauge = new Gauge({
     name: 'wisterialift_team_operations_total',
     help: 'operations that the limits of teams admitted or refused, of the busiest teams and all others',
--- a/packages/gateway/src/lib/relay/holderSelector.ts
+++ b/packages/gateway/src/lib/relay/holderSelector.ts
@@ -21,6 +21,13 @@
    * @param refusing - links to holders that do not reach the members.
    */
   selectOtherLink: (group: string, refusing: ReadonlySet<PeerLink>) => PeerLink | undefined;
+  /**
+   * Returns the link to a holder in another data centre; undefined if no stream to one is open, or
+   * every instance connects for its own callers.
+   */
+  selectLinkIn: (group: string, dataCentre: string) => PeerLink | undefined;
+  /** Number of holders planned in a data centre; 0 if every instance connects for its own callers. */
+  countHoldersIn: (group: string, dataCentre: string) => number;
   /** Returns the link to an instance; undefined if it is unknown or cannot be reached at present. */
   findLink: (instance: string) => PeerLink | undefined;
   /** Whether instances other than this one hold connections to the group's members. */
@@ -147,6 +154,23 @@
     return undefined;
   }
 
+  const isIn = (name: string, place: string) => peers.get(name)?.entry.dataCentre === place;
+
+  /** Streams are opened before statements need them, so that none waits for it. */
+  function selectLinkIn(group: string, place: string): PeerLink | undefined {
+    const plan = getPlan(group);
+    if (plan.type === 'everyone') return undefined;
+    const names = plan.far.filter((name) => isIn(name, place) && isReachable(name));
+    return findLeastBusy(openLinks(names).filter((link) => link.isOpen()));
+  }
+
+  function countHoldersIn(group: string, place: string): number {
+    const plan = getPlan(group);
+    if (plan.type === 'everyone') return 0;
+    if (place === dataCentre) return Math.min(plan.nearCount, plan.near.length);
+    return plan.far.filter((name) => isIn(name, place)).length;
+  }
+
   function openLink(peer: Peer): PeerLink {
     if (peer.link) return peer.link;
     const link: PeerLink = createPeerLink({
@@ -197,6 +221,8 @@
   return {
     selectLink,
     selectOtherLink,
+    selectLinkIn,
+    countHoldersIn,
     findLink: (name) => {
       const peer = peers.get(name);
       if (!peer || !isReachable(name)) return undefined;
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -36,6 +36,8 @@
   configuration: ActiveConfiguration;
   /** Returns the runner of a group's statements over this instance's own connections. */
   findRunner: (group: string) => RelayTarget | undefined;
+  /** Returns the data centre of a group's primary; undefined unless `primaryHolder` is enabled. */
+  findPrimaryDataCentre?: (group: string) => string | undefined;
   /** Resolves once the directory and the configuration are fresh, or after a timeout. */
   waitForFreshState: () => Promise<void>;
   /** Whether this instance learns of new configuration versions promptly. */
@@ -49,7 +51,7 @@
 /** Runs relayed statements of a group. */
 export type RelayTarget = StatementRunner & Pick<GroupRouter, 'isOutOfReach'>;
 
-type ResponseContent = 'answer' | 'configurationJson' | 'isOutOfReach' | 'permits';
+type ResponseContent = 'answer' | 'configurationJson' | 'isOutOfReach' | 'load' | 'permits';
 
 type Respond = (response: RelayResponse) => void;
 
@@ -73,7 +75,7 @@
 
 export function createRelayService(options: RelayServiceOptions): RelayService {
   const { configuration, findRunner, waitForFreshState, grantPermits, clock, logger } = options;
-  const { isConfigurationCurrent } = options;
+  const { isConfigurationCurrent, findPrimaryDataCentre } = options;
   const streams = new Map<Respond, StreamTransactions>();
   let runningStatements = 0;
   let isDraining = false;
@@ -153,7 +155,9 @@
   async function handleStatement(
     statement: RelayStatement,
     transactions: StreamTransactions,
-  ): Promise<Pick<RelayResponse, 'answer' | 'isOutOfReach'>> {
+  ): Promise<
+    Pick<RelayResponse, 'answer' | 'isOutOfReach'> & Partial<Pick<RelayResponse, 'load'>>
+  > {
     const action = decodeAction(statement);
     const { route, version } = decodeRoute(statement);
     // A transaction keeps the configuration version with which it began.
@@ -179,9 +183,16 @@
     return {
       answer: encodeAnswer(answer, { lastCommit, now: clock.now() }),
       isOutOfReach: false,
+      load: createLoad(route.group),
     };
   }
 
+  function createLoad(group: string): RelayResponse['load'] {
+    if (!findPrimaryDataCentre) return undefined;
+    const primaryDataCentre = findPrimaryDataCentre(group) ?? '';
+    return { primaryDataCentre, refusingMilliseconds: 0, isRefusingTeamOnly: false };
+  }
+
   function createEndedRefusal(): UpstreamAnswer {
     const detail = 'the transaction has ended';
     return { outcome: 'refused', reason: 'aborted', detail, transaction: 'failed' };
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -19,12 +19,15 @@
 import type { PeerLink } from './peerLink';
 import { decodeAnswer, decodeCommit, encodeStatement } from './relayMessages';
 import type { RelayAction, RelayedTransaction } from './relayMessages';
+import type { PrimaryRoute } from './primaryRoute';
 
 export interface RelayedGroupOptions {
   group: string;
   /** Runs statements over this instance's own connections if no holder is selected. */
   local: GroupRouter;
   holders: HolderSelector;
+  /** Path of statements that only the primary can run; undefined if they take the usual path. */
+  primaryRoute?: PrimaryRoute;
   configuration: ActiveConfiguration;
   synchronizer: ConfigurationSynchronizer;
   /** Resolves once the directory and the configuration are fresh, or after a timeout. */
@@ -48,10 +51,18 @@
   | { type: 'outOfReach' }
   | { type: 'notSent' | 'lost' };
 
+/** Holders that one statement was sent to. */
+interface RelayAttempts {
+  /** Links to holders that do not reach the members. */
+  refusing: Set<PeerLink>;
+  /** Link to the holder in the primary's data centre if the statement was sent there. */
+  primaryLink?: PeerLink;
+}
+
 /** Creates a statement runner that relays them to the instances holding its connections. */
 export function createRelayedGroup(options: RelayedGroupOptions): StatementRunner {
   const { group, local, holders, configuration, synchronizer, waitForFreshState } = options;
-  const { clock, logger, random } = options;
+  const { clock, logger, random, primaryRoute } = options;
 
   const refusalContext = { group, clock, counters: local.counters, logger, random };
 
@@ -71,7 +82,8 @@
       logger.warn('relayFailed', { group, requestId: request.id, ...sent, outcome: outcome.type });
       return outcome;
     }
-    const { answer, isOutOfReach, version } = outcome.response;
+    const { answer, isOutOfReach, load, version } = outcome.response;
+    primaryRoute?.learn(load);
     if (isOutOfReach) return { type: 'outOfReach' };
     if (!answer) return { type: 'otherVersion', version };
     return { type: 'answered', answer: applyAnswer(request, answer) };
@@ -137,14 +149,20 @@
   /**
    * Selects the holder for a statement.
    *
-   * @param refusing - links to holders that do not reach the members.
    * @returns undefined to run it over this instance's own connections.
    */
-  function selectLink(needs: StatementNeeds, refusing: Set<PeerLink>): PeerLink | undefined {
+  function selectLink(needs: StatementNeeds, attempts: RelayAttempts): PeerLink | undefined {
+    const { refusing } = attempts;
+    const primaryLink = refusing.size === 0 ? primaryRoute?.selectLink(needs) : undefined;
+    if (primaryLink) {
+      Object.assign(attempts, { primaryLink });
+      return primaryLink;
+    }
     const isLocalRefusing = local.isOutOfReach(needs);
-    const isFirstChoice = refusing.size === 0;
-    const link = isFirstChoice ? holders.selectLink(group) : undefined;
-    if (link || (isFirstChoice && !isLocalRefusing)) return link;
+    const isNearUntried = [...refusing].every((link) => link === attempts.primaryLink);
+    const link = isNearUntried ? holders.selectLink(group) : undefined;
+    if (link && !refusing.has(link)) return link;
+    if (!link && isNearUntried && !isLocalRefusing) return undefined;
     return holders.selectOtherLink(group, refusing);
   }
 
@@ -170,8 +188,9 @@
   /** Retries a read until its deadline if the answer is lost. */
   async function read(request: StatementRequest): Promise<UpstreamAnswer> {
     const refusing = new Set<PeerLink>();
+    const attempts = { refusing };
     while (clock.now() < request.deadlineAt) {
-      const link = selectLink({ request }, refusing);
+      const link = selectLink({ request }, attempts);
       if (!link) return runLocally(request, refusing, () => local.read(request));
       const outcome = await sendWithMatchingVersion(link, request, { action: 'read' });
       if (outcome.type === 'answered') return outcome.answer;
@@ -183,8 +202,9 @@
   /** Never resends a write that may have been sent. */
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
     const refusing = new Set<PeerLink>();
+    const attempts = { refusing };
     while (clock.now() < request.deadlineAt) {
-      const link = selectLink({ request }, refusing);
+      const link = selectLink({ request }, attempts);
       if (!link) return runLocally(request, refusing, () => local.write(request));
       const outcome = await sendWithMatchingVersion(link, request, { action: 'write' });
       if (outcome.type === 'answered') return outcome.answer;
@@ -201,7 +221,7 @@
     opening: OpenTransactionOptions,
   ): ReturnType<StatementRunner['openTransaction']> {
     const needs = { request, beginsReadWriteTransaction: !opening.isReadOnly };
-    const link = selectLink(needs, new Set());
+    const link = selectLink(needs, { refusing: new Set() });
     if (!link) {
       const refusal = await prepareLocalRun(request);
       return refusal ? { refusal } : local.openTransaction(request, opening);
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -118,6 +118,8 @@
     holders: {
       selectLink: () => links.find((link) => link.isUsable()),
       selectOtherLink: (_, refusing) => links.find((link) => !refusing.has(link)),
+      selectLinkIn: () => undefined,
+      countHoldersIn: () => 0,
       findLink: () => undefined,
       isInformed: () => false,
       hasOtherHolders: () => true,
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -115,6 +115,8 @@
     holders: {
       selectLink: () => (isLost ? undefined : link),
       selectOtherLink: () => undefined,
+      selectLinkIn: () => undefined,
+      countHoldersIn: () => 0,
       findLink: () => undefined,
       isInformed: () => false,
       hasOtherHolders: () => true,
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -33,6 +33,14 @@
   type ConnectionNeed,
   type ConnectionOwner,
 } from './lib/connections/connectionOwnership';
+export {
+  computeConnectionShare,
+  computeEvenShare,
+  MAXIMUM_CONNECTION_PART,
+  type ConnectionShareInput,
+} from './lib/connections/connectionShare';
+export { chooseConnectionToClose } from './lib/connections/chooseConnectionToClose';
+export { createOwnerUsage, type OwnerUsage } from './lib/connections/ownerUsage';
 export {
   DISTANT_PAST_READINGS,
   computeAgeUpperBound,
--- /dev/null
+++ b/packages/pooling/src/lib/connections/chooseConnectionToClose.ts
@@ -0,0 +1,45 @@
+import type { ConnectionOwner } from './connectionOwnership';
+import type { OwnerUsage } from './ownerUsage';
+
+interface OwnedConnection {
+  owner: ConnectionOwner;
+}
+
+/**
+ * Chooses which idle connection is closed for another team's, or because too many are idle. Answers a
+ * load of more teams than connections: by least recent use, the connection of a frequent team is often
+ * closed for a team that sends one statement.
+ *
+ * Closes the connection with the fewest expected uses. An owner's further connections are used only
+ * while its others are in use, so each counts less than the one before by the owner's mean number of
+ * connections in use.
+ *
+ * @param idle - candidates, the least recently used first; among equals, the first is chosen.
+ * @param inUse - connections that run statements.
+ * @returns undefined if none is idle.
+ * @public
+ */
+export function chooseConnectionToClose<Connection extends OwnedConnection>(
+  idle: readonly Connection[],
+  options: {
+    inUse: readonly OwnedConnection[];
+    usage: Pick<OwnerUsage, 'getRate' | 'getLoad'>;
+    now: number;
+  },
+): Connection | undefined {
+  const { inUse, usage, now } = options;
+  const counts = new Map<ConnectionOwner, number>();
+  for (const { owner } of [...inUse, ...idle]) counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  let chosen: Connection | undefined;
+  let lowestValue = Infinity;
+  for (const connection of idle) {
+    const { owner } = connection;
+    const others = counts.get(owner)! - 1;
+    const value = usage.getRate(owner, now) * Math.min(1, usage.getLoad(owner, now)) ** others;
+    if (value < lowestValue) {
+      chosen = connection;
+      lowestValue = value;
+    }
+  }
+  return chosen;
+}
--- a/tools/world/src/lib/experiment/runExperiment.ts
+++ b/tools/world/src/lib/experiment/runExperiment.ts
@@ -57,7 +57,7 @@
   options: RunOptions,
 ): Promise<ExperimentResult> {
   const { seed, without = [], onLog } = options;
-  const counts: WorldCounts = { opened: 0, exhausted: 0, refusedBesideIdleSlot: 0 };
+  const counts: WorldCounts = { opened: 0, exhausted: 0, statements: 0, refusedBesideIdleSlot: 0 };
   const world = buildWorld(experiment, {
     seed,
     without,
@@ -75,7 +75,7 @@
   const { scheduler } = world.simulation;
   for (const instance of world.instances) instance.start();
   await runWorldUntil(scheduler, LEAD_MILLISECONDS);
-  const { outcomes, samples, oracle } = await startCallers(experiment, world);
+  const { outcomes, samples, oracle } = await startCallers(experiment, world, counts);
   const end = LEAD_MILLISECONDS + experiment.seconds * 1_000 + CLOSING_MILLISECONDS;
   await runWorldUntil(scheduler, end);
   oracle.checkLogs();
@@ -87,7 +87,7 @@
 }
 
 /** Has the callers come and the faults strike; the load's clock starts at 0. */
-async function startCallers(experiment: Experiment, world: World) {
+async function startCallers(experiment: Experiment, world: World, counts: WorldCounts) {
   const { simulation, groups, databases, platform, instances, teams } = world;
   const { scheduler, random } = simulation;
   const outcomes: Outcome[] = [];
@@ -113,6 +113,7 @@
   });
   for (const [memberId, database] of databases) {
     database.onStatement((arrival) => {
+      counts.statements += 1;
       oracle.teams.checkStatement(arrival);
       const { isFirst, statementId: id } = arrival;
       if (isFirst) oracle.checkNewWork({ memberId, id, leavingAt: platform.leavingAt(memberId) });
--- a/tools/world/src/lib/experiment/systemFigures.ts
+++ b/tools/world/src/lib/experiment/systemFigures.ts
@@ -11,6 +11,8 @@
   relayed: number;
   promotions: number;
   connectionsOpened: number;
+  /** Connections opened for each statement that a database received. */
+  connectionsPerStatement: number;
   placesExhausted: number;
   /** Refusals of reads while a replica that follows had an idle slot, whatever the instance knew. */
   refusedBesideIdleSlot: number;
@@ -24,6 +26,8 @@
 export interface WorldCounts {
   opened: number;
   exhausted: number;
+  /** Statements that databases received, within and outside of transactions. */
+  statements: number;
   refusedBesideIdleSlot: number;
 }
 
@@ -69,6 +73,7 @@
   return {
     ...sums,
     connectionsOpened: counts.opened,
+    connectionsPerStatement: roundTo(counts.opened / Math.max(1, counts.statements), SHARE_PLACES),
     placesExhausted: counts.exhausted,
     refusedBesideIdleSlot: counts.refusedBesideIdleSlot,
     replicaShare: reads.all === 0 ? 1 : roundTo(reads.replica / reads.all, SHARE_PLACES),
--- a/tools/world/src/lib/report/summarize.ts
+++ b/tools/world/src/lib/report/summarize.ts
@@ -27,6 +27,7 @@
   refusedBesideIdle: ({ system }: ExperimentResult) => system.refusedBesideIdle,
   refusedBesideIdleSlot: ({ system }: ExperimentResult) => system.refusedBesideIdleSlot,
   connectionsOpened: ({ system }: ExperimentResult) => system.connectionsOpened,
+  connectionsPerStatement: ({ system }: ExperimentResult) => system.connectionsPerStatement,
   placesExhausted: ({ system }: ExperimentResult) => system.placesExhausted,
   probes: ({ system }: ExperimentResult) => system.probes,
 };
