--- a/tools/world/src/lib/experiment/runExperiment.ts
+++ b/tools/world/src/lib/experiment/runExperiment.ts
@@ -75,7 +75,9 @@
   const { scheduler } = world.simulation;
   for (const instance of world.instances) instance.start();
   await runWorldUntil(scheduler, LEAD_MILLISECONDS);
-  const { outcomes, samples, oracle } = await startCallers(experiment, world, counts);
+  const { outcomes, samples, oracle } = await startCallers(experiment, world, () => {
+    counts.statements += 1;
+  });
   const end = LEAD_MILLISECONDS + experiment.seconds * 1_000 + CLOSING_MILLISECONDS;
   await runWorldUntil(scheduler, end);
   oracle.checkLogs();
@@ -87,7 +89,7 @@
 }
 
 /** Has the callers come and the faults strike; the load's clock starts at 0. */
-async function startCallers(experiment: Experiment, world: World, counts: WorldCounts) {
+async function startCallers(experiment: Experiment, world: World, onStatement: () => void) {
   const { simulation, groups, databases, platform, instances, teams } = world;
   const { scheduler, random } = simulation;
   const outcomes: Outcome[] = [];
@@ -113,7 +115,7 @@
   });
   for (const [memberId, database] of databases) {
     database.onStatement((arrival) => {
-      counts.statements += 1;
+      onStatement();
       oracle.teams.checkStatement(arrival);
       const { isFirst, statementId: id } = arrival;
       if (isFirst) oracle.checkNewWork({ memberId, id, leavingAt: platform.leavingAt(memberId) });
