--- a/packages/pooling/src/lib/connections/chooseConnectionToClose.ts
+++ b/packages/pooling/src/lib/connections/chooseConnectionToClose.ts
@@ -11,8 +11,8 @@
  * closed for a team that sends one statement.
  *
  * Closes the connection with the fewest expected uses. An owner's further connections are used only
- * while its others are in use, so each counts less than the one before by the owner's mean number of
- * connections in use.
+ * while all others of the owner are in use, whose probability follows from the mean number in use if
+ * statements arrive independently.
  *
  * @param idle - candidates, the least recently used first; among equals, the first is chosen.
  * @param inUse - connections that run statements.
@@ -35,7 +35,7 @@
   for (const connection of idle) {
     const { owner } = connection;
     const others = counts.get(owner)! - 1;
-    const value = usage.getRate(owner, now) * Math.min(1, usage.getLoad(owner, now)) ** others;
+    const value = usage.getRate(owner, now) * computeTail(usage.getLoad(owner, now), others);
     if (value < lowestValue) {
       chosen = connection;
       lowestValue = value;
@@ -43,3 +43,14 @@
   }
   return chosen;
 }
+
+/** Returns the probability that a Poisson variable of this mean is at least `minimum`. */
+function computeTail(mean: number, minimum: number): number {
+  let probability = Math.exp(-mean);
+  let tail = 1;
+  for (let count = 0; count < minimum; count += 1) {
+    tail -= probability;
+    probability *= mean / (count + 1);
+  }
+  return Math.max(0, tail);
+}
