--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -25,6 +25,7 @@
 import type { UpstreamDriver } from './ports/upstreamPort';
 import { createHolderSelector } from './relay/holderSelector';
 import type { PeerLink } from './relay/peerLink';
+import { createPrimaryRoute } from './relay/primaryRoute';
 import { createRelayedGroup } from './relay/relayedGroup';
 import { createRelayService } from './relay/relayService';
 import { createConfigurationSynchronizer } from './relay/configurationSynchronizer';
@@ -85,6 +86,8 @@
   getCounters: () => Record<string, GroupRouter['counters']>;
   /** Returns the failures of members by group; empty unless failing members are ejected. */
   listMemberFailures: () => Record<string, MemberFailureCounts[]>;
+  /** Connections opened and closed by this instance, by group, member and cause. */
+  getConnectionCounts: () => Record<string, ReturnType<GroupRouter['getConnectionCounts']>>;
   /** Operations of this instance's callers that their teams' limits admitted and refused, by team. */
   getLimitCounters: () => ReadonlyMap<string, LimitCounters>;
   countSessions: () => number;
@@ -175,6 +178,9 @@
     },
     waitForFreshState,
     grantPermits: limits.grantPermits,
+    findPrimaryDataCentre: isLoadControlEnabled('primaryHolder')
+      ? (group) => localGroups.get(group)?.findPrimaryDataCentre()
+      : undefined,
     isConfigurationCurrent: options.configuration.isCurrent,
     clock,
     logger,
@@ -295,6 +301,7 @@
       isHolder: () => holders.isHolder(group),
       hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
+      countHoldersIn: (dataCentre) => holders.countHoldersIn(group, dataCentre),
       areInstancesKnown: holders.isReady,
       missingMemberRetentionMilliseconds: times.missingMemberRetentionMilliseconds,
       leavingGracePeriodMilliseconds: times.leavingGracePeriodMilliseconds,
@@ -303,10 +310,14 @@
       refreshDirectory: options.directory.refresh,
     });
     localGroups.set(group, router);
+    const { dataCentre } = options;
     const runner = createRelayedGroup({
       group,
       local: router,
       holders,
+      primaryRoute: isLoadControlEnabled('primaryHolder')
+        ? createPrimaryRoute({ group, dataCentre, local: router, holders, clock, logger })
+        : undefined,
       configuration,
       synchronizer,
       waitForFreshState,
@@ -389,6 +400,10 @@
       Object.fromEntries(
         [...localGroups].map(([group, router]) => [group, router.listMemberFailures()]),
       ),
+    getConnectionCounts: () =>
+      Object.fromEntries(
+        [...localGroups].map(([group, router]) => [group, router.getConnectionCounts()]),
+      ),
     getLimitCounters: limits.getCounters,
     countSessions: () => sessions.size,
     close: () => {
--- a/tools/world/src/lib/experiment/runExperiment.ts
+++ b/tools/world/src/lib/experiment/runExperiment.ts
@@ -60,6 +60,7 @@
   const counts: WorldCounts = {
     opened: 0,
     exhausted: 0,
+    statements: 0,
     refusedBesideIdleSlot: 0,
     ejections: 0,
     repeatedReads: 0,
@@ -83,7 +84,9 @@
   const { scheduler } = world.simulation;
   for (const instance of world.instances) instance.start();
   await runWorldUntil(scheduler, LEAD_MILLISECONDS);
-  const { outcomes, samples, oracle } = await startCallers(experiment, world);
+  const { outcomes, samples, oracle } = await startCallers(experiment, world, () => {
+    counts.statements += 1;
+  });
   const end = LEAD_MILLISECONDS + experiment.seconds * 1_000 + CLOSING_MILLISECONDS;
   await runWorldUntil(scheduler, end);
   oracle.checkLogs();
@@ -95,7 +98,7 @@
 }
 
 /** Has the callers come and the faults strike; the load's clock starts at 0. */
-async function startCallers(experiment: Experiment, world: World) {
+async function startCallers(experiment: Experiment, world: World, onStatement: () => void) {
   const { simulation, groups, databases, platform, instances, teams } = world;
   const { scheduler, random } = simulation;
   const outcomes: Outcome[] = [];
@@ -121,6 +124,7 @@
   });
   for (const [memberId, database] of databases) {
     database.onStatement((arrival) => {
+      onStatement();
       oracle.teams.checkStatement(arrival);
       const { isFirst, statementId: id } = arrival;
       if (isFirst) oracle.checkNewWork({ memberId, id, leavingAt: platform.leavingAt(memberId) });
