Limit the statements at a member by the delay in its queue

Six holders at 1.5 statements a slot keep 36 statements at a database with 4 slots and a queue of 32, so that a statement waits 100 to 150 ms there and the gateway's order has no effect.

With adaptiveConcurrency, each instance measures the delay in the member's queue and adapts its limit between its share of the slots and the former 1.5 statements a slot. The target follows the shortest goal of the group's routes. A window with a delay must hold 12 statements rather than as many as the limit, because the shortest of fewer long statements exceeds the target without a queue.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -42,6 +42,12 @@
   type ConcurrencyLimit,
   type ConcurrencyLimitOptions,
 } from './lib/admission/concurrencyLimit';
+export {
+  createQueueDelayLimit,
+  type QueueDelayLimit,
+  type QueueDelayLimitOptions,
+  type StatementCompletion,
+} from './lib/admission/queueDelayLimit';
 export { classifyStatement } from './lib/session/classifyStatement';
 export { InvalidSessionVariableError, createSession, type Session } from './lib/session/session';
 export {
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,6 +1,6 @@
 import type { LimitTolerance } from '@wisterialift/core';
 import type { Logger } from '@wisterialift/telemetry';
-import type { GatewayConfiguration, GroupLimits } from './configuration/gatewayConfiguration';
+import type { GatewayConfiguration } from './configuration/gatewayConfiguration';
 import type { IsLoadControlEnabled, LoadControl } from './configuration/loadControls';
 import { createActiveConfiguration } from './configuration/activeConfiguration';
 import { createConfigurationCheck } from './configuration/configurationCheck';
@@ -8,7 +8,8 @@
 import { createDirectoryCache } from './directory/directoryCache';
 import type { StatementRunner } from './groups/statementRunner';
 import { createGroupRouter } from './groups/groupRouter';
-import type { GroupRouter } from './groups/groupRouter';
+import type { GroupRouter, RouterLimits } from './groups/groupRouter';
+import type { ConcurrencyReport } from './groups/memberConcurrency';
 import { createTeamLimits } from './limits/teamLimits';
 import type { LimitCounters } from './limits/teamLimiter';
 import type { Mechanism, IsMechanismEnabled } from './mechanisms';
@@ -84,6 +85,8 @@
   getCounters: () => Record<string, GroupRouter['counters']>;
   /** Operations of this instance's callers that their teams' limits admitted and refused, by team. */
   getLimitCounters: () => ReadonlyMap<string, LimitCounters>;
+  /** Describes the adaptive limits of concurrent statements, by group; for metrics. */
+  reportConcurrency: () => Record<string, ConcurrencyReport[]>;
   countSessions: () => number;
   close: () => void;
 }
@@ -145,6 +148,7 @@
   let isTakingVersion = false;
   let wasConfigurationCurrent = false;
   let clockOffset = getClockOffset(clock);
+  let clockCheckedAt = clock.now();
 
   const isMechanismEnabled: IsMechanismEnabled = (mechanism) =>
     !options.disabledMechanisms?.has(mechanism);
@@ -182,7 +186,10 @@
     wasConfigurationCurrent = isCurrent;
     relay.announceConfiguration();
   });
-  const stopClockChecks = clock.runEvery(CLOCK_CHECK_INTERVAL_MILLISECONDS, checkClockDrift);
+  const stopClockChecks = clock.runEvery(CLOCK_CHECK_INTERVAL_MILLISECONDS, () => {
+    checkClockDrift();
+    checkForPause();
+  });
   registry.registerInstance((instances, listing) => {
     limits.updateInstances(instances, listing);
     holders.updateInstances(instances);
@@ -264,8 +271,9 @@
     for (const group of next.groups.values()) {
       holders.updateLimits(group.name, group.maximumConnections);
       const router = localGroups.get(group.name);
-      if (router) router.updateLimits(group);
-      else openGroup(group.name, group);
+      const routerLimits = { ...group, shortestGoal: findShortestGoal(next, group.name) };
+      if (router) router.updateLimits(routerLimits);
+      else openGroup(group.name, routerLimits);
     }
     keyRefusals.update(next, former);
     for (const session of [...sessions]) session.checkKey();
@@ -282,7 +290,7 @@
     transport.listen(relay.accept);
   }
 
-  function openGroup(group: string, groupLimits: GroupLimits): void {
+  function openGroup(group: string, groupLimits: RouterLimits): void {
     const router = createGroupRouter({
       ...options,
       group,
@@ -325,10 +333,24 @@
     clockOffset = currentOffset;
     if (change < CLOCK_DRIFT_THRESHOLD_MILLISECONDS) return;
     logger.warn('clocksDisagree', { changeMilliseconds: Math.round(change) });
-    for (const router of localGroups.values()) router.clearPositionSamples();
+    for (const router of localGroups.values()) {
+      router.clearPositionSamples();
+      router.discardLatencySamples();
+    }
     limits.clearPermits();
   }
 
+  /**
+   * Discards the latencies of statements in progress after a pause in which both clocks continued,
+   * such as a stopped process. Answers that arrived meanwhile would look delayed by the member.
+   */
+  function checkForPause(): void {
+    const elapsed = clock.now() - clockCheckedAt;
+    clockCheckedAt = clock.now();
+    if (elapsed < CLOCK_CHECK_INTERVAL_MILLISECONDS + CLOCK_DRIFT_THRESHOLD_MILLISECONDS) return;
+    for (const router of localGroups.values()) router.discardLatencySamples();
+  }
+
   const acceptCaller: CallerAcceptor = (link) => {
     const session = createCallerSession({
       link,
@@ -383,6 +405,10 @@
     getCounters: () =>
       Object.fromEntries([...localGroups].map(([group, router]) => [group, router.counters])),
     getLimitCounters: limits.getCounters,
+    reportConcurrency: () =>
+      Object.fromEntries(
+        [...localGroups].map(([group, router]) => [group, router.reportConcurrency()]),
+      ),
     countSessions: () => sessions.size,
     close: () => {
       stopClockChecks();
@@ -394,6 +420,12 @@
   };
 }
 
+/** Returns the shortest latency goal of a group's routes; `Infinity` if it has none. */
+function findShortestGoal({ routes }: GatewayConfiguration, group: string): number {
+  const goals = [...routes.values()].filter((route) => route.group === group);
+  return Math.min(...goals.map(({ goal }) => goal));
+}
+
 function getClockOffset(clock: Clock): number {
   const { monotonic, wall } = clock.readClocks();
   return wall - monotonic;
--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -143,7 +143,8 @@
 }
 
 /**
- * Records the response time of a member, including network and its own queue.
+ * Records the response time of a member, including network and its own queue, and how the statement
+ * ended.
  *
  * Excludes the wait for a connection: a brief shortage would divert reads from an idle member.
  */
@@ -153,6 +154,8 @@
   sentStamp: SequencedTime,
   outcome: { type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' },
 ): void {
+  const statements = member.admission.countStatements();
+  member.concurrency.recordOutcome({ sentAt: sentStamp.at, outcome, statements });
   const hasExecuted = outcome.type === 'lost' || outcome.answer.outcome === 'completed';
   if (!hasExecuted) return;
   member.latency.record(clock.now() - sentStamp.at, clock.now());
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -20,6 +20,8 @@
 import { createLeavingMemberPolicy } from './leavingMemberPolicy';
 import { backOffFromMember, createMember, describeLeavingTime } from './member';
 import type { Member } from './member';
+import { computeTargetDelay } from './memberConcurrency';
+import type { ConcurrencyReport } from './memberConcurrency';
 import { createPrimaryTracker } from './primaryTracker';
 import { createPrimaryVerifier } from './primaryVerifier';
 import { createReadRouter } from './readRouter';
@@ -33,21 +35,31 @@
 /** Runs the statements of one group and promotes a new primary when necessary. */
 export interface GroupRouter extends StatementRunner, Pick<ReachMonitor, 'isOutOfReach'> {
   updateMembers: (entries: CachedDirectoryEntry[]) => void;
-  updateLimits: (limits: GroupLimits) => void;
+  updateLimits: (limits: RouterLimits) => void;
   /** Whether the group has members and a known primary. */
   isUsable: () => boolean;
   /** Discards age-based observations after the process was suspended. */
   clearPositionSamples: () => void;
+  /** Discards the latencies of statements in progress after the process was suspended. */
+  discardLatencySamples: () => void;
+  /** Describes the members' concurrency limits; empty without `adaptiveConcurrency`. */
+  reportConcurrency: () => ConcurrencyReport[];
   counters: GroupCounters;
   close: () => void;
 }
 
+/** What the configuration says about a group and the routes to it. @public */
+export interface RouterLimits extends GroupLimits {
+  /** Shortest latency goal of the group's routes, in milliseconds; `Infinity` if it has none. */
+  shortestGoal: number;
+}
+
 /** @public */
 export interface GroupRouterOptions {
   group: string;
   instance: string;
   dataCentre: string;
-  limits: GroupLimits;
+  limits: RouterLimits;
   driver: UpstreamDriver;
   store: PromotionStore;
   orders: PromotionOrderClient;
@@ -281,6 +293,10 @@
       clock,
       isMechanismEnabled,
       isLoadControlEnabled,
+      group,
+      logger,
+      countConnectedInstances,
+      getTargetDelay: () => computeTargetDelay(limits.shortestGoal),
     });
   }
 
@@ -330,6 +346,11 @@
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
     isOutOfReach: reachMonitor.isOutOfReach,
     clearPositionSamples: evidence.clearPositionSamples,
+    discardLatencySamples: () => {
+      for (const { concurrency } of members.values()) concurrency.discardSamples();
+    },
+    reportConcurrency: () =>
+      [...members.values()].flatMap(({ concurrency }) => concurrency.report() ?? []),
     counters,
     close: () => {
       stopMaintenance();
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -11,6 +11,8 @@
 import type { CachedDirectoryEntry } from '../directory/directoryCache';
 import { createStatementAdmission } from './statementAdmission';
 import type { StatementAdmission } from './statementAdmission';
+import { createAdaptiveConcurrency, createFixedConcurrency } from './memberConcurrency';
+import type { AdaptiveConcurrencyOptions, MemberConcurrency } from './memberConcurrency';
 import type { UpstreamPool } from './upstreamPool';
 
 /** This instance's state for one database of a group. */
@@ -19,6 +21,8 @@
   pool: UpstreamPool;
   /** Limits the concurrent statements of this instance at the member. */
   admission: StatementAdmission;
+  /** The limit that `admission` applies. */
+  concurrency: MemberConcurrency;
   /** Response time of statements, including network and the member's queue. */
   latency: LatencyEstimate;
   lag: LagEstimate;
@@ -46,21 +50,26 @@
  */
 const STATEMENTS_PER_SLOT = 1.5;
 
-export function createMember(options: {
+export interface MemberOptions extends Pick<
+  AdaptiveConcurrencyOptions,
+  'group' | 'countConnectedInstances' | 'getTargetDelay' | 'logger'
+> {
   entry: CachedDirectoryEntry;
   pool: UpstreamPool;
   isSameDataCentre: boolean;
   clock: Clock;
   isMechanismEnabled: IsMechanismEnabled;
   isLoadControlEnabled: IsLoadControlEnabled;
-}): Member {
+}
+
+export function createMember(options: MemberOptions): Member {
   const { entry, pool, isSameDataCentre, clock, isMechanismEnabled } = options;
   const { sameDataCentre, otherDataCentre } = INITIAL_LATENCY_MILLISECONDS;
   const latency = createLatencyEstimate(isSameDataCentre ? sameDataCentre : otherDataCentre);
-  const limit = Math.max(2, Math.ceil(entry.slots * STATEMENTS_PER_SLOT));
+  const concurrency = createConcurrency(options);
   const admission = createStatementAdmission({
     clock,
-    getLimit: () => limit,
+    getLimit: concurrency.getLimit,
     countFreeConnections: pool.countFreeConnections,
     estimateStatementTime: () => latency.getCurrent(clock.now()),
     estimateConnectionDelay: pool.estimateDelay,
@@ -71,6 +80,7 @@
     entry,
     pool,
     admission,
+    concurrency,
     latency,
     lag: createLagEstimate(),
     answeredAt: -Infinity,
@@ -81,6 +91,14 @@
   };
 }
 
+function createConcurrency(options: MemberOptions): MemberConcurrency {
+  const { memberId, slots } = options.entry;
+  const ceiling = Math.max(2, Math.ceil(slots * STATEMENTS_PER_SLOT));
+  return options.isLoadControlEnabled('adaptiveConcurrency')
+    ? createAdaptiveConcurrency({ ...options, memberId, slots, ceiling })
+    : createFixedConcurrency(ceiling);
+}
+
 /** Whether every instance that relies on its directory knows the member at time `now`. */
 export function isKnownToAllInstances({ listedSince, missingSince }: Member, now: number): boolean {
   return missingSince === undefined && now - listedSince >= MEMBER_SETTLING_MILLISECONDS;
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -26,6 +26,22 @@
     'statements of groups of one member that an old list of members left unconfirmed',
 } as const;
 
+/** Gauges of the adaptive concurrency limits, by member; without values where it is disabled. */
+const CONCURRENCY_GAUGES = {
+  limit: {
+    name: 'wisterialift_member_concurrency_limit',
+    help: 'statements that this instance runs at a member at the same time',
+  },
+  queueDelayMilliseconds: {
+    name: 'wisterialift_member_queue_delay_milliseconds',
+    help: 'delay of each statement in the queue of a member',
+  },
+  busyAnswers: {
+    name: 'wisterialift_member_busy_total',
+    help: 'statements that a member refused because its queue was full',
+  },
+} as const;
+
 /** Number of calls to the platform's store for one purpose. @public */
 export interface StoreCallCount {
   purpose: string;
@@ -91,6 +107,22 @@
     },
   });
 
+  for (const name of Object.keys(CONCURRENCY_GAUGES) as (keyof typeof CONCURRENCY_GAUGES)[]) {
+    const gauge: Gauge = new Gauge({
+      ...CONCURRENCY_GAUGES[name],
+      labelNames: ['group', 'member'],
+      registers,
+      collect: () => {
+        gauge.reset();
+        for (const [group, reports] of Object.entries(gateway.reportConcurrency())) {
+          for (const { memberId: member, [name]: value } of reports) {
+            if (value !== undefined) gauge.set({ group, member }, value);
+          }
+        }
+      },
+    });
+  }
+
   const storeCalls: Gauge = new Gauge({
     name: 'wisterialift_store_calls_total',
     help: 'calls to the object store of the platform',
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -4,7 +4,11 @@
 import type {
   CallerAnswer,
   DirectoryFreshness,
+  Clock,
   DirectoryEntry,
+  GatewayConfiguration,
+  InstanceRegistry,
+  LoadControl,
   PromotionStore,
   Route,
   StoredPromotionRecord,
@@ -87,10 +91,18 @@
 export function startTestGateway({
   getPosition = getUsualPosition,
   changes = {},
+  loadControls,
+  clock = createProcessClock(),
+  registry = { registerInstance: noop, reportUnreachable: noop },
+  maximumConnections = 20,
 }: {
   getPosition?: (memberId: string) => Position;
   /** Fields of the route that differ. */
   changes?: Partial<Route>;
+  loadControls?: ReadonlySet<LoadControl>;
+  clock?: Clock;
+  registry?: InstanceRegistry;
+  maximumConnections?: number;
 } = {}) {
   const forwarded: ForwardedStatement[] = [];
   const executed: ExecutedStatement[] = [];
@@ -98,6 +110,7 @@
   const lines: Record<string, unknown>[] = [];
   let updateDirectory:
     ((entries: DirectoryEntry[], freshness: DirectoryFreshness) => void) | undefined;
+  let adoptConfiguration: ((configuration: GatewayConfiguration) => void) | undefined;
   let currentEntries: DirectoryEntry[] = [];
   let heldCommandType: UpstreamCommand['type'] | undefined;
   let refusedCommandType: UpstreamCommand['type'] | undefined;
@@ -171,7 +184,9 @@
 
   const gateway = createGateway(
     createTestOptions({
-      clock: createProcessClock(),
+      clock,
+      loadControls,
+      registry,
       logger: createTestLogger((event, fields) => {
         events.push(event);
         lines.push({ event, ...fields });
@@ -221,17 +236,24 @@
         refresh: async () => undefined,
         isFresh: () => true,
         isCurrent: () => true,
-        subscribe: ({ onChange }) =>
-          onChange({
-            version: 1,
-            routes: new Map([[DATABASE, { ...route, ...changes }]]),
-            groups: new Map([[GROUP, { name: GROUP, maximumConnections: 20 }]]),
-            transactionIdle: 60_000,
-          }),
+        subscribe: ({ onChange }) => {
+          adoptConfiguration = onChange;
+          updateRoute(1);
+        },
       },
     }),
   );
 
+  /** Activates a version of the configuration; `routeChanges` override fields of its route. */
+  function updateRoute(version: number, routeChanges: Partial<Route> = {}): void {
+    adoptConfiguration!({
+      version,
+      routes: new Map([[DATABASE, { ...route, ...changes, ...routeChanges }]]),
+      groups: new Map([[GROUP, { name: GROUP, maximumConnections }]]),
+      transactionIdle: 60_000,
+    });
+  }
+
   function updateMembers(
     entries: DirectoryEntry[],
     changedAfter?: DirectoryFreshness['changedAfter'],
@@ -283,6 +305,7 @@
   }
 
   return {
+    gateway,
     forwarded,
     executed,
     events,
@@ -291,6 +314,7 @@
     openSession,
     /** Publishes a directory snapshot; without `changedAfter`, the time of its changes is unknown. */
     updateMembers,
+    updateRoute,
     /** Sets what the directory lists when the gateway reads it again. */
     setEntriesAtRefresh: (entries: DirectoryEntry[]) => {
       entriesAtRefresh = entries;
