--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,12 @@
   type MemberStatus,
   type ReadmissionCause,
 } from './lib/routing/failureDetector';
+export {
+  createQueueDelayLimit,
+  type QueueDelayLimit,
+  type QueueDelayLimitOptions,
+  type StatementCompletion,
+} from './lib/admission/queueDelayLimit';
 export { classifyStatement } from './lib/session/classifyStatement';
 export { InvalidSessionVariableError, createSession, type Session } from './lib/session/session';
 export {
