Tell refused callers the wait of the members that can run their statement

A refusal stated the shortest wait of any member, also of replicas that lag too far to run the read and of any replica for a write. Callers of an overloaded primary were told 60 ms and used up their attempts within a fraction of a second.

With the control retryGuidance, the return time is the expected wait of the members that can run the statement, and successive refusals get successive places. The instance keeps a return credit for each. A holder states for how long it refuses such statements, and the callers' instances refuse them in the meantime. Without the control nothing changes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,6 +25,16 @@
   type QueuedRequest,
 } from './lib/admission/admissionQueue';
 export { createHeap, type Heap } from './lib/admission/heap';
+export {
+  UNKNOWN_INTERVAL_MILLISECONDS,
+  computeLatestReturn,
+  createReturnCredits,
+  createReturnSchedule,
+  type CreditOwner,
+  type ReturnCredits,
+  type ReturnRequest,
+  type ReturnSchedule,
+} from './lib/admission/returnSchedule';
 export { createServiceStatistics, type ServiceStatistics } from './lib/admission/serviceStatistics';
 export {
   createRetryBudget,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,7 @@
 } from './lib/configuration/loadControls';
 export { UpstreamLostError } from './lib/errors/upstreamLostError';
 export { UpstreamRefusedError } from './lib/errors/upstreamRefusedError';
+export { parseReturnTime } from './lib/groups/returnTime';
 export { MECHANISMS, type Mechanism } from './lib/mechanisms';
 export {
   type CallerAcceptor,
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,3 +1,4 @@
+import { createReturnCredits } from '@wisterialift/core';
 import type { LimitTolerance } from '@wisterialift/core';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GatewayConfiguration, GroupLimits } from './configuration/gatewayConfiguration';
@@ -22,6 +23,7 @@
   PromotionStore,
 } from './ports/platformPort';
 import type { UpstreamDriver } from './ports/upstreamPort';
+import { createHolderRefusals } from './relay/holderRefusals';
 import { createHolderSelector } from './relay/holderSelector';
 import type { PeerLink } from './relay/peerLink';
 import { createRelayedGroup } from './relay/relayedGroup';
@@ -152,6 +154,8 @@
   const isLoadControlEnabled: IsLoadControlEnabled = (control) =>
     options.loadControls?.has(control) ?? false;
 
+  const returnCredits = isLoadControlEnabled('retryGuidance') ? createReturnCredits() : undefined;
+
   const holders = createHolderSelector({
     ...options,
     isMechanismEnabled,
@@ -289,6 +293,7 @@
       limits: groupLimits,
       isMechanismEnabled,
       isLoadControlEnabled,
+      returnCredits,
       isHolder: () => holders.isHolder(group),
       hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
@@ -310,6 +315,8 @@
       clock,
       random: options.random,
       logger,
+      holderRefusals: returnCredits && createHolderRefusals({ clock, random: options.random }),
+      instance: options.instance,
     });
     relayedGroups.set(group, runner);
     if (cache.isLoaded()) router.updateMembers(cache.getEntries(group));
--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -61,10 +61,14 @@
   const isAdmissionRequired = command.type !== 'begin';
   const queuedAt = context.clock.now();
   const { priority, goal } = request.route;
+  // The start of a transaction is not ordered here and leaves the credit to another statement.
+  const orderedAt = isAdmissionRequired
+    ? context.returnGuidance?.findOrderingTime(request)
+    : undefined;
   const admissionRequest = {
     priority,
     goal,
-    arrivedAt: request.arrivalStamp.at,
+    arrivedAt: orderedAt ?? request.arrivalStamp.at,
     deadlineAt,
     queueTimeout,
     team: request.team,
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -9,6 +9,7 @@
 import { describeLeavingTime } from './member';
 import type { Member } from './member';
 import type { PrimaryTracker } from './primaryTracker';
+import type { ReturnGuidance } from './returnGuidance';
 
 /** State and services shared by the components of a group. */
 export interface GroupContext {
@@ -25,6 +26,8 @@
   leavingPolicy: LeavingMemberPolicy;
   isMechanismEnabled: IsMechanismEnabled;
   isLoadControlEnabled: IsLoadControlEnabled;
+  /** Only with the control `retryGuidance`. */
+  returnGuidance?: ReturnGuidance;
   /** Returns a uniformly distributed number in [0, 1). */
   random: () => number;
 }
@@ -46,6 +49,12 @@
   primaryReads: number;
   /** Statements sent to a leaving member. */
   sentToLeaving: number;
+  /** Statements refused on behalf of a holder that had stated to have no capacity. */
+  refusedAtFirstInstance: number;
+  /** Places in the order that were kept for refused statements. */
+  returnCreditsGiven: number;
+  /** Statements ordered by the arrival of a refused one. */
+  returnCreditsUsed: number;
   /** Statements that a group's only member could not confirm because the directory was too old. */
   unconfirmedAlone: number;
 }
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -1,3 +1,4 @@
+import type { ReturnCredits } from '@wisterialift/core';
 import { CLAIM_TAKEOVER_MILLISECONDS, createReplicationTracker } from '@wisterialift/pooling';
 import type { ClockReadings, TermOrigin, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
@@ -10,6 +11,7 @@
 import type { PromotionOrderClient, PromotionStore } from '../ports/platformPort';
 import type { UpstreamDriver } from '../ports/upstreamPort';
 import { createPromotionController } from '../promotion/promotionController';
+import { listPrimaryQueue } from './refusals';
 import { createReachMonitor } from './reachMonitor';
 import type { ReachMonitor } from './reachMonitor';
 import { createReadPositionRefresher } from './readPositionRefresher';
@@ -23,6 +25,7 @@
 import { createPrimaryTracker } from './primaryTracker';
 import { createPrimaryVerifier } from './primaryVerifier';
 import { createReadRouter } from './readRouter';
+import { createReturnGuidance } from './returnGuidance';
 import { createSoleMemberGuard } from './soleMemberGuard';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
@@ -38,10 +41,25 @@
   isUsable: () => boolean;
   /** Discards age-based observations after the process was suspended. */
   clearPositionSamples: () => void;
+  /**
+   * Estimates for how long another statement like a refused one would be refused for lack of
+   * capacity; undefined if it would not, or without the control `retryGuidance`.
+   */
+  estimateRefusal: (
+    request: StatementRequest,
+    access: 'read' | 'write',
+  ) => RefusalEstimate | undefined;
   counters: GroupCounters;
   close: () => void;
 }
 
+/** For how long a holder would refuse statements of one database, access and priority. */
+export interface RefusalEstimate {
+  milliseconds: number;
+  /** Whether it would refuse only statements of the same team. */
+  isTeamOnly: boolean;
+}
+
 /** @public */
 export interface GroupRouterOptions {
   group: string;
@@ -57,6 +75,8 @@
   logger: Logger;
   isMechanismEnabled: IsMechanismEnabled;
   isLoadControlEnabled: IsLoadControlEnabled;
+  /** Credits of this instance; given with the control `retryGuidance`. */
+  returnCredits?: ReturnCredits;
   /** Whether this instance keeps connections to the members, for itself or for other instances. */
   isHolder: () => boolean;
   /** Whether other instances hold connections to the members, for this one as well. */
@@ -129,6 +149,9 @@
     replicaReads: 0,
     primaryReads: 0,
     sentToLeaving: 0,
+    refusedAtFirstInstance: 0,
+    returnCreditsGiven: 0,
+    returnCreditsUsed: 0,
     unconfirmedAlone: 0,
   };
   let { limits } = options;
@@ -146,6 +169,12 @@
     leavingPolicy,
     isMechanismEnabled,
     isLoadControlEnabled,
+    returnGuidance:
+      options.returnCredits &&
+      createReturnGuidance(
+        { clock, counters, random: options.random },
+        { instance: options.instance, credits: options.returnCredits },
+      ),
     random: options.random,
     suspectPrimary: (cause, member) => onSuspicion(cause, member),
   };
@@ -190,6 +219,22 @@
     return answer;
   }
 
+  function estimateRefusal(
+    request: StatementRequest,
+    access: 'read' | 'write',
+  ): RefusalEstimate | undefined {
+    const { returnGuidance } = context;
+    if (!returnGuidance) return undefined;
+    // Another session may not require the commit that this one does.
+    const another = { ...request, session: { ...request.session, lastCommit: undefined } };
+    const queues = access === 'read' ? reads.listQueues(another) : listPrimaryQueue(context);
+    const milliseconds = returnGuidance.estimateRefusal(another, queues);
+    // In the fair order, the statements of another team may go before those of this one.
+    return milliseconds > 0
+      ? { milliseconds, isTeamOnly: isLoadControlEnabled('fairOrder') }
+      : undefined;
+  }
+
   function updateMembers(entries: CachedDirectoryEntry[]): void {
     const listed = new Map(entries.map((entry) => [entry.memberId, entry]));
     const isFirstDirectory = members.size === 0;
@@ -329,6 +374,7 @@
     },
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
     isOutOfReach: reachMonitor.isOutOfReach,
+    estimateRefusal,
     clearPositionSamples: evidence.clearPositionSamples,
     counters,
     close: () => {
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -5,6 +5,7 @@
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
 import type { PrimaryVerifier } from './primaryVerifier';
+import type { MemberQueue } from './returnGuidance';
 import type { StatementRequest } from './statementRequest';
 
 /** A member that is eligible to run a read. */
@@ -29,6 +30,8 @@
    * @param excludedMembers - members to leave out of the ranking.
    */
   rank: (request: StatementRequest, excludedMembers: ReadonlySet<Member>) => ReadCandidate[];
+  /** Returns the members that can run a read, including those avoided for a moment. */
+  listQueues: (request: StatementRequest) => MemberQueue[];
   /** Whether some member is expected to run the read without delay. */
   hasIdle: (request: StatementRequest) => boolean;
   /** Whether a position is known from which replicas can serve the read. */
@@ -48,10 +51,8 @@
     const now = clock.now();
     const primary = primaryTracker.find();
     const required = findRequiredLog(request);
-    const candidates = [...members.values()]
-      .filter((member) => (member === primary ? !verifier.isStalled() : required !== undefined))
+    const candidates = listEligible(primary, required)
       .filter((member) => !excludedMembers.has(member) && member.avoidUntil <= now)
-      .filter((member) => !isUnavailableReplica(member, primary) && leavingPolicy.canAccept(member))
       .map((member) => ({
         memberId: member.entry.memberId,
         member,
@@ -67,6 +68,23 @@
     return orderMembersForRead(candidates);
   }
 
+  function listEligible(primary: Member | undefined, required: RequiredPosition | undefined) {
+    return [...members.values()]
+      .filter((member) => (member === primary ? !verifier.isStalled() : required !== undefined))
+      .filter(
+        (member) => !isUnavailableReplica(member, primary) && leavingPolicy.canAccept(member),
+      );
+  }
+
+  function listQueues(request: StatementRequest): MemberQueue[] {
+    const primary = primaryTracker.find();
+    const required = findRequiredLog(request);
+    return listEligible(primary, required).map((member) => ({
+      member,
+      lagWait: estimateWait(member, member === primary ? undefined : required, clock.now()).wait,
+    }));
+  }
+
   function estimateDelay({ pool }: Member, { team }: StatementRequest): number {
     if (!isMechanismEnabled('readingWhereConnected')) return pool.estimateDelay();
     return pool.estimateOwnerDelay(team);
@@ -115,6 +133,7 @@
 
   return {
     rank,
+    listQueues,
     hasIdle,
     hasPosition: (request) => findRequiredLog(request) !== undefined,
   };
--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -13,6 +13,7 @@
 import { createReadCandidates, STALENESS_MARGIN_MILLISECONDS } from './readCandidates';
 import type { ReadCandidate } from './readCandidates';
 import { refuseUnroutable } from './refusals';
+import type { MemberQueue } from './returnGuidance';
 import type { StatementRequest } from './statementRequest';
 import type { SoleMemberGuard } from './soleMemberGuard';
 import type { PooledConnection } from './upstreamPool';
@@ -32,6 +33,8 @@
     request: StatementRequest,
     createCommand: ReadCommandFactory,
   ) => Promise<{ answer: UpstreamAnswer; routed?: RoutedRead }>;
+  /** Returns the members that can run a read, now or once they have applied the required log. */
+  listQueues: (request: StatementRequest) => MemberQueue[];
 }
 
 /** Pause before candidates are evaluated again. */
@@ -167,7 +170,7 @@
   function refuseRead(request: StatementRequest): UpstreamAnswer {
     if (timeLeftOf(request) > 0 && candidates.hasIdle(request)) counters.refusedBesideIdle += 1;
     const detail = soleMemberGuard.describeRefusal() ?? 'no member can show the read in time';
-    return refuseUnroutable(context, request, 'aborted', detail);
+    return refuseUnroutable(context, request, 'aborted', detail, candidates.listQueues(request));
   }
 
   async function evaluateOutcome(
@@ -245,7 +248,7 @@
     session.lastCommit = undefined;
   }
 
-  return { run };
+  return { run, listQueues: candidates.listQueues };
 }
 
 /** Whether the member may have run the read of this attempt. */
--- a/packages/gateway/src/lib/groups/statementAdmission.ts
+++ b/packages/gateway/src/lib/groups/statementAdmission.ts
@@ -37,6 +37,10 @@
   calculateCapacity: () => number;
   /** Expected wait of a new statement at the end of the queue, in milliseconds. */
   estimateWait: () => number;
+  /** Expected milliseconds between two completions. */
+  estimateInterval: () => number;
+  /** Milliseconds by which the expected wait of a statement exceeds the longest; 0 if admitted. */
+  estimateExcessWait: (request: AdmissionRequest) => number;
   /** Whether a statement outside a transaction would be admitted immediately. */
   hasRoom: () => boolean;
   /** Admits waiting statements after connections have become available. */
@@ -105,10 +109,10 @@
    * Estimates the time until a statement is admitted from observed completions, because other
    * instances take an unknown part of the member's slots.
    */
-  function estimateQueueWait(statements: number): number {
-    const interval = service.estimateCompletionInterval() || estimateStatementTime() / getLimit();
-    return (statements + 1) * interval;
-  }
+  const estimateInterval = () =>
+    service.estimateCompletionInterval() || estimateStatementTime() / getLimit();
+
+  const estimateQueueWait = (statements: number) => (statements + 1) * estimateInterval();
 
   /** Statements of an open transaction do not wait for a connection. */
   function estimateRequestWait({ priority, arrivedAt, hasConnection }: AdmissionRequest): number {
@@ -120,6 +124,14 @@
     return (hasConnection ? 0 : estimateConnectionDelay()) + estimateQueueWait(ahead.length);
   }
 
+  function calculateMaximumWait({ goal, deadlineAt }: AdmissionRequest): number {
+    return computeMaximumQueueWait({
+      latencyGoal: goal,
+      timeLeft: deadlineAt - clock.now(),
+      timeSinceEmpty: isMechanismEnabled('shortQueueInOverload') ? calculateQueuedTime() : 0,
+    });
+  }
+
   function admitWaiting(): void {
     for (;;) {
       const next = chooseNextStatement(waiters.filter(canRun));
@@ -167,12 +179,7 @@
         startRunning(request);
         return Promise.resolve('admitted');
       }
-      const maximumWait = computeMaximumQueueWait({
-        latencyGoal: request.goal,
-        timeLeft: request.deadlineAt - clock.now(),
-        timeSinceEmpty: isMechanismEnabled('shortQueueInOverload') ? calculateQueuedTime() : 0,
-      });
-      return estimateRequestWait(request) > maximumWait
+      return estimateRequestWait(request) > calculateMaximumWait(request)
         ? Promise.resolve('tooLate')
         : enqueue(request);
     },
@@ -185,6 +192,11 @@
     countStatements: () => running + waiters.length,
     calculateCapacity: () => Math.min(getLimit(), countFreeConnections()),
     estimateWait: () => estimateConnectionDelay() + estimateQueueWait(waiters.length),
+    estimateInterval,
+    estimateExcessWait: (request) =>
+      canRun(request)
+        ? 0
+        : Math.max(0, estimateRequestWait(request) - calculateMaximumWait(request)),
     hasRoom: () => canRun({}),
     admitWaiting,
   };
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -21,6 +21,9 @@
   refusedBesideIdle: 'reads refused while a member could have run them at once',
   replicaReads: 'reads outside of transactions that a replica answered',
   primaryReads: 'reads outside of transactions that the primary answered',
+  refusedAtFirstInstance: 'statements refused on behalf of a holder without capacity',
+  returnCreditsGiven: 'places in the order kept for refused statements',
+  returnCreditsUsed: 'statements ordered by the arrival of a refused one',
   sentToLeaving: 'statements sent to a member that leaves',
   unconfirmedAlone:
     'statements of groups of one member that an old list of members left unconfirmed',
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -18,6 +18,7 @@
 import type { Clock } from '../ports/clock';
 import { decodeAction, decodeRoute, decodeStatement, encodeAnswer } from './relayMessages';
 import type { RelayAction } from './relayMessages';
+import { createRefusalLoad } from './refusalLoad';
 
 /** Runs statements relayed by other instances over this instance's connections. */
 export interface RelayService {
@@ -47,9 +48,11 @@
 }
 
 /** Runs relayed statements of a group. */
-export type RelayTarget = StatementRunner & Pick<GroupRouter, 'isOutOfReach'>;
+export type RelayTarget = StatementRunner &
+  Pick<GroupRouter, 'isOutOfReach'> &
+  Partial<Pick<GroupRouter, 'estimateRefusal'>>;
 
-type ResponseContent = 'answer' | 'configurationJson' | 'isOutOfReach' | 'permits';
+type ResponseContent = 'answer' | 'configurationJson' | 'isOutOfReach' | 'permits' | 'load';
 
 type Respond = (response: RelayResponse) => void;
 
@@ -153,7 +156,9 @@
   async function handleStatement(
     statement: RelayStatement,
     transactions: StreamTransactions,
-  ): Promise<Pick<RelayResponse, 'answer' | 'isOutOfReach'>> {
+  ): Promise<
+    Pick<RelayResponse, 'answer' | 'isOutOfReach'> & Partial<Pick<RelayResponse, 'load'>>
+  > {
     const action = decodeAction(statement);
     const { route, version } = decodeRoute(statement);
     // A transaction keeps the configuration version with which it began.
@@ -176,9 +181,11 @@
     }
     const answer = await handlers[action]({ statement, request, runner, transactions });
     const { lastCommit } = request.session;
+    const refusalLoad = createRefusalLoad(runner, { action, request, answer });
     return {
       answer: encodeAnswer(answer, { lastCommit, now: clock.now() }),
       isOutOfReach: false,
+      ...(refusalLoad && { load: { primaryDataCentre: '', ...refusalLoad } }),
     };
   }
 
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -13,8 +13,10 @@
 import type { StatementRequest } from '../groups/statementRequest';
 import { COMMIT_CONFIRMATION_TIMEOUT_MILLISECONDS } from '../groups/writeRouter';
 import type { Clock } from '../ports/clock';
+import { appendReturnTime } from '../groups/returnTime';
 import type { StatementNeeds } from '../groups/reachMonitor';
 import type { ConfigurationSynchronizer } from './configurationSynchronizer';
+import type { HolderRefusals } from './holderRefusals';
 import type { HolderSelector } from './holderSelector';
 import type { PeerLink } from './peerLink';
 import { decodeAnswer, decodeCommit, encodeStatement } from './relayMessages';
@@ -33,6 +35,10 @@
   /** Returns a uniform number in [0, 1). */
   random: () => number;
   logger: Logger;
+  /** What holders stated with their refusals; only with the control `retryGuidance`. */
+  holderRefusals?: HolderRefusals;
+  /** Name of this instance, for log lines. */
+  instance?: string;
 }
 
 /** Wait for an answer beyond the statement's deadline, which the holder enforces itself. */
@@ -40,6 +46,12 @@
 
 const OUT_OF_REACH_DETAIL = 'no holder of the connections reaches the members';
 
+/** Details of refusals on behalf of a holder. */
+const NO_HOLDER_CAPACITY_DETAILS = {
+  read: 'the holder of the connections has no capacity for the read',
+  write: 'the holder of the connections has no capacity for the write',
+};
+
 type SendOutcome =
   | { type: 'answered'; answer: UpstreamAnswer }
   /** The statement did not run because the holder has a different configuration version. */
@@ -51,7 +63,7 @@
 /** Creates a statement runner that relays them to the instances holding its connections. */
 export function createRelayedGroup(options: RelayedGroupOptions): StatementRunner {
   const { group, local, holders, configuration, synchronizer, waitForFreshState } = options;
-  const { clock, logger, random } = options;
+  const { clock, holderRefusals, instance, logger, random } = options;
 
   const refusalContext = { group, clock, counters: local.counters, logger, random };
 
@@ -74,6 +86,10 @@
     const { answer, isOutOfReach, version } = outcome.response;
     if (isOutOfReach) return { type: 'outOfReach' };
     if (!answer) return { type: 'otherVersion', version };
+    const { action } = sent;
+    if (action === 'read' || action === 'write') {
+      holderRefusals?.remember(link, request, { access: action, response: outcome.response });
+    }
     return { type: 'answered', answer: applyAnswer(request, answer) };
   }
 
@@ -167,12 +183,40 @@
     return (await prepareLocalRun(request)) ?? run();
   }
 
+  /**
+   * Refuses a statement that its holder would refuse. Must only be called before the statement is sent
+   * for the first time, so that the refusal as not run is true.
+   */
+  function refuseForHolder(
+    link: PeerLink,
+    request: StatementRequest,
+    access: 'read' | 'write',
+  ): UpstreamAnswer | undefined {
+    const found = holderRefusals?.find(link, request, access);
+    if (!found) return undefined;
+    const { loadAge, isTeamOnly, expectedWait, returnMilliseconds } = found;
+    local.counters.refusedAtFirstInstance += 1;
+    const reason = access === 'read' ? 'aborted' : 'busy';
+    const detail = appendReturnTime(NO_HOLDER_CAPACITY_DETAILS[access], returnMilliseconds);
+    return refuseStatement(refusalContext, request, reason, detail, {
+      decidedBy: instance,
+      loadAgeMilliseconds: Math.round(loadAge),
+      isRefusingTeamOnly: isTeamOnly,
+      expectedWaitMilliseconds: Math.round(expectedWait),
+      returnMilliseconds,
+    });
+  }
+
   /** Retries a read until its deadline if the answer is lost. */
   async function read(request: StatementRequest): Promise<UpstreamAnswer> {
     const refusing = new Set<PeerLink>();
+    let isSent = false;
     while (clock.now() < request.deadlineAt) {
       const link = selectLink({ request }, refusing);
       if (!link) return runLocally(request, refusing, () => local.read(request));
+      const refusal = isSent ? undefined : refuseForHolder(link, request, 'read');
+      if (refusal) return refusal;
+      isSent = true;
       const outcome = await sendWithMatchingVersion(link, request, { action: 'read' });
       if (outcome.type === 'answered') return outcome.answer;
       if (outcome.type === 'outOfReach') refusing.add(link);
@@ -183,9 +227,13 @@
   /** Never resends a write that may have been sent. */
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
     const refusing = new Set<PeerLink>();
+    let isSent = false;
     while (clock.now() < request.deadlineAt) {
       const link = selectLink({ request }, refusing);
       if (!link) return runLocally(request, refusing, () => local.write(request));
+      const refusal = isSent ? undefined : refuseForHolder(link, request, 'write');
+      if (refusal) return refusal;
+      isSent = true;
       const outcome = await sendWithMatchingVersion(link, request, { action: 'write' });
       if (outcome.type === 'answered') return outcome.answer;
       if (outcome.type === 'outOfReach') refusing.add(link);
--- a/packages/gateway/src/test/statementAdmission.test.ts
+++ b/packages/gateway/src/test/statementAdmission.test.ts
@@ -42,4 +42,15 @@
     const admission = createAdmissionWithoutConnections();
     expect(await admission.requestAdmission(createRequest({}))).toBe('tooLate');
   });
+
+  it('estimates for how long it rejects a statement, and 0 for one that it takes', () => {
+    // Guards against refusing for a holder what its admission would take.
+    const admission = createAdmissionWithoutConnections();
+    const excess = admission.estimateExcessWait(createRequest({}));
+    expect(excess).toBeGreaterThanOrEqual(110);
+    expect(excess).toBeLessThan(150);
+    const patient = createRequest({ deadlineAt: clock.now() + 2_000 });
+    expect(admission.estimateExcessWait(patient)).toBe(0);
+    expect(admission.estimateExcessWait(createRequest(inTransaction))).toBe(0);
+  });
 });
--- a/tools/world/src/lib/callers/load.ts
+++ b/tools/world/src/lib/callers/load.ts
@@ -19,11 +19,13 @@
   /** Whether its team asked for no more than usual, and had its keys, so that it should be served. */
   isOwed: boolean;
   type: 'inGoal' | 'late' | 'refused' | 'failed';
+  /** Attempts that were refused, whatever became of the operation. */
+  refusedAttempts: number;
   /** Time until the answer without the caller's own pauses. */
   milliseconds: number;
 }
 
-/** Pause of a caller before it tries again; doubled by each attempt. */
+/** Pause of a caller that was told no return time; doubled by each attempt. */
 const RETRY_MILLISECONDS = { shortest: 80, longest: 240 };
 
 /** Open sessions that a data centre's callers keep for later, by kind and group. */
@@ -69,7 +71,11 @@
     const onPause = (milliseconds: number) => {
       pauses += milliseconds;
     };
-    const type = await tryOperation({ operation, caller, askedAt, onPause });
+    let refusedAttempts = 0;
+    const onRefused = () => {
+      refusedAttempts += 1;
+    };
+    const type = await tryOperation({ operation, caller, askedAt, onPause, onRefused });
     const milliseconds = clock.now() - askedAt - pauses;
     const isLate = type === 'served' && milliseconds > kind.goal;
     const served = isLate ? 'late' : 'inGoal';
@@ -79,6 +85,7 @@
       askedAt,
       isOwed: isOwed && isUsual(operation.team),
       type: type === 'served' ? served : type,
+      refusedAttempts,
       milliseconds,
     });
   }
@@ -88,14 +95,17 @@
     caller: Host;
     askedAt: number;
     onPause: (milliseconds: number) => void;
+    onRefused: () => void;
   }): Promise<'served' | 'refused' | 'failed'> {
-    const { operation, caller, askedAt, onPause } = options_;
+    const { operation, caller, askedAt, onPause, onRefused } = options_;
     const { kind } = operation;
     const deadlineAt = askedAt + kind.deadline;
     let last: 'refused' | 'failed' = 'failed';
     let tried: CallerConnection['instance'] | undefined;
+    let returnMilliseconds: number | undefined;
     for (let attempt = 0; attempt <= kind.retries; attempt += 1) {
-      if (attempt > 0) await clock.sleep(retryPause(attempt));
+      if (attempt > 0) await clock.sleep(returnMilliseconds ?? retryPause(attempt));
+      returnMilliseconds = undefined;
       if (clock.now() >= deadlineAt) return last;
       const connection = await findSession(operation, caller, tried);
       if (!connection) {
@@ -115,6 +125,11 @@
       });
       keepOrClose(operation, caller, connection);
       if (end.type === 'served') return 'served';
+      if (end.type === 'refused') {
+        onRefused();
+        // As a driver does, which takes a stated return time instead of its own pause.
+        ({ returnMilliseconds } = end);
+      }
       last = end.type === 'refused' ? 'refused' : 'failed';
       if (end.type === 'unknown' && !end.mayRepeat) return last;
     }
--- a/tools/world/src/lib/callers/operation.ts
+++ b/tools/world/src/lib/callers/operation.ts
@@ -1,4 +1,5 @@
 import type { Random } from '@wisterialift/fuzz';
+import { parseReturnTime } from '@wisterialift/gateway';
 import type { CallerAnswer, Clock } from '@wisterialift/gateway';
 import type { CallerStatement, FailureReason } from '@wisterialift/pooling';
 import type { RequestKind } from '../experiment/experimentSchema';
@@ -123,6 +124,9 @@
 function judge(answer: CallerAnswer | undefined, mayRepeat: boolean): AttemptEnd {
   if (!answer) return { type: 'unknown', mayRepeat };
   if (answer.outcome === 'completed') return { type: 'served' };
-  if (PROMISES.has(answer.reason)) return { type: 'refused', reason: answer.reason };
+  if (PROMISES.has(answer.reason)) {
+    const returnMilliseconds = parseReturnTime(answer.detail);
+    return { type: 'refused', reason: answer.reason, returnMilliseconds };
+  }
   return { type: 'unknown', mayRepeat };
 }
--- a/tools/world/src/lib/experiment/figures.ts
+++ b/tools/world/src/lib/experiment/figures.ts
@@ -28,6 +28,8 @@
   late: number;
   refused: number;
   failed: number;
+  /** Mean number of refused attempts of the operations that ended refused. */
+  refusedAttempts: number;
   medianMilliseconds: number;
   p99Milliseconds: number;
   windows: WindowFigures[];
@@ -65,6 +67,7 @@
     worstKind: roundTo(worstKind, SHARE_PLACES),
     worth: roundTo(worth, SHARE_PLACES),
     ...countTypes(outcomes),
+    refusedAttempts: roundTo(meanRefusedAttempts(outcomes), SHARE_PLACES),
     medianMilliseconds: Math.round(quantile(times, 0.5)),
     p99Milliseconds: Math.round(quantile(times, 0.99)),
     windows,
@@ -91,6 +94,12 @@
   return counts;
 }
 
+function meanRefusedAttempts(outcomes: readonly Outcome[]): number {
+  const refused = outcomes.filter(({ type }) => type === 'refused');
+  const attempts = refused.reduce((sum, outcome) => sum + outcome.refusedAttempts, 0);
+  return attempts / Math.max(1, refused.length);
+}
+
 function creditOf(outcomes: readonly Outcome[]): number {
   let owed = 0;
   let earned = 0;
--- a/tools/world/src/lib/report/summarize.ts
+++ b/tools/world/src/lib/report/summarize.ts
@@ -22,6 +22,7 @@
   late: ({ callers }: ExperimentResult) => callers.late,
   refused: ({ callers }: ExperimentResult) => callers.refused,
   failed: ({ callers }: ExperimentResult) => callers.failed,
+  refusedAttempts: ({ callers }: ExperimentResult) => callers.refusedAttempts,
   p99Milliseconds: ({ callers }: ExperimentResult) => callers.p99Milliseconds,
   replicaShare: ({ system }: ExperimentResult) => system.replicaShare,
   refusedBesideIdle: ({ system }: ExperimentResult) => system.refusedBesideIdle,
