Bound and test the estimate of further refusals

The estimate moves into its own module, and the simulation adds up credits and the refusals at the first instance.

--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -11,7 +11,8 @@
 import type { PromotionOrderClient, PromotionStore } from '../ports/platformPort';
 import type { UpstreamDriver } from '../ports/upstreamPort';
 import { createPromotionController } from '../promotion/promotionController';
-import { listPrimaryQueue } from './refusals';
+import { estimateRefusal } from './refusalEstimate';
+import type { RefusalEstimate } from './refusalEstimate';
 import { createReachMonitor } from './reachMonitor';
 import type { ReachMonitor } from './reachMonitor';
 import { createReadPositionRefresher } from './readPositionRefresher';
@@ -41,10 +42,7 @@
   isUsable: () => boolean;
   /** Discards age-based observations after the process was suspended. */
   clearPositionSamples: () => void;
-  /**
-   * Estimates for how long another statement like a refused one would be refused for lack of
-   * capacity; undefined if it would not, or without the control `retryGuidance`.
-   */
+  /** Estimates further refusals of statements like a refused one; see `estimateRefusal`. */
   estimateRefusal: (
     request: StatementRequest,
     access: 'read' | 'write',
@@ -53,13 +51,6 @@
   close: () => void;
 }
 
-/** For how long a holder would refuse statements of one database, access and priority. */
-export interface RefusalEstimate {
-  milliseconds: number;
-  /** Whether it would refuse only statements of the same team. */
-  isTeamOnly: boolean;
-}
-
 /** @public */
 export interface GroupRouterOptions {
   group: string;
@@ -219,22 +210,6 @@
     return answer;
   }
 
-  function estimateRefusal(
-    request: StatementRequest,
-    access: 'read' | 'write',
-  ): RefusalEstimate | undefined {
-    const { returnGuidance } = context;
-    if (!returnGuidance) return undefined;
-    // Another session may not require the commit that this one does.
-    const another = { ...request, session: { ...request.session, lastCommit: undefined } };
-    const queues = access === 'read' ? reads.listQueues(another) : listPrimaryQueue(context);
-    const milliseconds = returnGuidance.estimateRefusal(another, queues);
-    // In the fair order, the statements of another team may go before those of this one.
-    return milliseconds > 0
-      ? { milliseconds, isTeamOnly: isLoadControlEnabled('fairOrder') }
-      : undefined;
-  }
-
   function updateMembers(entries: CachedDirectoryEntry[]): void {
     const listed = new Map(entries.map((entry) => [entry.memberId, entry]));
     const isFirstDirectory = members.size === 0;
@@ -374,7 +349,7 @@
     },
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
     isOutOfReach: reachMonitor.isOutOfReach,
-    estimateRefusal,
+    estimateRefusal: (request, access) => estimateRefusal(context, reads, { request, access }),
     clearPositionSamples: evidence.clearPositionSamples,
     counters,
     close: () => {
--- a/packages/gateway/src/test/holderRefusals.test.ts
+++ b/packages/gateway/src/test/holderRefusals.test.ts
@@ -177,6 +177,15 @@
     expect(ran).toEqual(['first', 'third']);
   });
 
+  it('is asked again after 100 ms, whatever time it states', async () => {
+    // Guards against load information that outlives the load.
+    const { now, ran, write } = createPair({ ...estimate, milliseconds: 5_000 });
+    await write('first');
+    now.value += 100;
+    await write('second');
+    expect(ran).toEqual(['first', 'second']);
+  });
+
   it('is sent what its refusal does not apply to', async () => {
     // Guards against refusing statements that the holder would run.
     const { ran, read, write } = createPair(estimate);
--- a/packages/gateway/src/test/returnGuidance.test.ts
+++ b/packages/gateway/src/test/returnGuidance.test.ts
@@ -1,11 +1,13 @@
 import { createReturnCredits } from '@wisterialift/core';
 import { createSessionState } from '@wisterialift/pooling';
+import type { RequiredPosition } from '@wisterialift/pooling';
 import { describe, expect, it } from 'vitest';
 import { attemptCommand } from '../lib/groups/attemptCommand';
 import type { GroupContext, GroupCounters } from '../lib/groups/groupContext';
 import type { Member } from '../lib/groups/member';
 import type { PrimaryVerifier } from '../lib/groups/primaryVerifier';
 import { createReadCandidates } from '../lib/groups/readCandidates';
+import { estimateRefusal } from '../lib/groups/refusalEstimate';
 import { refuseTemporarily } from '../lib/groups/refusals';
 import { createReturnGuidance } from '../lib/groups/returnGuidance';
 import { parseReturnTime } from '../lib/groups/returnTime';
@@ -30,7 +32,10 @@
     pool: { estimateOwnerDelay: () => 0 },
     latency: { getCurrent: () => 10 },
     lag: {
-      estimateTimeUntilApplied: (required: unknown) => (required ? queue.lag : 0),
+      estimateTimeUntilApplied: (required?: RequiredPosition) => {
+        if (!required) return 0;
+        return required.position.index > 1 ? 6_000 : queue.lag;
+      },
       canTryRead: () => false,
       getLastObservation: () => ({ lag: queue.lag, age: 0 }),
     },
@@ -41,7 +46,7 @@
 }
 
 /** Creates a group with an overloaded primary and an idle replica that lags by 6 s. */
-function createGroup({ isEnabled = true, replicaLag = 6_000 } = {}) {
+function createGroup({ isEnabled = true, isFair = false, replicaLag = 6_000 } = {}) {
   const now = { value: 10_000 };
   const primary = createMember('db-1', { wait: 900, lag: 0 });
   const replica = createMember('db-2', { wait: 5, lag: replicaLag });
@@ -64,6 +69,7 @@
       findFloor: () => ({ position: { term: 1, index: 1 }, requestedAt: 0 }),
     },
     isMechanismEnabled: () => true,
+    isLoadControlEnabled: (control: string) => isFair && control === 'fairOrder',
     returnGuidance: isEnabled
       ? createReturnGuidance(base, { instance: 'instance-1', credits: createReturnCredits() })
       : undefined,
@@ -175,13 +181,26 @@
 });
 
 describe('the estimate of further refusals', () => {
-  it('is bounded, and 0 while some member can run the statement', () => {
+  function estimate(options: Parameters<typeof createGroup>[0], access: 'read' | 'write' = 'read') {
+    const { context, candidates } = createGroup(options);
+    const request = createRequest(10_000, { ...replicaRoute, consistency: 'readYourWrites' });
+    // The replica applies the session's own commit later than the position that others require.
+    request.session.lastCommit = { position: { term: 1, index: 9 }, seenAt: 0 };
+    return estimateRefusal(context, candidates, { request, access });
+  }
+
+  it('is at most 100 ms, and applies only to the team in the fair order', () => {
+    expect(estimate({})).toEqual({ milliseconds: 100, isTeamOnly: false });
+    expect(estimate({ isFair: true })).toEqual({ milliseconds: 100, isTeamOnly: true });
+  });
+
+  it('is none while a replica can run the reads of other sessions', () => {
     // Guards against refusing for a holder what one of its replicas would run.
-    const estimate = (options: Parameters<typeof createGroup>[0]) => {
-      const { context, candidates } = createGroup(options);
-      const read = createRequest(10_000, replicaRoute);
-      return context.returnGuidance!.estimateRefusal(read, candidates.listQueues(read));
-    };
-    expect([estimate({}), estimate({ replicaLag: 0 })]).toEqual([100, 0]);
+    expect(estimate({ replicaLag: 0 })).toBeUndefined();
+    expect(estimate({ replicaLag: 0 }, 'write')).toMatchObject({ milliseconds: 100 });
+  });
+
+  it('is none without the control', () => {
+    expect(estimate({ isEnabled: false })).toBeUndefined();
   });
 });
--- a/tools/world/src/lib/experiment/systemFigures.ts
+++ b/tools/world/src/lib/experiment/systemFigures.ts
@@ -6,6 +6,9 @@
 /** @public */
 export interface SystemFigures {
   refusals: number;
+  refusedAtFirstInstance: number;
+  returnCreditsGiven: number;
+  returnCreditsUsed: number;
   retries: number;
   probes: number;
   relayed: number;
@@ -52,6 +55,9 @@
 ): SystemFigures {
   const sums = {
     refusals: 0,
+    refusedAtFirstInstance: 0,
+    returnCreditsGiven: 0,
+    returnCreditsUsed: 0,
     refusedBesideIdle: 0,
     retries: 0,
     probes: 0,
