--- a/tools/world/src/lib/callers/load.ts
+++ b/tools/world/src/lib/callers/load.ts
@@ -127,8 +127,7 @@
       if (end.type === 'served') return 'served';
       if (end.type === 'refused') {
         onRefused();
-        // As a driver does, which takes a stated return time instead of its own pause.
-        ({ returnMilliseconds } = end);
+        if (experiment.load.followsReturnTime) ({ returnMilliseconds } = end);
       }
       last = end.type === 'refused' ? 'refused' : 'failed';
       if (end.type === 'unknown' && !end.mayRepeat) return last;
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -175,7 +175,13 @@
       })
       .optional(),
   }),
-  load: z.strictObject({ factor: z.number().positive().default(1) }).prefault({}),
+  load: z
+    .strictObject({
+      factor: z.number().positive().default(1),
+      /** Whether callers return at the time that a refusal states instead of after their own pause. */
+      followsReturnTime: z.boolean().default(false),
+    })
+    .prefault({}),
   kinds: z.array(kindSchema).min(1),
   faults: z.array(faultSchema).default([]),
 });
