--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,6 +26,16 @@
 } from './lib/admission/admissionQueue';
 export { planEvidencePolls, type EvidencePollPlan } from './lib/reads/evidencePolling';
 export { createHeap, type Heap } from './lib/admission/heap';
+export {
+  UNKNOWN_INTERVAL_MILLISECONDS,
+  computeLatestReturn,
+  createReturnCredits,
+  createReturnSchedule,
+  type CreditOwner,
+  type ReturnCredits,
+  type ReturnRequest,
+  type ReturnSchedule,
+} from './lib/admission/returnSchedule';
 export { createServiceStatistics, type ServiceStatistics } from './lib/admission/serviceStatistics';
 export {
   createRetryBudget,
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -1,3 +1,4 @@
+import type { ReturnCredits } from '@wisterialift/core';
 import {
   CLAIM_TAKEOVER_MILLISECONDS,
   computeConnectionShare,
@@ -16,6 +17,8 @@
 import type { PromotionOrderClient, PromotionStore } from '../ports/platformPort';
 import type { UpstreamDriver } from '../ports/upstreamPort';
 import { createPromotionController } from '../promotion/promotionController';
+import { estimateRefusal } from './refusalEstimate';
+import type { RefusalEstimate } from './refusalEstimate';
 import { createReachMonitor } from './reachMonitor';
 import type { ReachMonitor } from './reachMonitor';
 import { createReadPositionRefresher } from './readPositionRefresher';
@@ -33,6 +36,7 @@
 import { createPrimaryTracker } from './primaryTracker';
 import { createPrimaryVerifier } from './primaryVerifier';
 import { createReadRouter } from './readRouter';
+import { createReturnGuidance } from './returnGuidance';
 import { createSoleMemberGuard } from './soleMemberGuard';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
@@ -55,6 +59,11 @@
   discardLatencySamples: () => void;
   /** Describes the members' concurrency limits; empty without `adaptiveConcurrency`. */
   reportConcurrency: () => ConcurrencyReport[];
+  /** Estimates further refusals of statements like a refused one; see `estimateRefusal`. */
+  estimateRefusal: (
+    request: StatementRequest,
+    access: 'read' | 'write',
+  ) => RefusalEstimate | undefined;
   counters: GroupCounters;
   /** Failures by member; empty unless failing members are ejected. */
   listMemberFailures: () => MemberFailureCounts[];
@@ -84,6 +93,8 @@
   logger: Logger;
   isMechanismEnabled: IsMechanismEnabled;
   isLoadControlEnabled: IsLoadControlEnabled;
+  /** Credits of this instance; given with the control `retryGuidance`. */
+  returnCredits?: ReturnCredits;
   /** Whether this instance keeps connections to the members, for itself or for other instances. */
   isHolder: () => boolean;
   /** Whether other instances hold connections to the members, for this one as well. */
@@ -147,6 +158,9 @@
     replicaReads: 0,
     primaryReads: 0,
     sentToLeaving: 0,
+    refusedAtFirstInstance: 0,
+    returnCreditsGiven: 0,
+    returnCreditsUsed: 0,
     unconfirmedAlone: 0,
     sentToPrimaryHolder: 0,
     sentToNearHolder: 0,
@@ -167,6 +181,12 @@
     failureEjection,
     isMechanismEnabled,
     isLoadControlEnabled,
+    returnGuidance:
+      options.returnCredits &&
+      createReturnGuidance(
+        { clock, counters, random: options.random },
+        { instance: options.instance, credits: options.returnCredits },
+      ),
     random: options.random,
     suspectPrimary: (cause, member) => onSuspicion(cause, member),
   };
@@ -370,6 +390,7 @@
     },
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
     isOutOfReach: reachMonitor.isOutOfReach,
+    estimateRefusal: (request, access) => estimateRefusal(context, reads, { request, access }),
     clearPositionSamples: evidence.clearPositionSamples,
     findPrimaryDataCentre: () => primaryTracker.find()?.entry.dataCentre,
     discardLatencySamples: () => {
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -6,6 +6,7 @@
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
 import type { PrimaryVerifier } from './primaryVerifier';
+import type { MemberQueue } from './returnGuidance';
 import type { StatementRequest } from './statementRequest';
 
 /** A member that is eligible to run a read. */
@@ -40,6 +41,8 @@
 export interface ReadCandidates {
   /** Returns the members that can run a read, best first. */
   rank: (request: StatementRequest, options?: RankOptions) => ReadCandidate[];
+  /** Returns the members that can run a read, including those avoided for a moment. */
+  listQueues: (request: StatementRequest) => MemberQueue[];
   /** Whether some member is expected to run the read without delay. */
   hasIdle: (request: StatementRequest) => boolean;
   /** Whether a position is known from which replicas can serve the read. */
@@ -63,10 +66,8 @@
     const now = clock.now();
     const primary = primaryTracker.find();
     const required = findRequiredLog(request);
-    const candidates = [...members.values()]
-      .filter((member) => (member === primary ? !verifier.isStalled() : required !== undefined))
+    const candidates = listEligible(primary, required)
       .filter((member) => member !== failedMember)
-      .filter((member) => !isUnavailableReplica(member, primary) && leavingPolicy.canAccept(member))
       .map((member) => ({
         memberId: member.entry.memberId,
         member,
@@ -111,6 +112,23 @@
     return failures > 0 && avoidUntil > clock.now();
   }
 
+  function listEligible(primary: Member | undefined, required: RequiredPosition | undefined) {
+    return [...members.values()]
+      .filter((member) => (member === primary ? !verifier.isStalled() : required !== undefined))
+      .filter(
+        (member) => !isUnavailableReplica(member, primary) && leavingPolicy.canAccept(member),
+      );
+  }
+
+  function listQueues(request: StatementRequest): MemberQueue[] {
+    const primary = primaryTracker.find();
+    const required = findRequiredLog(request);
+    return listEligible(primary, required).map((member) => ({
+      member,
+      lagWait: estimateWait(member, member === primary ? undefined : required, clock.now()).wait,
+    }));
+  }
+
   function estimateDelay({ pool }: Member, { team }: StatementRequest): number {
     if (!isMechanismEnabled('readingWhereConnected')) return pool.estimateDelay();
     return pool.estimateOwnerDelay(team);
@@ -159,6 +177,7 @@
 
   return {
     rank,
+    listQueues,
     hasIdle,
     hasPosition: (request) => findRequiredLog(request) !== undefined,
   };
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -18,6 +18,8 @@
 import type { Clock } from '../ports/clock';
 import { decodeAction, decodeRoute, decodeStatement, encodeAnswer } from './relayMessages';
 import type { RelayAction } from './relayMessages';
+import { createRefusalLoad } from './refusalLoad';
+import type { RefusalLoad } from './refusalLoad';
 
 /** Runs statements relayed by other instances over this instance's connections. */
 export interface RelayService {
@@ -49,7 +51,9 @@
 }
 
 /** Runs relayed statements of a group. */
-export type RelayTarget = StatementRunner & Pick<GroupRouter, 'isOutOfReach'>;
+export type RelayTarget = StatementRunner &
+  Pick<GroupRouter, 'isOutOfReach'> &
+  Partial<Pick<GroupRouter, 'estimateRefusal'>>;
 
 type ResponseContent = 'answer' | 'configurationJson' | 'isOutOfReach' | 'load' | 'permits';
 
@@ -180,17 +184,23 @@
     }
     const answer = await handlers[action]({ statement, request, runner, transactions });
     const { lastCommit } = request.session;
+    const refusalLoad = createRefusalLoad(runner, { action, request, answer });
     return {
       answer: encodeAnswer(answer, { lastCommit, now: clock.now() }),
       isOutOfReach: false,
-      load: createLoad(route.group),
+      load: createLoad(route.group, refusalLoad),
     };
   }
 
-  function createLoad(group: string): RelayResponse['load'] {
-    if (!findPrimaryDataCentre) return undefined;
-    const primaryDataCentre = findPrimaryDataCentre(group) ?? '';
-    return { primaryDataCentre, refusingMilliseconds: 0, isRefusingTeamOnly: false };
+  function createLoad(group: string, refusalLoad: RefusalLoad | undefined): RelayResponse['load'] {
+    if (!findPrimaryDataCentre && !refusalLoad) return undefined;
+    const primaryDataCentre = findPrimaryDataCentre?.(group) ?? '';
+    return {
+      primaryDataCentre,
+      refusingMilliseconds: 0,
+      isRefusingTeamOnly: false,
+      ...refusalLoad,
+    };
   }
 
   function createEndedRefusal(): UpstreamAnswer {
