--- a/tools/world/src/test/experiments.test.ts
+++ b/tools/world/src/test/experiments.test.ts
@@ -34,4 +34,21 @@
     expect(callers).toMatchObject({ refused: 0, failed: 0 });
     expect(callers.credit).toBeGreaterThan(0.99);
   });
+
+  it.each([
+    ['failed', 1],
+    ['failed', 0.4],
+    ['closed', 1],
+    ['silent', 1],
+  ] as const)('spares callers a replica that is %s for %s of its runs', async (manner, share) => {
+    // Guards against a replica that looks idle and fast because it fails what it is sent.
+    const experiment = readExperiment(join(FOLDER, 'failing-replica.toml'));
+    const faults = [{ ...experiment.faults[0]!, at: 1, manner, share }] as typeof experiment.faults;
+    const { callers, broken } = await runExperiment(
+      { ...experiment, seconds: 6, faults },
+      { seed: 1 },
+    );
+    expect(broken).toEqual([]);
+    expect(callers.failed + callers.refused).toBeLessThan(20);
+  });
 });
