Test guards of the failure detector that no test saw missing

Comparison with runs since the first failure only, trial runs whose statement is at fault, and refusals as not run: each guard taken out was seen by no test before.

--- a/packages/core/src/test/failureDetector.test.ts
+++ b/packages/core/src/test/failureDetector.test.ts
@@ -127,6 +127,16 @@
   });
 
   it('does not prolong an ejection', () => {
+    ejectMember();
+    now += 500;
+    run('b', 'failed');
+    expect(run('a', 'failed', { statement })).toEqual([]);
+    repeatCalls(12, () => runAndRepeat('b', 'primary', 'failed'));
+    expect(run('a', 'failed')).toEqual([]);
+    expect(getStatus('a')).toBe('trial');
+  });
+
+  it('takes back a longer ejection that it has caused', () => {
     ejectMember();
     now += 500;
     run('a', 'failed');
@@ -143,6 +153,12 @@
     expect(repeatCalls(30, failAll)).toEqual([]);
   });
 
+  it('keeps the one that fails first', () => {
+    // Guards against a comparison with runs from before the failures.
+    repeatCalls(10, () => ['a', 'b', 'primary'].flatMap((id) => run(id, 'completed')));
+    expect(repeatCalls(8, () => run('a', 'failed'))).toEqual([]);
+  });
+
   it('has its ejected replica back', () => {
     // Guards against too few members for the load while none of them is better.
     ejectMember();
--- a/packages/gateway/src/test/failureEjection.test.ts
+++ b/packages/gateway/src/test/failureEjection.test.ts
@@ -170,6 +170,25 @@
   });
 });
 
+describe('a replica that refuses reads as not run', () => {
+  it('is not ejected', async () => {
+    // Guards against taking a member for faulty that is only busy.
+    await start();
+    const session = gateway.openSession();
+    for (let index = 0; index < 8; index += 1) {
+      session.read(`busy-${index}`);
+      await settle();
+      findForwarded(`busy-${index}`, 'db-2')!.fail('busy');
+      // The primary is slow, so that reads go to the replica first.
+      await vi.advanceTimersByTimeAsync(40);
+      findForwarded(`busy-${index}`, 'db-1')!.answer();
+      await vi.advanceTimersByTimeAsync(50);
+    }
+    expect(gateway.getForwardedIds('db-2')).toHaveLength(8);
+    expect(gateway.events).not.toContain('memberEjected');
+  });
+});
+
 describe('a replica that fails five reads', () => {
   it('gets none until the ejection time is over, and then one at a time', async () => {
     await start();
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -1,4 +1,4 @@
-import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
+import type { FailureReason, UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import { createGateway, createProcessClock } from '../index';
 import type {
@@ -54,8 +54,8 @@
   /** Position that the member must have applied. */
   after: Position | undefined;
   answer: () => void;
-  /** Answers that the statement ran and failed. */
-  fail: () => void;
+  /** Refuses the statement; as one that ran and failed if no reason is given. */
+  fail: (reason?: FailureReason) => void;
   /** Answers with something that the gateway cannot process. */
   answerMalformed: () => void;
 }
@@ -171,8 +171,8 @@
       }
       if (command.type === 'forward') {
         const { id, after } = command;
-        const fail = () =>
-          resolve({ outcome: 'refused', reason: 'failed', detail: memberId, transaction });
+        const fail = (reason: FailureReason = 'failed') =>
+          resolve({ outcome: 'refused', reason, detail: memberId, transaction });
         const statement = { memberId, id, transaction, values, after };
         forwarded.push({ ...statement, answer, fail, answerMalformed });
       } else if (command.type === heldCommandType) heldAnswers.push({ answer, answerMalformed });
