Test the guards of the adaptive concurrency limit

Tests of the suspension, of busy answers, of lost statements and of the log lines passed without the code that they are for.

--- a/packages/core/src/test/queueDelayLimit.test.ts
+++ b/packages/core/src/test/queueDelayLimit.test.ts
@@ -145,16 +145,28 @@
     expect(limit.getLimit()).toBe(6);
   });
 
+  it('grows at most once in 25 ms', () => {
+    // Guards against growth before the effect of the former step can be measured.
+    const limit = createLimit();
+    for (let at = 1; at <= 24; at += 1) {
+      limit.recordCompletion({ sentAt: at - 1, completedAt: at, isLimited: true });
+    }
+    expect(limit.getLimit()).toBeLessThanOrEqual(2);
+  });
+
   it('shrinks once for the busy answers of one window', () => {
     // Guards against falling to the floor at one full queue, which refuses many statements at once.
     const limit = createLimit();
     recordCompletions(limit, { count: 100, latency: 5 });
-    for (let index = 0; index < 5; index += 1) {
-      limit.recordBusy({ sentAt: 1_000 + index, refusedAt: 1_005 + index });
-    }
+    limit.recordBusy({ sentAt: 1_000, refusedAt: 1_005 });
+    limit.recordBusy({ sentAt: 1_006, refusedAt: 1_011 });
     expect(limit.getLimit()).toBe(4);
+    recordCompletions(limit, { count: 8, latency: 5, startAt: 1_020 });
+    const grown = limit.getLimit();
+    limit.recordBusy({ sentAt: 1_001, refusedAt: 1_101 });
+    expect(limit.getLimit()).toBe(grown);
     for (let index = 0; index < 100; index += 1) {
-      limit.recordBusy({ sentAt: 1_100 + index * 5, refusedAt: 1_105 + index * 5 });
+      limit.recordBusy({ sentAt: 1_200 + index * 5, refusedAt: 1_205 + index * 5 });
     }
     expect(limit.getLimit()).toBe(1);
   });
--- a/packages/gateway/src/test/adaptiveConcurrency.test.ts
+++ b/packages/gateway/src/test/adaptiveConcurrency.test.ts
@@ -1,14 +1,16 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { UpstreamAnswer } from '@wisterialift/pooling';
 import { createProcessClock } from '../index';
+import { createAdaptiveConcurrency } from '../lib/groups/memberConcurrency';
 import type { Clock, InstanceRegistry, LoadControl } from '../index';
 import { createGatewayMetrics } from '../metrics';
-import { GROUP, noop } from './fixture';
+import { createTestLogger, GROUP, noop } from './fixture';
 import { createDirectoryEntry, startTestGateway } from './testGateway';
 
 const ENABLED: ReadonlySet<LoadControl> = new Set(['adaptiveConcurrency']);
 
-/** A member of which an instance runs 6 statements at the same time without the control. */
-const entry = createDirectoryEntry({ slots: 4 });
+/** A member of which an instance runs 8 statements at the same time without the control. */
+const entry = createDirectoryEntry({ slots: 5 });
 
 /** Lists four instances that all keep connections, so that the floor is one statement. */
 const listFourInstances: InstanceRegistry['registerInstance'] = (onChange) =>
@@ -38,7 +40,7 @@
   };
 }
 
-/** Starts a gateway with one member and 200 waiting writes. */
+/** Starts a gateway with one member and 300 waiting writes. */
 async function start({ loadControls }: { loadControls?: typeof ENABLED } = {}) {
   gateway = startTestGateway({
     loadControls,
@@ -48,7 +50,7 @@
     changes: { timeout: 60_000, goal: 60_000 },
   });
   gateway.updateMembers([entry]);
-  for (let index = 0; index < 200; index += 1) gateway.openSession().write(`write-${index}`);
+  for (let index = 0; index < 300; index += 1) gateway.openSession().write(`write-${index}`);
   await vi.advanceTimersByTimeAsync(10);
   return gateway;
 }
@@ -86,9 +88,9 @@
   it('is 1.5 statements a slot without the control', async () => {
     // Guards against an effect of the control where a deployment does not enable it.
     const { forwarded, gateway: instance, events } = await start();
-    expect(forwarded).toHaveLength(6);
+    expect(forwarded).toHaveLength(8);
     await answerStatements(20);
-    expect(forwarded).toHaveLength(126);
+    expect(forwarded).toHaveLength(168);
     expect(instance.reportConcurrency()).toEqual({ [GROUP]: [] });
     expect(events).not.toContain('concurrencyLimitChanged');
     expect(await renderMetrics()).not.toMatch(/^wisterialift_member_/mu);
@@ -98,7 +100,7 @@
     const { forwarded, findLines } = await start({ loadControls: ENABLED });
     expect(forwarded).toHaveLength(1);
     await answerStatements(40);
-    expect(getReport()).toMatchObject({ memberId: 'db-1', limit: 6, busyAnswers: 0 });
+    expect(getReport()).toMatchObject({ memberId: 'db-1', limit: 8, busyAnswers: 0 });
     expect(findLines('concurrencyLimitChanged')[0]).toMatchObject({
       memberId: 'db-1',
       limit: 2,
@@ -106,7 +108,7 @@
       targetDelayMilliseconds: 1_500,
     });
     expect(await renderMetrics()).toContain(
-      `wisterialift_member_concurrency_limit{group="${GROUP}",member="db-1"} 6`,
+      `wisterialift_member_concurrency_limit{group="${GROUP}",member="db-1"} 8`,
     );
   });
 
@@ -138,14 +140,80 @@
     // Guards against taking the answers that waited for the process for a delay at the member.
     const { updateRoute } = await start({ loadControls: ENABLED });
     updateRoute(2, { goal: 400 });
-    while (getReport()!.limit < 6) await answerStatements(1);
+    while (getReport()!.limit < 8) await answerStatements(1);
     Object.assign(clockLead, lead);
-    // The 6 statements in progress and the next 6 would be enough to shrink the limit.
+    // The statements in progress and the next 8 would be enough to shrink the limit.
     await answerStatements(2, 300);
-    expect(getReport()).toMatchObject({ limit: 6, queueDelayMilliseconds: 0 });
+    expect(getReport()).toMatchObject({ limit: 8, queueDelayMilliseconds: 0 });
   });
 });
 
 function renderMetrics(): Promise<string> {
   return createGatewayMetrics(gateway!.gateway, { getStoreCalls: () => [] }).render();
 }
+
+describe('the samples of the limit', () => {
+  let now = 0;
+  const lines: (Record<string, unknown> | undefined)[] = [];
+
+  const createConcurrency = () =>
+    createAdaptiveConcurrency({
+      group: GROUP,
+      memberId: 'db-1',
+      slots: 4,
+      ceiling: 16,
+      countConnectedInstances: () => 4,
+      getTargetDelay: () => 10,
+      clock: { ...createProcessClock(), now: () => now },
+      logger: createTestLogger((_event, fields) => lines.push(fields)),
+    });
+
+  /** Records statements that took 5 ms, one every 10 ms, until the time. */
+  function completeUntil(
+    concurrency: ReturnType<typeof createConcurrency>,
+    until: number,
+    answer: UpstreamAnswer = { outcome: 'completed', rows: [], signature: '', transaction: 'idle' },
+  ): void {
+    for (; now < until; now += 10) {
+      const outcome = { type: 'answered', answer } as const;
+      concurrency.recordOutcome({ sentAt: now - 5, outcome, statements: 99 });
+    }
+  }
+
+  const refuse = (reason: 'busy' | 'failed'): UpstreamAnswer => ({
+    outcome: 'refused',
+    reason,
+    detail: '',
+    transaction: 'idle',
+  });
+
+  beforeEach(() => {
+    now = 0;
+    lines.length = 0;
+  });
+
+  it('exclude lost and failed statements and count busy answers', () => {
+    // Guards against growth because a member fails statements at once or its connections break.
+    const concurrency = createConcurrency();
+    completeUntil(concurrency, 500, refuse('failed'));
+    for (; now < 1_000; now += 10) {
+      concurrency.recordOutcome({ sentAt: now - 5, outcome: { type: 'lost' }, statements: 99 });
+    }
+    expect(concurrency.getLimit()).toBe(1);
+    completeUntil(concurrency, 2_000);
+    const grown = concurrency.getLimit();
+    completeUntil(concurrency, 2_020, refuse('busy'));
+    expect(concurrency.getLimit()).toBe(Math.floor(grown * 0.7));
+    expect(concurrency.report()).toMatchObject({ busyAnswers: 2 });
+  });
+
+  it('log a change by a factor of 2 at most once a second', () => {
+    // Guards against a log that is filled by a limit that oscillates.
+    const concurrency = createConcurrency();
+    completeUntil(concurrency, 900);
+    expect(lines.map((fields) => fields?.limit)).toEqual([2]);
+    completeUntil(concurrency, 3_000);
+    expect(concurrency.getLimit()).toBe(16);
+    expect(lines.map((fields) => fields?.limit)).toEqual([2, 14]);
+  });
+});
