Add the fair order of statements that wait for a member

Strict priority and then arrival let one team with many statements delay those of all others, and the lowest priority could wait until its deadline. The order is by priority with a reserved choice in eight for overdue lower bands, by weighted start-time fair queueing between teams, and by goal within a team. Not used by the gateway yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,9 @@
   type AdmissionQueueOptions,
   type QueuedRequest,
 } from './lib/admission/admissionQueue';
+export { createFairOrder, type FairOrder } from './lib/admission/fairOrder';
+export { type FindWeight } from './lib/admission/priorityBand';
+export { type FairOrderStatement, type FairOrderTime } from './lib/admission/teamStatements';
 export { createHeap, type Heap } from './lib/admission/heap';
 export { createServiceStatistics, type ServiceStatistics } from './lib/admission/serviceStatistics';
 export {
