Order statements that wait for admission fairly where fairOrder is enabled

With the control on, a member's queue is the fair order, with the rate limits of teams as weights. A statement is refused by its own place in that order, and in an overload it may displace a waiting one that it would delay beyond what an arrival may wait. Waits, refusals and displacements are counted by priority and by team. With the control off the queue is by priority and arrival as before.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -9,6 +9,7 @@
 import type { StatementRunner } from './groups/statementRunner';
 import { createGroupRouter } from './groups/groupRouter';
 import type { GroupRouter } from './groups/groupRouter';
+import type { WaitStatistics } from './groups/waitStatistics';
 import { createTeamLimits } from './limits/teamLimits';
 import type { LimitCounters } from './limits/teamLimiter';
 import type { Mechanism, IsMechanismEnabled } from './mechanisms';
@@ -84,6 +85,8 @@
   getCounters: () => Record<string, GroupRouter['counters']>;
   /** Operations of this instance's callers that their teams' limits admitted and refused, by team. */
   getLimitCounters: () => ReadonlyMap<string, LimitCounters>;
+  /** Waits for admission by group; empty unless the control `fairOrder` is enabled. */
+  getWaitStatistics: () => Record<string, WaitStatistics>;
   countSessions: () => number;
   close: () => void;
 }
@@ -152,6 +155,13 @@
   const isLoadControlEnabled: IsLoadControlEnabled = (control) =>
     options.loadControls?.has(control) ?? false;
 
+  /** Its rate limit in operations per second, or 1 without one and for callers without a team. */
+  function findTeamWeight(team: string | undefined): number {
+    const limit =
+      team === undefined ? undefined : configuration.get()?.teams?.byName.get(team)?.limit;
+    return limit && limit.rate > 0 ? limit.rate : 1;
+  }
+
   const holders = createHolderSelector({
     ...options,
     isMechanismEnabled,
@@ -289,6 +299,7 @@
       limits: groupLimits,
       isMechanismEnabled,
       isLoadControlEnabled,
+      findTeamWeight,
       isHolder: () => holders.isHolder(group),
       hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
@@ -383,6 +394,8 @@
     getCounters: () =>
       Object.fromEntries([...localGroups].map(([group, router]) => [group, router.counters])),
     getLimitCounters: limits.getCounters,
+    getWaitStatistics: () =>
+      Object.fromEntries([...localGroups].map(([group, router]) => [group, router.waitStatistics])),
     countSessions: () => sessions.size,
     close: () => {
       stopClockChecks();
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -1,3 +1,4 @@
+import type { FindWeight } from '@wisterialift/core';
 import { CLAIM_TAKEOVER_MILLISECONDS, createReplicationTracker } from '@wisterialift/pooling';
 import type { ClockReadings, TermOrigin, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
@@ -28,6 +29,8 @@
 import type { StatementRequest } from './statementRequest';
 import { createTransactionOpener } from './transactionOpener';
 import { createUpstreamPool } from './upstreamPool';
+import { createWaitStatistics } from './waitStatistics';
+import type { WaitStatistics } from './waitStatistics';
 import { createWriteRouter } from './writeRouter';
 
 /** Runs the statements of one group and promotes a new primary when necessary. */
@@ -39,6 +42,8 @@
   /** Discards age-based observations after the process was suspended. */
   clearPositionSamples: () => void;
   counters: GroupCounters;
+  /** Waits for admission; empty unless the control `fairOrder` is enabled. */
+  waitStatistics: WaitStatistics;
   close: () => void;
 }
 
@@ -57,6 +62,8 @@
   logger: Logger;
   isMechanismEnabled: IsMechanismEnabled;
   isLoadControlEnabled: IsLoadControlEnabled;
+  /** Weight of a team in the fair order of waiting statements. */
+  findTeamWeight: FindWeight;
   /** Whether this instance keeps connections to the members, for itself or for other instances. */
   isHolder: () => boolean;
   /** Whether other instances hold connections to the members, for this one as well. */
@@ -131,6 +138,7 @@
     sentToLeaving: 0,
     unconfirmedAlone: 0,
   };
+  const waitStatistics = createWaitStatistics(clock);
   let { limits } = options;
   let onSuspicion: GroupContext['suspectPrimary'] = () => undefined;
 
@@ -281,6 +289,12 @@
       clock,
       isMechanismEnabled,
       isLoadControlEnabled,
+      fairOrder: {
+        findTeamWeight: options.findTeamWeight,
+        statistics: waitStatistics,
+        onDisplaced: (displacement) =>
+          logger.warn('statementDisplaced', { group, memberId: entry.memberId, ...displacement }),
+      },
     });
   }
 
@@ -331,6 +345,7 @@
     isOutOfReach: reachMonitor.isOutOfReach,
     clearPositionSamples: evidence.clearPositionSamples,
     counters,
+    waitStatistics,
     close: () => {
       stopMaintenance();
       evidencePoller.stop();
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -10,7 +10,7 @@
 import type { Clock } from '../ports/clock';
 import type { CachedDirectoryEntry } from '../directory/directoryCache';
 import { createStatementAdmission } from './statementAdmission';
-import type { StatementAdmission } from './statementAdmission';
+import type { FairOrderOptions, StatementAdmission } from './statementAdmission';
 import type { UpstreamPool } from './upstreamPool';
 
 /** This instance's state for one database of a group. */
@@ -53,8 +53,11 @@
   clock: Clock;
   isMechanismEnabled: IsMechanismEnabled;
   isLoadControlEnabled: IsLoadControlEnabled;
+  /** Used where the control `fairOrder` is enabled. */
+  fairOrder: FairOrderOptions;
 }): Member {
-  const { entry, pool, isSameDataCentre, clock, isMechanismEnabled } = options;
+  const { entry, pool, isSameDataCentre, clock, isMechanismEnabled, isLoadControlEnabled } =
+    options;
   const { sameDataCentre, otherDataCentre } = INITIAL_LATENCY_MILLISECONDS;
   const latency = createLatencyEstimate(isSameDataCentre ? sameDataCentre : otherDataCentre);
   const limit = Math.max(2, Math.ceil(entry.slots * STATEMENTS_PER_SLOT));
@@ -66,6 +69,7 @@
     estimateConnectionDelay: pool.estimateDelay,
     isMechanismEnabled,
     onWaiting: pool.raiseLimit,
+    fairOrder: isLoadControlEnabled('fairOrder') ? options.fairOrder : undefined,
   });
   return {
     entry,
--- a/packages/gateway/src/lib/groups/statementAdmission.ts
+++ b/packages/gateway/src/lib/groups/statementAdmission.ts
@@ -1,8 +1,11 @@
 import { createServiceStatistics } from '@wisterialift/core';
-import { chooseNextStatement, computeMaximumQueueWait } from '@wisterialift/pooling';
-import type { QueuedStatement } from '@wisterialift/pooling';
+import type { FindWeight } from '@wisterialift/core';
+import { computeMaximumQueueWait } from '@wisterialift/pooling';
 import type { IsMechanismEnabled } from '../mechanisms';
 import type { CancelTimer, Clock } from '../ports/clock';
+import { createArrivalQueue, createFairQueue } from './statementQueue';
+import type { QueueStatement } from './statementQueue';
+import type { WaitEnd, WaitStatistics } from './waitStatistics';
 
 /** A statement that requests admission to a member. */
 export interface AdmissionRequest {
@@ -56,15 +59,40 @@
   isMechanismEnabled: IsMechanismEnabled;
   /** Called when a statement is queued, so that the pool can raise its connection limit. */
   onWaiting: () => void;
+  /** Orders waiting statements fairly between teams; by priority and arrival if omitted. */
+  fairOrder?: FairOrderOptions;
 }
 
-interface Waiter extends QueuedStatement {
-  hasConnection: boolean;
-  settle: (result: AdmissionResult) => void;
+export interface FairOrderOptions {
+  findTeamWeight: FindWeight;
+  statistics: WaitStatistics;
+  onDisplaced: (displacement: Displacement) => void;
 }
 
+/** A waiting statement that was refused in favour of a new one. */
+export interface Displacement {
+  team: string | undefined;
+  priority: number;
+  waitedMilliseconds: number;
+  /** Team and priority of the new statement. */
+  displacedByTeam: string | undefined;
+  displacedByPriority: number;
+}
+
+interface Waiter extends QueueStatement {
+  queuedAt: number;
+  settle: (result: AdmissionResult, end: WaitEnd) => void;
+}
+
+/**
+ * Largest number of statements that wait in a fair order, for which the time to choose one was
+ * measured (`bench --choices`). Before it is reached, the expected wait limits the queue.
+ */
+const MAXIMUM_FAIR_QUEUE_SIZE = 10_000;
+
 /**
- * Creates an admission queue for one member, ordered by `chooseNextStatement`.
+ * Creates an admission queue for one member, ordered by `chooseNextStatement` or, with `fairOrder`, by
+ * `createFairOrder`.
  *
  * Statements that would be too late are refused early, so that the member's own queue does not
  * overflow. A member rejects what exceeds its queue, and callers that retry at once fill it again.
@@ -78,14 +106,21 @@
     estimateConnectionDelay,
     isMechanismEnabled,
     onWaiting,
+    fairOrder,
   } = options;
-  const waiters: Waiter[] = [];
+  const queue = fairOrder
+    ? createFairQueue<Waiter>({ findTeamWeight: fairOrder.findTeamWeight, readTime })
+    : createArrivalQueue<Waiter>();
   const service = createServiceStatistics();
   let running = 0;
   let runningOutsideTransactions = 0;
   /** Since when the queue has not been empty. */
   let queuedSince: number | undefined;
 
+  function readTime() {
+    return { now: clock.now(), expectedRunTime: estimateStatementTime() };
+  }
+
   const canRun = ({ hasConnection = false }: Pick<AdmissionRequest, 'hasConnection'>) =>
     running < getLimit() && (hasConnection || runningOutsideTransactions < countFreeConnections());
 
@@ -97,8 +132,12 @@
   const calculateQueuedTime = () => (queuedSince === undefined ? 0 : clock.now() - queuedSince);
 
   function removeWaiter(waiter: Waiter): void {
-    waiters.splice(waiters.indexOf(waiter), 1);
-    if (waiters.length === 0) queuedSince = undefined;
+    queue.remove(waiter);
+    clearQueuedTimeIfEmpty();
+  }
+
+  function clearQueuedTimeIfEmpty(): void {
+    if (queue.size() === 0) queuedSince = undefined;
   }
 
   /**
@@ -111,51 +150,86 @@
   }
 
   /** Statements of an open transaction do not wait for a connection. */
-  function estimateRequestWait({ priority, arrivedAt, hasConnection }: AdmissionRequest): number {
-    const ahead = waiters.filter(
-      (waiter) =>
-        waiter.priority < priority ||
-        (waiter.priority === priority && waiter.arrivedAt <= arrivedAt),
-    );
-    return (hasConnection ? 0 : estimateConnectionDelay()) + estimateQueueWait(ahead.length);
+  function estimateRequestWait(statement: QueueStatement, additional = 0): number {
+    const ahead = queue.countAhead(statement) + additional;
+    return (statement.hasConnection ? 0 : estimateConnectionDelay()) + estimateQueueWait(ahead);
+  }
+
+  const computeMaximumWait = ({ goal, deadlineAt }: QueueStatement) =>
+    computeMaximumQueueWait({
+      latencyGoal: goal,
+      timeLeft: deadlineAt - clock.now(),
+      timeSinceEmpty: isMechanismEnabled('shortQueueInOverload') ? calculateQueuedTime() : 0,
+    });
+
+  /**
+   * Displaces a waiting statement if running all of them would take longer than a new one may wait.
+   *
+   * The displaced statement is one that the new one delays for too long. To refuse it now, rather than
+   * at its deadline, lets its caller return in time.
+   *
+   * @returns false if the queue is full and no statement can be displaced.
+   */
+  function makeRoom(request: AdmissionRequest): boolean {
+    if (!fairOrder) return true;
+    const isFull = queue.size() >= MAXIMUM_FAIR_QUEUE_SIZE;
+    if (!isFull && estimateQueueWait(queue.size()) <= computeMaximumWait(request)) return true;
+    const displaced = queue
+      .listDisplaceable(request)
+      .find((waiter) => isFull || estimateRequestWait(waiter, 1) > computeMaximumWait(waiter));
+    if (displaced) displace(displaced, request, fairOrder);
+    return displaced !== undefined || !isFull;
+  }
+
+  function displace(
+    waiter: Waiter,
+    { team, priority }: AdmissionRequest,
+    { onDisplaced }: FairOrderOptions,
+  ): void {
+    removeWaiter(waiter);
+    waiter.settle('tooLate', 'displaced');
+    onDisplaced({
+      team: waiter.team,
+      priority: waiter.priority,
+      waitedMilliseconds: Math.round(clock.now() - waiter.queuedAt),
+      displacedByTeam: team,
+      displacedByPriority: priority,
+    });
   }
 
   function admitWaiting(): void {
     for (;;) {
-      const next = chooseNextStatement(waiters.filter(canRun));
+      const next = queue.takeNext(canRun);
       if (!next) return;
-      removeWaiter(next);
+      clearQueuedTimeIfEmpty();
       startRunning(next);
-      next.settle('admitted');
+      next.settle('admitted', 'admitted');
     }
   }
 
   function enqueue(request: AdmissionRequest): Promise<AdmissionResult> {
-    const {
-      priority,
-      arrivedAt,
-      deadlineAt,
-      hasConnection = false,
-      queueTimeout = Infinity,
-    } = request;
-    const timeLeft = deadlineAt - clock.now();
+    const { queueTimeout = Infinity, ...statement } = request;
+    const queuedAt = clock.now();
+    const timeLeft = statement.deadlineAt - queuedAt;
     return new Promise((resolve) => {
       let cancelTimeout: CancelTimer | undefined;
       const waiter: Waiter = {
-        priority,
-        hasConnection,
-        arrivedAt,
-        settle: (result) => {
+        ...statement,
+        queuedAt,
+        settle: (result, end) => {
           cancelTimeout?.();
+          fairOrder?.statistics.recordEnd(waiter, end, clock.now() - queuedAt);
           resolve(result);
         },
       };
       cancelTimeout = clock.runAfter(Math.min(timeLeft, queueTimeout), () => {
         removeWaiter(waiter);
-        resolve(timeLeft <= queueTimeout ? 'tooLate' : 'notYet');
+        if (timeLeft <= queueTimeout) waiter.settle('tooLate', 'refused');
+        else waiter.settle('notYet', 'notYet');
       });
-      waiters.push(waiter);
-      queuedSince ??= clock.now();
+      queue.push(waiter);
+      fairOrder?.statistics.recordStart(waiter);
+      queuedSince ??= queuedAt;
       onWaiting();
       admitWaiting();
     });
@@ -163,28 +237,27 @@
 
   return {
     requestAdmission: (request) => {
+      // The limit may have grown since the last completion; a new statement must not profit first.
+      if (fairOrder) admitWaiting();
       if (canRun(request)) {
         startRunning(request);
         return Promise.resolve('admitted');
       }
-      const maximumWait = computeMaximumQueueWait({
-        latencyGoal: request.goal,
-        timeLeft: request.deadlineAt - clock.now(),
-        timeSinceEmpty: isMechanismEnabled('shortQueueInOverload') ? calculateQueuedTime() : 0,
-      });
-      return estimateRequestWait(request) > maximumWait
-        ? Promise.resolve('tooLate')
-        : enqueue(request);
+      if (estimateRequestWait(request) <= computeMaximumWait(request) && makeRoom(request)) {
+        return enqueue(request);
+      }
+      fairOrder?.statistics.recordRefusal(request);
+      return Promise.resolve('tooLate');
     },
     release: ({ hasConnection }) => {
       running -= 1;
       if (!hasConnection) runningOutsideTransactions -= 1;
-      service.recordCompletion(estimateStatementTime(), clock.now(), waiters.length > 0);
+      service.recordCompletion(estimateStatementTime(), clock.now(), queue.size() > 0);
       admitWaiting();
     },
-    countStatements: () => running + waiters.length,
+    countStatements: () => running + queue.size(),
     calculateCapacity: () => Math.min(getLimit(), countFreeConnections()),
-    estimateWait: () => estimateConnectionDelay() + estimateQueueWait(waiters.length),
+    estimateWait: () => estimateConnectionDelay() + estimateQueueWait(queue.size()),
     hasRoom: () => canRun({}),
     admitWaiting,
   };
--- a/packages/gateway/src/lib/metrics/busiestTeams.ts
+++ b/packages/gateway/src/lib/metrics/busiestTeams.ts
@@ -12,16 +12,27 @@
 
 /** Lists the teams with the most operations; sums up the others. */
 export function listBusiestTeams(counters: ReadonlyMap<string, LimitCounters>): TeamOperations[] {
-  const ordered = [...counters]
-    .map(([team, { admitted, refused }]) => ({ team, admitted, refused }))
-    .sort((left, right) => right.admitted + right.refused - left.admitted - left.refused);
-  const listed = ordered.slice(0, MAXIMUM_LISTED_TEAMS);
-  const others = ordered.slice(MAXIMUM_LISTED_TEAMS);
+  return listBusiest(counters, {
+    measure: ({ admitted, refused }) => admitted + refused,
+    combine: (left, right) => ({
+      admitted: left.admitted + right.admitted,
+      refused: left.refused + right.refused,
+    }),
+  });
+}
+
+/** Lists the teams with the largest measure; combines the counters of the others. */
+export function listBusiest<Counters extends object>(
+  counters: ReadonlyMap<string, Counters>,
+  functions: {
+    measure: (counters: Counters) => number;
+    combine: (left: Counters, right: Counters) => Counters;
+  },
+): (Counters & { team: string })[] {
+  const { measure, combine } = functions;
+  const ordered = [...counters].sort(([, left], [, right]) => measure(right) - measure(left));
+  const listed = ordered.slice(0, MAXIMUM_LISTED_TEAMS).map(([team, own]) => ({ ...own, team }));
+  const others = ordered.slice(MAXIMUM_LISTED_TEAMS).map(([, own]) => own);
   if (others.length === 0) return listed;
-  const total = { team: OTHER_TEAMS, admitted: 0, refused: 0 };
-  for (const { admitted, refused } of others) {
-    total.admitted += admitted;
-    total.refused += refused;
-  }
-  return [...listed, total];
+  return [...listed, { ...others.reduce(combine), team: OTHER_TEAMS }];
 }
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -2,6 +2,7 @@
 import { Counter, Gauge, Registry } from 'prom-client';
 import type { Gateway } from '../createGateway';
 import { listBusiestTeams } from './busiestTeams';
+import { registerWaitMetrics } from './waitMetrics';
 import type { AnswerSample } from '../sessions/callerSession';
 
 /** Answer counters, latency quantiles and session count of one instance. @public */
@@ -91,6 +92,8 @@
     },
   });
 
+  registerWaitMetrics(registry, gateway.getWaitStatistics);
+
   const storeCalls: Gauge = new Gauge({
     name: 'wisterialift_store_calls_total',
     help: 'calls to the object store of the platform',
