--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -1,13 +1,16 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
-import { createGateway, createProcessClock } from '../index';
+import { createGateway, createProcessClock, createTeamDirectory } from '../index';
 import type {
   CallerAnswer,
   DirectoryFreshness,
   DirectoryEntry,
+  InstanceRegistry,
+  LoadControl,
   PromotionStore,
   Route,
   StoredPromotionRecord,
+  Team,
 } from '../index';
 import { createTestOptions, createTestLogger, GROUP, noop } from './fixture';
 
@@ -83,14 +86,32 @@
   return store;
 }
 
+/** Lists one instance, which then shares out the limits of all teams. */
+function createSoleInstanceRegistry(): InstanceRegistry {
+  const entry = {
+    instance: 'instance-1',
+    dataCentre: 'zone-1',
+    address: 'instance-1:1',
+    weight: 1,
+  };
+  return {
+    registerInstance: (onChange) => onChange([entry], { mayOthersLag: false }),
+    reportUnreachable: noop,
+  };
+}
+
 /** Starts a gateway with members that answer forwarded statements only when the test says so. */
 export function startTestGateway({
   getPosition = getUsualPosition,
   changes = {},
+  teams,
+  loadControls,
 }: {
   getPosition?: (memberId: string) => Position;
   /** Fields of the route that differ. */
   changes?: Partial<Route>;
+  teams?: Team[];
+  loadControls?: LoadControl[];
 } = {}) {
   const forwarded: ForwardedStatement[] = [];
   const executed: ExecutedStatement[] = [];
@@ -172,6 +193,8 @@
   const gateway = createGateway(
     createTestOptions({
       clock: createProcessClock(),
+      loadControls: new Set(loadControls),
+      ...(teams && { registry: createSoleInstanceRegistry() }),
       logger: createTestLogger((event, fields) => {
         events.push(event);
         lines.push({ event, ...fields });
@@ -227,6 +250,7 @@
             routes: new Map([[DATABASE, { ...route, ...changes }]]),
             groups: new Map([[GROUP, { name: GROUP, maximumConnections: 20 }]]),
             transactionIdle: 60_000,
+            teams: teams && createTeamDirectory(teams),
           }),
       },
     }),
@@ -242,7 +266,7 @@
   }
 
   /** Opens a session and collects its answers in statement order. */
-  function openSession() {
+  function openSession(keyDigest?: string) {
     const answers: CallerAnswer[] = [];
     const caller = gateway.acceptCaller({
       accept: noop,
@@ -250,7 +274,7 @@
       answer: (answer) => answers.push(answer),
       close: noop,
     });
-    caller.onStart(DATABASE);
+    caller.onStart(DATABASE, keyDigest);
     return {
       answers,
       read: (id: string) => caller.onStatement({ type: 'read', id, text: 'READ lamp-1' }),
@@ -332,6 +356,7 @@
     releaseAnswers: () => {
       for (const { answer } of heldAnswers.splice(0)) answer();
     },
+    gateway,
     close: gateway.close,
   };
 }
