--- a/packages/core/src/lib/admission/fairOrder.ts
+++ b/packages/core/src/lib/admission/fairOrder.ts
@@ -137,7 +137,7 @@
     const next = chosen?.band.getFirst(time);
     if (!chosen || !next || !canRun(next.statement)) return undefined;
     recordChoice(chosen, time.now);
-    chosen.band.takeFirst(time);
+    chosen.band.takeFirst(next);
     entries.delete(next.statement);
     closeBandIfEmpty(chosen.band);
     return next.statement;
--- a/packages/core/src/lib/admission/priorityBand.ts
+++ b/packages/core/src/lib/admission/priorityBand.ts
@@ -12,8 +12,8 @@
   remove: (entry: Entry<Statement>) => void;
   /** The statement that goes next; undefined if none waits. */
   getFirst: (time: FairOrderTime) => Entry<Statement> | undefined;
-  /** Removes the statement that goes next and charges its team. */
-  takeFirst: (time: FairOrderTime) => Entry<Statement> | undefined;
+  /** Removes the statement that goes next, as `getFirst` returned it, and charges its team. */
+  takeFirst: (first: Entry<Statement>) => void;
   /** Number of the statements that precede one, which may be absent. */
   countBefore: (entry: Entry<Statement>, time: FairOrderTime) => number;
   /** The last statement of the team with the most waiting statements relative to its weight. */
@@ -156,16 +156,13 @@
 
   const getFirst = (time: FairOrderTime) => slots.at(0)?.flow.statements.getFirst(time);
 
-  function takeFirst(time: FairOrderTime): Entry<Statement> | undefined {
-    const slot = slots.at(0);
-    const entry = slot?.flow.statements.getFirst(time);
-    if (!slot || !entry) return undefined;
+  function takeFirst(first: Entry<Statement>): void {
+    const slot = slots.at(0)!;
     slots.remove(slot);
     slot.flow.served += 1;
     virtualTime = slot.tag;
-    forget(slot.flow, entry);
+    forget(slot.flow, first);
     dropPassedFlows();
-    return entry;
   }
 
   function countBefore(entry: Entry<Statement>, time: FairOrderTime): number {
--- a/tools/bench/src/main.ts
+++ b/tools/bench/src/main.ts
@@ -1,3 +1,4 @@
+import { measureChoices, renderChoices } from './lib/choices/measureChoices';
 import { openLinks } from './lib/cluster/links';
 import type { RelayArguments } from './lib/cluster/startLinks';
 import { BADAN_OPTIONS, CONSORZIO_OPTIONS } from './lib/cluster/trialOptions';
@@ -50,14 +51,20 @@
   process.stdout.write(isJson ? `${JSON.stringify(series)}\n` : renderSlopes(series));
 }
 
+function runChoices(isJson: boolean): void {
+  const costs = measureChoices();
+  process.stdout.write(isJson ? `${JSON.stringify(costs)}\n` : renderChoices(costs));
+}
+
 function tellPhase(phase: string): void {
   process.stderr.write(`${(performance.now() / 1_000).toFixed(1)} s: ${phase}\n`);
 }
 
-const USAGE = `bench [--quick] [--json] [--slopes]
+const USAGE = `bench [--quick] [--json] [--slopes] [--choices]
   --quick   one size, less than 50 s
   --json    one JSON object on standard output
   --slopes  cost of a proxy's control work against instances, groups, sessions and connections
+  --choices cost of the fair order against waiting statements and teams, in microseconds
 `;
 
 async function main(): Promise<void> {
@@ -70,6 +77,7 @@
   const flags = new Set(programArguments);
   if (flags.has('--help')) process.stdout.write(USAGE);
   else if (flags.has('--slopes')) await runSlopes(flags.has('--json'));
+  else if (flags.has('--choices')) runChoices(flags.has('--json'));
   else if (flags.has('--quick')) await runQuick(flags.has('--json'));
   else await runFull(flags.has('--json'));
 }
