--- a/packages/core/src/test/fairOrder.test.ts
+++ b/packages/core/src/test/fairOrder.test.ts
@@ -219,6 +219,21 @@
     expect(taken.filter(Boolean).length).toBeLessThanOrEqual(8);
   });
 
+  it('counts the choices reserved for the lowest priority', () => {
+    // Guards against an expected wait of the lowest priority that grows with the statements above it
+    // although its own choices do not, and against one of the others that leaves these out.
+    const order = createFairOrder<Statement>({ findWeight });
+    const high = pushMany(order, 70, { priority: 0 });
+    const low = pushMany(order, 3, { priority: 2 });
+    const counted = [high[69]!, low[0]!, low[2]!].map((statement) =>
+      order.countAhead(statement, atTime(101)),
+    );
+    const taken = takeMany(order, 73, 101);
+    expect(counted).toEqual([69 + 3, 7, 23]);
+    expect([low[0]!, low[2]!].map((statement) => taken.indexOf(statement))).toEqual([7, 23]);
+    expect(taken.indexOf(high[69]!)).toBe(72);
+  });
+
   it('is by priority alone before a quarter of the goal has passed', () => {
     const order = createFairOrder<Statement>({ findWeight });
     pushMany(order, 5, { priority: 2 });
--- a/packages/gateway/src/test/fairOrder.test.ts
+++ b/packages/gateway/src/test/fairOrder.test.ts
@@ -9,9 +9,9 @@
     setTimeout(resolve, 5);
   });
 
-/** Runs statements of two teams, with limits 1 and 3 times a rate, one after the other. */
-async function runTeams(loadControls: LoadControl[]) {
-  const limits = { small: { rate: 1_000, burst: 50 }, large: { rate: 3_000, burst: 50 } };
+/** Runs statements of two teams, which are asked for one team after the other. */
+async function runTeams(loadControls: LoadControl[], smallRate = 1_000) {
+  const limits = { small: { rate: smallRate, burst: 50 }, large: { rate: 3_000, burst: 50 } };
   const teams = Object.entries(limits).map(([name, limit]) => ({
     name,
     keyDigests: [`key-${name}`],
@@ -48,6 +48,13 @@
   expect(statistics.getTeams().get('small')).toMatchObject({ waiting: 0, admitted: 10 });
 });
 
+it('orders statements of a team that may only use its burst', async () => {
+  // Guards against a weight of 0, by which no share can be computed.
+  const { order } = await runTeams(['fairOrder'], 0);
+  expect(order.length).toBe(24);
+  expect(order.slice(2, 14).filter((name) => name === 'large').length).toBeGreaterThan(10);
+});
+
 it('orders statements by arrival where it is not enabled', async () => {
   // Guards against a change in deployments that do not ask for the control.
   const { order, metrics } = await runTeams([]);
--- a/packages/gateway/src/test/statementAdmission.test.ts
+++ b/packages/gateway/src/test/statementAdmission.test.ts
@@ -236,6 +236,23 @@
     expect(all.filter((result) => result === 'small admitted').length).toBe(3);
   });
 
+  it('spares statements that are still in time', async () => {
+    // Guards against refusals in a burst that all statements survive.
+    const { request, runSteps, displacements } = createTestAdmission({ isFair: true });
+    requestMany(40, () => request('busy', { priority: 2 }));
+    request('small', { deadlineAt: 300 });
+    await runSteps(42);
+    expect(displacements).toEqual([]);
+  });
+
+  it('spares the lowest priority while the new statement need not wait for it', async () => {
+    const { request, runSteps, displacements } = createTestAdmission({ isFair: true });
+    requestMany(11, () => request('busy', { priority: 2, deadlineAt: 105 }));
+    request('small', { deadlineAt: 500 });
+    await runSteps(2);
+    expect(displacements).toEqual([]);
+  });
+
   it('never occurs where the control is not enabled', async () => {
     const { displacements } = await overload(false);
     expect(displacements).toEqual([]);
