Test guards of the fair order that no test had needed

Taking out six guards one at a time let all tests pass: the limit of reserved choices for middle priorities, removal of an absent statement, the record of a team that waits again, the last statement of a team, balance in descending order, and the end of a burst. Each is now needed by a test.

--- a/packages/core/src/test/fairOrder.test.ts
+++ b/packages/core/src/test/fairOrder.test.ts
@@ -102,6 +102,10 @@
     comparisons = 0;
     set.add(9_500);
     expect(comparisons).toBeLessThan(25);
+    for (let value = -1; value > -10_000; value -= 1) set.add(value);
+    comparisons = 0;
+    set.add(-9_500);
+    expect(comparisons).toBeLessThan(25);
   });
 });
 
@@ -173,6 +177,20 @@
     expect(taken.filter((name) => name === 'x').length).toBeGreaterThanOrEqual(9);
   });
 
+  it('keeps the record of a team that waits again before its next slot', () => {
+    const order = createFairOrder<Statement>({ findWeight });
+    pushMany(order, 10, { team: 'x' });
+    pushMany(order, 1, { team: 'y' });
+    takeMany(order, 2);
+    const [, second] = pushMany(order, 2, { team: 'y' });
+    takeMany(order, 2);
+    expect(order.countTeams()).toBe(2);
+    order.remove(second!);
+    // Guards against a deadline and a displacement that both remove one statement.
+    order.remove(second!);
+    expect(order.size()).toBe(8);
+  });
+
   it('gives no credit for idle time and keeps no record of idle teams', () => {
     const order = createFairOrder<Statement>({ findWeight });
     pushMany(order, 40, { team: 'x' });
@@ -219,6 +237,14 @@
     expect(taken.filter(Boolean).length).toBeLessThanOrEqual(8);
   });
 
+  it('leaves most choices to the highest priority, however many there are', () => {
+    // Guards against many overdue priorities that together displace the highest.
+    const order = createFairOrder<Statement>({ findWeight });
+    for (let priority = 0; priority < 10; priority += 1) pushMany(order, 100, { priority });
+    const taken = takeMany(order, 80, 101);
+    expect(taken.filter(({ priority }) => priority === 0).length).toBeGreaterThanOrEqual(60);
+  });
+
   it('counts the choices reserved for the lowest priority', () => {
     // Guards against an expected wait of the lowest priority that grows with the statements above it
     // although its own choices do not, and against one of the others that leaves these out.
@@ -310,6 +336,9 @@
       { priority: 2, team: 'x', arrivedAt: 5 },
       { priority: 0, team: 'x', arrivedAt: 3 },
     ]);
+    // Among the statements of the team, a late one is the last.
+    pushMany(order, 4, { team: 'x', arrivedAt: -9, goal: 1 });
+    expect(findDisplaceable(order, { team: 'y' })[1]?.arrivedAt).toBe(-9);
     // Guards against a team above its share that displaces statements of teams below theirs.
     expect(findDisplaceable(order, { team: 'x', priority: 0 }).length).toBe(1);
     expect(findDisplaceable(order, { team: 'x', priority: 2 })).toEqual([]);
--- a/packages/gateway/src/test/statementAdmission.test.ts
+++ b/packages/gateway/src/test/statementAdmission.test.ts
@@ -170,6 +170,15 @@
     );
   });
 
+  it.each([false, true])('lets a burst wait after an earlier one (fair: %s)', async (isFair) => {
+    // Guards against refusals as in a lasting overload when the queue was empty in between.
+    const { request, runSteps } = createTestAdmission({ isFair });
+    requestMany(3, () => request('busy'));
+    await runSteps(120);
+    requestMany(30, () => request('busy'));
+    expect(await runSteps(30)).not.toContain('busy tooLate');
+  });
+
   it('follows the weights that it is given', async () => {
     const { request, runSteps } = createTestAdmission({ isFair: true });
     requestMany(20, () => request('busy'));
