--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,6 +25,9 @@
   type QueuedRequest,
 } from './lib/admission/admissionQueue';
 export { planEvidencePolls, type EvidencePollPlan } from './lib/reads/evidencePolling';
+export { createFairOrder, type FairOrder } from './lib/admission/fairOrder';
+export { type FindWeight } from './lib/admission/priorityBand';
+export { type FairOrderStatement, type FairOrderTime } from './lib/admission/teamStatements';
 export { createHeap, type Heap } from './lib/admission/heap';
 export {
   UNKNOWN_INTERVAL_MILLISECONDS,
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -12,6 +12,7 @@
 import { createGroupRouter } from './groups/groupRouter';
 import type { GroupRouter, RouterLimits } from './groups/groupRouter';
 import type { ConcurrencyReport } from './groups/memberConcurrency';
+import type { WaitStatistics } from './groups/waitStatistics';
 import { createTeamLimits } from './limits/teamLimits';
 import type { LimitCounters } from './limits/teamLimiter';
 import type { Mechanism, IsMechanismEnabled } from './mechanisms';
@@ -95,6 +96,8 @@
   getLimitCounters: () => ReadonlyMap<string, LimitCounters>;
   /** Describes the adaptive limits of concurrent statements, by group; for metrics. */
   reportConcurrency: () => Record<string, ConcurrencyReport[]>;
+  /** Waits for admission by group; empty unless the control `fairOrder` is enabled. */
+  getWaitStatistics: () => Record<string, WaitStatistics>;
   countSessions: () => number;
   close: () => void;
 }
@@ -166,6 +169,13 @@
 
   const returnCredits = isLoadControlEnabled('retryGuidance') ? createReturnCredits() : undefined;
 
+  /** Its rate limit in operations per second, or 1 without one and for callers without a team. */
+  function findTeamWeight(team: string | undefined): number {
+    const limit =
+      team === undefined ? undefined : configuration.get()?.teams?.byName.get(team)?.limit;
+    return limit && limit.rate > 0 ? limit.rate : 1;
+  }
+
   const holders = createHolderSelector({
     ...options,
     isMechanismEnabled,
@@ -311,6 +321,7 @@
       isMechanismEnabled,
       isLoadControlEnabled,
       returnCredits,
+      findTeamWeight,
       isHolder: () => holders.isHolder(group),
       hasOtherHolders: () => holders.hasOtherHolders(group),
       countConnectedInstances: () => holders.countConnectedInstances(group),
@@ -438,6 +449,8 @@
       Object.fromEntries(
         [...localGroups].map(([group, router]) => [group, router.reportConcurrency()]),
       ),
+    getWaitStatistics: () =>
+      Object.fromEntries([...localGroups].map(([group, router]) => [group, router.waitStatistics])),
     countSessions: () => sessions.size,
     close: () => {
       stopClockChecks();
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -1,4 +1,4 @@
-import type { ReturnCredits } from '@wisterialift/core';
+import type { FindWeight, ReturnCredits } from '@wisterialift/core';
 import {
   CLAIM_TAKEOVER_MILLISECONDS,
   computeConnectionShare,
@@ -43,6 +43,8 @@
 import { createTransactionOpener } from './transactionOpener';
 import { createUpstreamPool } from './upstreamPool';
 import type { ConnectionCount } from './connectionCounters';
+import { createWaitStatistics } from './waitStatistics';
+import type { WaitStatistics } from './waitStatistics';
 import { createWriteRouter } from './writeRouter';
 
 /** Runs the statements of one group and promotes a new primary when necessary. */
@@ -69,6 +71,8 @@
   listMemberFailures: () => MemberFailureCounts[];
   /** Connections opened and closed, by member and cause. */
   getConnectionCounts: () => (ConnectionCount & { memberId: string })[];
+  /** Waits for admission; empty unless the control `fairOrder` is enabled. */
+  waitStatistics: WaitStatistics;
   close: () => void;
 }
 
@@ -95,6 +99,8 @@
   isLoadControlEnabled: IsLoadControlEnabled;
   /** Credits of this instance; given with the control `retryGuidance`. */
   returnCredits?: ReturnCredits;
+  /** Weight of a team in the fair order of waiting statements. */
+  findTeamWeight: FindWeight;
   /** Whether this instance keeps connections to the members, for itself or for other instances. */
   isHolder: () => boolean;
   /** Whether other instances hold connections to the members, for this one as well. */
@@ -165,6 +171,7 @@
     sentToPrimaryHolder: 0,
     sentToNearHolder: 0,
   };
+  const waitStatistics = createWaitStatistics(clock);
   let { limits } = options;
   let onSuspicion: GroupContext['suspectPrimary'] = () => undefined;
 
@@ -328,6 +335,12 @@
       logger,
       countConnectedInstances,
       getTargetDelay: () => computeTargetDelay(limits.shortestGoal),
+      fairOrder: {
+        findTeamWeight: options.findTeamWeight,
+        statistics: waitStatistics,
+        onDisplaced: (displacement) =>
+          logger.warn('statementDisplaced', { group, memberId: entry.memberId, ...displacement }),
+      },
     });
   }
 
@@ -404,6 +417,7 @@
       [...members].flatMap(([memberId, { pool }]) =>
         pool.listConnectionCounts().map((count) => ({ memberId, ...count })),
       ),
+    waitStatistics,
     close: () => {
       stopMaintenance();
       evidencePoller.stop();
--- a/packages/gateway/src/lib/groups/member.ts
+++ b/packages/gateway/src/lib/groups/member.ts
@@ -10,9 +10,9 @@
 import type { Clock } from '../ports/clock';
 import type { CachedDirectoryEntry } from '../directory/directoryCache';
 import { createStatementAdmission } from './statementAdmission';
-import type { StatementAdmission } from './statementAdmission';
 import { createAdaptiveConcurrency, createFixedConcurrency } from './memberConcurrency';
 import type { AdaptiveConcurrencyOptions, MemberConcurrency } from './memberConcurrency';
+import type { FairOrderOptions, StatementAdmission } from './statementAdmission';
 import type { UpstreamPool } from './upstreamPool';
 
 /** This instance's state for one database of a group. */
@@ -60,10 +60,13 @@
   clock: Clock;
   isMechanismEnabled: IsMechanismEnabled;
   isLoadControlEnabled: IsLoadControlEnabled;
+  /** Used where the control `fairOrder` is enabled. */
+  fairOrder: FairOrderOptions;
 }
 
 export function createMember(options: MemberOptions): Member {
-  const { entry, pool, isSameDataCentre, clock, isMechanismEnabled } = options;
+  const { entry, pool, isSameDataCentre, clock, isMechanismEnabled, isLoadControlEnabled } =
+    options;
   const { sameDataCentre, otherDataCentre } = INITIAL_LATENCY_MILLISECONDS;
   const latency = createLatencyEstimate(isSameDataCentre ? sameDataCentre : otherDataCentre);
   const concurrency = createConcurrency(options);
@@ -75,6 +78,7 @@
     estimateConnectionDelay: pool.estimateDelay,
     isMechanismEnabled,
     onWaiting: pool.raiseLimit,
+    fairOrder: isLoadControlEnabled('fairOrder') ? options.fairOrder : undefined,
   });
   return {
     entry,
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -1,6 +1,6 @@
 import type { FailureReason, UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
-import { createGateway, createProcessClock } from '../index';
+import { createGateway, createProcessClock, createTeamDirectory } from '../index';
 import type {
   CallerAnswer,
   DirectoryFreshness,
@@ -12,6 +12,7 @@
   PromotionStore,
   Route,
   StoredPromotionRecord,
+  Team,
 } from '../index';
 import { createTestOptions, createTestLogger, GROUP, noop } from './fixture';
 
@@ -91,10 +92,25 @@
   return store;
 }
 
+/** Lists one instance, which then shares out the limits of all teams. */
+function createSoleInstanceRegistry(): InstanceRegistry {
+  const entry = {
+    instance: 'instance-1',
+    dataCentre: 'zone-1',
+    address: 'instance-1:1',
+    weight: 1,
+  };
+  return {
+    registerInstance: (onChange) => onChange([entry], { mayOthersLag: false }),
+    reportUnreachable: noop,
+  };
+}
+
 /** Starts a gateway with members that answer forwarded statements only when the test says so. */
 export function startTestGateway({
   getPosition = getUsualPosition,
   changes = {},
+  teams,
   loadControls,
   clock = createProcessClock(),
   registry = { registerInstance: noop, reportUnreachable: noop },
@@ -103,8 +119,9 @@
   getPosition?: (memberId: string) => Position;
   /** Fields of the route that differ. */
   changes?: Partial<Route>;
+  teams?: Team[];
   /** Load controls that are enabled; none if omitted. */
-  loadControls?: ReadonlySet<LoadControl>;
+  loadControls?: Iterable<LoadControl>;
   clock?: Clock;
   registry?: InstanceRegistry;
   maximumConnections?: number;
@@ -193,8 +210,9 @@
   const gateway = createGateway(
     createTestOptions({
       clock,
-      loadControls,
+      loadControls: new Set(loadControls),
       registry,
+      ...(teams && { registry: createSoleInstanceRegistry() }),
       logger: createTestLogger((event, fields) => {
         events.push(event);
         lines.push({ event, ...fields });
@@ -259,6 +277,7 @@
       routes: new Map([[DATABASE, { ...route, ...changes, ...routeChanges }]]),
       groups: new Map([[GROUP, { name: GROUP, maximumConnections }]]),
       transactionIdle: 60_000,
+      teams: teams && createTeamDirectory(teams),
     });
   }
 
@@ -272,7 +291,7 @@
   }
 
   /** Opens a session and collects its answers in statement order. */
-  function openSession() {
+  function openSession(keyDigest?: string) {
     const answers: CallerAnswer[] = [];
     const caller = gateway.acceptCaller({
       accept: noop,
@@ -280,7 +299,7 @@
       answer: (answer) => answers.push(answer),
       close: noop,
     });
-    caller.onStart(DATABASE);
+    caller.onStart(DATABASE, keyDigest);
     return {
       answers,
       read: (id: string) => caller.onStatement({ type: 'read', id, text: 'READ lamp-1' }),
