Mend faults that the review of the merged load controls found

A read that had failed at a replica was searched for again and again without a pause while the other members were full and the failed one idle; the process handled nothing else until the read's deadline. The search leaves the failed member out now, with a test that hung before.

Further: a return credit moves a statement forward by half a goal at most, since with a whole one it counted as late and stood last in the fair order; ejected members do not count for return times; failures and time-outs in transactions eject no member, as nothing tells whose fault they are; a holder that answered that it does not reach the members is left out for a second, and only completed answers tell where the primary is; the share of connections near the primary counts reachable holders; the choice of an idle connection counts all others of its team; without primaryHolder idle connections are closed in one pass as before; polls ahead add no step to reads without promptEvidence; a ceiling binds the concurrency limit also without instances.

--- a/packages/core/src/lib/admission/queueDelayLimit.ts
+++ b/packages/core/src/lib/admission/queueDelayLimit.ts
@@ -79,7 +79,7 @@
   const unloaded = createLowestLatency(() => targetDelayMilliseconds * MAXIMUM_RISE);
 
   const setLimit = (value: number) => {
-    limit = Math.max(1, floor, Math.min(ceiling, value));
+    limit = Math.min(Math.max(1, ceiling), Math.max(1, floor, value));
   };
 
   const shrink = (factor: number, now: number) => {
--- a/packages/core/src/lib/admission/returnSchedule.ts
+++ b/packages/core/src/lib/admission/returnSchedule.ts
@@ -123,6 +123,12 @@
 
 const MAXIMUM_CREDITS = 1_000;
 
+/**
+ * Part of the goal by which a credit moves a statement forward at most. With all of it, the statement
+ * would count as late on arrival, and the fair order places late statements last.
+ */
+const MAXIMUM_ADVANCE_FRACTION = 0.5;
+
 const toKey = ({ team, database }: CreditOwner) => JSON.stringify([team, database]);
 
 /** Creates an empty set of credits; the oldest is dropped when there are more than the maximum. */
@@ -165,7 +171,7 @@
         remove(credit);
       } else if (arrivedAt >= credit.validFrom) {
         remove(credit);
-        return Math.max(credit.arrivedAt, arrivedAt - goal);
+        return Math.max(credit.arrivedAt, arrivedAt - goal * MAXIMUM_ADVANCE_FRACTION);
       }
     }
     return undefined;
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -44,7 +44,7 @@
   /** Returns the members that can run a read, including those avoided for a moment. */
   listQueues: (request: StatementRequest) => MemberQueue[];
   /** Whether some member is expected to run the read without delay. */
-  hasIdle: (request: StatementRequest) => boolean;
+  hasIdle: (request: StatementRequest, options?: RankOptions) => boolean;
   /** Whether a position is known from which replicas can serve the read. */
   hasPosition: (request: StatementRequest) => boolean;
 }
@@ -123,7 +123,11 @@
   function listQueues(request: StatementRequest): MemberQueue[] {
     const primary = primaryTracker.find();
     const required = findRequiredLog(request);
-    return listEligible(primary, required).map((member) => ({
+    const eligible = listEligible(primary, required);
+    const healthy = eligible.filter(
+      (member) => failureEjection.getStatus(member, true) !== 'ejected',
+    );
+    return (healthy.length > 0 ? healthy : eligible).map((member) => ({
       member,
       lagWait: estimateWait(member, member === primary ? undefined : required, clock.now()).wait,
     }));
@@ -170,8 +174,8 @@
     return { wait: isTrialRead ? 0 : wait, isTrialRead };
   }
 
-  const hasIdle = (request: StatementRequest) =>
-    rank(request).some(
+  const hasIdle = (request: StatementRequest, options?: RankOptions) =>
+    rank(request, options).some(
       ({ member, wait, delay }) => wait === 0 && delay === 0 && member.admission.hasRoom(),
     );
 
--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -68,8 +68,6 @@
   second: ReadCandidate | undefined;
 }
 
-const noop = () => undefined;
-
 type ReadVerdict = 'accepted' | 'retry' | 'final' | 'excludeMember';
 
 export function createReadRouter(
@@ -111,14 +109,15 @@
     failureEjection.recordRead();
     if (leavingPolicy.isGroupClosed()) return { answer: refuseRead(request) };
     if (canUseReplica(request) && !candidates.hasPosition(request)) await readPositions.refresh();
-    const stopPolling = pollAhead(request);
-    return runAtMembers(request, createCommand).finally(stopPolling);
-  }
-
-  /** Starts polling for the evidence that a read of the primary needs, while the read itself runs. */
-  function pollAhead(request: StatementRequest): () => void {
-    const isWanted = !canUseReplica(request) && isLoadControlEnabled('promptEvidence');
-    return isWanted ? verifier.pollAhead(planPolls(context, request.route)) : noop;
+    const isPolledAhead = !canUseReplica(request) && isLoadControlEnabled('promptEvidence');
+    if (!isPolledAhead) return runAtMembers(request, createCommand);
+    // The evidence that a read of the primary needs is polled for while the read itself runs.
+    const stopPolling = verifier.pollAhead(planPolls(context, request.route));
+    try {
+      return await runAtMembers(request, createCommand);
+    } finally {
+      stopPolling();
+    }
   }
 
   async function runAtMembers(
@@ -196,7 +195,8 @@
       if (!first && all.length > 0) return undefined;
       if (!first && search.excludedMembers.size > 0) {
         // An excluded member may have capacity by now.
-        if (!candidates.hasIdle(request)) return undefined;
+        const canBeTriedAgain = { ...search, excludedMembers: undefined };
+        if (!candidates.hasIdle(request, canBeTriedAgain)) return undefined;
         search.excludedMembers.clear();
         continue;
       }
--- a/packages/gateway/src/lib/groups/statementAdmission.ts
+++ b/packages/gateway/src/lib/groups/statementAdmission.ts
@@ -241,7 +241,7 @@
 
   return {
     requestAdmission: (request) => {
-      // The limit may have grown since the last completion; a new statement must not profit first.
+      // The limit may have grown since the last completion; a new statement must not be admitted before waiting ones.
       if (fairOrder) admitWaiting();
       if (canRun(request)) {
         startRunning(request);
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -167,7 +167,7 @@
       });
       const outcome = await running.finally(() => member.admission.release(admissionRequest));
       recordLatency(context, member, sentStamp, outcome);
-      if (!hasWritten && !isWrite(request)) {
+      if (!hasWritten && !isWrite(request) && !hasStatementFailed(outcome)) {
         context.failureEjection.recordRun(member, { request, command, sentStamp, outcome });
       }
       if (outcome.type === 'answered') observeAnswer(context, member, sentStamp, outcome.answer);
@@ -294,6 +294,15 @@
   return { open };
 }
 
+/**
+ * Whether the statement failed or ran out of time. In a transaction it is not repeated elsewhere, so
+ * nothing tells whether the fault is its own or the member's.
+ */
+function hasStatementFailed(outcome: Awaited<ReturnType<typeof runWithDeadline>>): boolean {
+  if (outcome.type === 'lost') return outcome.cause === 'timeout';
+  return outcome.answer.outcome === 'refused';
+}
+
 function isBusy(outcome: StepOutcome): boolean {
   if (outcome.type !== 'answered' || outcome.answer.outcome !== 'refused') return false;
   return outcome.answer.reason === 'busy' && outcome.answer.transaction === 'open';
--- a/packages/gateway/src/lib/groups/upstreamPool.ts
+++ b/packages/gateway/src/lib/groups/upstreamPool.ts
@@ -227,8 +227,8 @@
   /** Chooses by usage, or the least recently used one; candidates are in the order of last use. */
   function chooseIdleToClose(candidates: PooledConnection[]): PooledConnection | undefined {
     if (!isChosenByUsage) return candidates[0];
-    const inUse = [...connections].filter((connection) => !idle.includes(connection));
-    return chooseConnectionToClose(candidates, { inUse, usage, now: clock.now() });
+    const others = [...connections].filter((connection) => !candidates.includes(connection));
+    return chooseConnectionToClose(candidates, { others, usage, now: clock.now() });
   }
 
   function closeConnection(connection: PooledConnection, cause: CloseCause): void {
@@ -374,7 +374,6 @@
 
   function maintain(): void {
     openForWaiters();
-    for (const connection of [...idle]) if (!connection.upstream.isOpen()) discard(connection);
     closeSurplus();
     usage.removeIdle(clock.now());
     counters.removeOld();
@@ -386,15 +385,28 @@
       ? SHORT_IDLE_MILLISECONDS
       : LONG_IDLE_MILLISECONDS;
     const share = options.isHolder() ? options.calculateFairShare() : 0;
+    const isStale = ({ idleSince }: PooledConnection) => clock.now() - idleSince > limit;
+    if (!isChosenByUsage) {
+      for (const connection of [...idle]) {
+        if (!connection.upstream.isOpen()) discard(connection);
+        else if (idle.length > share && isStale(connection)) closeIdle(connection);
+      }
+      return;
+    }
+    for (const connection of [...idle]) if (!connection.upstream.isOpen()) discard(connection);
     while (idle.length > share) {
-      const stale = idle.filter(({ idleSince }) => clock.now() - idleSince > limit);
+      const stale = idle.filter(isStale);
       const surplus = chooseIdleToClose(stale);
       if (!surplus) return;
-      closeConnection(surplus, 'asIdle');
-      openForWaiters();
+      closeIdle(surplus);
     }
   }
 
+  function closeIdle(connection: PooledConnection): void {
+    closeConnection(connection, 'asIdle');
+    openForWaiters();
+  }
+
   return {
     acquire,
     release,
--- a/packages/gateway/src/lib/relay/holderSelector.ts
+++ b/packages/gateway/src/lib/relay/holderSelector.ts
@@ -168,7 +168,7 @@
     const plan = getPlan(group);
     if (plan.type === 'everyone') return 0;
     if (place === dataCentre) return Math.min(plan.nearCount, plan.near.length);
-    return plan.far.filter((name) => isIn(name, place)).length;
+    return plan.far.filter((name) => isIn(name, place) && isReachable(name)).length;
   }
 
   function openLink(peer: Peer): PeerLink {
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -95,8 +95,12 @@
       return outcome;
     }
     const { answer, isOutOfReach, load, version } = outcome.response;
-    primaryRoute?.learn(load);
-    if (isOutOfReach) return { type: 'outOfReach' };
+    // A holder that is cut off from the others refuses, and may not know of a new primary.
+    if (answer?.isCompleted) primaryRoute?.learn(load);
+    if (isOutOfReach) {
+      primaryRoute?.avoid(link);
+      return { type: 'outOfReach' };
+    }
     if (!answer) return { type: 'otherVersion', version };
     const { action } = sent;
     if (action === 'read' || action === 'write') {
--- a/packages/gateway/src/test/failureEjection.test.ts
+++ b/packages/gateway/src/test/failureEjection.test.ts
@@ -108,6 +108,20 @@
     expect(listRuns('read')).toEqual(['db-2']);
   });
 
+  it('is answered with the first failure if the primary queues more than it can run', async () => {
+    // Guards against a search that alternates between the failed member and the full one without a
+    // pause, in which the process handles nothing else.
+    await start();
+    const session = gateway.openSession();
+    session.read('read');
+    await settle();
+    for (let count = 0; count < 700; count += 1) gateway.openSession().write(`filler-${count}`);
+    await settle();
+    findForwarded('read', 'db-2')!.fail();
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(session.answers).toMatchObject([{ reason: 'failed', detail: 'db-2' }]);
+  });
+
   it('is not repeated at a member beyond its leaving grace period', async () => {
     await start();
     const leaving = createDirectoryEntry({ isLeaving: true, revision: 2 });
--- a/packages/pooling/src/lib/connections/chooseConnectionToClose.ts
+++ b/packages/pooling/src/lib/connections/chooseConnectionToClose.ts
@@ -6,8 +6,8 @@
 }
 
 /**
- * Chooses which idle connection is closed for another team's, or because too many are idle. Answers a
- * load of more teams than connections: by least recent use, the connection of a frequent team is often
+ * Chooses which idle connection is closed for another team's, or because too many are idle. Needed
+ * where teams outnumber connections: by least recent use, the connection of a frequent team is often
  * closed for a team that sends one statement.
  *
  * Closes the connection with the fewest expected uses. An owner's further connections are used only
@@ -15,27 +15,27 @@
  * statements arrive independently.
  *
  * @param idle - candidates, the least recently used first; among equals, the first is chosen.
- * @param inUse - connections that run statements.
+ * @param others - connections that are not candidates: those in use, and idle ones to be kept.
  * @returns undefined if none is idle.
  * @public
  */
 export function chooseConnectionToClose<Connection extends OwnedConnection>(
   idle: readonly Connection[],
   options: {
-    inUse: readonly OwnedConnection[];
+    others: readonly OwnedConnection[];
     usage: Pick<OwnerUsage, 'getRate' | 'getLoad'>;
     now: number;
   },
 ): Connection | undefined {
-  const { inUse, usage, now } = options;
+  const { others, usage, now } = options;
   const counts = new Map<ConnectionOwner, number>();
-  for (const { owner } of [...inUse, ...idle]) counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  for (const { owner } of [...others, ...idle]) counts.set(owner, (counts.get(owner) ?? 0) + 1);
   let chosen: Connection | undefined;
   let lowestValue = Infinity;
   for (const connection of idle) {
     const { owner } = connection;
-    const others = counts.get(owner)! - 1;
-    const value = usage.getRate(owner, now) * computeTail(usage.getLoad(owner, now), others);
+    const further = counts.get(owner)! - 1;
+    const value = usage.getRate(owner, now) * computeTail(usage.getLoad(owner, now), further);
     if (value < lowestValue) {
       chosen = connection;
       lowestValue = value;
