--- a/packages/gateway/src/test/primaryRoute.test.ts
+++ b/packages/gateway/src/test/primaryRoute.test.ts
@@ -25,6 +25,13 @@
   transaction: 'open',
 };
 
+const refusal: UpstreamAnswer = {
+  outcome: 'refused',
+  reason: 'busy',
+  detail: 'no primary can take the write',
+  transaction: 'idle',
+};
+
 function createRequest(text: string, consistency: 'primary' | 'boundedStaleness' = 'primary') {
   const at = createProcessClock().now();
   const request: StatementRequest = {
@@ -45,7 +52,7 @@
   received: string[];
   /** Data centre of the primary that its answers name. */
   primaryDataCentre: string;
-  state: 'runs' | 'isOutOfReach' | 'loses';
+  state: 'runs' | 'refuses' | 'isOutOfReach' | 'loses';
 }
 
 function createFakeHolder(primaryDataCentre = 'zone-2'): FakeHolder {
@@ -67,12 +74,17 @@
             version: 1,
             answer: isOutOfReach
               ? undefined
-              : encodeAnswer(answer, { lastCommit: undefined, now: 0 }),
+              : encodeAnswer(holder.state === 'refuses' ? refusal : answer, {
+                  lastCommit: undefined,
+                  now: 0,
+                }),
             configurationJson: '',
             isOutOfReach,
             permits: undefined,
             isConfigurationCurrent: true,
-            load: { ...load, refusingMilliseconds: 0, isRefusingTeamOnly: false },
+            load: isOutOfReach
+              ? undefined
+              : { ...load, refusingMilliseconds: 0, isRefusingTeamOnly: false },
           },
         };
       },
@@ -235,6 +247,32 @@
     expect(await runner.write(write('WRITE b'))).toMatchObject({ outcome: 'completed' });
     expect(listReceived()).toEqual(['WRITE a WRITE b', 'WRITE b', '']);
   });
+
+  it('leave that holder out for a second', async () => {
+    // Guards against a transaction that ends at each instance because its first statement is sent to a
+    // holder that has just answered that it does not reach the members.
+    const { runner, listReceived, holders, advance } = createInstance();
+    await runner.write(write('WRITE a'));
+    holders['zone-2'].state = 'isOutOfReach';
+    await runner.write(write('WRITE b'));
+    await runner.write(write('WRITE c'));
+    holders['zone-2'].state = 'runs';
+    advance(1_001);
+    await runner.write(write('WRITE d'));
+    expect(listReceived()).toEqual(['WRITE a WRITE b WRITE c', 'WRITE b WRITE d', '']);
+  });
+
+  it('take the usual path once that holder has only refused for 5 s', async () => {
+    // Guards against a holder cut off from the other members that keeps naming a former primary.
+    const { runner, listReceived, holders, advance } = createInstance();
+    await runner.write(write('WRITE a'));
+    holders['zone-2'].state = 'refuses';
+    advance(3_000);
+    await runner.write(write('WRITE b'));
+    advance(2_001);
+    await runner.write(write('WRITE c'));
+    expect(listReceived()).toEqual(['WRITE a WRITE c', 'WRITE b', '']);
+  });
 });
 
 describe('an instance that is a holder', () => {
--- a/packages/gateway/src/test/returnGuidance.test.ts
+++ b/packages/gateway/src/test/returnGuidance.test.ts
@@ -46,7 +46,12 @@
 }
 
 /** Creates a group with an overloaded primary and an idle replica that lags by 6 s. */
-function createGroup({ isEnabled = true, isFair = false, replicaLag = 6_000 } = {}) {
+function createGroup({
+  isEnabled = true,
+  isFair = false,
+  replicaLag = 6_000,
+  isReplicaEjected = false,
+} = {}) {
   const now = { value: 10_000 };
   const primary = createMember('db-1', { wait: 900, lag: 0 });
   const replica = createMember('db-2', { wait: 5, lag: replicaLag });
@@ -64,7 +69,10 @@
     members: new Map([primary, replica].map((member) => [member.entry.memberId, member])),
     primaryTracker: { find: () => primary },
     leavingPolicy: { canAccept: () => true, limitDeadline: (_: unknown, at: number) => at },
-    failureEjection: { getStatus: () => 'available' },
+    failureEjection: {
+      getStatus: (member: Member) =>
+        isReplicaEjected && member === replica ? 'ejected' : 'available',
+    },
     evidence: {
       getHighestTerm: () => 1,
       findFloor: () => ({ position: { term: 1, index: 1 }, requestedAt: 0 }),
@@ -124,6 +132,11 @@
     expect(refuseRead(createGroup())).toBe(900);
   });
 
+  it('of a read leaves out an ejected replica', () => {
+    // Guards against a return after 50 ms because a member that gets no reads is idle.
+    expect(refuseRead(createGroup({ replicaLag: 0, isReplicaEjected: true }))).toBe(900);
+  });
+
   it('of a read is the wait of a replica that follows by then', () => {
     expect(refuseRead(createGroup({ replicaLag: 350 }))).toBe(350);
   });
