--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -109,53 +109,54 @@
     failureEjection.recordRead();
     if (leavingPolicy.isGroupClosed()) return { answer: refuseRead(request) };
     if (canUseReplica(request) && !candidates.hasPosition(request)) await readPositions.refresh();
-    const isPolledAhead = !canUseReplica(request) && isLoadControlEnabled('promptEvidence');
-    if (!isPolledAhead) return runAtMembers(request, createCommand);
-    // The evidence that a read of the primary needs is polled for while the read itself runs.
-    const stopPolling = verifier.pollAhead(planPolls(context, request.route));
+    const stopPolling = pollAhead(request);
     try {
-      return await runAtMembers(request, createCommand);
+      const attemptLog = createReadAttemptLog(context, request);
+      const search: ReadSearch = {
+        excludedMembers: new Set(),
+        hasRefreshedReadPosition: false,
+        canRepeat: createCommand().type !== 'begin',
+      };
+      const refuse = () => ({ answer: search.failedAnswer ?? refuseRead(request) });
+      for (;;) {
+        const found = await findMembers(request, search);
+        if (!found) return refuse();
+        const options = { request, createCommand, attemptLog, ...found };
+        const attempt = await hedgedReads.run(options);
+        const { candidate, outcome } = attempt;
+        const verdict = await evaluateOutcome(request, candidate, outcome);
+        if (outcome.type === 'answered') {
+          const { answer, connection } = outcome;
+          if (verdict === 'accepted')
+            {return { answer, routed: { ...candidate, answer, connection } };}
+          releaseConnection(context, { ...candidate, connection, transaction: answer.transaction });
+          if (verdict === 'final') {
+            if (!tryRepeat(request, search, attempt)) return { answer };
+            Object.assign(search, { failedMember: candidate.member, failedAnswer: answer });
+            logRepeat(request, candidate);
+            attemptLog.start();
+          }
+        }
+        if (verdict === 'excludeMember') {
+          if (!isMechanismEnabled('secondChoice')) return refuse();
+          search.excludedMembers.add(candidate.member);
+        }
+        if (mayHaveRun(outcome)) attemptLog.start();
+        counters.retries += 1;
+      }
     } finally {
-      stopPolling();
+      stopPolling?.();
     }
   }
 
-  async function runAtMembers(
-    request: StatementRequest,
-    createCommand: ReadCommandFactory,
-  ): Promise<{ answer: UpstreamAnswer; routed?: RoutedRead }> {
-    const attemptLog = createReadAttemptLog(context, request);
-    const search: ReadSearch = {
-      excludedMembers: new Set(),
-      hasRefreshedReadPosition: false,
-      canRepeat: createCommand().type !== 'begin',
-    };
-    const refuse = () => ({ answer: search.failedAnswer ?? refuseRead(request) });
-    for (;;) {
-      const found = await findMembers(request, search);
-      if (!found) return refuse();
-      const options = { request, createCommand, attemptLog, ...found };
-      const attempt = await hedgedReads.run(options);
-      const { candidate, outcome } = attempt;
-      const verdict = await evaluateOutcome(request, candidate, outcome);
-      if (outcome.type === 'answered') {
-        const { answer, connection } = outcome;
-        if (verdict === 'accepted') return { answer, routed: { ...candidate, answer, connection } };
-        releaseConnection(context, { ...candidate, connection, transaction: answer.transaction });
-        if (verdict === 'final') {
-          if (!tryRepeat(request, search, attempt)) return { answer };
-          Object.assign(search, { failedMember: candidate.member, failedAnswer: answer });
-          logRepeat(request, candidate);
-          attemptLog.start();
-        }
-      }
-      if (verdict === 'excludeMember') {
-        if (!isMechanismEnabled('secondChoice')) return refuse();
-        search.excludedMembers.add(candidate.member);
-      }
-      if (mayHaveRun(outcome)) attemptLog.start();
-      counters.retries += 1;
-    }
+  /**
+   * Polls for the evidence that a read of the primary needs while the read itself runs.
+   *
+   * @returns a function that stops the polling; undefined if the evidence is not polled for.
+   */
+  function pollAhead(request: StatementRequest): (() => void) | undefined {
+    const isWanted = !canUseReplica(request) && isLoadControlEnabled('promptEvidence');
+    return isWanted ? verifier.pollAhead(planPolls(context, request.route)) : undefined;
   }
 
   /**
