--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -127,8 +127,9 @@
         const verdict = await evaluateOutcome(request, candidate, outcome);
         if (outcome.type === 'answered') {
           const { answer, connection } = outcome;
-          if (verdict === 'accepted')
-            {return { answer, routed: { ...candidate, answer, connection } };}
+          if (verdict === 'accepted') {
+            return { answer, routed: { ...candidate, answer, connection } };
+          }
           releaseConnection(context, { ...candidate, connection, transaction: answer.transaction });
           if (verdict === 'final') {
             if (!tryRepeat(request, search, attempt)) return { answer };
