--- a/packages/core/src/lib/admission/fairOrder.ts
+++ b/packages/core/src/lib/admission/fairOrder.ts
@@ -43,7 +43,7 @@
 /**
  * Creates an empty order of the statements that wait for one member.
  *
- * Answers a load in which callers of many teams want more than a member can run: it bounds how long the
+ * Intended for a load in which callers of many teams want more than a member can run: it bounds how long the
  * statements of one team delay those of the others, and those of a high priority the ones below.
  * Statements of open transactions go first. Then the lowest priority number goes first, except that of
  * every 8 choices one goes to the last band, and one to the bands between, while their oldest statement
--- a/packages/core/src/lib/admission/queueDelayLimit.ts
+++ b/packages/core/src/lib/admission/queueDelayLimit.ts
@@ -89,7 +89,7 @@
 
   const isWindowOver = (delay: number, now: number): boolean => {
     if (now - window.startedAt < MINIMUM_WINDOW_MILLISECONDS) return false;
-    // One short latency disproves a standing queue; a delay must be shown by several.
+    // One short latency shows that there is no standing queue; only several show that there is one.
     const isDelayed = delay > targetDelayMilliseconds;
     const required = isDelayed ? Math.max(limit, MINIMUM_DELAYED_STATEMENTS) : Math.floor(limit);
     return window.statements >= required;
--- a/packages/core/src/lib/admission/returnSchedule.ts
+++ b/packages/core/src/lib/admission/returnSchedule.ts
@@ -1,7 +1,7 @@
 /**
  * Return times and return credits of refused statements.
  *
- * They answer an overload in which callers that are told the same short time return together, find
+ * Intended for an overload in which callers that are told the same short time return together, find
  * the same full queue and use up their attempts.
  */
 
@@ -78,7 +78,7 @@
     const offset = Math.max(0, lastPlaceAt + distance - (now + earliest));
     const isBeyondHorizon = earliest + offset > MAXIMUM_RETURN_MILLISECONDS;
     lastPlaceAt = now + earliest + (isBeyondHorizon ? 0 : offset);
-    const place = earliest + foldInto(offset, longest - earliest);
+    const place = earliest + wrapInto(offset, longest - earliest);
     const spread = jitter * Math.min(MAXIMUM_JITTER_MILLISECONDS, distance * JITTER_FRACTION);
     return Math.round(Math.min(longest, place + spread));
   }
@@ -86,7 +86,7 @@
   return { reserve };
 }
 
-function foldInto(offset: number, span: number): number {
+function wrapInto(offset: number, span: number): number {
   if (offset <= span) return offset;
   return span > 0 ? offset % span : 0;
 }
--- a/packages/core/src/lib/reads/evidencePolling.ts
+++ b/packages/core/src/lib/reads/evidencePolling.ts
@@ -34,7 +34,7 @@
 /**
  * Plans polls by the time that the route's goal leaves after the statements of an operation.
  *
- * Answers the load of short transactions with a tight goal at instances that see few reads: these waited
+ * Intended for short transactions with a tight goal at instances that see few reads: these waited
  * a fifth of their goal before the first poll, twice in each transaction, and were late on calm days.
  *
  * @param options.goal - latency goal of the route, in milliseconds.
--- a/packages/core/src/lib/routing/failureDetector.ts
+++ b/packages/core/src/lib/routing/failureDetector.ts
@@ -133,7 +133,7 @@
 /**
  * Detects replicas that fail the statements sent to them, from the outcomes of their runs.
  *
- * Answers the load of a replica that fails each statement within 2 ms while its health check is good.
+ * Intended for a replica that fails each statement within 2 ms while its health check is good.
  * Such a replica looks idle and fast, and attracts the reads of all instances: in 7.4 s, 1,885 to 1,987
  * statements failed there. Each instance decides alone and after few runs, so a member is ejected for
  * 0.5 s first, and failures are compared with the runs at the other members: a statement that fails
@@ -168,7 +168,7 @@
     return state;
   }
 
-  /** Whether most failed statements of late failed at a second member as well. */
+  /** Whether most recent failed statements failed at a second member as well. */
   const isUsuallyStatementFault = (now: number) =>
     computeFailureRate(comparisons.sum(now)) > HIGH_FAILURE_RATE;
 
@@ -298,7 +298,7 @@
     });
   }
 
-  /** Handles a run at an ejected member; one that was sent before the trial time tells nothing. */
+  /** Handles a run at an ejected member; one that was sent before the trial time gives no information. */
   function recordTrial(state: MemberState, run: RecordedRun, { sentAt, now }: MemberRun) {
     const ejection = state.ejection!;
     if (sentAt < ejection.until || run.isExcused) return [];
--- a/packages/core/src/lib/routing/runWindow.ts
+++ b/packages/core/src/lib/routing/runWindow.ts
@@ -8,7 +8,7 @@
   hasFailed: boolean;
   /** Whether the statement failed at another member too, so that no member is at fault. */
   isExcused: boolean;
-  /** Whether the statement has run at another member as well, whatever came of it there. */
+  /** Whether the statement has run at another member as well, whatever its outcome there. */
   isCompared: boolean;
 }
 
@@ -43,7 +43,7 @@
 const BUCKET_MILLISECONDS = 1_000;
 const BUCKETS = 10;
 
-/** Age beyond which a run says nothing about the present state of its member. */
+/** Age beyond which a run gives no information about the present state of its member. */
 export const COMPARISON_MILLISECONDS = BUCKETS * BUCKET_MILLISECONDS;
 
 export function computeFailureRate({ runs, failures }: RunCounts): number {
--- a/packages/gateway/src/lib/configuration/loadControls.ts
+++ b/packages/gateway/src/lib/configuration/loadControls.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-/** Controls of load that a deployment can ask for. @public */
+/** Load controls that a deployment can enable. @public */
 export const LOAD_CONTROLS = [
   /** Orders waiting statements fairly between teams, within each priority. */
   'fairOrder',
@@ -10,7 +10,7 @@
   'retryGuidance',
   /** Sends statements that only the primary can run to the holder in the primary's data centre. */
   'primaryHolder',
-  /** Asks replicas early for the evidence that statements with a tight goal wait for. */
+  /** Polls replicas early for the evidence that statements with a tight goal wait for. */
   'promptEvidence',
   /** Sends reads elsewhere while a replica fails them, and repeats failed reads. */
   'failureEjection',
@@ -19,7 +19,7 @@
 /** @public */
 export type LoadControl = (typeof LOAD_CONTROLS)[number];
 
-/** Whether a deployment asks for a control. @public */
+/** Whether a deployment enables a control. @public */
 export type IsLoadControlEnabled = (control: LoadControl) => boolean;
 
 /** A list of the controls that are enabled; each is disabled by default. @public */
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -69,7 +69,7 @@
   random: () => number;
   /** Mechanisms disabled for an experiment. */
   disabledMechanisms?: ReadonlySet<Mechanism>;
-  /** Load controls that the deployment asks for; none if omitted. */
+  /** Load controls that the deployment enables; none if omitted. */
   loadControls?: ReadonlySet<LoadControl>;
   onAnswered: (sample: AnswerSample) => void;
 }
--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -66,7 +66,7 @@
   const isAdmissionRequired = command.type !== 'begin';
   const queuedAt = context.clock.now();
   const { priority, goal } = request.route;
-  // The start of a transaction is not ordered here and leaves the credit to another statement.
+  // The start of a transaction is not ordered here and uses no credit.
   const orderedAt = isAdmissionRequired
     ? context.returnGuidance?.findOrderingTime(request)
     : undefined;
--- a/packages/gateway/src/lib/groups/failureEjection.ts
+++ b/packages/gateway/src/lib/groups/failureEjection.ts
@@ -5,7 +5,7 @@
 import type { Member } from './member';
 import type { StatementRequest } from './statementRequest';
 
-/** A command that was sent to a member, and what came of it. */
+/** A command that was sent to a member, and its outcome. */
 export interface SentCommand {
   request: StatementRequest;
   command: Pick<UpstreamCommand, 'type'>;
@@ -139,7 +139,7 @@
   };
 }
 
-/** Classifies a run; undefined if it tells nothing about the member. */
+/** Classifies a run; undefined if it gives no information about the member. */
 function classifyOutcome(
   { request, command, sentStamp, outcome }: SentCommand,
   now: number,
--- a/packages/gateway/src/lib/groups/returnGuidance.ts
+++ b/packages/gateway/src/lib/groups/returnGuidance.ts
@@ -93,11 +93,11 @@
     const now = clock.now();
     const { priority, goal, timeout } = route;
     const another = { priority, goal, arrivedAt: now, deadlineAt: now + timeout, team };
-    const excesses = queues
+    const excessWaits = queues
       .filter(({ lagWait }) => lagWait <= timeout)
       .map(({ member }) => member.admission.estimateExcessWait(another));
-    if (excesses.length === 0) return 0;
-    return Math.min(MAXIMUM_REFUSAL_MILLISECONDS, Math.ceil(Math.min(...excesses)));
+    if (excessWaits.length === 0) return 0;
+    return Math.min(MAXIMUM_REFUSAL_MILLISECONDS, Math.ceil(Math.min(...excessWaits)));
   }
 
   return { instance, planReturn, findOrderingTime, estimateRefusal };
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -24,14 +24,14 @@
   replicaReads: 'reads outside of transactions that a replica answered',
   primaryReads: 'reads outside of transactions that the primary answered',
   refusedAtFirstInstance: 'statements refused on behalf of a holder without capacity',
-  returnCreditsGiven: 'places in the order kept for refused statements',
+  returnCreditsGiven: 'return credits given to refused statements',
   returnCreditsUsed: 'statements ordered by the arrival of a refused one',
   sentToLeaving: 'statements sent to a member that leaves',
   unconfirmedAlone:
     'statements of groups of one member that an old list of members left unconfirmed',
   sentToPrimaryHolder:
-    "statements for the primary alone, sent to the holder in the primary's data centre",
-  sentToNearHolder: 'statements for the primary alone that took the usual path',
+    "statements that only the primary can run, sent to the holder in the primary's data centre",
+  sentToNearHolder: 'statements that only the primary can run and that took the usual path',
 } as const;
 
 /** Metrics of members where failing ones are ejected; no values elsewhere. */
@@ -71,6 +71,7 @@
     read: ({ lastResortReads }) => lastResortReads,
   },
 ];
+
 /** Gauges of the adaptive concurrency limits, by member; without values where it is disabled. */
 const CONCURRENCY_GAUGES = {
   limit: {
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -67,7 +67,7 @@
 interface RelayAttempts {
   /** Links to holders that do not reach the members. */
   refusing: Set<PeerLink>;
-  /** Link to the holder in the primary's data centre if the statement was sent there. */
+  /** Last link to a holder in the primary's data centre that the statement was sent to. */
   primaryLink?: PeerLink;
 }
 
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -178,7 +178,7 @@
     sameDataCentreDelay: time.default(0.2),
     otherDataCentreDelay: time,
     callerDelay: time,
-    /** Load controls that the deployment asks for. */
+    /** Load controls that the deployment enables. */
     loadControls: loadControlsSchema.prefault([]),
     teams: z
       .strictObject({
