Log how a read position was found without the primary

A position found without the primary, or its absence, is logged with the members that did not answer and each member's last log end, when it differs from the one before; so are the log ends when a member is missing or gone, and the required log of each attempt of a read. No decision is changed.

--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -93,6 +93,18 @@
   });
 }
 
+/**
+ * Describes the log end that each member last told, and how long ago it was asked, for the log: which
+ * of them may hold acknowledged commits that the others lack.
+ */
+export function describeLogEnds({ clock, evidence, members }: GroupContext) {
+  return [...members.keys()].map((memberId) => {
+    const seen = evidence.getLatestObservation(memberId);
+    const age = seen && Math.round(clock.now() - seen.requestedAt);
+    return { memberId, received: seen?.position, applied: seen?.applied, age };
+  });
+}
+
 /** Records the log position that a member's answer shows. */
 export function observeAnswer(
   context: GroupContext,
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -23,7 +23,7 @@
 import type { ReachMonitor } from './reachMonitor';
 import { createReadPositionRefresher } from './readPositionRefresher';
 import { createEvidencePoller } from './evidencePoller';
-import { createSequencedTime } from './groupContext';
+import { createSequencedTime, describeLogEnds } from './groupContext';
 import { createFailureEjection } from './failureEjection';
 import type { MemberFailureCounts } from './failureEjection';
 import type { StatementRunner } from './statementRunner';
@@ -244,7 +244,8 @@
     for (const entry of entries) addOrUpdate(entry, isFirstDirectory);
     for (const member of members.values()) {
       if (!listed.has(member.entry.memberId) && member.missingSince === undefined) {
-        logger.warn('memberMissing', { group, memberId: member.entry.memberId });
+        const { memberId } = member.entry;
+        logger.warn('memberMissing', { group, memberId, logEnds: describeLogEnds(context) });
         member.missingSince = clock.now();
       }
     }
@@ -374,7 +375,7 @@
       member.pool.maintain();
       const missing = member.missingSince;
       if (missing !== undefined && clock.now() - missing > missingMemberRetentionMilliseconds) {
-        logger.warn('memberGone', { group, memberId });
+        logger.warn('memberGone', { group, memberId, logEnds: describeLogEnds(context) });
         members.delete(memberId);
         evidence.removeMember(memberId);
         failureEjection.removeMember(memberId);
--- a/packages/gateway/src/lib/groups/hedgedReads.ts
+++ b/packages/gateway/src/lib/groups/hedgedReads.ts
@@ -122,7 +122,7 @@
         queueTimeout: chooseQueueTimeout(request),
         isAbandoned,
         isEjected: () => hasBeenEjected(candidate),
-        onSend: (connection) => attemptLog.recordSent(entry.memberId, connection),
+        onSend: (connection) => attemptLog.recordSent(entry.memberId, connection, candidate.after),
       });
       if (outcome.type === 'notSent') attemptLog.recordNotSent(entry.memberId, outcome.cause);
       if (candidate.isTrialRead) lag.endTrialRead();
--- a/packages/gateway/src/lib/groups/readAttemptLog.ts
+++ b/packages/gateway/src/lib/groups/readAttemptLog.ts
@@ -1,3 +1,4 @@
+import type { Position } from '@wisterialift/schema';
 import type { NotSentCause } from './attemptCommand';
 import type { GroupContext } from './groupContext';
 import type { StatementRequest } from './statementRequest';
@@ -11,7 +12,8 @@
 export interface ReadAttemptLog {
   /** Logs the attempts so far and each further one; called once several of them may run. */
   start: () => void;
-  recordSent: (memberId: string, connection: PooledConnection) => void;
+  /** @param after - log that the member must have applied; any if omitted. */
+  recordSent: (memberId: string, connection: PooledConnection, after?: Position) => void;
   recordNotSent: (memberId: string, cause: NotSentCause) => void;
 }
 
@@ -45,7 +47,7 @@
       isStarted = true;
       unwritten.splice(0).forEach(write);
     },
-    recordSent: (memberId, { number, preparedVersion }) => {
+    recordSent: (memberId, { number, preparedVersion }, after) => {
       sentCount += 1;
       record('readAttemptSent', {
         memberId,
@@ -54,6 +56,7 @@
         statementVersion: sessionState.version,
         preparedVersion,
         sessionVersion: session.stateVersion,
+        ...(after && { after }),
       });
     },
     recordNotSent: (memberId, cause) => record('readAttemptNotSent', { memberId, cause }),
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -1,6 +1,8 @@
 import type { MemberReport } from '@wisterialift/pooling';
 import { getHigherPosition } from '@wisterialift/schema';
+import type { Position } from '@wisterialift/schema';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
+import { describeLogEnds } from './groupContext';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
@@ -39,8 +41,9 @@
   context: GroupContext,
   guard: Pick<SoleMemberGuard, 'isEveryCommitReplicated' | 'isReplicationProven'>,
 ): ReadPositionRefresher {
-  const { primaryTracker, clock, evidence, members } = context;
+  const { primaryTracker, clock, evidence, group, logger, members } = context;
   let pendingRefresh: Promise<void> | undefined;
+  let loggedResult: string | undefined;
 
   async function refreshOnce(): Promise<void> {
     const primary = primaryTracker.find();
@@ -69,16 +72,36 @@
     const responses = await Promise.all(others.map(queryReport));
     const reports = responses.filter((report): report is MemberReport => report !== undefined);
     const [first, ...rest] = reports.map(({ received }) => received);
-    if (!first || reports.length < Math.max(1, members.size - 1)) return false;
+    const unansweredIds = others
+      .filter((_, index) => !responses[index])
+      .map(({ entry }) => entry.memberId);
+    const primaryId = primary?.entry.memberId;
+    if (!first || reports.length < Math.max(1, members.size - 1)) {
+      logResult('readPositionNotFound', { primaryId, unansweredIds });
+      return false;
+    }
     if (!guard.isReplicationProven()) {
       const hasAnswered = resolveWithTimeout(clock, primaryAnswer, PRIMARY_GRACE_MILLISECONDS);
       if (await hasAnswered) return true;
       if (!(await guard.isEveryCommitReplicated())) return false;
     }
-    evidence.addFloor({ requestedAt: sentAt, position: rest.reduce(getHigherPosition, first) });
+    const position = rest.reduce(getHigherPosition, first);
+    logResult('readPositionFound', { primaryId, unansweredIds, position });
+    evidence.addFloor({ requestedAt: sentAt, position });
     return true;
   }
 
+  /** Logs a result that differs from the one before, because reads repeat the query all the time. */
+  function logResult(
+    event: 'readPositionFound' | 'readPositionNotFound',
+    fields: { primaryId?: string; unansweredIds: string[]; position?: Position },
+  ): void {
+    const result = JSON.stringify({ event, ...fields });
+    if (result === loggedResult) return;
+    loggedResult = result;
+    logger.info(event, { group, ...fields, logEnds: describeLogEnds(context) });
+  }
+
   return {
     refresh: () => {
       pendingRefresh ??= refreshOnce().finally(() => {
