--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -69,6 +69,8 @@
   transaction: UpstreamAnswer['transaction'];
   values: Map<string, string>;
   preparedNames: Set<string>;
+  /** Fails the commands that are never answered, as the end of the connection does. */
+  loseCommands: (() => void)[];
 }
 
 /** A prepared statement that a member ran, with the session values of its connection. */
@@ -168,7 +170,7 @@
     command: UpstreamCommand,
   ): Promise<UpstreamAnswer> {
     commands.push({ memberId, type: command.type });
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       if (command.type === refusedCommandType) {
         refusedCommandType = undefined;
         const { transaction } = state;
@@ -188,7 +190,10 @@
         demoted.add(memberId);
         handleDemoted();
       }
-      if (silent.has(memberId)) return;
+      if (silent.has(memberId)) {
+        state.loseCommands.push(() => reject(new Error(`${memberId} did not answer`)));
+        return;
+      }
       if (command.type === 'rollback') Object.assign(state, { transaction: 'idle' });
       const values = Object.fromEntries(state.values);
       const { transaction } = state;
@@ -223,6 +228,7 @@
             transaction: 'idle',
             values: new Map(),
             preparedNames: new Set(),
+            loseCommands: [],
           };
           if (unreachedMembers.has(memberId)) {
             await new Promise<void>((resolve) => {
@@ -232,7 +238,10 @@
           return {
             run: (command) => run(memberId, state, command),
             isOpen: () => true,
-            close: () => closed.push(memberId),
+            close: () => {
+              closed.push(memberId);
+              for (const lose of state.loseCommands) lose();
+            },
           };
         },
         readReport: (answer) => {
