Keep the revision at which the stand-in store created an object

The stand-in gave an object a new creation revision at each change, as if it had been removed and created again. An instance took each member that changed for one listed anew, so the time since which it knows a member began again at each change of role. The revision stays until the object is removed now, as the platform's page says of `created`.

--- a/stand-ins/line-platform/src/lib/objectStoreServer.ts
+++ b/stand-ins/line-platform/src/lib/objectStoreServer.ts
@@ -61,7 +61,8 @@
 
   function put(kind: string, name: string, spec: unknown): StoredObject {
     revision += 1;
-    const meta = { name, revision, created: revision, finalizers: [], deleting: false };
+    const created = objectsOf(kind).get(name)?.meta.created ?? revision;
+    const meta = { name, revision, created, finalizers: [], deleting: false };
     const object = { meta, spec, status: null };
     objectsOf(kind).set(name, object);
     publish({ kind, revision, object, deleted: false });
