Let a stand-in database fall silent and return under another id

The tests of members that depart need two things that the line platform's stand-in lacked: a database that takes connections and answers nothing, and one that is down and comes back at its address under another id with its log, as the primary unless another member was promoted meanwhile.

--- a/stand-ins/line-platform/src/lib/lineDatabase.ts
+++ b/stand-ins/line-platform/src/lib/lineDatabase.ts
@@ -24,7 +24,7 @@
   address: string;
   runs: StatementRun[];
   connectionCount: () => number;
-  /** Drops all connections; with `isDark`, new ones are not answered. */
+  /** Drops all connections and takes no new ones. */
   crash: () => Promise<void>;
   close: () => Promise<void>;
 }
@@ -46,9 +46,11 @@
 
 let transactions = 0;
 
+/** @param options.port - port to listen on; any free one if omitted. */
 export async function startLineDatabase(
   group: LineGroup,
   member: LineMember,
+  { port = 0 }: { port?: number } = {},
 ): Promise<LineDatabase> {
   const runs: StatementRun[] = [];
   const sockets = new Set<Socket>();
@@ -60,7 +62,7 @@
     socket.on('error', () => socket.destroy());
     serveConnection({ socket, group, member, runs, connection: connections });
   });
-  const address = await listen(server);
+  const address = await listen(server, port);
 
   const stop = () =>
     new Promise<void>((resolve) => {
@@ -88,7 +90,9 @@
   let rest = '';
   let work = Promise.resolve();
 
-  const send = (line: string) => socket.writable && socket.write(`${line}\r\n`, 'latin1');
+  const send = (line: string) => {
+    if (socket.writable && !member.faults.isSilent) socket.write(`${line}\r\n`, 'latin1');
+  };
   const state = () => {
     if (isFailed) return 'E';
     return transaction ? 'T' : 'I';
@@ -273,6 +277,7 @@
   }
 
   socket.on('data', (chunk: Buffer) => {
+    if (member.faults.isSilent) return;
     rest += chunk.toString('latin1');
     const lines = rest.split('\r\n');
     rest = lines.pop() ?? '';
@@ -280,9 +285,9 @@
   });
 }
 
-function listen(server: Server): Promise<string> {
+function listen(server: Server, port: number): Promise<string> {
   return new Promise((resolve) => {
-    server.listen({ host: '127.0.0.1', port: 0 }, () => {
+    server.listen({ host: '127.0.0.1', port }, () => {
       resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`);
     });
   });
--- a/stand-ins/line-platform/src/lib/lineGroup.ts
+++ b/stand-ins/line-platform/src/lib/lineGroup.ts
@@ -22,6 +22,8 @@
   isHolding: boolean;
   /** Refuses new connections because there are too many. */
   isFull: boolean;
+  /** Takes connections, reads nothing from them and answers nothing. */
+  isSilent: boolean;
 }
 
 /** State of one database of a group. */
@@ -46,6 +48,11 @@
   promote: (id: string) => boolean;
   pause: (member: LineMember, term: number) => void;
   demote: (member: LineMember, term: number) => void;
+  /**
+   * Starts a member that is down again under another id, with its log. It leads again unless another
+   * member was promoted meanwhile.
+   */
+  restartAs: (id: string, nextId: string) => LineMember;
   onRoleChange: (listener: (member: LineMember) => void) => void;
 }
 
@@ -66,6 +73,7 @@
   workTime: 1,
   isHolding: false,
   isFull: false,
+  isSilent: false,
 };
 
 export function createLineGroup(options: LineGroupOptions): LineGroup {
@@ -109,6 +117,12 @@
     }
   }
 
+  /** Returns the primary of the highest term that is up. */
+  const findLeader = () =>
+    [...members.values()]
+      .filter(({ role, isUp }) => role === 'primary' && isUp)
+      .sort((left, right) => right.term - left.term)[0];
+
   function changeRole(member: LineMember, role: LineMember['role'], term: number): void {
     Object.assign(member, { role, term, heldTerm: 0 });
     if (role === 'primary') Object.assign(member, { applied: member.log.length });
@@ -150,6 +164,17 @@
       const leader = [...members.values()].find(({ role }) => role === 'primary');
       if (leader) replicate(leader);
     },
+    restartAs: (id, nextId) => {
+      const former = members.get(id)!;
+      members.delete(id);
+      const role = former.role === 'primary' && !findLeader() ? 'primary' : 'replica';
+      const faults = { ...NO_FAULTS, applyDelay };
+      const member = { ...former, id: nextId, role, heldTerm: 0, isUp: true, faults } as const;
+      members.set(nextId, member);
+      const leader = findLeader();
+      if (leader) replicate(leader);
+      return member;
+    },
     onRoleChange: (listener) => listeners.push(listener),
   };
 }
