Rest commits on registered members, and positions on all of them but one

Cause: an acknowledgement counts the members that its instance lists at that moment, a position learned without the primary and a promotion count those that another list holds later. Here a leaving replica had confirmed 2.22 to 2.24; the primary crashed and was dropped, the replica ended, and the third member, at 2.21, was one answer of two: 'all members but one', where the one was meant to be the primary. The class is a proof that counts members and is used with other members than it counted.

Change: each group has a register of its members in the store, one object changed under its revision. A commit is acknowledged on the primary and a replica that are both registered, or on all members listed. A member is registered once every instance that relies on its directory knows it (11.5 s); it leaves the register once no instance counts its word (13.5 s, or at once if its successor shows that its process ended) and a replica was seen to hold the primary's log end that was requested after that. So two registered members hold each acknowledged commit: a position without the primary needs answers of all of them but one, a promotion is deferred while more than one is missing whose commits are not seen elsewhere, for 13.5 s at most. A life of a process is registered, not an id. An instance whose directory is older than 10 s lets only all listed members confirm, and learns no position without the primary.

What is refused now: such reads, and promotions, while a member departed whose commits are not seen elsewhere; a read without the primary for 13.5 s after a departure. Metrics: read positions found and not found without the primary.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -44,9 +44,12 @@
   type DirectoryPort,
   type PromotionOrderOutcome,
   type PromotionOrderClient,
+  type MemberRegisterStore,
   type PromotionStore,
+  type RecordStore,
   type ReplacementOutcome,
   type StoredPromotionRecord,
+  type StoredRecord,
 } from './lib/ports/platformPort';
 export {
   type UpstreamConnection,
--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -23,6 +23,7 @@
   ConfigurationPort,
   DirectoryPort,
   PromotionOrderClient,
+  MemberRegisterStore,
   PromotionStore,
 } from './ports/platformPort';
 import type { UpstreamDriver } from './ports/upstreamPort';
@@ -60,6 +61,7 @@
   directory: DirectoryPort;
   configuration: ConfigurationPort;
   store: PromotionStore;
+  memberRegisters: MemberRegisterStore;
   orders: PromotionOrderClient;
   registry: InstanceRegistry;
   transport: RelayTransport;
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -1,4 +1,9 @@
-import type { ReplicationTracker, MemberReport, UpstreamAnswer } from '@wisterialift/pooling';
+import type {
+  MemberObservation,
+  MemberReport,
+  ReplicationTracker,
+  UpstreamAnswer,
+} from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import type { Logger } from '@wisterialift/telemetry';
 import type { IsMechanismEnabled } from '../mechanisms';
@@ -23,6 +28,8 @@
   driver: UpstreamDriver;
   /** Reports a suspected failure of the primary to the promotion controller. */
   suspectPrimary: (cause: SuspicionCause, member: Member | undefined) => void;
+  /** Passes on what a member's answer shows, after `evidence` has taken it into account. */
+  reportObservation: (observation: MemberObservation) => void;
   counters: GroupCounters;
   leavingPolicy: LeavingMemberPolicy;
   failureEjection: FailureEjection;
@@ -49,6 +56,10 @@
   replicaReads: number;
   /** Reads outside transactions answered by the primary. */
   primaryReads: number;
+  /** Read positions found without the primary. */
+  positionsFound: number;
+  /** Searches for one that failed, because members that may hold acknowledged commits were silent. */
+  positionsNotFound: number;
   /** Statements sent to a leaving member. */
   sentToLeaving: number;
   /** Statements refused on behalf of a holder that had stated to have no capacity. */
@@ -112,12 +123,12 @@
   sentStamp: SequencedTime,
   { position }: UpstreamAnswer,
 ): void {
-  const { evidence, primaryTracker, clock } = context;
+  const { primaryTracker, clock } = context;
   const { memberId } = member.entry;
   Object.assign(member, { answeredAt: clock.now(), failures: 0 });
   if (!position) return;
   recordReplicaLag(context, member, sentStamp, position);
-  evidence.observe({
+  recordObservation(context, {
     memberId,
     requestSequenceNumber: sentStamp.sequence,
     requestedAt: sentStamp.at,
@@ -128,6 +139,14 @@
   });
 }
 
+function recordObservation(
+  { evidence, reportObservation }: GroupContext,
+  observation: MemberObservation,
+): void {
+  evidence.observe(observation);
+  reportObservation(observation);
+}
+
 /** Records how far a member's applied log lags behind the primary. */
 function recordReplicaLag(
   { clock, evidence }: GroupContext,
@@ -147,11 +166,11 @@
   sentStamp: SequencedTime,
   { report, applied }: { report: MemberReport; applied: Position },
 ): void {
-  const { evidence, primaryTracker } = context;
+  const { primaryTracker } = context;
   const { memberId } = member.entry;
   if (report.isPrimary) primaryTracker.confirmPrimary(memberId, report.term);
   recordReplicaLag(context, member, sentStamp, applied);
-  evidence.observe({
+  recordObservation(context, {
     memberId,
     requestSequenceNumber: sentStamp.sequence,
     requestedAt: sentStamp.at,
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -14,7 +14,11 @@
 import type { IsMechanismEnabled } from '../mechanisms';
 import { isSameProcess } from '../directory/directoryCache';
 import type { CachedDirectoryEntry } from '../directory/directoryCache';
-import type { PromotionOrderClient, PromotionStore } from '../ports/platformPort';
+import type {
+  MemberRegisterStore,
+  PromotionOrderClient,
+  PromotionStore,
+} from '../ports/platformPort';
 import type { UpstreamDriver } from '../ports/upstreamPort';
 import { createPromotionController } from '../promotion/promotionController';
 import { estimateRefusal } from './refusalEstimate';
@@ -29,6 +33,7 @@
 import type { StatementRunner } from './statementRunner';
 import type { GroupContext, GroupCounters } from './groupContext';
 import { createLeavingMemberPolicy } from './leavingMemberPolicy';
+import { createMemberRegistrar } from './memberRegistrar';
 import { backOffFromMember, createMember, describeLeavingTime } from './member';
 import type { Member } from './member';
 import { computeTargetDelay } from './memberConcurrency';
@@ -90,6 +95,7 @@
   limits: RouterLimits;
   driver: UpstreamDriver;
   store: PromotionStore;
+  memberRegisters: MemberRegisterStore;
   orders: PromotionOrderClient;
   clock: Clock;
   /** Returns a uniformly distributed number in [0, 1). */
@@ -163,6 +169,8 @@
     refusedBesideIdle: 0,
     replicaReads: 0,
     primaryReads: 0,
+    positionsFound: 0,
+    positionsNotFound: 0,
     sentToLeaving: 0,
     refusedAtFirstInstance: 0,
     returnCreditsGiven: 0,
@@ -174,6 +182,7 @@
   const waitStatistics = createWaitStatistics(clock);
   let { limits } = options;
   let onSuspicion: GroupContext['suspectPrimary'] = () => undefined;
+  let onObservation: GroupContext['reportObservation'] = () => undefined;
 
   const context: GroupContext = {
     group,
@@ -196,12 +205,16 @@
       ),
     random: options.random,
     suspectPrimary: (cause, member) => onSuspicion(cause, member),
+    reportObservation: (observation) => onObservation(observation),
   };
   const soleMemberGuard = createSoleMemberGuard(context, options);
+  const registrar = createMemberRegistrar(context, options);
+  onObservation = registrar.observe;
   const reachMonitor = createReachMonitor(context, options);
   const promotion = createPromotionController(context, {
     ...options,
     soleMemberGuard,
+    registrar,
     reachMonitor,
   });
   onSuspicion = promotion.reportSuspicion;
@@ -209,8 +222,9 @@
   const primaryVerifier = createPrimaryVerifier(context, {
     poller: evidencePoller,
     soleMemberGuard,
+    registrar,
   });
-  const readPositions = createReadPositionRefresher(context, soleMemberGuard);
+  const readPositions = createReadPositionRefresher(context, { guard: soleMemberGuard, registrar });
   const reads = createReadRouter(context, {
     verifier: primaryVerifier,
     soleMemberGuard,
@@ -249,6 +263,7 @@
         member.missingSince = clock.now();
       }
     }
+    registrar.check();
     primaryTracker.notifyChange();
     checkPrimaryIfHolder();
     prefetchReadPosition();
@@ -290,6 +305,7 @@
     logger.warn('memberRestarted', { group, memberId, former: former.startedAt });
     pool.close();
     failureEjection.removeMember(memberId);
+    registrar.forget(memberId);
     primaryTracker.discardConfirmations(memberId);
     ignoreDuringPromotions(entry);
   }
@@ -377,11 +393,13 @@
       if (missing !== undefined && clock.now() - missing > missingMemberRetentionMilliseconds) {
         logger.warn('memberGone', { group, memberId, logEnds: describeLogEnds(context) });
         members.delete(memberId);
+        registrar.forget(memberId);
         evidence.removeMember(memberId);
         failureEjection.removeMember(memberId);
         member.pool.close();
       }
     }
+    registrar.check();
     checkPrimaryIfHolder();
     if (isHolder()) soleMemberGuard.checkMembers();
   }
--- /dev/null
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -0,0 +1,325 @@
+import {
+  computeAgeUpperBound,
+  createDepartedMembers,
+  DEPARTURE_SETTLING_MILLISECONDS,
+  isDirectoryValid,
+  isSameLife,
+  subtractMembers,
+} from '@wisterialift/pooling';
+import type {
+  ClockReadings,
+  MemberObservation,
+  MemberRegister,
+  RegisteredMember,
+} from '@wisterialift/pooling';
+import type { MemberRegisterStore, StoredRecord } from '../ports/platformPort';
+import type { GroupContext } from './groupContext';
+import { isKnownToAllInstances } from './member';
+import type { Member } from './member';
+import { sendMemberCommand } from './sendMemberCommand';
+
+/**
+ * Keeps the group's register of members that acknowledged commits may rest on.
+ *
+ * Members are registered before their word counts, and once every instance that relies on its directory
+ * knows them. A member that the directory no longer lists stays registered until no instance counts its
+ * word and others are seen to hold what it confirmed.
+ */
+export interface MemberRegistrar {
+  /** Whether the member is known to be registered, so that its word counts. */
+  isRegistered: (memberId: string) => boolean;
+  /** Brings the register up to date; to be called regularly and after changes of the directory. */
+  check: () => void;
+  /** Stops counting a member's word until the register is read again. */
+  forget: (memberId: string) => void;
+  /** Takes an answer of a member into account. */
+  observe: (observation: MemberObservation) => void;
+  /**
+   * Returns members of which all but one, taken together, hold every commit acknowledged so far;
+   * undefined if unknown, because the register cannot be read or the directory is too old.
+   */
+  findRequired: () => Promise<RegisteredMember[] | undefined>;
+  /**
+   * Whether the logs of `answered`, taken together, hold every acknowledged commit, so that one of them
+   * can be promoted. Commits that only departed members hold are given up once they have been away for
+   * `DEPARTURE_SETTLING_MILLISECONDS`.
+   */
+  canPromoteFrom: (answered: readonly Member[]) => boolean;
+  /** Reads the register again; false if the store does not answer. */
+  refresh: () => Promise<boolean>;
+}
+
+export interface MemberRegistrarOptions {
+  memberRegisters: MemberRegisterStore;
+  isHolder: () => boolean;
+  /** The directory includes every change accepted before this time; undefined if unknown. */
+  getDirectoryCompleteAt: () => ClockReadings | undefined;
+  /** When the last outage of the directory ended; `-Infinity` if there was none. */
+  getDirectoryOutageEnd: () => number;
+  /** Reads the directory again. @throws Error if the store does not answer. */
+  refreshDirectory: () => Promise<void>;
+}
+
+/** Random delay, so that one instance registers a member and the others find it done. */
+const MAXIMUM_JITTER_MILLISECONDS = 200;
+
+/** Pause after the store did not answer. */
+const RETRY_DELAY_MILLISECONDS = 500;
+
+/** Tries to replace a register that other instances replace at the same time. */
+const MAXIMUM_REPLACEMENTS = 3;
+
+/** What is known was not checked for longer than this only after a suspension or a stall. */
+const MAXIMUM_CHECK_AGE_MILLISECONDS = 1_500;
+
+const PROBE_INTERVAL_MILLISECONDS = 1_000;
+const PROBE_TIMEOUT_MILLISECONDS = 400;
+
+export function createMemberRegistrar(
+  context: GroupContext,
+  options: MemberRegistrarOptions,
+): MemberRegistrar {
+  const { clock, evidence, group, logger, members, primaryTracker, random } = context;
+  const { memberRegisters, isHolder, getDirectoryCompleteAt, getDirectoryOutageEnd } = options;
+  const departures = createDepartedMembers({ settlingTime: DEPARTURE_SETTLING_MILLISECONDS });
+  /** Listed members that the register contained when it was read. */
+  const countedIds = new Set<string>();
+  /** The register as it was read last; it may have members removed since. */
+  let register: MemberRegister | undefined;
+  /** Members listed since this instance started, which others may have registered. */
+  let knownLives: KnownLife[] = [];
+  let checkedAt: ClockReadings | undefined;
+  let knownOutageEnd = getDirectoryOutageEnd();
+  let isSynchronizing = false;
+  let isProbing = false;
+  let probedAt = -Infinity;
+
+  const isDirectoryRecent = () => isDirectoryValid(getDirectoryCompleteAt(), clock.readClocks());
+
+  const listPresent = () =>
+    [...members.values()].filter(({ missingSince }) => missingSince === undefined);
+
+  /** Forgets what may have changed unseen during an outage of the store or a suspension. */
+  function expireKnowledge(): void {
+    const now = clock.readClocks();
+    const isCheckRecent =
+      checkedAt !== undefined &&
+      computeAgeUpperBound(checkedAt, now) <= MAXIMUM_CHECK_AGE_MILLISECONDS;
+    if (!isCheckRecent || !isDirectoryRecent()) countedIds.clear();
+    const outageEnd = getDirectoryOutageEnd();
+    if (outageEnd !== knownOutageEnd) departures.retain([]);
+    knownOutageEnd = outageEnd;
+    checkedAt = now;
+  }
+
+  function trackDepartures(): void {
+    const present = listPresent().map(toKnownLife);
+    const unknown = present.filter((life) => !knownLives.some((known) => isSameLife(known, life)));
+    knownLives.push(...unknown);
+    const absent = subtractMembers(listKnown(), present);
+    departures.retain(absent);
+    const added = subtractMembers(absent, departures.list());
+    for (const member of added) departures.recordDeparture(member, clock.now());
+    for (const life of knownLives) {
+      if (present.some((other) => isSuccessor(other, life))) departures.recordEnd(life);
+    }
+    // Statements usually show within this time what a probe would ask.
+    if (added.length > 0) probedAt = clock.now();
+  }
+
+  function listKnown(): RegisteredMember[] {
+    return [...knownLives, ...subtractMembers(register?.members ?? [], knownLives)];
+  }
+
+  /** Drops departed members that no acknowledged commit rests on any more. */
+  function dropSettled(): void {
+    const registered = register?.members ?? [];
+    knownLives = knownLives.filter(
+      (life) =>
+        !departures.isSettled(life) || registered.some((member) => isSameLife(member, life)),
+    );
+  }
+
+  const canRegister = (member: Member) =>
+    register === undefined || isKnownToAllInstances(member, clock.now());
+
+  const needsSynchronization = () =>
+    isDirectoryRecent() &&
+    (register === undefined ||
+      listPresent().some(
+        (member) => !countedIds.has(member.entry.memberId) && canRegister(member),
+      ) ||
+      register.members.some(departures.isSettled));
+
+  function check(): void {
+    if (!isHolder() || members.size === 0) return;
+    expireKnowledge();
+    trackDepartures();
+    dropSettled();
+    if (needsSynchronization() && !isSynchronizing) void synchronize();
+    if (needsProbe()) void probe();
+  }
+
+  async function synchronize(): Promise<void> {
+    isSynchronizing = true;
+    try {
+      // An instance that starts reads at once: its first reads may need the register.
+      const isKnown = register !== undefined || (await readStored()) !== undefined;
+      if (isKnown && !needsSynchronization()) return;
+      await clock.sleep(random() * MAXIMUM_JITTER_MILLISECONDS);
+      for (let attempt = 0; attempt < MAXIMUM_REPLACEMENTS; attempt += 1) {
+        const stored = await readStored();
+        const isConflict = await replaceIfOutdated(stored);
+        if (!isConflict) break;
+      }
+    } catch (error) {
+      logger.warn('memberRegisterNotRead', { group, error: error as Error });
+      await clock.sleep(RETRY_DELAY_MILLISECONDS);
+    } finally {
+      isSynchronizing = false;
+    }
+  }
+
+  async function readStored(): Promise<StoredRecord<MemberRegister> | undefined> {
+    const present = listPresent();
+    const stored = await memberRegisters.read(group);
+    if (stored) adopt(stored.record, present);
+    return stored;
+  }
+
+  /** @param present - members that were listed when the register was requested. */
+  function adopt(next: MemberRegister, present: readonly Member[]): void {
+    register = next;
+    for (const member of present) {
+      const life = toRegisteredMember(member);
+      const isListed = members.get(life.memberId) === member;
+      const isContained = next.members.some((other) => isSameLife(other, life));
+      if (isListed && isContained) countedIds.add(life.memberId);
+    }
+    trackDepartures();
+    evidence.reevaluate();
+  }
+
+  /** @returns whether another instance replaced the register in the meantime. */
+  async function replaceIfOutdated(
+    stored: StoredRecord<MemberRegister> | undefined,
+  ): Promise<boolean> {
+    const registered = stored?.record.members ?? [];
+    const findAdded = () => {
+      const added = listPresent().filter((member) => !stored || canRegister(member));
+      return subtractMembers(added.map(toRegisteredMember), registered);
+    };
+    // Without the refresh, a member could be registered after its departure was tracked elsewhere.
+    if (findAdded().length > 0) await options.refreshDirectory();
+    if (!isDirectoryRecent()) return false;
+    const present = listPresent();
+    const added = findAdded();
+    const removed = registered.filter(departures.isSettled);
+    if (added.length + removed.length === 0) return false;
+    const next = { members: [...subtractMembers(registered, removed), ...added] };
+    const { type: outcome } = await memberRegisters.replace({
+      group,
+      record: next,
+      revision: stored?.revision,
+    });
+    logger.info('membersRegistered', { group, added, removed, outcome });
+    if (outcome === 'replaced') adopt(next, present);
+    return outcome === 'conflict';
+  }
+
+  function needsProbe(): boolean {
+    if (isProbing || clock.now() - probedAt < PROBE_INTERVAL_MILLISECONDS) return false;
+    return departures.list().some(isCoverageMissing);
+  }
+
+  function isCoverageMissing(member: RegisteredMember): boolean {
+    if (departures.isForgotten(member, clock.now())) return !departures.isSettled(member);
+    return !departures.isCovered(member);
+  }
+
+  /** Queries the primary and then the replicas, because statements have not shown the coverage. */
+  async function probe(): Promise<void> {
+    const primary = primaryTracker.find();
+    if (!primary || primary.avoidUntil > clock.now()) return;
+    isProbing = true;
+    const query = (member: Member) =>
+      sendMemberCommand(context, member, { type: 'status' }, PROBE_TIMEOUT_MILLISECONDS);
+    const report = await query(primary);
+    if (report?.isPrimary) {
+      const replicas = listPresent().filter((member) => member !== primary);
+      await Promise.all(replicas.map(query));
+    }
+    probedAt = clock.now();
+    isProbing = false;
+  }
+
+  async function findRequired(): Promise<RegisteredMember[] | undefined> {
+    if (!register) await refresh();
+    if (!register || !isDirectoryRecent()) return undefined;
+    return listKnown().filter((member) => !departures.isSettled(member));
+  }
+
+  async function refresh(): Promise<boolean> {
+    try {
+      await readStored();
+      return true;
+    } catch (error) {
+      logger.warn('memberRegisterNotRead', { group, error: error as Error });
+      return false;
+    }
+  }
+
+  function canPromoteFrom(answered: readonly Member[]): boolean {
+    if (!register) return true;
+    const accounted = answered.map(toRegisteredMember);
+    const unaccounted = subtractMembers(register.members, accounted).filter(
+      (member) => !departures.isCovered(member),
+    );
+    // One of them may be the former primary: another registered member holds its commits.
+    if (unaccounted.length <= 1) return true;
+    const memberIds = unaccounted.map(({ memberId }) => memberId);
+    const awaited = unaccounted.filter((member) => !departures.isForgotten(member, clock.now()));
+    if (awaited.length > 1) {
+      const reason = 'members that may alone hold acknowledged commits are missing';
+      logger.warn('promotionDeferred', { group, reason, memberIds });
+      return false;
+    }
+    logger.error('departedMembersGivenUp', { group, memberIds });
+    return true;
+  }
+
+  return {
+    isRegistered: (memberId) => countedIds.has(memberId),
+    check,
+    forget: (memberId) => countedIds.delete(memberId),
+    observe: (observation) => {
+      const { memberId } = observation;
+      const isPresent = members.get(memberId)?.missingSince === undefined;
+      if (countedIds.has(memberId) && isPresent) departures.observe(observation, evidence);
+    },
+    findRequired,
+    refresh,
+    canPromoteFrom,
+  };
+}
+
+/** One life of a member's process that the directory has listed. */
+interface KnownLife extends RegisteredMember {
+  address: string;
+}
+
+/** Whether a process can only have started after the other one ended. */
+function isSuccessor(life: KnownLife, former: KnownLife): boolean {
+  if (isSameLife(life, former)) return false;
+  return life.memberId === former.memberId || life.address === former.address;
+}
+
+function toKnownLife(member: Member): KnownLife {
+  return { ...toRegisteredMember(member), address: member.entry.address };
+}
+
+/** Returns the life of a member's process that the directory lists. */
+export function toRegisteredMember({ entry }: Member): RegisteredMember {
+  const { memberId, startedAt } = entry;
+  return { memberId, ...(startedAt !== undefined && { startedAt }) };
+}
--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -8,6 +8,7 @@
 import type { SequencedTime, GroupContext } from './groupContext';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
+import type { MemberRegistrar } from './memberRegistrar';
 import type { SoleMemberGuard } from './soleMemberGuard';
 
 /** Verifies that answers of the primary are current and its commits replicated. */
@@ -94,7 +95,15 @@
 
 export function createPrimaryVerifier(
   context: GroupContext,
-  { poller, soleMemberGuard }: { poller: EvidencePoller; soleMemberGuard: SoleMemberGuard },
+  {
+    poller,
+    soleMemberGuard,
+    registrar,
+  }: {
+    poller: EvidencePoller;
+    soleMemberGuard: SoleMemberGuard;
+    registrar: Pick<MemberRegistrar, 'isRegistered'>;
+  },
 ): PrimaryVerifier {
   const { primaryTracker, clock, evidence, members } = context;
   const { hasOtherMembers } = soleMemberGuard;
@@ -177,6 +186,7 @@
         position,
         primaryId: member.entry.memberId,
         memberIds: () => [...members.keys()],
+        isRegistered: registrar.isRegistered,
       });
       const result = await waitForEvidence(wait, { member, polls, deadlineAt });
       if (!result) return 'unknown';
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -1,10 +1,12 @@
-import type { MemberReport } from '@wisterialift/pooling';
+import { isEveryCommitHeld, subtractMembers } from '@wisterialift/pooling';
 import { getHigherPosition } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
 import { describeLogEnds } from './groupContext';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
+import { toRegisteredMember } from './memberRegistrar';
+import type { MemberRegistrar } from './memberRegistrar';
 import { sendMemberCommand } from './sendMemberCommand';
 import type { SoleMemberGuard } from './soleMemberGuard';
 
@@ -18,6 +20,11 @@
   refresh: () => Promise<void>;
 }
 
+export interface ReadPositionOptions {
+  guard: Pick<SoleMemberGuard, 'isEveryCommitReplicated' | 'isReplicationProven'>;
+  registrar: Pick<MemberRegistrar, 'findRequired'>;
+}
+
 /** Allows for a new connection and two round trips between distant data centres. */
 const QUERY_TIMEOUT_MILLISECONDS = 400;
 
@@ -33,15 +40,15 @@
 /**
  * Creates a refresher that queries the primary and the other members at the same time.
  *
- * Unless a sole member acknowledged some, every acknowledged commit is in the log of another member,
- * so the most advanced of those logs is sufficient if the primary is unreachable or out of
- * connections.
+ * Unless a sole member acknowledged some, two registered members hold every acknowledged commit. The
+ * most advanced log of all registered members but one is therefore sufficient if the primary is
+ * unreachable or out of connections.
  */
 export function createReadPositionRefresher(
   context: GroupContext,
-  guard: Pick<SoleMemberGuard, 'isEveryCommitReplicated' | 'isReplicationProven'>,
+  { guard, registrar }: ReadPositionOptions,
 ): ReadPositionRefresher {
-  const { primaryTracker, clock, evidence, group, logger, members } = context;
+  const { primaryTracker, clock, counters, evidence, group, logger, members } = context;
   let pendingRefresh: Promise<void> | undefined;
   let loggedResult: string | undefined;
 
@@ -69,24 +76,29 @@
   ): Promise<boolean> {
     const others = [...members.values()].filter((member) => member !== primary);
     const sentAt = clock.now();
-    const responses = await Promise.all(others.map(queryReport));
-    const reports = responses.filter((report): report is MemberReport => report !== undefined);
-    const [first, ...rest] = reports.map(({ received }) => received);
-    const unansweredIds = others
-      .filter((_, index) => !responses[index])
-      .map(({ entry }) => entry.memberId);
-    const primaryId = primary?.entry.memberId;
-    if (!first || reports.length < Math.max(1, members.size - 1)) {
-      logResult('readPositionNotFound', { primaryId, unansweredIds });
-      return false;
-    }
+    const reports = await Promise.all(others.map(queryReport));
+    const answers = others.flatMap((member, index) => {
+      const report = reports[index];
+      return report ? [{ member: toRegisteredMember(member), received: report.received }] : [];
+    });
+    if (answers.length === 0) return false;
     if (!guard.isReplicationProven()) {
       const hasAnswered = resolveWithTimeout(clock, primaryAnswer, PRIMARY_GRACE_MILLISECONDS);
       if (await hasAnswered) return true;
       if (!(await guard.isEveryCommitReplicated())) return false;
     }
-    const position = rest.reduce(getHigherPosition, first);
-    logResult('readPositionFound', { primaryId, unansweredIds, position });
+    const required = await registrar.findRequired();
+    const answered = answers.map(({ member }) => member);
+    const unansweredIds =
+      required && subtractMembers(required, answered).map(({ memberId }) => memberId);
+    if (!required || !isEveryCommitHeld(required, answered)) {
+      counters.positionsNotFound += 1;
+      logResult('readPositionNotFound', { unansweredIds });
+      return false;
+    }
+    const position = answers.map(({ received }) => received).reduce(getHigherPosition);
+    counters.positionsFound += 1;
+    logResult('readPositionFound', { unansweredIds, position });
     evidence.addFloor({ requestedAt: sentAt, position });
     return true;
   }
@@ -94,7 +106,7 @@
   /** Logs a result that differs from the one before, because reads repeat the query all the time. */
   function logResult(
     event: 'readPositionFound' | 'readPositionNotFound',
-    fields: { primaryId?: string; unansweredIds: string[]; position?: Position },
+    fields: { unansweredIds?: string[]; position?: Position },
   ): void {
     const result = JSON.stringify({ event, ...fields });
     if (result === loggedResult) return;
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -23,6 +23,9 @@
   refusedBesideIdle: 'reads refused while a member could have run them at once',
   replicaReads: 'reads outside of transactions that a replica answered',
   primaryReads: 'reads outside of transactions that the primary answered',
+  positionsFound: 'read positions found without the primary',
+  positionsNotFound:
+    'searches for a read position without the primary that too few members answered',
   refusedAtFirstInstance: 'statements refused on behalf of a holder without capacity',
   returnCreditsGiven: 'return credits given to refused statements',
   returnCreditsUsed: 'statements ordered by the arrival of a refused one',
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -1,4 +1,4 @@
-import type { ClockReadings, PromotionRecord } from '@wisterialift/pooling';
+import type { ClockReadings, MemberRegister, PromotionRecord } from '@wisterialift/pooling';
 import type { GatewayConfiguration } from '../configuration/gatewayConfiguration';
 
 /** A directory entry of one member. @public */
@@ -83,11 +83,14 @@
 }
 
 /** A stored record and the revision to pass to the next replacement. @public */
-export interface StoredPromotionRecord {
-  record: PromotionRecord;
+export interface StoredRecord<Content> {
+  record: Content;
   revision: number;
 }
 
+/** @public */
+export type StoredPromotionRecord = StoredRecord<PromotionRecord>;
+
 /** Outcome of a conditional replacement. @public */
 export type ReplacementOutcome =
   | { type: 'replaced'; revision: number }
@@ -95,18 +98,24 @@
   /** No answer: the replacement may have been applied or may still be. */
   | { type: 'unknown' };
 
-/** Stores one promotion record per group, with conditional updates. @public */
-export interface PromotionStore {
+/** Stores one record per group, with conditional updates. @public */
+export interface RecordStore<Content> {
   /** @throws Error if the store does not answer. */
-  read: (group: string) => Promise<StoredPromotionRecord | undefined>;
+  read: (group: string) => Promise<StoredRecord<Content> | undefined>;
   /** Replaces the record if its revision matches; without a revision, creates it if none exists. */
   replace: (options: {
     group: string;
-    record: PromotionRecord;
+    record: Content;
     revision?: number;
   }) => Promise<ReplacementOutcome>;
 }
 
+/** Stores the promotion records. @public */
+export type PromotionStore = RecordStore<PromotionRecord>;
+
+/** Stores the registers of the groups' members. @public */
+export type MemberRegisterStore = RecordStore<MemberRegister>;
+
 /** Outcome of a promotion order. @public */
 export type PromotionOrderOutcome = 'accepted' | 'notRunning' | 'refused' | 'unknown';
 
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -9,6 +9,7 @@
 import type { Position } from '@wisterialift/schema';
 import type { GroupContext, SuspicionCause } from '../groups/groupContext';
 import type { Member } from '../groups/member';
+import type { MemberRegistrar } from '../groups/memberRegistrar';
 import type { ReachMonitor } from '../groups/reachMonitor';
 import { sendMemberCommand } from '../groups/sendMemberCommand';
 import type { SoleMemberGuard } from '../groups/soleMemberGuard';
@@ -45,6 +46,7 @@
   /** Reads the directory again. @throws Error if the store does not answer. */
   refreshDirectory: () => Promise<void>;
   soleMemberGuard: Pick<SoleMemberGuard, 'isReplicationProven'>;
+  registrar: Pick<MemberRegistrar, 'canPromoteFrom' | 'refresh'>;
   reachMonitor: Pick<ReachMonitor, 'reportSilentReplicas' | 'reportUnreachablePrimary'>;
 }
 
@@ -80,7 +82,8 @@
   options: PromotionControllerOptions,
 ): PromotionController {
   const { primaryTracker, clock, counters, group, logger, members } = context;
-  const { instance, dataCentre, orders, reachMonitor, store, refreshDirectory } = options;
+  const { instance, dataCentre, orders, reachMonitor, registrar, store, refreshDirectory } =
+    options;
   const claims = createPromotionClaims(context, { instance, store });
   const soleMemberFence = createSoleMemberFence(context, options.soleMemberGuard);
   let isBusy = false;
@@ -209,6 +212,11 @@
       logger.info('promotionDeferred', { group, cause, reason: 'entries may have lapsed' });
       return;
     }
+    // Checked before the claim as well: while members are awaited, no replica need be paused.
+    const listed = [...members.values()].filter(
+      (member) => member !== primary && !isMissing(member),
+    );
+    if (!registrar.canPromoteFrom(listed)) return;
     const canClaim = (record: PromotionRecord) => canReplaceSoleMember(cause, record);
     const claim = await claims.claim({ primary, canClaim });
     if (!claim) return;
@@ -286,11 +294,12 @@
   ): Promise<PausedReplica[] | undefined> {
     const replicas = [...members.values()].filter((member) => member !== primary);
     const command = { type: 'pause' as const, term };
-    const reports = await Promise.all(
-      replicas.map((member) =>
+    const [isRegisterKnown, ...reports] = await Promise.all([
+      registrar.refresh(),
+      ...replicas.map((member) =>
         sendMemberCommand(context, member, command, MEMBER_REQUEST_TIMEOUT_MILLISECONDS),
       ),
-    );
+    ]);
     // A replica that is primary by now was promoted by another instance. Promoting a second member
     // would discard the writes that it acknowledges.
     const isReplaced = reports.some((report) => report?.isPrimary);
@@ -300,6 +309,8 @@
       logger.warn('replicasNotStopped', { group, isReplaced, memberIds });
       return undefined;
     }
+    const answered = replicas.filter((_, index) => reports[index] !== undefined);
+    if (!isRegisterKnown || !registrar.canPromoteFrom(answered)) return undefined;
     return replicas.flatMap((member, index) => toPausedReplicas(member, reports[index]?.received));
   }
 
--- a/packages/gateway/src/test/departedMembers.test.ts
+++ b/packages/gateway/src/test/departedMembers.test.ts
@@ -20,11 +20,13 @@
 
 const settle = (milliseconds = 1) => vi.advanceTimersByTimeAsync(milliseconds);
 
-/** Reads data of a stated age and returns the ids that were forwarded to the lagging member. */
+/** Reads data of a stated age and returns the reads that the lagging member can answer. */
 async function readFromLaggingMember(): Promise<string[]> {
   gateway.openSession().read('bounded-read');
   await settle(1_000);
-  return gateway.getForwardedIds('db-3');
+  const canAnswer = ({ memberId, after }: (typeof gateway.forwarded)[number]) =>
+    memberId === 'db-3' && (!after || after.index < acknowledged.index);
+  return gateway.forwarded.filter(canAnswer).map(({ id }) => id);
 }
 
 beforeEach(() => {
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -59,6 +59,7 @@
         }),
     },
     store: { read: async () => undefined, replace: async () => ({ type: 'unknown' }) },
+    memberRegisters: { read: async () => undefined, replace: async () => ({ type: 'unknown' }) },
     orders: { promote: async () => 'unknown' },
     registry: { registerInstance: noop, reportUnreachable: noop },
     transport: {
--- /dev/null
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -0,0 +1,199 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { createDirectoryEntry, startTestGateway } from './testGateway';
+import type { DirectoryEntry } from '../index';
+
+type TestGateway = ReturnType<typeof startTestGateway>;
+
+/** Time after which every instance that relies on its directory knows a member. */
+const SETTLING_MILLISECONDS = 11_500;
+
+/** Time after which no instance counts the word of a member that is not listed. */
+const DEPARTURE_SETTLING_MILLISECONDS = 13_500;
+
+const createEntry = (number: number, changes: Partial<DirectoryEntry> = {}) =>
+  createDirectoryEntry({
+    memberId: `db-${number}`,
+    address: `db-${number}:1`,
+    isPrimary: number === 1,
+    createdRevision: number,
+    ...changes,
+  });
+
+const [primary, copy, lagging, joined] = [1, 2, 3, 4].map((number) => createEntry(number));
+
+let gateway: TestGateway;
+let indexes: Record<string, number>;
+
+const settle = (milliseconds = 1) => vi.advanceTimersByTimeAsync(milliseconds);
+
+/** Keeps the directory up to date for some time. */
+async function listFor(milliseconds: number, entries: DirectoryEntry[]): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 500) {
+    gateway.updateMembers(entries);
+    await settle(Math.min(500, milliseconds - passed));
+  }
+}
+
+async function write(): Promise<ReturnType<TestGateway['openSession']>> {
+  const session = gateway.openSession();
+  session.write('w');
+  await settle();
+  for (const { answer } of gateway.forwarded.splice(0)) answer();
+  await settle(1_000);
+  return session;
+}
+
+/** Reads data of a stated age and returns the ids of members that can answer with less than `index`. */
+async function readBelow(index: number): Promise<string[]> {
+  gateway.forwarded.splice(0);
+  gateway.openSession().read('bounded-read');
+  await settle(1_000);
+  return gateway.forwarded
+    .filter(({ after }) => !after || after.index < index)
+    .map(({ memberId }) => memberId);
+}
+
+const getRegisteredIds = () =>
+  gateway.memberRegisters.current?.record.members.map(({ memberId }) => memberId);
+
+beforeEach(() => {
+  vi.useFakeTimers({
+    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'],
+  });
+  indexes = { 'db-1': 23, 'db-2': 23, 'db-3': 21, 'db-4': 20 };
+  gateway = startTestGateway({
+    getPosition: (memberId) => ({ term: 1, index: indexes[memberId]! }),
+    changes: { consistency: 'boundedStaleness', maximumStaleness: 1_500 },
+  });
+});
+
+afterEach(() => {
+  gateway.close();
+  vi.useRealTimers();
+});
+
+describe('a member that joins', () => {
+  it('is registered once all instances know it', async () => {
+    // Guards against a commit on a member that an instance with an older directory does not miss.
+    await listFor(1_000, [primary!, lagging!]);
+    await listFor(SETTLING_MILLISECONDS - 1_000, [primary!, lagging!, copy!]);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-3']);
+    await listFor(2_000, [primary!, lagging!, copy!]);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-3', 'db-2']);
+  });
+
+  it('confirms no commit alone before it is registered', async () => {
+    // Guards against a commit on a member that an instance with an older directory does not miss.
+    await listFor(1_000, [primary!, lagging!]);
+    await listFor(5_000, [primary!, lagging!, copy!]);
+    expect((await write()).answers).toEqual([]);
+    await listFor(SETTLING_MILLISECONDS, [primary!, lagging!, copy!]);
+    expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
+  });
+
+  it('confirms commits at once together with all others', async () => {
+    // Guards against refusing writes for seconds after each change of members.
+    indexes['db-3'] = 23;
+    await listFor(1_000, [primary!, lagging!]);
+    await listFor(5_000, [primary!, lagging!, copy!]);
+    expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
+  });
+
+  it('does not answer for one that left', async () => {
+    // Guards against counting answers in place of the members that confirmed the commits.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    gateway.silence('db-2');
+    gateway.silence('db-1');
+    await listFor(5_000, [primary!, lagging!, joined!]);
+    expect(await readBelow(23)).toEqual([]);
+  });
+});
+
+describe('a member that starts again under its id', () => {
+  it('does not answer for its former life', async () => {
+    // Guards against a read position from a member that holds and knows nothing of before.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    indexes['db-2'] = 1;
+    gateway.silence('db-1');
+    await listFor(5_000, [primary!, createEntry(2, { startedAt: 2 }), lagging!]);
+    expect(await readBelow(23)).toEqual([]);
+  });
+
+  it('is not awaited once another member holds what it confirmed', async () => {
+    // Guards against refusing reads for longer than the former process can confirm anything.
+    indexes['db-3'] = 23;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(5_000, [primary!, createEntry(2, { startedAt: 2 }), lagging!]);
+    gateway.silence('db-1');
+    await settle(2_000);
+    expect(await readBelow(Infinity)).not.toEqual([]);
+  });
+});
+
+describe('a member that departed', () => {
+  it('is taken off the register once others hold what it confirmed', async () => {
+    // Guards against refusing reads without the primary for good after each departure.
+    indexes['db-3'] = 23;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(DEPARTURE_SETTLING_MILLISECONDS, [primary!, lagging!]);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-2', 'db-3']);
+    await listFor(4_000, [primary!, lagging!]);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-3']);
+    gateway.silence('db-1');
+    expect(await readBelow(Infinity)).not.toEqual([]);
+  });
+
+  it('stays registered while no other member holds what it confirmed', async () => {
+    // Guards against forgetting the commits that it alone held.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(DEPARTURE_SETTLING_MILLISECONDS + 4_000, [primary!, lagging!]);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-2', 'db-3']);
+  });
+
+  it('is missed by an instance that starts later', async () => {
+    // Guards against a position learned by an instance that never listed the member.
+    gateway.memberRegisters.current = {
+      record: { members: [1, 2, 3].map((n) => ({ memberId: `db-${n}`, startedAt: 1 })) },
+      revision: 7,
+    };
+    gateway.silence('db-1');
+    await listFor(2_000, [primary!, lagging!]);
+    expect(await readBelow(23)).toEqual([]);
+  });
+
+  it.each([
+    { index: 21, orders: [], name: 'no replica is promoted before 13.5 s while it may hold more' },
+    { index: 23, orders: ['db-3'], name: 'a replica is promoted that was seen to hold as much' },
+  ])('and a primary that crashes: $name', async ({ index, orders }) => {
+    // Guards against losing commits that only departed members hold, and against waiting without need.
+    indexes['db-3'] = index;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(4_000, [primary!, lagging!]);
+    gateway.silence('db-1');
+    await listFor(3_000, [primary!, lagging!]);
+    await listFor(5_000, [lagging!]);
+    expect(gateway.orders).toEqual(orders);
+  });
+
+  it('is given up by a promotion after 13.5 s', async () => {
+    // Guards against a group that waits for good for a member that does not come back.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    gateway.silence('db-1');
+    await listFor(DEPARTURE_SETTLING_MILLISECONDS, [lagging!]);
+    expect(gateway.orders).toEqual([]);
+    await listFor(4_000, [lagging!]);
+    expect(gateway.orders).toEqual(['db-3']);
+    expect(gateway.events).toContain('departedMembersGivenUp');
+  });
+});
+
+describe('an instance whose directory is too old', () => {
+  it('learns no position without the primary', async () => {
+    // Guards against a commit on a member that joined and was registered meanwhile.
+    indexes['db-3'] = 23;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    gateway.silence('db-1');
+    await settle(10_000);
+    expect(await readBelow(Infinity)).toEqual([]);
+  });
+});
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -1,4 +1,10 @@
-import type { FailureReason, UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
+import type {
+  FailureReason,
+  MemberRegister,
+  PromotionRecord,
+  UpstreamAnswer,
+  UpstreamCommand,
+} from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import { createGateway, createProcessClock, createTeamDirectory } from '../index';
 import type {
@@ -9,9 +15,9 @@
   GatewayConfiguration,
   InstanceRegistry,
   LoadControl,
-  PromotionStore,
+  RecordStore,
   Route,
-  StoredPromotionRecord,
+  StoredRecord,
   Team,
 } from '../index';
 import { createTestOptions, createTestLogger, GROUP, noop } from './fixture';
@@ -81,9 +87,9 @@
   values: Record<string, string>;
 }
 
-/** Keeps one promotion record in memory. */
-function createRecordStore(): PromotionStore & { current?: StoredPromotionRecord } {
-  const store: PromotionStore & { current?: StoredPromotionRecord } = {
+/** Keeps one record in memory. */
+function createRecordStore<Content>(): RecordStore<Content> & { current?: StoredRecord<Content> } {
+  const store: RecordStore<Content> & { current?: StoredRecord<Content> } = {
     read: async () => store.current,
     replace: async ({ record, revision }) => {
       if (store.current?.revision !== revision) return { type: 'conflict' };
@@ -145,7 +151,8 @@
   /** Members of the connections that were closed. */
   const closed: string[] = [];
   const reports = new WeakMap<UpstreamAnswer, string>();
-  const store = createRecordStore();
+  const store = createRecordStore<PromotionRecord>();
+  const memberRegisters = createRecordStore<MemberRegister>();
   const orders: string[] = [];
   const demoted = new Set<string>();
   const silent = new Set<string>();
@@ -261,6 +268,7 @@
         },
       },
       store,
+      memberRegisters,
       orders: {
         promote: async ({ memberId }) => {
           orders.push(memberId);
@@ -357,6 +365,7 @@
       entriesAtRefresh = entries;
     },
     store,
+    memberRegisters,
     /** Members whose promotion was ordered. */
     orders,
     /** Sets what happens before a member answers that it was demoted. */
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -64,7 +64,20 @@
   type LimitAllocatorPlanner,
 } from './lib/routing/limitAllocators';
 export { orderMembersForRead, type MemberLoad } from './lib/routing/orderMembersForRead';
-export { isDirectoryValid, MEMBER_SETTLING_MILLISECONDS } from './lib/membership/directoryValidity';
+export {
+  DEPARTURE_SETTLING_MILLISECONDS,
+  isDirectoryValid,
+  MEMBER_SETTLING_MILLISECONDS,
+} from './lib/membership/directoryValidity';
+export { createDepartedMembers, type DepartedMembers } from './lib/membership/departedMembers';
+export {
+  isEveryCommitHeld,
+  isSameLife,
+  memberRegisterSchema,
+  subtractMembers,
+  type MemberRegister,
+  type RegisteredMember,
+} from './lib/membership/memberRegister';
 export { choosePromotionCandidate, type PausedReplica } from './lib/promotion/promotionCandidate';
 export {
   determineWriteOutcome,
--- a/packages/pooling/src/lib/membership/directoryValidity.ts
+++ b/packages/pooling/src/lib/membership/directoryValidity.ts
@@ -15,6 +15,14 @@
  */
 export const MEMBER_SETTLING_MILLISECONDS = DIRECTORY_VALIDITY_MILLISECONDS + 1_500;
 
+/**
+ * Time after which no instance counts the word of a member that the directory no longer lists: an
+ * instance relies on a snapshot for its validity and keeps a missing member for up to 2.5 s.
+ *
+ * @public
+ */
+export const DEPARTURE_SETTLING_MILLISECONDS = DIRECTORY_VALIDITY_MILLISECONDS + 3_500;
+
 /**
  * Whether a directory snapshot that includes all changes before `completeAt` can be relied on to
  * list every member of a group.
--- /dev/null
+++ b/packages/pooling/src/lib/membership/memberRegister.ts
@@ -0,0 +1,55 @@
+import { z } from 'zod';
+
+/** One life of a member's process. @public */
+export const registeredMemberSchema = z.object({
+  memberId: z.string(),
+  /** Start time of the process by its own time of day, if it reports one. */
+  startedAt: z.number().optional(),
+});
+
+/** @public */
+export type RegisteredMember = z.infer<typeof registeredMemberSchema>;
+
+/**
+ * Stored for each group: the members that acknowledged commits may rest on.
+ *
+ * A commit is acknowledged once two registered members hold it, the primary and a replica, or all members
+ * that the acknowledging instance knows. A member is added before its word counts, and removed once no
+ * instance counts it any more and others hold all that it confirmed. So all registered members but one,
+ * taken together, hold every acknowledged commit, whichever directory that instance used.
+ *
+ * @public
+ */
+export const memberRegisterSchema = z.object({ members: z.array(registeredMemberSchema) });
+
+/** @public */
+export type MemberRegister = z.infer<typeof memberRegisterSchema>;
+
+/** Whether both describe the same process; an unknown start time matches any. @public */
+export function isSameLife(left: RegisteredMember, right: RegisteredMember): boolean {
+  if (left.memberId !== right.memberId) return false;
+  const isStartUnknown = left.startedAt === undefined || right.startedAt === undefined;
+  return isStartUnknown || left.startedAt === right.startedAt;
+}
+
+/** Returns those of `members` that `others` does not contain. @public */
+export function subtractMembers(
+  members: readonly RegisteredMember[],
+  others: readonly RegisteredMember[],
+): RegisteredMember[] {
+  return members.filter((member) => !others.some((other) => isSameLife(member, other)));
+}
+
+/**
+ * Whether the logs of `answered`, taken together, hold every acknowledged commit.
+ *
+ * @param required - members of which two hold each acknowledged commit.
+ * @public
+ */
+export function isEveryCommitHeld(
+  required: readonly RegisteredMember[],
+  answered: readonly RegisteredMember[],
+): boolean {
+  const missing = subtractMembers(required, answered);
+  return missing.length <= 1 && missing.length < required.length;
+}
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -41,14 +41,17 @@
    * have applied an entry of its term.
    *
    * The first condition makes the commit survive a promotion, which pauses all replicas and starts
-   * the next term from their highest log end. The second lets
-   * `waitForTermConfirmation` rely on one replica.
+   * the next term from their highest log end. It holds for instances with another list of members
+   * only if the primary and the replica are registered, or every replica has received the position.
+   * The second condition lets `waitForTermConfirmation` rely on one replica.
    */
   waitForReplication: (options: {
     position: Position;
     primaryId: string;
     /** Current members of the group, including the primary. */
     memberIds: () => string[];
+    /** Whether the member is known to be in the group's register; see `memberRegisterSchema`. */
+    isRegistered: (memberId: string) => boolean;
   }) => ConfirmationWait;
   /**
    * Waits until a replica answers in `term` to a request sent after `sequence`, which shows that
@@ -81,6 +84,8 @@
   getHighestTerm: () => number;
   getLatestObservation: (memberId: string) => MemberObservation | undefined;
   hasPendingWaits: () => boolean;
+  /** Evaluates the pending waits again, after members were registered or removed. */
+  reevaluate: () => void;
   /** Discards the observations of a member that left the group. */
   removeMember: (memberId: string) => void;
   /**
@@ -195,7 +200,7 @@
       if (observation.isPrimary) positionHistory.add(observation);
       resolveDecidedWaits();
     },
-    waitForReplication: ({ position, primaryId, memberIds }) =>
+    waitForReplication: ({ position, primaryId, memberIds, isRegistered }) =>
       startWait(() => {
         const superseded = getSupersededResult(position.term);
         if (superseded) return superseded;
@@ -204,8 +209,10 @@
           hasAppliedTerm(memberId, position.term),
         );
         if (membersInTerm.length < otherMembers.length - 1) return undefined;
-        const isReplicated = membersInTerm.some((memberId) => hasReceived(memberId, position));
-        return isReplicated ? { type: 'proved' } : undefined;
+        const holders = membersInTerm.filter((memberId) => hasReceived(memberId, position));
+        const isHeldByRegistered = isRegistered(primaryId) && holders.some(isRegistered);
+        const isHeldByAll = holders.length > 0 && holders.length === otherMembers.length;
+        return isHeldByRegistered || isHeldByAll ? { type: 'proved' } : undefined;
       }),
     waitForTermConfirmation: ({ term, sequence: readSequence, primaryId }) =>
       startWait(() => {
@@ -235,6 +242,7 @@
       validFrom.set(memberId, options.validFrom);
     },
     hasPendingWaits: () => waits.size > 0,
+    reevaluate: resolveDecidedWaits,
     clearPositionSamples: () => positionHistory.clear(),
   };
 }
--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -37,7 +37,12 @@
   position: Position,
   members = MEMBERS,
 ): ConfirmationWait {
-  return tracker.waitForReplication({ position, primaryId: 'a', memberIds: () => members });
+  return tracker.waitForReplication({
+    position,
+    primaryId: 'a',
+    memberIds: () => members,
+    isRegistered: () => true,
+  });
 }
 
 describe('confirming a commit', () => {
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -6,11 +6,13 @@
   GatewayConfiguration,
   InstanceEntry,
   InstanceRegistry,
+  MemberRegisterStore,
   PromotionOrderClient,
   PromotionStore,
-  StoredPromotionRecord,
+  RecordStore,
+  StoredRecord,
 } from '@wisterialift/gateway';
-import type { ClockReadings } from '@wisterialift/pooling';
+import type { ClockReadings, MemberRegister, PromotionRecord } from '@wisterialift/pooling';
 import type { SimulatedDatabase } from '../databases/simulatedDatabase';
 import type { ReplicatedLog } from '../databases/replicatedLog';
 import type { Host, Simulation } from '../simulation/host';
@@ -24,6 +26,7 @@
   directory: DirectoryPort;
   configuration: ConfigurationPort;
   store: PromotionStore;
+  memberRegisters: MemberRegisterStore;
   orders: PromotionOrderClient;
   registry: InstanceRegistry;
 }
@@ -69,7 +72,8 @@
 }): SimulatedPlatform {
   const { simulation, databases, groups, slots } = options;
   const { scheduler } = simulation;
-  const records = new Map<string, StoredPromotionRecord>();
+  const promotionRecords = new Map<string, StoredRecord<PromotionRecord>>();
+  const memberRegisters = new Map<string, StoredRecord<MemberRegister>>();
   const entries = new Map<string, DirectoryEntry>();
   const leaving = new Map<string, number>();
   const unheard = new Set<string>();
@@ -208,7 +212,10 @@
     });
   }
 
-  const createStore = (host: Host): PromotionStore => ({
+  const createStore = <Content>(
+    host: Host,
+    records: Map<string, StoredRecord<Content>>,
+  ): RecordStore<Content> => ({
     read: (group) => call(host, () => records.get(group)),
     replace: async ({ group, record, revision: expected }) => {
       try {
@@ -256,7 +263,8 @@
           follow(host, () => configuration && onChange(configuration));
         },
       },
-      store: createStore(host),
+      store: createStore(host, promotionRecords),
+      memberRegisters: createStore(host, memberRegisters),
       orders,
       registry: {
         registerInstance: (onChange) => {
