Count ages of positions and replies by both clocks

What callers would see: after a suspension, a read of a stated age could be sent to the former primary on the word of a replica from before the suspension, or to a replica with a position that was older than stated.

Cause: positions and replies carried their request time on the monotonic clock alone, which stands still during a suspension. Positions were cleared once the clock check saw 100 ms or more between two looks; replies were kept, shorter suspensions never added up, and an answer in flight over the suspension was added after the clearing.

Change: requests are stamped with both clocks, and an age is by whichever clock advanced more, as for leaving members, claims and the directory. Suspensions of any length count, with no threshold. The tolerated error is that of the time of day's rate: the margin of 60 ms covers a clock that runs 2.4 % slow at an age of 2,500 ms.

--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -1,4 +1,9 @@
-import type { ReplicationTracker, MemberReport, UpstreamAnswer } from '@wisterialift/pooling';
+import type {
+  ClockReadings,
+  ReplicationTracker,
+  MemberReport,
+  UpstreamAnswer,
+} from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import type { Logger } from '@wisterialift/telemetry';
 import type { IsMechanismEnabled } from '../mechanisms';
@@ -68,11 +73,15 @@
 /** Sequence number and time of an event, used to order it relative to observations. */
 export interface SequencedTime {
   sequence: number;
+  /** Milliseconds of the monotonic clock. */
   at: number;
+  /** Both clocks at that time, for ages that include suspensions. */
+  readings: ClockReadings;
 }
 
 export function createSequencedTime({ evidence, clock }: GroupContext): SequencedTime {
-  return { sequence: evidence.takeNextSequenceNumber(), at: clock.now() };
+  const readings = clock.readClocks();
+  return { sequence: evidence.takeNextSequenceNumber(), at: readings.monotonic, readings };
 }
 
 /** Counts and logs a statement that is about to be sent, if the member is leaving. */
@@ -108,7 +117,7 @@
   evidence.observe({
     memberId,
     requestSequenceNumber: sentStamp.sequence,
-    requestedAt: sentStamp.at,
+    requestedAt: sentStamp.readings,
     term: position.term,
     position,
     applied: position,
@@ -142,7 +151,7 @@
   evidence.observe({
     memberId,
     requestSequenceNumber: sentStamp.sequence,
-    requestedAt: sentStamp.at,
+    requestedAt: sentStamp.readings,
     term: report.term,
     position: report.received,
     applied,
--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -1,6 +1,6 @@
 import { planEvidencePolls } from '@wisterialift/core';
 import type { EvidencePollPlan } from '@wisterialift/core';
-import type { ConfirmationWait } from '@wisterialift/pooling';
+import type { AgeLimit, ConfirmationWait } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import type { Route } from '../configuration/gatewayConfiguration';
 import type { EvidencePoller } from './evidencePoller';
@@ -118,12 +118,12 @@
     return false;
   }
 
-  /** Whether a replica answered in `term` to a command sent at or after `since`. */
-  function hasRecentReply(member: Member, term: number, since: number): boolean {
+  /** Whether a replica answered in `term` to a command that was sent within the age limit. */
+  function hasRecentReply(member: Member, term: number, limit: AgeLimit): boolean {
     return [...members.keys()].some((memberId) => {
       if (memberId === member.entry.memberId) return false;
       const seen = evidence.getLatestObservation(memberId);
-      return seen !== undefined && seen.term === term && seen.requestedAt >= since;
+      return seen !== undefined && seen.term === term && evidence.isRecent(seen, limit);
     });
   }
 
@@ -158,8 +158,8 @@
         const waitUntil = Math.min(deadlineAt, clock.now() + STALL_TIMEOUT_MILLISECONDS);
         return soleMemberGuard.waitForPermit({ member, term, deadlineAt: waitUntil });
       }
-      const canBeStale = maximumStaleness > 0;
-      if (canBeStale && hasRecentReply(member, term, eventStamp.at - maximumStaleness)) return true;
+      const limit = { now: eventStamp.readings, maximumAge: maximumStaleness };
+      if (maximumStaleness > 0 && hasRecentReply(member, term, limit)) return true;
       const { memberId: primaryId } = member.entry;
       const wait = evidence.waitForTermConfirmation({
         term,
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -151,12 +151,12 @@
   }: StatementRequest): RequiredPosition | undefined {
     if (route.consistency === 'primary') return undefined;
     const maximumAge = route.maximumStaleness - STALENESS_MARGIN_MILLISECONDS;
-    const floor = evidence.findFloor({ now: arrivalStamp.at, maximumAge });
+    const floor = evidence.findFloor({ now: arrivalStamp.readings, maximumAge });
     if (!floor) return undefined;
     const { lastCommit } = session;
     const isOwnCommitRequired = route.consistency === 'readYourWrites' && lastCommit !== undefined;
     if (isOwnCommitRequired && !isAtMost(lastCommit.position, floor.position)) return lastCommit;
-    return { position: floor.position, seenAt: floor.requestedAt };
+    return { position: floor.position, seenAt: floor.requestedAt.monotonic };
   }
 
   /**
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -65,7 +65,7 @@
     primaryAnswer: Promise<boolean>,
   ): Promise<boolean> {
     const others = [...members.values()].filter((member) => member !== primary);
-    const sentAt = clock.now();
+    const sentAt = clock.readClocks();
     const responses = await Promise.all(others.map(queryReport));
     const reports = responses.filter((report): report is MemberReport => report !== undefined);
     const [first, ...rest] = reports.map(({ received }) => received);
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '@wisterialift/telemetry';
 import { createProcessClock } from '../index';
 import type { GatewayOptions, Route } from '../index';
+import type { SequencedTime } from '../lib/groups/groupContext';
 
 export const GROUP = 'group-1';
 
@@ -20,6 +21,11 @@
   };
 }
 
+/** Creates the stamp of an event at `at`, in milliseconds of two clocks that agree. */
+export function createTestStamp(at: number, sequence = 0): SequencedTime {
+  return { sequence, at, readings: { monotonic: at, wall: at } };
+}
+
 /** Creates a logger that passes every line to `write`. */
 export function createTestLogger(
   write: (event: string, fields?: Record<string, unknown>) => void = noop,
--- a/packages/gateway/src/test/holderRefusals.test.ts
+++ b/packages/gateway/src/test/holderRefusals.test.ts
@@ -14,7 +14,7 @@
 import { createRelayedGroup } from '../lib/relay/relayedGroup';
 import { createRelayService } from '../lib/relay/relayService';
 import type { RelayTarget } from '../lib/relay/relayService';
-import { createTestLogger, createTestRoute, GROUP, noop } from './fixture';
+import { createTestLogger, createTestRoute, createTestStamp, GROUP, noop } from './fixture';
 
 const refusal: UpstreamAnswer = {
   outcome: 'refused',
@@ -43,7 +43,7 @@
     read: refuse,
     write: refuse,
     openTransaction: async () => ({ transaction }),
-    createArrivalStamp: () => ({ sequence: 0, at: now.value }),
+    createArrivalStamp: () => createTestStamp(now.value),
     isOutOfReach: () => false,
     estimateRefusal: () => estimate,
   };
@@ -129,7 +129,7 @@
       team,
       route: createTestRoute({ database, priority }),
       configurationVersion: 1,
-      arrivalStamp: { sequence: 0, at: now.value },
+      arrivalStamp: createTestStamp(now.value),
       deadlineAt: now.value + 1_000,
     };
   }
@@ -208,7 +208,7 @@
     // Guards against a transaction that is aborted although its connection is free.
     const { createRequest, ran, relay, responses, write } = createPair(estimate);
     await write('first');
-    const beginStamp = { sequence: 0, at: 1_000 };
+    const beginStamp = createTestStamp(1_000);
     const opened = await relay.openTransaction(createRequest('begin'), {
       isReadOnly: false,
       beginStamp,
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -16,7 +16,7 @@
 import { createRelayService } from '../lib/relay/relayService';
 import type { RelayTarget } from '../lib/relay/relayService';
 import { createCallerSession } from '../lib/sessions/callerSession';
-import { createTestLogger, GROUP, noop } from './fixture';
+import { createTestLogger, createTestStamp, GROUP, noop } from './fixture';
 
 const clock = createProcessClock();
 const logger = createTestLogger();
@@ -70,7 +70,7 @@
     read: run,
     write: run,
     openTransaction: async () => ({ transaction }),
-    createArrivalStamp: () => ({ sequence: 0, at: clock.now() }),
+    createArrivalStamp: () => createTestStamp(clock.now()),
     isOutOfReach: () => options.isOutOfReach,
   };
   const service = createRelayService({
@@ -109,7 +109,7 @@
   const counters = { relayed: 0, refusals: 0 } as GroupRouter['counters'];
   const local = {
     counters,
-    createArrivalStamp: () => ({ sequence: 0, at: clock.now() }),
+    createArrivalStamp: () => createTestStamp(clock.now()),
     isOutOfReach: () => false,
   } as Partial<GroupRouter> as GroupRouter;
   return createRelayedGroup({
@@ -140,7 +140,7 @@
 }
 
 function createRequest(id: string): StatementRequest {
-  const arrivalStamp = { sequence: 0, at: clock.now() };
+  const arrivalStamp = createTestStamp(clock.now());
   return {
     id,
     text: 'WRITE lamp-1 v1',
@@ -228,7 +228,7 @@
     const relay = createRelay([partitioned.link, other.link]);
     expect(await relay.read(createRequest('read'))).toMatchObject({ outcome: 'completed' });
     expect(await relay.write(createRequest('write'))).toMatchObject({ outcome: 'completed' });
-    const opening = { isReadOnly: false, beginStamp: { sequence: 0, at: clock.now() } };
+    const opening = { isReadOnly: false, beginStamp: createTestStamp(clock.now()) };
     const opened = await relay.openTransaction(createRequest('begin'), opening);
     const transaction = 'transaction' in opened ? opened.transaction : undefined;
     expect(await transaction!.run(createRequest('run'))).toMatchObject({ outcome: 'completed' });
@@ -241,7 +241,7 @@
     const partitioned = createHolder({ isOutOfReach: true });
     const other = createHolder({ isOutOfReach: false });
     const relay = createRelay([partitioned.link, other.link]);
-    const opening = { isReadOnly: false, beginStamp: { sequence: 0, at: clock.now() } };
+    const opening = { isReadOnly: false, beginStamp: createTestStamp(clock.now()) };
     const opened = await relay.openTransaction(createRequest('begin'), opening);
     const transaction = 'transaction' in opened ? opened.transaction : undefined;
     const ran = transaction!.run(createRequest('run'));
--- a/packages/gateway/src/test/primaryRoute.test.ts
+++ b/packages/gateway/src/test/primaryRoute.test.ts
@@ -15,7 +15,7 @@
 import { createRelayedGroup } from '../lib/relay/relayedGroup';
 import { createRelayService } from '../lib/relay/relayService';
 import { encodeAnswer, encodeStatement } from '../lib/relay/relayMessages';
-import { createTestLogger, createTestRoute, GROUP, noop } from './fixture';
+import { createTestLogger, createTestRoute, createTestStamp, GROUP, noop } from './fixture';
 
 const logger = createTestLogger();
 const answer: UpstreamAnswer = {
@@ -41,7 +41,7 @@
     sessionState: createSessionState(),
     route: createTestRoute({ consistency }),
     configurationVersion: 1,
-    arrivalStamp: { sequence: 0, at },
+    arrivalStamp: createTestStamp(at),
     deadlineAt: at + 1_000,
   };
   return request;
@@ -124,7 +124,7 @@
     counters,
     read: run,
     write: run,
-    createArrivalStamp: () => ({ sequence: 0, at: clock.now() }),
+    createArrivalStamp: () => createTestStamp(clock.now()),
     isOutOfReach: () => false,
     findPrimaryDataCentre: () => view.primaryDataCentre,
   } as Partial<GroupRouter> as GroupRouter;
@@ -187,7 +187,7 @@
     await runner.read(createRequest('READ d', 'boundedStaleness'));
     const opened = await runner.openTransaction(write('WRITE e'), {
       isReadOnly: false,
-      beginStamp: { sequence: 0, at: 0 },
+      beginStamp: createTestStamp(0),
     });
     if ('transaction' in opened) await opened.transaction.run(write('WRITE e'));
     expect(listReceived()).toEqual(['WRITE a READ d', 'WRITE b READ c WRITE e', '']);
@@ -217,7 +217,7 @@
     await runner.write(write('WRITE a'));
     const opened = await runner.openTransaction(write('WRITE b'), {
       isReadOnly: false,
-      beginStamp: { sequence: 0, at: 0 },
+      beginStamp: createTestStamp(0),
     });
     if (!('transaction' in opened)) throw new Error('the transaction was refused');
     holders['zone-2'].primaryDataCentre = 'zone-3';
@@ -323,7 +323,7 @@
         ran.push(text);
         return answer;
       },
-      createArrivalStamp: () => ({ sequence: 0, at: clock.now() }),
+      createArrivalStamp: () => createTestStamp(clock.now()),
       isOutOfReach: () => false,
     } as Partial<GroupRouter> as GroupRouter;
     const service = createRelayService({
--- a/packages/gateway/src/test/relayService.test.ts
+++ b/packages/gateway/src/test/relayService.test.ts
@@ -5,7 +5,7 @@
 import { createProcessClock } from '../lib/ports/clock';
 import { createRelayService } from '../lib/relay/relayService';
 import type { RelayTarget } from '../lib/relay/relayService';
-import { createTestLogger, noop } from './fixture';
+import { createTestLogger, createTestStamp, noop } from './fixture';
 
 const logger = createTestLogger();
 
@@ -66,7 +66,7 @@
   };
   const group: Partial<RelayTarget> = {
     isOutOfReach: () => false,
-    createArrivalStamp: () => ({ sequence: 1, at: clock.now() }),
+    createArrivalStamp: () => createTestStamp(clock.now(), 1),
     openTransaction: async () => {
       open += 1;
       await new Promise(setImmediate);
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -13,7 +13,7 @@
 import { createPeerLink } from '../lib/relay/peerLink';
 import { createRelayedGroup } from '../lib/relay/relayedGroup';
 import { createRelayService } from '../lib/relay/relayService';
-import { createTestLogger } from './fixture';
+import { createTestLogger, createTestStamp } from './fixture';
 
 const GROUP = 'group-1';
 const clock = createProcessClock();
@@ -47,7 +47,7 @@
     return { outcome: 'completed', rows: [], signature: 's', transaction: 'idle' };
   };
   const counters = { relayed: 0, refusals: 0 } as GroupRouter['counters'];
-  const createArrivalStamp = () => ({ sequence: 0, at: clock.now() });
+  const createArrivalStamp = () => createTestStamp(clock.now());
   const isOutOfReach = () => false;
   return {
     read,
@@ -155,7 +155,7 @@
 
 function createRequest(activeConfiguration: ActiveConfiguration): StatementRequest {
   const { route, version } = activeConfiguration.findRoute('history')!;
-  const arrivalStamp = { sequence: 0, at: clock.now() };
+  const arrivalStamp = createTestStamp(clock.now());
   const session = { stateVersion: 0, lastCommit: undefined };
   const deadlineAt = arrivalStamp.at + 2_000;
   return {
--- a/packages/gateway/src/test/returnGuidance.test.ts
+++ b/packages/gateway/src/test/returnGuidance.test.ts
@@ -15,7 +15,7 @@
 import type { StatementRequest } from '../lib/groups/statementRequest';
 import type { Clock } from '../lib/ports/clock';
 import { NoConnectionError } from '../lib/errors/noConnectionError';
-import { createTestLogger, createTestRoute, GROUP } from './fixture';
+import { createTestLogger, createTestRoute, createTestStamp, GROUP } from './fixture';
 
 /** Creates a member with a queue of a given expected wait. */
 function createMember(memberId: string, queue: { wait: number; lag: number }): Member {
@@ -75,7 +75,10 @@
     },
     evidence: {
       getHighestTerm: () => 1,
-      findFloor: () => ({ position: { term: 1, index: 1 }, requestedAt: 0 }),
+      findFloor: () => ({
+        position: { term: 1, index: 1 },
+        requestedAt: { monotonic: 0, wall: 0 },
+      }),
     },
     isMechanismEnabled: () => true,
     isLoadControlEnabled: (control: string) => isFair && control === 'fairOrder',
@@ -97,7 +100,7 @@
     team: 'team-1',
     route: createTestRoute(changes),
     configurationVersion: 1,
-    arrivalStamp: { sequence: 0, at },
+    arrivalStamp: createTestStamp(at),
     deadlineAt: at + 1_000,
   };
   return request;
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -9,6 +9,7 @@
 export { type PositionSample } from './lib/replication/positionHistory';
 export {
   createReplicationTracker,
+  type AgeLimit,
   type ConfirmationResult,
   type ConfirmationWait,
   type ReplicationTracker,
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -1,5 +1,7 @@
 import { comparePositions } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
+import { computeAgeUpperBound } from '../timing/clockReadings';
+import type { ClockReadings } from '../timing/clockReadings';
 import { createPositionHistory } from './positionHistory';
 import type { PositionSample } from './positionHistory';
 
@@ -8,8 +10,8 @@
   memberId: string;
   /** Sequence number of the request, from `takeNextSequenceNumber`. */
   requestSequenceNumber: number;
-  /** When the request was sent, in milliseconds of the monotonic clock. */
-  requestedAt: number;
+  /** When the request was sent. */
+  requestedAt: ClockReadings;
   term: number;
   /** End of the log that the member has received; may be of a term lower than `term`. */
   position: Position;
@@ -69,17 +71,19 @@
    * Minimum position for a read that accepts data up to `maximumAge` ms old: the oldest sample of
    * the highest term that was requested within that time, or undefined.
    */
-  findFloor: (options: { now: number; maximumAge: number }) => PositionSample | undefined;
+  findFloor: (options: AgeLimit) => PositionSample | undefined;
   /**
    * Request time of the oldest retained sample of the same term with a higher index, in milliseconds
    * of the monotonic clock, or undefined.
    */
   findTimeObservedBeyond: (position: Position) => number | undefined;
   /** Adds a position that covers everything acknowledged before `requestedAt`. */
-  addFloor: (floor: { requestedAt: number; position: Position }) => void;
+  addFloor: (floor: { requestedAt: ClockReadings; position: Position }) => void;
   /** Highest term that any member was seen in. */
   getHighestTerm: () => number;
   getLatestObservation: (memberId: string) => MemberObservation | undefined;
+  /** Whether an observation was requested at most `maximumAge` ms before `now`. */
+  isRecent: (observation: MemberObservation, limit: AgeLimit) => boolean;
   hasPendingWaits: () => boolean;
   /** Discards the observations of a member that left the group. */
   removeMember: (memberId: string) => void;
@@ -95,6 +99,13 @@
   clearPositionSamples: () => void;
 }
 
+/** Age relative to a time, by whichever clock advanced more. @public */
+export interface AgeLimit {
+  now: ClockReadings;
+  /** Milliseconds. */
+  maximumAge: number;
+}
+
 interface PendingWait {
   /** Returns the result if the observations so far decide it. */
   evaluate: () => ConfirmationResult | undefined;
@@ -167,7 +178,7 @@
   };
 
   const isObservationValid = ({ memberId, requestedAt }: MemberObservation) =>
-    requestedAt >= (validFrom.get(memberId) ?? -Infinity);
+    requestedAt.monotonic >= (validFrom.get(memberId) ?? -Infinity);
 
   const hasReceived = (memberId: string, { term, index }: Position) => {
     const known = receivedPositions.get(memberId);
@@ -221,7 +232,7 @@
         return isConfirmed ? { type: 'proved' } : undefined;
       }),
     findFloor: ({ now, maximumAge }) =>
-      positionHistory.findOldest({ since: now - maximumAge, term: highestTerm }),
+      positionHistory.findOldest({ now, maximumAge, term: highestTerm }),
     addFloor: ({ requestedAt, position }) => {
       highestTerm = Math.max(highestTerm, position.term);
       positionHistory.add({ requestedAt, term: position.term, position });
@@ -229,6 +240,8 @@
     findTimeObservedBeyond: positionHistory.findTimeObservedBeyond,
     getHighestTerm: () => highestTerm,
     getLatestObservation: (memberId) => latestObservations.get(memberId),
+    isRecent: ({ requestedAt }, { now, maximumAge }) =>
+      computeAgeUpperBound(requestedAt, now) <= maximumAge,
     removeMember,
     discardObservationsBefore: (memberId, options) => {
       removeMember(memberId);
--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -2,12 +2,16 @@
 import type { Position } from '@wisterialift/schema';
 import { createReplicationTracker } from '../index';
 import type {
+  ClockReadings,
   ConfirmationResult,
   ConfirmationWait,
   ReplicationTracker,
   MemberObservation,
 } from '../index';
 
+/** Readings of two clocks that agree, `time` milliseconds after their start. */
+const readingsAt = (time: number): ClockReadings => ({ monotonic: time, wall: time });
+
 /** Observes an answer to a request sent after all earlier ones. */
 function observe(
   tracker: ReplicationTracker,
@@ -16,7 +20,7 @@
   const { term = 1, position = { term, index: 1 } } = seen;
   tracker.observe({
     requestSequenceNumber: tracker.takeNextSequenceNumber(),
-    requestedAt: 0,
+    requestedAt: readingsAt(0),
     isPrimary: false,
     applied: position,
     ...seen,
@@ -146,7 +150,7 @@
   const sample = (tracker: ReplicationTracker, requestedAt: number, index: number, term = 1) =>
     observe(tracker, {
       memberId: 'a',
-      requestedAt,
+      requestedAt: readingsAt(requestedAt),
       isPrimary: true,
       term,
       position: { term, index },
@@ -156,7 +160,7 @@
     const tracker = createReplicationTracker();
     [100, 600, 1_100].forEach((requestedAt, index) => sample(tracker, requestedAt, index + 1));
     const minimumIndexAt = (now: number) =>
-      tracker.findFloor({ now, maximumAge: 500 })?.position.index;
+      tracker.findFloor({ now: readingsAt(now), maximumAge: 500 })?.position.index;
     expect([600, 601, 1_100, 1_601].map(minimumIndexAt)).toEqual([1, 2, 2, undefined]);
   });
 
@@ -164,9 +168,9 @@
     const tracker = createReplicationTracker();
     sample(tracker, 100, 7);
     observe(tracker, { memberId: 'b', term: 2 });
-    expect(tracker.findFloor({ now: 200, maximumAge: 500 })).toBeUndefined();
+    expect(tracker.findFloor({ now: readingsAt(200), maximumAge: 500 })).toBeUndefined();
     sample(tracker, 150, 8, 2);
-    expect(tracker.findFloor({ now: 200, maximumAge: 500 })?.position).toEqual({
+    expect(tracker.findFloor({ now: readingsAt(200), maximumAge: 500 })?.position).toEqual({
       term: 2,
       index: 8,
     });
@@ -176,7 +180,7 @@
     const tracker = createReplicationTracker();
     sample(tracker, 100, 7);
     tracker.clearPositionSamples();
-    expect(tracker.findFloor({ now: 100, maximumAge: 500 })).toBeUndefined();
+    expect(tracker.findFloor({ now: readingsAt(100), maximumAge: 500 })).toBeUndefined();
   });
 });
 
@@ -198,9 +202,9 @@
     tracker.discardObservationsBefore('b', { validFrom: 3_000 });
     const wait = waitForReplication(tracker, position);
     const results = [];
-    observe(tracker, { memberId: 'b', position, requestedAt: 2_900 });
+    observe(tracker, { memberId: 'b', position, requestedAt: readingsAt(2_900) });
     results.push(await getResult(wait));
-    observe(tracker, { memberId: 'b', position, requestedAt: 3_100 });
+    observe(tracker, { memberId: 'b', position, requestedAt: readingsAt(3_100) });
     results.push(await getResult(wait));
     expect(results).toEqual(['pending', { type: 'proved' }]);
   });
@@ -213,13 +217,13 @@
       memberId: 'b',
       term: 2,
       position: later,
-      requestedAt: 100,
+      requestedAt: readingsAt(100),
       isPrimary: true,
     });
     expect(await getResult(waitForReplication(tracker, position))).toEqual({
       type: 'superseded',
       term: 2,
     });
-    expect(tracker.findFloor({ now: 200, maximumAge: 500 })?.position).toEqual(later);
+    expect(tracker.findFloor({ now: readingsAt(200), maximumAge: 500 })?.position).toEqual(later);
   });
 });
