Rely on no age of requests from before the clocks disagreed

What callers would see: a suspension of 5 s with a step of the time of day back by 8 s looks young on both clocks. The clock check sees it and clears the positions, but an answer still in flight was added afterwards, and the reply of a replica stayed, so a read of a stated age could be sent with an old position or believed at an old primary.

Change: the replication tracker keeps the sequence number of the last request that was sent before the clocks were seen to disagree. Samples and replies with that number or a lower one have no age, whenever they arrive; they still count for terms and received positions, which need no age.

The test that samples are cleared is part of "leave nothing recent of a sample", which covers samples in flight as well. The cost stays one status query for each member.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -366,7 +366,7 @@
     if (change < CLOCK_DRIFT_THRESHOLD_MILLISECONDS) return;
     logger.warn('clocksDisagree', { changeMilliseconds: Math.round(change) });
     for (const router of localGroups.values()) {
-      router.clearPositionSamples();
+      router.discardAges();
       router.discardLatencySamples();
     }
     limits.clearPermits();
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -54,7 +54,7 @@
   /** Whether the group has members and a known primary. */
   isUsable: () => boolean;
   /** Discards age-based observations after the process was suspended. */
-  clearPositionSamples: () => void;
+  discardAges: () => void;
   /** Returns the data centre of the member that this instance considers the primary. */
   findPrimaryDataCentre: () => string | undefined;
   /** Discards the latencies of statements in progress after the process was suspended. */
@@ -404,7 +404,7 @@
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
     isOutOfReach: reachMonitor.isOutOfReach,
     estimateRefusal: (request, access) => estimateRefusal(context, reads, { request, access }),
-    clearPositionSamples: evidence.clearPositionSamples,
+    discardAges: evidence.discardAges,
     findPrimaryDataCentre: () => primaryTracker.find()?.entry.dataCentre,
     discardLatencySamples: () => {
       for (const { concurrency } of members.values()) concurrency.discardSamples();
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -1,6 +1,7 @@
 import type { MemberReport } from '@wisterialift/pooling';
 import { getHigherPosition } from '@wisterialift/schema';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
+import { createSequencedTime } from './groupContext';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
@@ -65,7 +66,7 @@
     primaryAnswer: Promise<boolean>,
   ): Promise<boolean> {
     const others = [...members.values()].filter((member) => member !== primary);
-    const sentAt = clock.readClocks();
+    const sentStamp = createSequencedTime(context);
     const responses = await Promise.all(others.map(queryReport));
     const reports = responses.filter((report): report is MemberReport => report !== undefined);
     const [first, ...rest] = reports.map(({ received }) => received);
@@ -75,7 +76,11 @@
       if (await hasAnswered) return true;
       if (!(await guard.isEveryCommitReplicated())) return false;
     }
-    evidence.addFloor({ requestedAt: sentAt, position: rest.reduce(getHigherPosition, first) });
+    evidence.addFloor({
+      requestSequenceNumber: sentStamp.sequence,
+      requestedAt: sentStamp.readings,
+      position: rest.reduce(getHigherPosition, first),
+    });
     return true;
   }
 
--- a/packages/gateway/src/test/agesAfterSuspension.test.ts
+++ b/packages/gateway/src/test/agesAfterSuspension.test.ts
@@ -44,6 +44,12 @@
   }
 }
 
+/** A suspension that the time of day does not show, because it was stepped back meanwhile. */
+async function suspendWithStepBack(): Promise<void> {
+  suspend(5_000);
+  stepTimeOfDay(-8_000);
+}
+
 function createSuspendableClock(): Clock {
   const clock = createProcessClock();
   return {
@@ -117,6 +123,7 @@
   it.each([
     ['after a long suspension', async () => suspend(5_000)],
     ['after short suspensions that add up', suspendBetweenChecks],
+    ['if its age is unknown', suspendWithStepBack],
   ])('shows nothing about the primary %s', async (_, pass) => {
     // Guards against stale reads at a primary that was replaced during the suspension.
     const answers = await readFromPrimary(pass);
@@ -125,21 +132,27 @@
 });
 
 describe('the position that a replica must show', () => {
-  it('is not older than stated if short suspensions add up', async () => {
-    // Guards against stale reads: each suspension alone is too short for the clock check.
+  it.each([
+    ['short suspensions that add up', suspendBetweenChecks],
+    ['a suspension and a step of the time of day', suspendWithStepBack],
+  ])('is not older than stated after %s', async (_, pass) => {
+    // Guards against stale reads: ages that leave suspensions out.
     await runRead('first');
     position = { term: 1, index: 9 };
-    await suspendBetweenChecks();
+    await pass();
     const { statement } = await forwardRead('second');
     expect(statement!.after).toEqual({ term: 1, index: 9 });
   });
 
-  it('is not taken from an answer requested before a suspension', async () => {
+  it.each([
+    ['a suspension', async () => suspend(5_000)],
+    ['a suspension and a step of the time of day', suspendWithStepBack],
+  ])('is not taken from an answer requested before %s', async (_, pass) => {
     // Guards against stale reads: the answer arrives after the older positions were discarded.
     gateway.holdAnswers('status');
     gateway.openSession().read('first');
     await vi.advanceTimersByTimeAsync(10);
-    suspend(5_000);
+    await pass();
     await vi.advanceTimersByTimeAsync(CLOCK_CHECK_MILLISECONDS);
     gateway.holdAnswers('pause');
     gateway.releaseAnswers();
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -78,7 +78,9 @@
    */
   findTimeObservedBeyond: (position: Position) => number | undefined;
   /** Adds a position that covers everything acknowledged before `requestedAt`. */
-  addFloor: (floor: { requestedAt: ClockReadings; position: Position }) => void;
+  addFloor: (
+    floor: Pick<MemberObservation, 'requestSequenceNumber' | 'requestedAt' | 'position'>,
+  ) => void;
   /** Highest term that any member was seen in. */
   getHighestTerm: () => number;
   getLatestObservation: (memberId: string) => MemberObservation | undefined;
@@ -95,8 +97,11 @@
    * member confirms afterwards. By `validFrom` every such promotion has ended.
    */
   discardObservationsBefore: (memberId: string, options: { validFrom: number }) => void;
-  /** Clears the samples of the primary's log; their ages are unknown after a suspension. */
-  clearPositionSamples: () => void;
+  /**
+   * Relies on no age of what has been requested so far, because the clocks disagreed. Answers that
+   * are still to arrive are included.
+   */
+  discardAges: () => void;
 }
 
 /** Age relative to a time, by whichever clock advanced more. @public */
@@ -127,6 +132,8 @@
   const validFrom = new Map<string, number>();
   const waits = new Set<PendingWait>();
   let sequence = 0;
+  /** Sequence number of the last request whose age is unknown. */
+  let ageUnknownThrough = 0;
   let highestTerm = 0;
 
   const startWait = (evaluate: PendingWait['evaluate']): ConfirmationWait => {
@@ -180,6 +187,10 @@
   const isObservationValid = ({ memberId, requestedAt }: MemberObservation) =>
     requestedAt.monotonic >= (validFrom.get(memberId) ?? -Infinity);
 
+  const isAgeKnown = ({
+    requestSequenceNumber,
+  }: Pick<MemberObservation, 'requestSequenceNumber'>) => requestSequenceNumber > ageUnknownThrough;
+
   const hasReceived = (memberId: string, { term, index }: Position) => {
     const known = receivedPositions.get(memberId);
     return hasAppliedTerm(memberId, term) && known?.term === term && known.index >= index;
@@ -203,7 +214,7 @@
         recordReceivedPosition(observation);
         recordAppliedTerm(observation);
       }
-      if (observation.isPrimary) positionHistory.add(observation);
+      if (observation.isPrimary && isAgeKnown(observation)) positionHistory.add(observation);
       resolveDecidedWaits();
     },
     waitForReplication: ({ position, primaryId, memberIds }) =>
@@ -233,22 +244,26 @@
       }),
     findFloor: ({ now, maximumAge }) =>
       positionHistory.findOldest({ now, maximumAge, term: highestTerm }),
-    addFloor: ({ requestedAt, position }) => {
+    addFloor: (floor) => {
+      const { requestedAt, position } = floor;
       highestTerm = Math.max(highestTerm, position.term);
-      positionHistory.add({ requestedAt, term: position.term, position });
+      if (isAgeKnown(floor)) positionHistory.add({ requestedAt, term: position.term, position });
     },
     findTimeObservedBeyond: positionHistory.findTimeObservedBeyond,
     getHighestTerm: () => highestTerm,
     getLatestObservation: (memberId) => latestObservations.get(memberId),
-    isRecent: ({ requestedAt }, { now, maximumAge }) =>
-      computeAgeUpperBound(requestedAt, now) <= maximumAge,
+    isRecent: (observation, { now, maximumAge }) =>
+      isAgeKnown(observation) && computeAgeUpperBound(observation.requestedAt, now) <= maximumAge,
     removeMember,
     discardObservationsBefore: (memberId, options) => {
       removeMember(memberId);
       validFrom.set(memberId, options.validFrom);
     },
     hasPendingWaits: () => waits.size > 0,
-    clearPositionSamples: () => positionHistory.clear(),
+    discardAges: () => {
+      ageUnknownThrough = sequence;
+      positionHistory.clear();
+    },
   };
 }
 
--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -176,11 +176,59 @@
     });
   });
 
-  it('is undefined after the samples were cleared', () => {
+  it.each([
+    ['monotonic', { monotonic: 701, wall: 100 }],
+    ['wall', { monotonic: 100, wall: 701 }],
+  ])('is undefined once the %s clock shows a greater age', (_, now) => {
     const tracker = createReplicationTracker();
-    sample(tracker, 100, 7);
-    tracker.clearPositionSamples();
-    expect(tracker.findFloor({ now: readingsAt(100), maximumAge: 500 })).toBeUndefined();
+    sample(tracker, 200, 7);
+    expect(tracker.findFloor({ now: readingsAt(700), maximumAge: 500 })).toBeDefined();
+    expect(tracker.findFloor({ now, maximumAge: 500 })).toBeUndefined();
+  });
+});
+
+describe('ages that were discarded', () => {
+  const limit = { now: readingsAt(100), maximumAge: 500 };
+  const position = { term: 1, index: 7 };
+
+  it.each([
+    ['a sample', { memberId: 'a', isPrimary: true }],
+    ['a reply', { memberId: 'b' }],
+  ])('leave nothing recent of %s that was requested before', (_, seen) => {
+    // Guards against stale reads: the answer may arrive after the clocks were seen to disagree.
+    const [before, inFlight] = [createReplicationTracker(), createReplicationTracker()];
+    observe(before, seen);
+    before.discardAges();
+    const requestSequenceNumber = inFlight.takeNextSequenceNumber();
+    inFlight.discardAges();
+    observe(inFlight, { ...seen, requestSequenceNumber });
+    for (const tracker of [before, inFlight]) {
+      const latest = tracker.getLatestObservation(seen.memberId);
+      expect(tracker.findFloor(limit)).toBeUndefined();
+      expect(latest && tracker.isRecent(latest, limit)).toBe(false);
+    }
+  });
+
+  it('leave nothing recent of a position learned from other members', () => {
+    // Guards against stale reads while the primary is silent.
+    const tracker = createReplicationTracker();
+    const requested = {
+      requestSequenceNumber: tracker.takeNextSequenceNumber(),
+      requestedAt: readingsAt(0),
+    };
+    tracker.discardAges();
+    tracker.addFloor({ ...requested, position });
+    expect(tracker.findFloor(limit)).toBeUndefined();
+  });
+
+  it('are known again for what is requested afterwards', () => {
+    // Guards against reads that are all sent to the primary after a suspension.
+    const tracker = createReplicationTracker();
+    tracker.discardAges();
+    observe(tracker, { memberId: 'a', isPrimary: true, position });
+    observe(tracker, { memberId: 'b' });
+    expect(tracker.findFloor(limit)?.position).toEqual(position);
+    expect(tracker.isRecent(tracker.getLatestObservation('b')!, limit)).toBe(true);
   });
 });
 
