Add up short suspensions in the clock check

What callers would see: a team's permits are kept for up to half a second and are dropped when the clocks disagree. The check compared each look with the one before, so suspensions of less than 100 ms between two looks were never noticed. (Ages of positions and replies include them already, whatever the check sees.)

Change: the check compares with a reference that follows the clocks by 1 % of the time at most. A drift of 1 % is tolerated for any time; adjusted clocks stay below 0.05 %, and a single difference below 100 ms is not reported, as before. The pure part is createClockComparison of packages/pooling. The logged change has a sign now.

Measured: "adds up short suspensions" fails without the change (no line; two with it for five suspensions of 90 ms, one between each two looks).

Also adds tests of the ages by both clocks at the limit itself.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -1,5 +1,6 @@
 import { createReturnCredits } from '@wisterialift/core';
 import type { LimitTolerance } from '@wisterialift/core';
+import { createClockComparison } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GatewayConfiguration } from './configuration/gatewayConfiguration';
 import type { IsLoadControlEnabled, LoadControl } from './configuration/loadControls';
@@ -128,8 +129,8 @@
 /** Interval at which other instances are told whether this one follows the configuration promptly. */
 const CURRENCY_CHECK_INTERVAL_MILLISECONDS = 250;
 
-/** Change of the clock offset that indicates a suspension or a step of the time of day. */
-const CLOCK_DRIFT_THRESHOLD_MILLISECONDS = 100;
+/** Lateness of a clock check that indicates a pause of the process. */
+const PAUSE_THRESHOLD_MILLISECONDS = 100;
 
 /** Creates the gateway of one instance and starts following its platform services. @public */
 export function createGateway(options: GatewayOptions): Gateway {
@@ -158,7 +159,7 @@
   let isDraining = false;
   let isTakingVersion = false;
   let wasConfigurationCurrent = false;
-  let clockOffset = getClockOffset(clock);
+  const clockComparison = createClockComparison(clock.readClocks());
   let clockCheckedAt = clock.now();
 
   const isMechanismEnabled: IsMechanismEnabled = (mechanism) =>
@@ -360,10 +361,8 @@
    * positions would look fresh; the time of day continues.
    */
   function checkClockDrift(): void {
-    const currentOffset = getClockOffset(clock);
-    const change = Math.abs(currentOffset - clockOffset);
-    clockOffset = currentOffset;
-    if (change < CLOCK_DRIFT_THRESHOLD_MILLISECONDS) return;
+    const change = clockComparison.findDisagreement(clock.readClocks());
+    if (change === undefined) return;
     logger.warn('clocksDisagree', { changeMilliseconds: Math.round(change) });
     for (const router of localGroups.values()) {
       router.discardAges();
@@ -379,7 +378,7 @@
   function checkForPause(): void {
     const elapsed = clock.now() - clockCheckedAt;
     clockCheckedAt = clock.now();
-    if (elapsed < CLOCK_CHECK_INTERVAL_MILLISECONDS + CLOCK_DRIFT_THRESHOLD_MILLISECONDS) return;
+    if (elapsed < CLOCK_CHECK_INTERVAL_MILLISECONDS + PAUSE_THRESHOLD_MILLISECONDS) return;
     for (const router of localGroups.values()) router.discardLatencySamples();
   }
 
@@ -467,8 +466,3 @@
   const goals = [...routes.values()].filter((route) => route.group === group);
   return Math.min(...goals.map(({ goal }) => goal));
 }
-
-function getClockOffset(clock: Clock): number {
-  const { monotonic, wall } = clock.readClocks();
-  return wall - monotonic;
-}
--- a/packages/gateway/src/test/agesAfterSuspension.test.ts
+++ b/packages/gateway/src/test/agesAfterSuspension.test.ts
@@ -36,6 +36,17 @@
   wallLead += milliseconds;
 }
 
+/** Almost the age that reads accept, of the monotonic clock. */
+async function passAlmostLimit(): Promise<void> {
+  await vi.advanceTimersByTimeAsync(1_425);
+}
+
+/** More than that age, by a suspension too short for the clock check. */
+async function passLimit(): Promise<void> {
+  await passAlmostLimit();
+  suspend(90);
+}
+
 /** Five suspensions, each too short for the clock check, that take 1.7 s with the time between them. */
 async function suspendBetweenChecks(): Promise<void> {
   for (let check = 0; check < 5; check += 1) {
@@ -116,12 +127,13 @@
   }
 
   it('shows that the primary is current while it is within the stated age', async () => {
-    const answers = await readFromPrimary(async () => suspend(90));
+    const answers = await readFromPrimary(passAlmostLimit);
     expect(answers).toMatchObject([{ outcome: 'completed' }]);
   });
 
   it.each([
     ['after a long suspension', async () => suspend(5_000)],
+    ['after a short suspension', passLimit],
     ['after short suspensions that add up', suspendBetweenChecks],
     ['if its age is unknown', suspendWithStepBack],
   ])('shows nothing about the primary %s', async (_, pass) => {
@@ -131,8 +143,26 @@
   });
 });
 
+describe('the clock check', () => {
+  it('adds up short suspensions', async () => {
+    // Guards against permits of a team that are used late.
+    await suspendBetweenChecks();
+    expect(gateway.findLines('clocksDisagree')).toMatchObject([{}, {}]);
+  });
+
+  it('takes slow drift for no suspension', async () => {
+    // Guards against reads that are asked for anew while nothing happened.
+    for (let check = 0; check < 100; check += 1) {
+      stepTimeOfDay(2);
+      await vi.advanceTimersByTimeAsync(CLOCK_CHECK_MILLISECONDS);
+    }
+    expect(gateway.findLines('clocksDisagree')).toEqual([]);
+  });
+});
+
 describe('the position that a replica must show', () => {
   it.each([
+    ['a short suspension', passLimit],
     ['short suspensions that add up', suspendBetweenChecks],
     ['a suspension and a step of the time of day', suspendWithStepBack],
   ])('is not older than stated after %s', async (_, pass) => {
@@ -170,9 +200,12 @@
     expect(countStatusCommands() - before).toBe(memberIds.length);
   });
 
-  it('costs no status query after a step of the time of day by less than the check detects', async () => {
+  it.each([
+    ['before the stated age', passAlmostLimit],
+    ['after a short step of the time of day', async () => stepTimeOfDay(-90)],
+  ])('costs no status query %s', async (_, pass) => {
     await runRead('first');
-    stepTimeOfDay(-90);
+    await pass();
     const before = countStatusCommands();
     await runRead('second');
     expect(countStatusCommands() - before).toBe(0);
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -42,6 +42,7 @@
 } from './lib/connections/connectionShare';
 export { chooseConnectionToClose } from './lib/connections/chooseConnectionToClose';
 export { createOwnerUsage, type OwnerUsage } from './lib/connections/ownerUsage';
+export { createClockComparison, type ClockComparison } from './lib/timing/clockComparison';
 export {
   DISTANT_PAST_READINGS,
   computeAgeUpperBound,
--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -179,11 +179,28 @@
   it.each([
     ['monotonic', { monotonic: 701, wall: 100 }],
     ['wall', { monotonic: 100, wall: 701 }],
-  ])('is undefined once the %s clock shows a greater age', (_, now) => {
+  ])('is undefined, and a reply is not recent, once the %s clock shows a greater age', (_, now) => {
     const tracker = createReplicationTracker();
     sample(tracker, 200, 7);
     expect(tracker.findFloor({ now: readingsAt(700), maximumAge: 500 })).toBeDefined();
     expect(tracker.findFloor({ now, maximumAge: 500 })).toBeUndefined();
+    const reply = tracker.getLatestObservation('a')!;
+    expect(tracker.isRecent(reply, { now: readingsAt(700), maximumAge: 500 })).toBe(true);
+    expect(tracker.isRecent(reply, { now, maximumAge: 500 })).toBe(false);
+  });
+
+  it('includes what the primary answers right after a suspension', () => {
+    // Guards against reads that are refused because only samples of before the suspension are kept.
+    const tracker = createReplicationTracker();
+    sample(tracker, 100, 7);
+    const requestedAt = { monotonic: 105, wall: 5_105 };
+    observe(tracker, {
+      memberId: 'a',
+      requestedAt,
+      isPrimary: true,
+      position: { term: 1, index: 8 },
+    });
+    expect(tracker.findFloor({ now: requestedAt, maximumAge: 500 })?.position.index).toBe(8);
   });
 });
 
