Test that a step of the time of day shortens no member's wait after a restart

A restarted member's confirmations are ignored for a time of the monotonic clock. The test fails if the wait goes by the time of day, which a step forward would end early.

--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -274,6 +274,15 @@
     expect(results).toEqual(['pending', { type: 'proved' }]);
   });
 
+  it('is ignored for no shorter time if the time of day steps forward', async () => {
+    // Guards against the same lost write after a step of the time of day.
+    const tracker = createReplicationTracker();
+    tracker.discardObservationsBefore('b', { validFrom: 3_000 });
+    const wait = waitForReplication(tracker, position);
+    observe(tracker, { memberId: 'b', position, requestedAt: { monotonic: 2_900, wall: 9_000 } });
+    expect(await getResult(wait)).toBe('pending');
+  });
+
   it('still reports a later term, and log ends as its primary', async () => {
     const tracker = createReplicationTracker();
     tracker.discardObservationsBefore('b', { validFrom: 3_000 });
