--- a/packages/gateway/src/test/agesAfterSuspension.test.ts
+++ b/packages/gateway/src/test/agesAfterSuspension.test.ts
@@ -114,11 +114,11 @@
 
 describe('the answer of a replica from before a suspension', () => {
   /** Sends a read to the primary after a replica has answered and time has passed. */
-  async function readFromPrimary(pass: () => Promise<void>) {
+  async function readFromPrimary(pass: () => Promise<void>, silentMembers = ['db-2', 'db-3']) {
     await runRead('first');
     await pass();
     gateway.updateMembers(entriesWithLeavingReplicas);
-    ['db-2', 'db-3'].forEach(gateway.silence);
+    silentMembers.forEach(gateway.silence);
     const { session, statement } = await forwardRead('second');
     expect(statement!.memberId).toBe('db-1');
     statement!.answer();
@@ -141,6 +141,16 @@
     const answers = await readFromPrimary(pass);
     expect(answers).toEqual([]);
   });
+
+  it.each([
+    ['a short suspension', passLimit],
+    ['a long suspension', async () => suspend(5_000)],
+  ])('is replaced after %s by a status query for each member, without a wait', async (_, pass) => {
+    const before = countStatusCommands();
+    const answers = await readFromPrimary(pass, []);
+    expect(answers).toMatchObject([{ outcome: 'completed' }]);
+    expect(countStatusCommands() - before).toBe(2 * memberIds.length);
+  });
 });
 
 describe('the clock check', () => {
