--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -1,4 +1,5 @@
 import type {
+  ClockReadings,
   MemberObservation,
   MemberReport,
   ReplicationTracker,
@@ -79,11 +80,15 @@
 /** Sequence number and time of an event, used to order it relative to observations. */
 export interface SequencedTime {
   sequence: number;
+  /** Milliseconds of the monotonic clock. */
   at: number;
+  /** Both clocks at that time, for ages that include suspensions. */
+  readings: ClockReadings;
 }
 
 export function createSequencedTime({ evidence, clock }: GroupContext): SequencedTime {
-  return { sequence: evidence.takeNextSequenceNumber(), at: clock.now() };
+  const readings = clock.readClocks();
+  return { sequence: evidence.takeNextSequenceNumber(), at: readings.monotonic, readings };
 }
 
 /** Counts and logs a statement that is about to be sent, if the member is leaving. */
@@ -111,7 +116,7 @@
 export function describeLogEnds({ clock, evidence, members }: GroupContext) {
   return [...members.keys()].map((memberId) => {
     const seen = evidence.getLatestObservation(memberId);
-    const age = seen && Math.round(clock.now() - seen.requestedAt);
+    const age = seen && Math.round(clock.now() - seen.requestedAt.monotonic);
     return { memberId, received: seen?.position, applied: seen?.applied, age };
   });
 }
@@ -131,7 +136,7 @@
   recordObservation(context, {
     memberId,
     requestSequenceNumber: sentStamp.sequence,
-    requestedAt: sentStamp.at,
+    requestedAt: sentStamp.readings,
     term: position.term,
     position,
     applied: position,
@@ -173,7 +178,7 @@
   recordObservation(context, {
     memberId,
     requestSequenceNumber: sentStamp.sequence,
-    requestedAt: sentStamp.at,
+    requestedAt: sentStamp.readings,
     term: report.term,
     position: report.received,
     applied,
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -2,7 +2,7 @@
 import { getHigherPosition } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
-import { describeLogEnds } from './groupContext';
+import { createSequencedTime, describeLogEnds } from './groupContext';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
 import { toRegisteredMember } from './memberRegistrar';
@@ -75,7 +75,7 @@
     primaryAnswer: Promise<boolean>,
   ): Promise<boolean> {
     const others = [...members.values()].filter((member) => member !== primary);
-    const sentAt = clock.now();
+    const sentStamp = createSequencedTime(context);
     const reports = await Promise.all(others.map(queryReport));
     const answers = others.flatMap((member, index) => {
       const report = reports[index];
@@ -99,7 +99,11 @@
     const position = answers.map(({ received }) => received).reduce(getHigherPosition);
     counters.positionsFound += 1;
     logResult('readPositionFound', { unansweredIds, position });
-    evidence.addFloor({ requestedAt: sentAt, position });
+    evidence.addFloor({
+      requestSequenceNumber: sentStamp.sequence,
+      requestedAt: sentStamp.readings,
+      position,
+    });
     return true;
   }
 
--- a/packages/pooling/src/lib/membership/departedMembers.ts
+++ b/packages/pooling/src/lib/membership/departedMembers.ts
@@ -107,7 +107,7 @@
   takeNextSequenceNumber: () => number,
 ): void {
   const { isPrimary, position, requestedAt, requestSequenceNumber, term } = observation;
-  if (check.isCovered || requestedAt < check.validFrom) return;
+  if (check.isCovered || requestedAt.monotonic < check.validFrom) return;
   const { target } = check;
   if (isPrimary) {
     if (target && target.position.term >= term) return;
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -1,5 +1,7 @@
 import { comparePositions } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
+import { computeAgeUpperBound } from '../timing/clockReadings';
+import type { ClockReadings } from '../timing/clockReadings';
 import { createPositionHistory } from './positionHistory';
 import type { PositionSample } from './positionHistory';
 
@@ -8,8 +10,8 @@
   memberId: string;
   /** Sequence number of the request, from `takeNextSequenceNumber`. */
   requestSequenceNumber: number;
-  /** When the request was sent, in milliseconds of the monotonic clock. */
-  requestedAt: number;
+  /** When the request was sent. */
+  requestedAt: ClockReadings;
   term: number;
   /** End of the log that the member has received; may be of a term lower than `term`. */
   position: Position;
@@ -72,17 +74,21 @@
    * Minimum position for a read that accepts data up to `maximumAge` ms old: the oldest sample of
    * the highest term that was requested within that time, or undefined.
    */
-  findFloor: (options: { now: number; maximumAge: number }) => PositionSample | undefined;
+  findFloor: (options: AgeLimit) => PositionSample | undefined;
   /**
    * Request time of the oldest retained sample of the same term with a higher index, in milliseconds
    * of the monotonic clock, or undefined.
    */
   findTimeObservedBeyond: (position: Position) => number | undefined;
   /** Adds a position that covers everything acknowledged before `requestedAt`. */
-  addFloor: (floor: { requestedAt: number; position: Position }) => void;
+  addFloor: (
+    floor: Pick<MemberObservation, 'requestSequenceNumber' | 'requestedAt' | 'position'>,
+  ) => void;
   /** Highest term that any member was seen in. */
   getHighestTerm: () => number;
   getLatestObservation: (memberId: string) => MemberObservation | undefined;
+  /** Whether an observation was requested at most `maximumAge` ms before `now`. */
+  isRecent: (observation: MemberObservation, limit: AgeLimit) => boolean;
   hasPendingWaits: () => boolean;
   /** Evaluates the pending waits again, after members were registered or removed. */
   reevaluate: () => void;
@@ -96,8 +102,18 @@
    * member confirms afterwards. By `validFrom` every such promotion has ended.
    */
   discardObservationsBefore: (memberId: string, options: { validFrom: number }) => void;
-  /** Clears the samples of the primary's log; their ages are unknown after a suspension. */
-  clearPositionSamples: () => void;
+  /**
+   * Relies on no age of what has been requested so far, because the clocks disagreed. Answers that
+   * are still to arrive are included.
+   */
+  discardAges: () => void;
+}
+
+/** Age relative to a time, by whichever clock advanced more. @public */
+export interface AgeLimit {
+  now: ClockReadings;
+  /** Milliseconds. */
+  maximumAge: number;
 }
 
 interface PendingWait {
@@ -121,6 +137,8 @@
   const validFrom = new Map<string, number>();
   const waits = new Set<PendingWait>();
   let sequence = 0;
+  /** Sequence number of the last request whose age is unknown. */
+  let ageUnknownThrough = 0;
   let highestTerm = 0;
 
   const startWait = (evaluate: PendingWait['evaluate']): ConfirmationWait => {
@@ -172,7 +190,11 @@
   };
 
   const isObservationValid = ({ memberId, requestedAt }: MemberObservation) =>
-    requestedAt >= (validFrom.get(memberId) ?? -Infinity);
+    requestedAt.monotonic >= (validFrom.get(memberId) ?? -Infinity);
+
+  const isAgeKnown = ({
+    requestSequenceNumber,
+  }: Pick<MemberObservation, 'requestSequenceNumber'>) => requestSequenceNumber > ageUnknownThrough;
 
   const hasReceived = (memberId: string, { term, index }: Position) => {
     const known = receivedPositions.get(memberId);
@@ -197,7 +219,7 @@
         recordReceivedPosition(observation);
         recordAppliedTerm(observation);
       }
-      if (observation.isPrimary) positionHistory.add(observation);
+      if (observation.isPrimary && isAgeKnown(observation)) positionHistory.add(observation);
       resolveDecidedWaits();
     },
     waitForReplication: ({ position, primaryId, memberIds, isRegistered }) =>
@@ -228,14 +250,17 @@
         return isConfirmed ? { type: 'proved' } : undefined;
       }),
     findFloor: ({ now, maximumAge }) =>
-      positionHistory.findOldest({ since: now - maximumAge, term: highestTerm }),
-    addFloor: ({ requestedAt, position }) => {
+      positionHistory.findOldest({ now, maximumAge, term: highestTerm }),
+    addFloor: (floor) => {
+      const { requestedAt, position } = floor;
       highestTerm = Math.max(highestTerm, position.term);
-      positionHistory.add({ requestedAt, term: position.term, position });
+      if (isAgeKnown(floor)) positionHistory.add({ requestedAt, term: position.term, position });
     },
     findTimeObservedBeyond: positionHistory.findTimeObservedBeyond,
     getHighestTerm: () => highestTerm,
     getLatestObservation: (memberId) => latestObservations.get(memberId),
+    isRecent: (observation, { now, maximumAge }) =>
+      isAgeKnown(observation) && computeAgeUpperBound(observation.requestedAt, now) <= maximumAge,
     removeMember,
     discardObservationsBefore: (memberId, options) => {
       removeMember(memberId);
@@ -243,7 +268,10 @@
     },
     hasPendingWaits: () => waits.size > 0,
     reevaluate: resolveDecidedWaits,
-    clearPositionSamples: () => positionHistory.clear(),
+    discardAges: () => {
+      ageUnknownThrough = sequence;
+      positionHistory.clear();
+    },
   };
 }
 
--- a/packages/pooling/src/test/memberRegister.test.ts
+++ b/packages/pooling/src/test/memberRegister.test.ts
@@ -30,7 +30,10 @@
 describe('a member that the directory no longer lists', () => {
   /** Observes answers in turn; each is requested after the one before was received. */
   function observeAnswers(
-    answers: (Pick<MemberObservation, 'requestedAt' | 'isPrimary' | 'term'> & { index: number })[],
+    answers: (Pick<MemberObservation, 'isPrimary' | 'term'> & {
+      requestedAt: number;
+      index: number;
+    })[],
   ) {
     const members = createDepartedMembers({ settlingTime: SETTLING_MILLISECONDS });
     let sequence = 0;
@@ -39,10 +42,11 @@
       return sequence;
     };
     members.recordDeparture(departed, 100);
-    for (const { index, ...answer } of answers) {
+    for (const { index, requestedAt, ...answer } of answers) {
       const position = { term: answer.term, index };
       const observation = {
         ...answer,
+        requestedAt: { monotonic: requestedAt, wall: requestedAt },
         memberId: answer.isPrimary ? 'primary' : 'lagging',
         requestSequenceNumber: takeNextSequenceNumber(),
         position,
--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -2,12 +2,16 @@
 import type { Position } from '@wisterialift/schema';
 import { createReplicationTracker } from '../index';
 import type {
+  ClockReadings,
   ConfirmationResult,
   ConfirmationWait,
   ReplicationTracker,
   MemberObservation,
 } from '../index';
 
+/** Readings of two clocks that agree, `time` milliseconds after their start. */
+const readingsAt = (time: number): ClockReadings => ({ monotonic: time, wall: time });
+
 /** Observes an answer to a request sent after all earlier ones. */
 function observe(
   tracker: ReplicationTracker,
@@ -16,7 +20,7 @@
   const { term = 1, position = { term, index: 1 } } = seen;
   tracker.observe({
     requestSequenceNumber: tracker.takeNextSequenceNumber(),
-    requestedAt: 0,
+    requestedAt: readingsAt(0),
     isPrimary: false,
     applied: position,
     ...seen,
@@ -151,7 +155,7 @@
   const sample = (tracker: ReplicationTracker, requestedAt: number, index: number, term = 1) =>
     observe(tracker, {
       memberId: 'a',
-      requestedAt,
+      requestedAt: readingsAt(requestedAt),
       isPrimary: true,
       term,
       position: { term, index },
@@ -161,7 +165,7 @@
     const tracker = createReplicationTracker();
     [100, 600, 1_100].forEach((requestedAt, index) => sample(tracker, requestedAt, index + 1));
     const minimumIndexAt = (now: number) =>
-      tracker.findFloor({ now, maximumAge: 500 })?.position.index;
+      tracker.findFloor({ now: readingsAt(now), maximumAge: 500 })?.position.index;
     expect([600, 601, 1_100, 1_601].map(minimumIndexAt)).toEqual([1, 2, 2, undefined]);
   });
 
@@ -169,19 +173,84 @@
     const tracker = createReplicationTracker();
     sample(tracker, 100, 7);
     observe(tracker, { memberId: 'b', term: 2 });
-    expect(tracker.findFloor({ now: 200, maximumAge: 500 })).toBeUndefined();
+    expect(tracker.findFloor({ now: readingsAt(200), maximumAge: 500 })).toBeUndefined();
     sample(tracker, 150, 8, 2);
-    expect(tracker.findFloor({ now: 200, maximumAge: 500 })?.position).toEqual({
+    expect(tracker.findFloor({ now: readingsAt(200), maximumAge: 500 })?.position).toEqual({
       term: 2,
       index: 8,
     });
   });
 
-  it('is undefined after the samples were cleared', () => {
+  it.each([
+    ['monotonic', { monotonic: 701, wall: 100 }],
+    ['wall', { monotonic: 100, wall: 701 }],
+  ])('is undefined, and a reply is not recent, once the %s clock shows a greater age', (_, now) => {
+    const tracker = createReplicationTracker();
+    sample(tracker, 200, 7);
+    expect(tracker.findFloor({ now: readingsAt(700), maximumAge: 500 })).toBeDefined();
+    expect(tracker.findFloor({ now, maximumAge: 500 })).toBeUndefined();
+    const reply = tracker.getLatestObservation('a')!;
+    expect(tracker.isRecent(reply, { now: readingsAt(700), maximumAge: 500 })).toBe(true);
+    expect(tracker.isRecent(reply, { now, maximumAge: 500 })).toBe(false);
+  });
+
+  it('includes what the primary answers right after a suspension', () => {
+    // Guards against reads that are refused because only samples of before the suspension are kept.
     const tracker = createReplicationTracker();
     sample(tracker, 100, 7);
-    tracker.clearPositionSamples();
-    expect(tracker.findFloor({ now: 100, maximumAge: 500 })).toBeUndefined();
+    const requestedAt = { monotonic: 105, wall: 5_105 };
+    observe(tracker, {
+      memberId: 'a',
+      requestedAt,
+      isPrimary: true,
+      position: { term: 1, index: 8 },
+    });
+    expect(tracker.findFloor({ now: requestedAt, maximumAge: 500 })?.position.index).toBe(8);
+  });
+});
+
+describe('ages that were discarded', () => {
+  const limit = { now: readingsAt(100), maximumAge: 500 };
+  const position = { term: 1, index: 7 };
+
+  it.each([
+    ['a sample', { memberId: 'a', isPrimary: true }],
+    ['a reply', { memberId: 'b' }],
+  ])('leave nothing recent of %s that was requested before', (_, seen) => {
+    // Guards against stale reads: the answer may arrive after the clocks were seen to disagree.
+    const [before, inFlight] = [createReplicationTracker(), createReplicationTracker()];
+    observe(before, seen);
+    before.discardAges();
+    const requestSequenceNumber = inFlight.takeNextSequenceNumber();
+    inFlight.discardAges();
+    observe(inFlight, { ...seen, requestSequenceNumber });
+    for (const tracker of [before, inFlight]) {
+      const latest = tracker.getLatestObservation(seen.memberId);
+      expect(tracker.findFloor(limit)).toBeUndefined();
+      expect(latest && tracker.isRecent(latest, limit)).toBe(false);
+    }
+  });
+
+  it('leave nothing recent of a position learned from other members', () => {
+    // Guards against stale reads while the primary is silent.
+    const tracker = createReplicationTracker();
+    const requested = {
+      requestSequenceNumber: tracker.takeNextSequenceNumber(),
+      requestedAt: readingsAt(0),
+    };
+    tracker.discardAges();
+    tracker.addFloor({ ...requested, position });
+    expect(tracker.findFloor(limit)).toBeUndefined();
+  });
+
+  it('are known again for what is requested afterwards', () => {
+    // Guards against reads that are all sent to the primary after a suspension.
+    const tracker = createReplicationTracker();
+    tracker.discardAges();
+    observe(tracker, { memberId: 'a', isPrimary: true, position });
+    observe(tracker, { memberId: 'b' });
+    expect(tracker.findFloor(limit)?.position).toEqual(position);
+    expect(tracker.isRecent(tracker.getLatestObservation('b')!, limit)).toBe(true);
   });
 });
 
@@ -203,13 +272,22 @@
     tracker.discardObservationsBefore('b', { validFrom: 3_000 });
     const wait = waitForReplication(tracker, position);
     const results = [];
-    observe(tracker, { memberId: 'b', position, requestedAt: 2_900 });
+    observe(tracker, { memberId: 'b', position, requestedAt: readingsAt(2_900) });
     results.push(await getResult(wait));
-    observe(tracker, { memberId: 'b', position, requestedAt: 3_100 });
+    observe(tracker, { memberId: 'b', position, requestedAt: readingsAt(3_100) });
     results.push(await getResult(wait));
     expect(results).toEqual(['pending', { type: 'proved' }]);
   });
 
+  it('is ignored for no shorter time if the time of day steps forward', async () => {
+    // Guards against the same lost write after a step of the time of day.
+    const tracker = createReplicationTracker();
+    tracker.discardObservationsBefore('b', { validFrom: 3_000 });
+    const wait = waitForReplication(tracker, position);
+    observe(tracker, { memberId: 'b', position, requestedAt: { monotonic: 2_900, wall: 9_000 } });
+    expect(await getResult(wait)).toBe('pending');
+  });
+
   it('still reports a later term, and log ends as its primary', async () => {
     const tracker = createReplicationTracker();
     tracker.discardObservationsBefore('b', { validFrom: 3_000 });
@@ -218,13 +296,13 @@
       memberId: 'b',
       term: 2,
       position: later,
-      requestedAt: 100,
+      requestedAt: readingsAt(100),
       isPrimary: true,
     });
     expect(await getResult(waitForReplication(tracker, position))).toEqual({
       type: 'superseded',
       term: 2,
     });
-    expect(tracker.findFloor({ now: 200, maximumAge: 500 })?.position).toEqual(later);
+    expect(tracker.findFloor({ now: readingsAt(200), maximumAge: 500 })?.position).toEqual(later);
   });
 });
