Take replication for proven only while a replica is known to all instances

What callers would see: a read of a stated age without commits that another instance had acknowledged on the primary alone. An instance that had once seen a commit on a replica known to all took replication for proven until it saw the primary alone itself; replicas whose entries lapse for less than 2.5 s here may be dropped elsewhere.

--- a/packages/gateway/src/lib/groups/soleMemberGuard.ts
+++ b/packages/gateway/src/lib/groups/soleMemberGuard.ts
@@ -255,7 +255,8 @@
     },
     recordReplication,
     isEveryCommitReplicated,
-    isReplicationProven: () => isReplicationProven,
+    // A replica that lapsed may have left another instance alone with the primary meanwhile.
+    isReplicationProven: () => isReplicationProven && hasReplicaKnownToAll(clock.now()),
     isBlocked,
     describeRefusal: () => {
       const member = isBlocked() ? findSoleMember() : undefined;
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -197,3 +197,37 @@
     expect(await readBelow(Infinity)).toEqual([]);
   });
 });
+
+describe('members that lapsed while another instance relied on the primary alone', () => {
+  /** Lists the replicas anew after another instance has named the primary, which has committed more. */
+  async function returnFromLapse(): Promise<DirectoryEntry[]> {
+    indexes = { 'db-1': 5, 'db-2': 5, 'db-3': 5 };
+    await listFor(SETTLING_MILLISECONDS + 500, [primary!, copy!, lagging!]);
+    await write();
+    await listFor(2_300, [primary!]);
+    gateway.store.current = {
+      record: { holder: 'instance-2', token: 0, isClaimed: false, soleMemberId: 'db-1' },
+      revision: 20,
+    };
+    indexes['db-1'] = 9;
+    gateway.silence('db-1');
+    const replicas = [2, 3].map((number) => createEntry(number, { createdRevision: number + 10 }));
+    const entries = [primary!, ...replicas];
+    await listFor(1_600, entries);
+    return entries;
+  }
+
+  it('answer for none of its commits', async () => {
+    // Guards against a proof of replication from before the lapse.
+    await returnFromLapse();
+    expect(await readBelow(9)).toEqual([]);
+  });
+
+  it('are not promoted while it is listed', async () => {
+    // Guards against losing commits that another instance acknowledged on the primary alone.
+    const entries = await returnFromLapse();
+    gateway.openSession().write('w');
+    await listFor(6_000, entries);
+    expect(gateway.orders).toEqual([]);
+  });
+});
