Hold reads in the world to the commits of the last three seconds

What callers would see: a read that lacked a commit acknowledged less than three seconds before it passed the oracle of the simulated world unseen.

Cause: the load tells times by a clock that starts three seconds after the world's. The oracle noted acknowledgements by the world's clock and compared them with the times of reads by the load's, so each route counted as three seconds staler than it states: primary routes accepted three seconds, bounded staleness of 1.5 s accepted 4.5 s.

Change: callers tell the time of a read by the oracle's clock.

--- a/tools/world/src/lib/callers/operation.ts
+++ b/tools/world/src/lib/callers/operation.ts
@@ -87,7 +87,7 @@
   }
 
   async function runSingle(): Promise<AttemptEnd> {
-    if (!isWrite) return judge(await read(clock.now()), true);
+    if (!isWrite) return judge(await read(oracle.now()), true);
     oracle.noteSent(group, attemptId);
     const answer = await write();
     const end = judge(answer, false);
@@ -96,7 +96,7 @@
   }
 
   async function runTransaction(): Promise<AttemptEnd> {
-    const began = clock.now();
+    const began = oracle.now();
     const begun = await run('begin', isWrite ? 'BEGIN' : 'BEGIN READ');
     if (begun?.outcome !== 'completed') return judge(begun, true);
     for (let step = 1; step <= transactionLength; step += 1) {
--- a/tools/world/src/lib/callers/oracle.ts
+++ b/tools/world/src/lib/callers/oracle.ts
@@ -30,9 +30,14 @@
 export interface Oracle {
   /** Holds the teams' keys and limits. */
   teams: TeamOracle;
+  /** Its clock, by which callers tell when they sent a read. */
+  now: () => number;
   noteSent: (group: string, id: string) => void;
   noteWriteEnd: (options: { group: string; id: string; session: object; end: AttemptEnd }) => void;
-  /** @param options.rows - the position that the read showed, as the databases write it. */
+  /**
+   * @param options.since - when the read, or its transaction, was sent.
+   * @param options.rows - the position that the read showed, as the databases write it.
+   */
   checkRead: (options: {
     group: string;
     kind: RequestKind;
@@ -153,6 +158,7 @@
 
   return {
     teams: createTeamOracle({ scheduler, teams, report }),
+    now: scheduler.now,
     noteSent: (group) => {
       if (!acknowledged.has(group)) acknowledged.set(group, []);
       if (!refused.has(group)) refused.set(group, new Set());
