Hold reads in the world to every acknowledged commit that no promotion rolled back

What callers would see: three kinds of stale reads passed the oracle. It compared a read with the commit that was acknowledged last alone, which may stand before others in the log; it allowed a stated age also on routes to the primary; and it took a later term for a log that holds all of an earlier one, which a promotion from an older log does not lead. Acknowledged writes that a promotion dropped were counted as lost at the end of a run, without a time, and reads were held to them until then.

Change: the replicated log records where each term began, which tells what a log of the group holds. A read is held to the furthest commit among those acknowledged in time and not rolled back, in a session also to its last own one. A commit that is acknowledged and not in the log of the newest term, at its acknowledgement or at a later promotion, is the broken promise 'rolledBack'; 'lost' remains for others that the last log lacks. Summaries list stale reads and rolled back commits as figures of their own.

--- a/tools/world/src/lib/callers/oracle.ts
+++ b/tools/world/src/lib/callers/oracle.ts
@@ -15,6 +15,8 @@
     | 'stale'
     | 'ownWrite'
     | 'lost'
+    /** An acknowledged write is not in the log that a promotion led. */
+    | 'rolledBack'
     | 'doubled'
     | 'falseRefusal'
     | 'leaving'
@@ -56,10 +58,19 @@
 /** Time after which a member that leaves gets no new statements. @internal */
 export const LEAVING_BOUND_MILLISECONDS = 7_000;
 
+/** A write or a commit that its caller was told of. */
 interface Acknowledged {
   at: number;
   position: Position;
   id: string;
+  isRolledBack: boolean;
+}
+
+/** The acknowledged commits of a group in the order of their acknowledgement. */
+interface GroupCommits {
+  all: Acknowledged[];
+  /** Those that no promotion rolled back and that come after all earlier ones in the log. */
+  furthest: Acknowledged[];
 }
 
 /** @internal */
@@ -68,9 +79,9 @@
   groups: ReadonlyMap<string, ReplicatedLog>,
   teams: readonly WorldTeam[] = [],
 ): Oracle {
-  const acknowledged = new Map<string, Acknowledged[]>();
+  const acknowledged = new Map<string, GroupCommits>();
   const refused = new Map<string, Set<string>>();
-  const ownCommits = new WeakMap<object, Position>();
+  const ownCommits = new WeakMap<object, Acknowledged[]>();
   const broken: BrokenPromise[] = [];
 
   const report = (promise: BrokenPromise['promise'], detail: string) => {
@@ -106,24 +117,55 @@
     if (groups.get(group)!.isCommittedBehind(id)) {
       report('replaced', `${id} of ${group} was committed at a primary that had been replaced`);
     }
-    acknowledged.get(group)!.push({ at: scheduler.now(), position, id });
-    ownCommits.set(session, position);
+    const commit = { at: scheduler.now(), position, id, isRolledBack: false };
+    const commits = acknowledged.get(group)!;
+    commits.all.push(commit);
+    ownCommits.set(session, [...(ownCommits.get(session) ?? []), commit]);
+    markRolledBack(group, commit);
+    addFurthest(commits, commit);
+  }
+
+  function addFurthest({ furthest }: GroupCommits, commit: Acknowledged): void {
+    const last = furthest.at(-1);
+    const isFurther = !last || isAtMost(last.position, commit.position);
+    if (isFurther && !commit.isRolledBack) furthest.push(commit);
+  }
+
+  function markRolledBack(group: string, commit: Acknowledged): void {
+    const { position, isRolledBack } = commit;
+    if (isRolledBack || !groups.get(group)!.history.isRolledBack(position)) return;
+    Object.assign(commit, { isRolledBack: true });
+    report('rolledBack', `${describe(commit)} of ${group} is not in the log of the newest term`);
+  }
+
+  function checkPromotions(group: string): void {
+    const commits = acknowledged.get(group);
+    if (!commits) return;
+    for (const commit of commits.all) markRolledBack(group, commit);
+    commits.furthest = [];
+    for (const commit of commits.all) addFurthest(commits, commit);
   }
 
   function checkRead(options: Parameters<Oracle['checkRead']>[0]): void {
     const { group, kind, since, session, rows, id } = options;
     const [term = 0, index = 0] = (rows[0] ?? '').split('.').map(Number);
-    const shown = { term, index };
-    const own = ownCommits.get(session);
-    if (kind.consistency === 'readYourWrites' && own && !isAtMost(own, shown)) {
-      report('ownWrite', `${id} read ${rows[0]} after its own ${own.term}.${own.index}`);
-    }
-    const bound = since - kind.maximumStaleness;
-    const list = acknowledged.get(group) ?? [];
-    const missed = list.findLast(({ at }) => at < bound);
-    if (missed && !isAtMost(missed.position, shown)) {
-      report('stale', `${id} of ${kind.name} read ${rows[0]} without ${missed.id}`);
+    const { history } = groups.get(group)!;
+    const isMissed = (commit: Acknowledged | undefined): commit is Acknowledged =>
+      commit !== undefined && !history.holds({ term, index }, commit.position);
+
+    const own = (ownCommits.get(session) ?? []).findLast(({ isRolledBack }) => !isRolledBack);
+    if (kind.consistency === 'readYourWrites' && isMissed(own)) {
+      report('ownWrite', `${id} read ${rows[0]} after its own ${describe(own)}`);
     }
+    const age = kind.consistency === 'primary' ? 0 : kind.maximumStaleness;
+    const commits = acknowledged.get(group)?.furthest ?? [];
+    const missed = commits.findLast(({ at }) => at < since - age);
+    if (!isMissed(missed)) return;
+    const milliseconds = Math.round(since - missed.at);
+    report(
+      'stale',
+      `${id} of ${kind.name} read ${rows[0]} without ${describe(missed)}, acknowledged ${milliseconds} ms before it`,
+    );
   }
 
   function checkLogs(): void {
@@ -135,7 +177,8 @@
     for (const { writes } of leaderOf(group)?.log ?? []) {
       for (const id of writes) counts.set(id, (counts.get(id) ?? 0) + 1);
     }
-    for (const { id } of acknowledged.get(group) ?? []) {
+    const kept = (acknowledged.get(group)?.all ?? []).filter(({ isRolledBack }) => !isRolledBack);
+    for (const { id } of kept) {
       if (!counts.has(id)) report('lost', `${id} of ${group} is not in the last log`);
     }
     for (const id of refused.get(group) ?? []) {
@@ -156,11 +199,13 @@
     );
   }
 
+  for (const [group, { onRoleChange }] of groups) onRoleChange(() => checkPromotions(group));
+
   return {
     teams: createTeamOracle({ scheduler, teams, report }),
     now: scheduler.now,
     noteSent: (group) => {
-      if (!acknowledged.has(group)) acknowledged.set(group, []);
+      if (!acknowledged.has(group)) acknowledged.set(group, { all: [], furthest: [] });
       if (!refused.has(group)) refused.set(group, new Set());
     },
     noteWriteEnd,
@@ -170,3 +215,7 @@
     broken: () => broken,
   };
 }
+
+function describe({ id, position: { term, index } }: Acknowledged): string {
+  return `${id} at ${term}.${index}`;
+}
--- a/tools/world/src/lib/databases/replicatedLog.ts
+++ b/tools/world/src/lib/databases/replicatedLog.ts
@@ -1,6 +1,8 @@
 import { commonLength, endOf, positionAt } from '@wisterialift/fuzz';
 import type { LogEntry, Random, Scheduler } from '@wisterialift/fuzz';
 import type { Position } from '@wisterialift/schema';
+import { createTermHistory } from './termHistory';
+import type { TermHistory } from './termHistory';
 
 /** Log and role of one database. @internal */
 export interface LogState {
@@ -26,6 +28,7 @@
 /** A primary and replicas that follow it asynchronously. @internal */
 export interface ReplicatedLog {
   members: Map<string, LogState>;
+  history: TermHistory;
   /** Since when no fault holds the member's replication back; undefined while one does. */
   followsSince: (memberId: string) => number | undefined;
   setPace: (memberId: string, pace: Partial<ReplicationPace> | undefined) => void;
@@ -69,6 +72,7 @@
   const freeSince = new Map<string, number>();
   const cutOff = new Set<string>();
   const committedBehind = new Set<string>();
+  const history = createTermHistory();
   const first: LogEntry = { term: 1, index: 1, writes: [] };
   const members = new Map(
     memberIds.map((memberId, index): [string, LogState] => [
@@ -156,6 +160,7 @@
     if (!member.isUp) return;
     const term = Math.max(...[...members.values()].map((other) => other.term)) + 1;
     Object.assign(member, { role: 'primary', term, stoppedFor: 0 });
+    history.begin(term, endOf(member.log));
     member.log.push({ term, index: member.log.length + 1, writes: [] });
     Object.assign(member, { applied: member.log.length });
     for (const other of members.values()) {
@@ -200,6 +205,7 @@
 
   return {
     members,
+    history,
     followsSince: (memberId) => (paces.has(memberId) ? undefined : (freeSince.get(memberId) ?? 0)),
     setPace: (memberId, pace) => {
       if (pace) paces.set(memberId, { ...usualPace(), ...pace });
--- a/tools/world/src/lib/report/summarize.ts
+++ b/tools/world/src/lib/report/summarize.ts
@@ -34,8 +34,17 @@
   ejections: ({ system }: ExperimentResult) => system.ejections,
   repeatedReads: ({ system }: ExperimentResult) => system.repeatedReads,
   probes: ({ system }: ExperimentResult) => system.probes,
+  staleReads: ({ broken }: ExperimentResult) => countBroken(broken, ['stale', 'ownWrite']),
+  rolledBack: ({ broken }: ExperimentResult) => countBroken(broken, ['rolledBack']),
 };
 
+function countBroken(
+  broken: ExperimentResult['broken'],
+  names: ExperimentResult['broken'][number]['promise'][],
+): number {
+  return broken.filter(({ promise }) => names.includes(promise)).length;
+}
+
 /** @public */
 export type SummaryFigure = keyof typeof FIGURES;
 
