Add faults to the world: deaf replicas, lapsing entries, final departures and new ids

What was missing: the world could not play a replica that answers and receives nothing, an entry that lapses while its member runs, a member that leaves for good, or a primary that comes back at its address with its log under a new id.

Change: faults deafReplicas and lapse, isFinal for leave (its entry goes at once) and isRenamed for darkPrimary. The directory's entries are kept by the id under which a database runs at present, not by its address.

Result: contract.test.ts plays the new id.

--- a/tools/world/src/lib/databases/simulatedDatabase.ts
+++ b/tools/world/src/lib/databases/simulatedDatabase.ts
@@ -54,6 +54,8 @@
   group: string;
   host: Host;
   state: LogState;
+  /** Id under which it runs at present; its log keeps that of its first life. */
+  memberId: () => string;
   slots: SlotQueue;
   accept: StreamAcceptor<DatabaseRequest, DatabaseReply>;
   connectionCount: () => number;
@@ -69,8 +71,8 @@
   failedStatements: () => number;
   /** Falls silent, with its connections. */
   losePower: () => void;
-  /** Runs again, with or without what it held. */
-  restart: (options: { isEmpty: boolean }) => void;
+  /** Runs again at its address, with or without what it held, under its id or a new one. */
+  restart: (options: { isEmpty: boolean; isRenamed?: boolean }) => void;
 }
 
 /** Time that a report occupies a slot. */
@@ -112,6 +114,7 @@
   const slots = createSlotQueue({ slots: count, queueLength, scheduler });
   const connections = new Set<Connection>();
   const statementListeners: ((arrival: StatementArrival) => void)[] = [];
+  let { memberId } = state;
   let answerLoss = 0;
   let failure: DatabaseFailure | undefined;
   let failedStatements = 0;
@@ -141,7 +144,7 @@
   };
 
   function start(connection: Connection, request: DatabaseRequest & { type: 'startup' }): void {
-    if (request.group !== group || request.memberId !== state.memberId) {
+    if (request.group !== group || request.memberId !== memberId) {
       refuseConnection(connection, 'wrongMember');
       return;
     }
@@ -275,7 +278,7 @@
     const needsLead = isWriteCommand(command) || isPlainTransaction;
     const isCommit = command.type === 'forward' && command.text === 'COMMIT';
     if (needsLead && !isCommit && (state.role !== 'primary' || isReadOnly)) {
-      return refusal('readOnly', state.memberId);
+      return refusal('readOnly', memberId);
     }
     return undefined;
   }
@@ -309,7 +312,7 @@
   }
 
   function begin(connection: Connection, isReadOnly: boolean): Effect {
-    if (!isReadOnly && state.role !== 'primary') return refusal('readOnly', state.memberId);
+    if (!isReadOnly && state.role !== 'primary') return refusal('readOnly', memberId);
     Object.assign(connection, {
       transaction: 'open',
       isReadOnly,
@@ -338,7 +341,7 @@
     endTransaction(connection);
     if (transaction !== 'open') return refusal('aborted', 'the transaction had failed');
     if (writes.length === 0) return 'done';
-    if (state.role !== 'primary') return refusal('readOnly', state.memberId);
+    if (state.role !== 'primary') return refusal('readOnly', memberId);
     replication.commit(state, writes);
     return 'done';
   }
@@ -347,7 +350,7 @@
     const position = replication.appliedPosition(state);
     const { transaction } = connection;
     const rows = [`${position.term}.${position.index}`];
-    const completed = { outcome: 'completed' as const, rows, signature: state.memberId };
+    const completed = { outcome: 'completed' as const, rows, signature: memberId };
     const answer: UpstreamAnswer = {
       ...(effect === 'done' ? completed : effect),
       transaction,
@@ -372,6 +375,7 @@
     group,
     host,
     state,
+    memberId: () => memberId,
     slots,
     accept,
     onStatement: (listener) => statementListeners.push(listener),
@@ -393,10 +397,11 @@
       endConnections();
       host.losePower();
     },
-    restart: ({ isEmpty }) => {
+    restart: ({ isEmpty, isRenamed }) => {
       endConnections();
       if (host.isPowered()) host.kill();
       host.restorePower();
+      if (isRenamed) memberId = `${state.memberId}-${host.life()}`;
       if (isEmpty) replication.restartEmpty(state.memberId);
       else replication.restart(state.memberId);
     },
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -45,13 +45,38 @@
   z.strictObject({ kind: z.literal('powerOffInstance'), at: z.number(), seconds: z.number() }),
   z.strictObject({ kind: z.literal('rollingStops'), at: z.number(), pause: z.number() }),
   z.strictObject({ kind: z.literal('storeDown'), at: z.number(), seconds: z.number() }),
-  z.strictObject({ kind: z.literal('darkPrimary'), at: z.number(), seconds: z.number() }),
+  z.strictObject({
+    kind: z.literal('darkPrimary'),
+    at: z.number(),
+    seconds: z.number(),
+    /** Whether it comes back at its address under a new id. */
+    isRenamed: z.boolean().optional(),
+  }),
   z.strictObject({
     kind: z.literal('leave'),
     at: z.number(),
-    /** Time from the word that it leaves until it ends; another life of it follows. */
+    /** Time from the word that it leaves until it ends. */
     seconds: z.number(),
     role: z.enum(['primary', 'replica']).default('primary'),
+    /** Whether it ends for good; another life of it follows otherwise. */
+    isFinal: z.boolean().optional(),
+    groups: z.number().int().positive().optional(),
+  }),
+  z.strictObject({
+    kind: z.literal('deafReplicas'),
+    at: z.number(),
+    /** Time in which they receive nothing, although they answer. */
+    seconds: z.number(),
+    /** How many of each group, those that leave last. */
+    replicas: z.number().int().positive().default(1),
+    groups: z.number().int().positive().optional(),
+  }),
+  z.strictObject({
+    kind: z.literal('lapse'),
+    at: z.number(),
+    /** Time in which the store does not hear the member, whose entry lapses meanwhile. */
+    seconds: z.number(),
+    role: z.enum(['primary', 'replica']).default('replica'),
     groups: z.number().int().positive().optional(),
   }),
   z.strictObject({
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -70,16 +70,35 @@
     platform.setDown(true);
     clock.runAfter(seconds * 1_000, () => platform.setDown(false));
   },
-  darkPrimary: ({ seconds }, { clock, groups, databases, platform }) => {
+  darkPrimary: ({ seconds, isRenamed }, { clock, groups, databases, platform }) => {
     const memberId = primaryOf([...groups.values()][0]!);
     const database = databases.get(memberId)!;
     database.losePower();
     platform.review();
     clock.runAfter(seconds * 1_000, () => {
-      database.restart({ isEmpty: false });
+      database.restart({ isEmpty: false, isRenamed });
       platform.review();
     });
   },
+  deafReplicas: ({ seconds, replicas, groups: count }, { clock, groups, platform }) => {
+    for (const group of [...groups.values()].slice(0, count)) {
+      const isLeaving = (memberId: string) => (platform.leavingAt(memberId) === undefined ? 0 : 1);
+      const deaf = replicasOf(group)
+        .sort((left, right) => isLeaving(left) - isLeaving(right))
+        .slice(0, replicas);
+      for (const memberId of deaf) group.setPace(memberId, { isDeaf: true });
+      clock.runAfter(seconds * 1_000, () => {
+        for (const memberId of deaf) group.setPace(memberId, undefined);
+      });
+    }
+  },
+  lapse: ({ seconds, role, groups: count }, { clock, groups, platform }) => {
+    for (const group of [...groups.values()].slice(0, count)) {
+      const memberId = role === 'primary' ? primaryOf(group) : replicasOf(group)[0]!;
+      platform.setUnheard(memberId, true);
+      clock.runAfter(seconds * 1_000, () => platform.setUnheard(memberId, false));
+    }
+  },
   restartEmpty: ({ member }, { groups, databases, platform }) => {
     for (const group of groups.values()) {
       const memberId = [...group.members.keys()][member]!;
@@ -87,7 +106,7 @@
     }
     platform.review();
   },
-  leave: ({ seconds, role, groups: count }, { clock, groups, databases, platform }) => {
+  leave: ({ seconds, role, isFinal, groups: count }, { clock, groups, databases, platform }) => {
     for (const group of [...groups.values()].slice(0, count)) {
       const memberId = role === 'primary' ? primaryOf(group) : replicasOf(group)[0]!;
       const database = databases.get(memberId)!;
@@ -95,6 +114,10 @@
       clock.runAfter(seconds * 1_000, () => {
         database.losePower();
         platform.setLeaving(memberId, false);
+        if (isFinal) {
+          platform.withdraw(memberId);
+          return;
+        }
         clock.runAfter(SUCCESSION_MILLISECONDS, () => {
           database.restart({ isEmpty: false });
           platform.review();
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -39,6 +39,8 @@
   setLeaving: (memberId: string, isLeaving: boolean) => void;
   /** The store hears nothing from the member, although it runs. */
   setUnheard: (memberId: string, isUnheard: boolean) => void;
+  /** Takes the entry of a member off that has ended in order. */
+  withdraw: (memberId: string) => void;
   /** When the store accepted that the member leaves; undefined while it stays. */
   leavingAt: (memberId: string) => number | undefined;
   /** Changes of the directory reach these instances later by this time. */
@@ -93,15 +95,17 @@
     notify();
   }
 
-  function reviewDatabase({ group, host, state }: SimulatedDatabase): void {
-    const { memberId, role, isUp } = state;
+  function reviewDatabase(database: SimulatedDatabase): void {
+    const { group, host, state } = database;
+    const { role, isUp } = state;
+    const memberId = database.memberId();
     const known = entries.get(memberId);
-    if (!isUp || unheard.has(memberId)) {
-      scheduler.after(LAPSE_MILLISECONDS, () => removeSilent(memberId));
+    if (!isUp || unheard.has(host.name)) {
+      scheduler.after(LAPSE_MILLISECONDS, () => removeSilent(database, memberId));
       return;
     }
     const isPrimary = role === 'primary';
-    const isLeaving = leaving.has(memberId);
+    const isLeaving = leaving.has(host.name);
     const startedAt = host.life();
     const isSame =
       known?.isPrimary === isPrimary &&
@@ -111,7 +115,7 @@
     entries.set(memberId, {
       memberId,
       group,
-      address: memberId,
+      address: host.name,
       dataCentre: host.dataCentre,
       isPrimary,
       isLeaving,
@@ -133,8 +137,14 @@
     review();
   }
 
-  function removeSilent(memberId: string): void {
-    if (databases.get(memberId)!.state.isUp && !unheard.has(memberId)) return;
+  function removeSilent(database: SimulatedDatabase, memberId: string): void {
+    const { host, state } = database;
+    const isSilent = !state.isUp || unheard.has(host.name);
+    if (!isSilent && database.memberId() === memberId) return;
+    remove(memberId);
+  }
+
+  function remove(memberId: string): void {
     entries.delete(memberId);
     notify();
   }
@@ -228,7 +238,9 @@
     promote: ({ group, memberId }) =>
       new Promise((resolve) => {
         scheduler.after(CALL_MILLISECONDS, () => {
-          resolve(groups.get(group)?.promote(memberId) ? 'accepted' : 'notRunning');
+          const member = [...databases.values()].find((other) => other.memberId() === memberId);
+          const isAccepted = groups.get(group)?.promote(member?.host.name ?? memberId);
+          resolve(isAccepted ? 'accepted' : 'notRunning');
         });
       }),
   };
@@ -285,6 +297,7 @@
       else unheard.delete(memberId);
       review();
     },
+    withdraw: (memberId) => remove(databases.get(memberId)!.memberId()),
     leavingAt: (memberId) => leaving.get(memberId),
     delayChanges: (hosts, milliseconds) => {
       for (const host of hosts) changeDelays.set(host, milliseconds);
--- a/tools/world/src/test/contract.test.ts
+++ b/tools/world/src/test/contract.test.ts
@@ -72,6 +72,19 @@
     expect([stopped, replica.log.length]).toEqual([1, 3]);
   });
 
+  it('comes back under a new id at its address, with its log', async () => {
+    const { connect, settle, write, replication, databases } = createTestGroup();
+    await settle(write(await settle(connect('db-1')), 'w1'));
+    const database = databases.get('db-1')!;
+    database.losePower();
+    database.restart({ isEmpty: false, isRenamed: true });
+    expect(await settle(connect('db-1'))).toMatchObject({ reason: 'wrongMember' });
+    const renamed = await settle(connect(database.memberId(), 'db-1'));
+    expect(await settle(write(renamed, 'w2'))).toMatchObject({ signature: database.memberId() });
+    const { log } = replication.members.get('db-1')!;
+    expect(log.flatMap(({ writes }) => writes)).toEqual(['w1', 'w2']);
+  });
+
   it('knows nothing after a restart that loses its log', async () => {
     const { connect, settle, write, replication, databases } = createTestGroup();
     const primary = await settle(connect('db-1'));
--- a/tools/world/src/test/fixture.ts
+++ b/tools/world/src/test/fixture.ts
@@ -58,11 +58,11 @@
     return settled;
   }
 
-  const connect = (memberId: string): Promise<UpstreamConnection> =>
+  const connect = (memberId: string, address = memberId): Promise<UpstreamConnection> =>
     driver.connect({
       group: GROUP,
       memberId,
-      address: memberId,
+      address,
       timeoutMilliseconds: 700,
       team: undefined,
     });
