List seven losses of acknowledged writes when the members of a group change

Callers would see an acknowledged write missing from a later read, or from the log of the next primary: an instance with an old list counts a majority that shares no member with the majority of the new list; a second change is accepted while only the former list's members hold the writes; grants of a list that is no longer in force count for the next; and an emptied database is taken for the one that confirmed.

--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -1,11 +1,12 @@
 import type {
+  ConfigurationObject,
   Database,
   MemberStatus,
   RequestOutcome,
   Position,
   TermStart,
 } from '@wisterialift/schema';
-import { DEFAULT_ENGINE_POLICY, createGroupEngine } from '../index';
+import { DEFAULT_ENGINE_POLICY, createGroupEngine, preparePatch } from '../index';
 import type {
   EngineEffect,
   EngineEvent,
@@ -82,12 +83,15 @@
   slowMember?: string;
   policy?: Partial<EnginePolicy>;
   databases?: Partial<Record<string, Partial<Database>>>;
+  /** Empty databases that do not belong to the group yet; `changeMembers` adds them. */
+  spareMembers?: string[];
 }
 
 export type Scenario = ReturnType<typeof createScenario>;
 
 const FIRST_ENTRY: Entry = { term: 1, requestId: '', appendedAt: 0 };
 const MEMBER_NAMES = ['a1', 'b1', 'c1'];
+const GROUP = 'archivio-1';
 /** Request id prefix of writes that change no rows and write no log entry. */
 export const NO_ENTRY_PREFIX = 'no-entry';
 const LINK_MILLISECONDS = 2;
@@ -102,6 +106,7 @@
 export function createScenario(options: ScenarioOptions = {}) {
   const random = createRandom(options.seed ?? 1);
   const members = new Map(MEMBER_NAMES.map((name) => [name, createMember(name)]));
+  options.spareMembers?.forEach((name) => members.set(name, createEmptyMember(name)));
   const deliveries: Delivery[] = [];
   const requestHandles = new Map<string, RequestHandle & { access: EngineRequest['access'] }>();
   let now = 0;
@@ -111,13 +116,23 @@
     ...createDatabase(name),
     ...options.databases?.[name],
   }));
+  let configurationObject: ConfigurationObject = {
+    number: 0,
+    configuration: {
+      groups: { [GROUP]: { databases, user: 'proxy', password: '' } },
+      callers: {},
+      kinds: {},
+      serviceLevels: [],
+    },
+    patches: [],
+  };
   const instances = new Map(
     (options.instances ?? ['p1']).map((name) => [name, createInstance(name)]),
   );
 
   function createInstance(name: string): FakeInstance {
     const engine = createGroupEngine({
-      group: 'archivio-1',
+      group: GROUP,
       instance: name,
       dataCentre: 'dc-b1',
       databases,
@@ -440,6 +455,38 @@
     );
   }
 
+  /**
+   * Submits a change of members at an instance and, if it is accepted, puts it in force at the listed
+   * instances.
+   *
+   * @returns whether the change was accepted.
+   */
+  function changeMembers(names: string[], { inForceAt = [...instances.keys()] } = {}) {
+    const changed = names.map(
+      (name) => databases.find((known) => known.name === name) ?? createDatabase(name),
+    );
+    const prepared = preparePatch({
+      current: configurationObject,
+      patch: {
+        patchId: `patch-${configurationObject.number}`,
+        againstNumber: configurationObject.number,
+        author: 'operator',
+        changes: { groups: { [GROUP]: { databases: changed } } },
+      },
+      acceptedAt: '2026-01-01',
+    });
+    if (prepared.status !== 'ready') return false;
+    configurationObject = prepared.configurationObject;
+    databases = changed;
+    inForceAt.forEach(putInForce);
+    return true;
+  }
+
+  /** Makes an instance adopt the newest list of members. */
+  function putInForce(name: string): void {
+    handle(instance(name), { type: 'groupChanged', databases });
+  }
+
   instances.forEach((target) => {
     handle(target, { type: 'instancesChanged', liveInstances: [...instances.keys()] });
   });
@@ -458,6 +505,8 @@
     findRecords,
     changeDatabase,
     changeDatabases,
+    changeMembers,
+    putInForce,
     write: (draft: Partial<EngineRequest> = {}, instanceName?: string) =>
       send({ access: 'write', ...draft }, instanceName),
     read: (draft: Partial<EngineRequest> = {}, instanceName?: string) =>
@@ -487,6 +536,12 @@
   };
 }
 
+/** A database without log and term. */
+export function createEmptyMember(name: string): FakeMember {
+  const empty = { role: 'replica', currentTerm: 0, log: [], following: undefined } as const;
+  return { ...createMember(name), ...empty, log: [], lastFollowedTerm: 0 };
+}
+
 export function createDatabase(name: string): Database {
   const address = { host: '127.0.0.1', port: 3306, dataCentre: `dc-${name}` };
   return { name, ...address, connectionLimit: 30, slots: 5, leaving: false };
--- /dev/null
+++ b/packages/core/src/test/memberSets.test.ts
@@ -0,0 +1,145 @@
+import { describe, expect, it } from 'vitest';
+import { createEmptyMember, createScenario } from './engineScenario';
+import type { Scenario } from './engineScenario';
+
+const SPARE_MEMBERS = ['d1', 'e1'];
+const ALL_MEMBERS = ['a1', 'b1', 'c1', 'd1', 'e1'];
+
+function isolate(scenario: Scenario, names: string[], isIsolatedFromGroup: boolean): void {
+  names.forEach((name) => Object.assign(scenario.member(name), { isIsolatedFromGroup }));
+}
+
+function isCaughtUp(scenario: Scenario, names: string[]): boolean {
+  const [first, ...others] = names.map((name) => scenario.member(name).log.length);
+  return others.every((length) => length === first);
+}
+
+/** Applies two changes of members that `p1` does not hear of; each is in force before the next. */
+function addTwoMembersWithout(scenario: Scenario): void {
+  const options = { inForceAt: ['p2'] };
+  for (const count of [4, 5]) {
+    scenario.runUntil(() => scenario.changeMembers(ALL_MEMBERS.slice(0, count), options));
+    scenario.runUntil(() => isCaughtUp(scenario, ALL_MEMBERS.slice(0, count)));
+    scenario.run(3_000);
+  }
+}
+
+describe('changes of the members of a group', () => {
+  it('do not let an instance with an old list acknowledge a write that a promotion loses', () => {
+    // Guards against majorities of {a,b,c} and of {a,b,c,d,e} that share no member.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
+    addTwoMembersWithout(scenario);
+    isolate(scenario, ['c1', 'd1', 'e1'], true);
+    const write = scenario.write({ deadlineAt: scenario.now() + 1_000 }, 'p1');
+    scenario.run(300);
+    scenario.member('a1').state = 'down';
+    scenario.member('b1').state = 'down';
+    isolate(scenario, ['c1', 'd1', 'e1'], false);
+    const next = scenario.write({ deadlineAt: scenario.now() + 20_000 }, 'p2');
+    scenario.runUntil(() => next.outcome !== undefined && write.outcome !== undefined);
+    expect(next.outcome?.status).toBe('done');
+    const kept = scenario.member('c1').log.map(({ requestId }) => requestId);
+    if (write.outcome?.status === 'done') expect(kept).toContain(write.requestId);
+  });
+
+  it('do not let a read miss a write that an instance with an old list acknowledged', () => {
+    // Guards against a floor from {c,d,e} for a write that {a,b} confirmed.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
+    addTwoMembersWithout(scenario);
+    ['a1', 'b1'].forEach((name) => scenario.instance('p2').droppedMembers.add(name));
+    isolate(scenario, ['c1', 'd1', 'e1'], true);
+    const write = scenario.write({ deadlineAt: scenario.now() + 1_000 }, 'p1');
+    scenario.run(50);
+    const isAcknowledged = write.outcome?.status === 'done';
+    const read = scenario.read({ deadlineAt: scenario.now() + 300 }, 'p2');
+    scenario.run(400);
+    if (isAcknowledged && read.outcome?.status === 'done') {
+      expect(read.visibleRequestIds).toContain(write.requestId);
+    }
+  });
+
+  it('do not let an instance with an old list read past a write of the new members', () => {
+    // Guards against a floor from {a,b} for a write that {c,d,e} confirmed.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
+    addTwoMembersWithout(scenario);
+    isolate(scenario, ['a1', 'b1'], true);
+    scenario.instance('p1').droppedMembers.add('c1');
+    ['a1', 'b1'].forEach((name) => scenario.instance('p2').droppedMembers.add(name));
+    scenario.runUntil(() => scenario.findRecords('primaryPromoted', 'p2').length > 0);
+    const write = scenario.write({ deadlineAt: scenario.now() + 20_000 }, 'p2');
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    const read = scenario.read({ deadlineAt: scenario.now() + 300 }, 'p1');
+    scenario.run(400);
+    if (read.outcome?.status === 'done') {
+      expect(read.visibleRequestIds).toContain(write.requestId);
+    }
+  });
+
+  it('are refused until the last one is in force at a majority', () => {
+    // Guards against a second change while only the first list's members hold the acknowledged writes.
+    const scenario = createScenario({ spareMembers: SPARE_MEMBERS });
+    isolate(scenario, ['c1'], true);
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    isolate(scenario, ['d1'], true);
+    scenario.changeMembers(['a1', 'b1', 'c1', 'd1']);
+    scenario.run(3_000);
+    scenario.changeMembers(['a1', 'c1', 'd1']);
+    scenario.run(100);
+    scenario.member('a1').state = 'down';
+    isolate(scenario, ['c1', 'd1'], false);
+    scenario.run(5_000);
+    scenario.findPrimaries().forEach(({ log }) => {
+      expect(log.map(({ requestId }) => requestId)).toContain(write.requestId);
+    });
+  });
+
+  it('do not let a fence of the former members count towards the new majority', () => {
+    // Guards against promoting by {c,d}, which is a majority neither of {a,b,c,d} nor of {a,b,c}.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: ['d1'] });
+    scenario.runUntil(() => scenario.changeMembers(['a1', 'b1', 'c1', 'd1']));
+    scenario.run(3_000);
+    isolate(scenario, ['c1', 'd1'], true);
+    ['a1', 'b1'].forEach((name) => scenario.instance('p1').lostFences.add(name));
+    ['a1', 'b1', 'c1', 'd1'].forEach((name) => scenario.instance('p2').lostFences.add(name));
+    scenario.instance('p1').droppedMembers.add('a1');
+    scenario.runUntil(() => scenario.member('d1').following === undefined);
+    const members = ['a1', 'b1', 'c1'];
+    expect(scenario.changeMembers(members, { inForceAt: ['p2'] })).toBe(true);
+    const write = scenario.write({}, 'p2');
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.putInForce('p1');
+    scenario.run(50);
+    scenario.findPrimaries().forEach(({ log }) => {
+      expect(log.map(({ requestId }) => requestId)).toContain(write.requestId);
+    });
+  });
+
+  it('reset what is known of a database that restarts without its log', () => {
+    // Guards against a stale read that trusts the freshness of the database's former log.
+    const scenario = createScenario();
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.run(3_000);
+    Object.assign(scenario.member('b1'), createEmptyMember('b1'), { isIsolatedFromGroup: true });
+    scenario.run(300);
+    const read = scenario.read({ maximumStalenessMilliseconds: 2_000 });
+    scenario.run(300);
+    expect(read.visibleRequestIds).toContain(write.requestId);
+  });
+
+  it('do not count a database that restarts without its log before it has the group’s log', () => {
+    // Guards against a promotion by a member that lost an acknowledged write and one that lacks it.
+    const scenario = createScenario();
+    isolate(scenario, ['c1'], true);
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    Object.assign(scenario.member('b1'), createEmptyMember('b1'), { isIsolatedFromGroup: true });
+    scenario.run(300);
+    scenario.member('a1').state = 'down';
+    scenario.run(3_000);
+    scenario.findPrimaries().forEach(({ log }) => {
+      expect(log.map(({ requestId }) => requestId)).toContain(write.requestId);
+    });
+  });
+});
