Let the terms of a group say which list of its members they belong to

Callers would see an acknowledged write missing from a read or from the next primary's log: an instance that had missed two changes of members confirmed writes and found read positions with a majority of its old list, which shares no member with one of the new list; two changes in a row did the same in touch, since nobody waited for the members to catch up; and grants of a former list counted towards the majority of the next.

Cause: a majority was counted by whatever list the instance had, and only the size of one patch was checked.

Each group's list has a number, that of the configuration that made it, and its terms lie in a range of their own, above those of all former lists. Answers in a term of a later list count for nothing at an instance with an older one, and it runs no writes and starts no change of primary. A patch that changes members is refused until the instance that takes it has seen the last change in the logs of a majority, or the patch raises the number. A fence is given up when the list changes meanwhile. A database at another address starts as an unknown member, so the freshness of its former address counts for nothing.

Two majorities meet: lists that follow each other differ by one member, and of lists further apart the one between is established, so a majority of it holds a later term and every write that was confirmed before.

The fuzz numbers the lists of its removed database.

An instance with an old list refuses writes and reads without a token until it hears.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -90,6 +90,7 @@
 export { type ConfigurationFault } from './lib/configuration/configurationFault';
 export { EMPTY_CONFIGURATION_OBJECT } from './lib/configuration/emptyConfiguration';
 export { mergePatch, type JsonValue } from './lib/configuration/mergePatch';
+export type { EstablishedMemberSets } from './lib/configuration/memberChanges';
 export {
   createPatchSubmission,
   type PatchOutcome,
--- a/packages/core/src/lib/acknowledgement/confirmationTracker.ts
+++ b/packages/core/src/lib/acknowledgement/confirmationTracker.ts
@@ -45,7 +45,8 @@
  * A write is confirmed once a majority, polled after the write completed, reports the term of the
  * write and a log that reaches its position. A promotion needs a majority that has recorded a higher
  * term. The two majorities share a member, which reported the write before it recorded the higher
- * term; the new log therefore contains the write.
+ * term; the new log therefore contains the write. Lists of members that follow each other differ by one
+ * member, so their majorities share one too; confirmations in terms of a later list do not count.
  *
  * @internal
  */
@@ -55,7 +56,7 @@
   function takeResolved(): ResolvedWrite[] {
     const resolved: ResolvedWrite[] = [];
     if (pendingWrites.size === 0) return resolved;
-    const establishedPrimary = findEstablishedPrimary(members);
+    const establishedPrimary = members.findEstablishedPrimary();
     pendingWrites.forEach((write) => {
       const outcome = determineOutcome(write, members, establishedPrimary);
       if (outcome) resolved.push({ write, outcome });
@@ -94,7 +95,7 @@
 function isConfirmed(write: PendingWrite, members: MemberTable): boolean {
   let confirmationCount = 0;
   for (const member of members.list()) {
-    if (hasConfirmed(member, write)) confirmationCount += 1;
+    if (members.isCounted(member) && hasConfirmed(member, write)) confirmationCount += 1;
   }
   return confirmationCount >= members.getMajority();
 }
@@ -105,20 +106,3 @@
   if (!write.position) return true;
   return status.logEnd.term === write.term && status.logEnd.index >= write.position.index;
 }
-
-/**
- * Finds the primary once the logs of a majority end in its term. Until then a later promotion can still
- * start from another log.
- */
-function findEstablishedPrimary(members: MemberTable): MemberStatus | undefined {
-  const status = members.getPrimary()?.status;
-  if (!status) return undefined;
-  const membersInTerm = members
-    .list()
-    .filter(
-      (member) =>
-        member.status?.currentTerm === status.currentTerm &&
-        member.status.logEnd.term === status.currentTerm,
-    );
-  return membersInTerm.length >= members.getMajority() ? status : undefined;
-}
--- a/packages/core/src/lib/configuration/patchSubmission.ts
+++ b/packages/core/src/lib/configuration/patchSubmission.ts
@@ -2,6 +2,7 @@
 import { assign, initialTransition, setup, transition } from 'xstate';
 import type { ConfigurationFault } from './configurationFault';
 import { EMPTY_CONFIGURATION_OBJECT } from './emptyConfiguration';
+import type { EstablishedMemberSets } from './memberChanges';
 import { preparePatch } from './preparePatch';
 import type { PreparedPatch } from './preparePatch';
 import { findPatchStatus } from './findPatchStatus';
@@ -44,6 +45,8 @@
   acceptedAt: string;
   /** Number of failed calls after which the outcome is `unknown`. */
   maximumFailures: number;
+  /** Seen by this instance; a group that is missing refuses changes of its members. */
+  establishedMemberSets?: EstablishedMemberSets;
 }
 
 /** State machine that submits one patch to the platform. @public */
@@ -173,11 +176,11 @@
 }
 
 function applyReadObject(
-  { patch, acceptedAt }: SubmissionContext,
+  { patch, acceptedAt, establishedMemberSets }: SubmissionContext,
   found: VersionedConfiguration | undefined,
 ): Partial<SubmissionContext> {
   const current = found?.configurationObject ?? EMPTY_CONFIGURATION_OBJECT;
-  const prepared = preparePatch({ current, patch, acceptedAt });
+  const prepared = preparePatch({ current, patch, acceptedAt, establishedMemberSets });
   return { current, version: found?.version ?? 0, prepared };
 }
 
--- a/packages/core/src/lib/configuration/preparePatch.ts
+++ b/packages/core/src/lib/configuration/preparePatch.ts
@@ -7,7 +7,8 @@
 } from '@wisterialift/schema';
 import { describeFaults } from './configurationFault';
 import type { ConfigurationFault } from './configurationFault';
-import { findMemberChangeFaults } from './memberChanges';
+import { findMemberChangeFaults, numberMemberSets } from './memberChanges';
+import type { EstablishedMemberSets } from './memberChanges';
 import { mergePatch } from './mergePatch';
 
 /** Result of applying a patch to the current configuration. @public */
@@ -30,14 +31,17 @@
  *
  * @param options.current - configuration object currently stored in the platform.
  * @param options.acceptedAt - ISO 8601 time; informational only.
+ * @param options.establishedMemberSets - as seen by this instance; a group that is missing refuses changes
+ *   of its members.
  * @public
  */
 export function preparePatch(options: {
   current: ConfigurationObject;
   patch: ConfigurationPatch;
   acceptedAt: string;
+  establishedMemberSets?: EstablishedMemberSets;
 }): PreparedPatch {
-  const { current, patch, acceptedAt } = options;
+  const { current, patch, acceptedAt, establishedMemberSets = {} } = options;
   const accepted = findAcceptedPatch(current, patch.patchId);
   if (accepted) return { status: 'alreadyAccepted', number: accepted.number };
   if (patch.againstNumber !== current.number) {
@@ -45,9 +49,11 @@
   }
   const result = configurationSchema.safeParse(mergePatch(current.configuration, patch.changes));
   if (!result.success) return { status: 'invalid', faults: describeFaults(result.error) };
-  const faults = findMemberChangeFaults(current.configuration, result.data);
+  const { configuration: previous, number } = current;
+  const faults = findMemberChangeFaults({ previous, next: result.data, establishedMemberSets });
   if (faults.length > 0) return { status: 'invalid', faults };
-  return checkSize(createNextObject({ current, patch, acceptedAt, configuration: result.data }));
+  const configuration = numberMemberSets(previous, result.data, number + 1);
+  return checkSize(createNextObject({ current, patch, acceptedAt, configuration }));
 }
 
 /** Finds an accepted patch in the object's patch history. @public */
--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -3,6 +3,7 @@
 import type { FailoverTimes } from '../failover/failoverController';
 import { createPrimaryFailureDetector } from '../failover/primaryFailureDetector';
 import { createMemberCapacity } from './memberCapacity';
+import { getMemberSet } from './memberSet';
 import { createMemberTable } from './memberTable';
 import type { Member } from './memberTable';
 import type {
@@ -61,13 +62,14 @@
 export function createGroupEngine(options: GroupEngineOptions): GroupEngine {
   const { group, instance, dataCentre, policy, random } = options;
   const pauseMilliseconds = policy.suspicionMilliseconds * PAUSE_DETECTION_FACTOR;
-  const members = createMemberTable(options.databases);
+  const members = createMemberTable(options.databases, options.memberSet);
   const controlRequests = createControlRequestTable();
   const capacity = createMemberCapacity(instance, options.databases);
   let effects: EngineEffect[] = [];
   let startedAt: number | undefined;
   let timerAt: number | undefined;
   let sharesRefreshedAt = Number.NEGATIVE_INFINITY;
+  let establishedMemberSet: number | undefined;
 
   function emit(effect: EngineEffect): void {
     effects.push(effect);
@@ -158,9 +160,10 @@
       const controlRequest = controlRequests.take(questionId);
       if (controlRequest) onControlRequestFailed(controlRequest, reason, now);
     },
-    groupChanged: ({ databases }, now) => {
-      members.replaceDatabases(databases, now);
+    groupChanged: ({ databases, memberSet = members.getMemberSet() }, now) => {
+      const hasChanged = members.replaceDatabases(databases, memberSet, now);
       capacity.onDatabasesChanged(databases);
+      if (hasChanged) failover.onMembersChanged(now);
     },
     instancesChanged: ({ liveInstances }, now) => {
       capacity.onInstancesChanged(liveInstances, now);
@@ -267,6 +270,18 @@
     return effects;
   }
 
+  /** Once established, a member set stays so; later terms start from logs that contain its term. */
+  function findEstablishedMemberSet(): number | undefined {
+    const established = members.findEstablishedPrimary();
+    if (established) {
+      establishedMemberSet = Math.max(
+        establishedMemberSet ?? 0,
+        getMemberSet(established.currentTerm),
+      );
+    }
+    return establishedMemberSet;
+  }
+
   function createView(now: number): GroupEngineView {
     const primary = members.getPrimary();
     const list = members.list();
@@ -275,6 +290,8 @@
       term: members.getHighestTerm(),
       primary: primary?.name,
       phase: failover.getPhase(),
+      memberSet: members.getMemberSet(),
+      establishedMemberSet: findEstablishedMemberSet(),
       queued: requests.countQueued(),
       running: list.reduce((sum, member) => sum + capacity.countRunning(member), 0),
       members: list.map((member) => createMemberView(member, primary, now)),
--- a/packages/core/src/lib/engine/memberTable.ts
+++ b/packages/core/src/lib/engine/memberTable.ts
@@ -1,5 +1,6 @@
 import { comparePositions } from '@wisterialift/schema';
 import type { Database, MemberStatus, Position } from '@wisterialift/schema';
+import { getMemberSet } from './memberSet';
 
 /** Weight of a new sample in the moving average of the round-trip time. */
 const ROUND_TRIP_SMOOTHING = 0.25;
@@ -46,7 +47,21 @@
   get: (name: string) => Member | undefined;
   /** Number of members that form a majority. */
   getMajority: () => number;
-  replaceDatabases: (databases: Database[], now: number) => void;
+  /**
+   * Replaces the list of databases.
+   *
+   * @param memberSet - number of the list; it grows with each change of the members.
+   * @returns whether the members have changed, and not only settings of theirs.
+   */
+  replaceDatabases: (databases: Database[], memberSet: number, now: number) => boolean;
+  /** Number of the list of databases in use. */
+  getMemberSet: () => number;
+  /**
+   * Whether the member's newest answer counts towards a majority. One in a term of a later member set
+   * does not: this instance cannot know which members that set has.    */
+  isCounted: (member: Member) => boolean;
+  /** Whether any member has recorded a term of a later member set than the one in use. */
+  isOutdated: () => boolean;
   onAnswered: (answer: StatusAnswer) => Member | undefined;
   onFailed: (failure: ControlRequestFailure) => void;
   /** Restarts failure detection for every member, after a pause of this process. */
@@ -58,6 +73,11 @@
    * the one recorded by a majority.
    */
   getPrimary: () => Member | undefined;
+  /**
+   * The primary once the logs of a majority end in its term. Until then a later promotion can still
+   * start from another log.
+   */
+  findEstablishedPrimary: () => MemberStatus | undefined;
   getHighestTerm: () => number;
   /** Ignores the member's claim to be primary in responses to requests before `firstValidRequestId`. */
   rejectPrimaryClaimBefore: (name: string, firstValidRequestId: number) => void;
@@ -87,21 +107,48 @@
  *
  * @internal
  */
-export function createMemberTable(databases: Database[]): MemberTable {
+export function createMemberTable(databases: Database[], initialMemberSet = 0): MemberTable {
+  let memberSet = initialMemberSet;
   let members: Member[] = databases.map((database) => createMember(database, 0));
   let byName = indexByName(members);
   let majorityTerm: number | undefined;
   let primary: Member | undefined;
+  let isListOutdated = false;
 
-  function replaceDatabases(changed: Database[], now: number): void {
+  /** A database at another address is another member until it answers. */
+  function replaceDatabases(changed: Database[], changedSet: number, now: number): boolean {
+    const former = members;
     members = changed.map((database) => {
       const known = byName.get(database.name);
-      if (!known) return createMember(database, now);
+      if (!known || !isSameAddress(known.database, database)) return createMember(database, now);
       known.database = database;
       return known;
     });
+    const hasChanged =
+      changedSet !== memberSet ||
+      members.length !== former.length ||
+      members.some((member) => !former.includes(member));
+    memberSet = changedSet;
     byName = indexByName(members);
     refreshPrimary();
+    return hasChanged;
+  }
+
+  function isCounted({ status }: Member): boolean {
+    return status !== undefined && getMemberSet(status.currentTerm) <= memberSet;
+  }
+
+  function findEstablishedPrimary(): MemberStatus | undefined {
+    const status = primary?.status;
+    if (!primary || !status || !isCounted(primary)) return undefined;
+    const { currentTerm } = status;
+    const membersInTerm = members.filter(
+      (member) =>
+        isCounted(member) &&
+        member.status?.currentTerm === currentTerm &&
+        member.status.logEnd.term === currentTerm,
+    );
+    return membersInTerm.length >= getMajority() ? status : undefined;
   }
 
   function onAnswered({ member: name, status, questionId, sentAt, now }: StatusAnswer) {
@@ -178,6 +225,7 @@
   function refreshPrimary(): void {
     majorityTerm = findMajorityTerm();
     primary = findPrimary();
+    isListOutdated = getMemberSet(getHighestTerm()) > memberSet;
   }
 
   function rejectPrimaryClaimBefore(name: string, firstValidRequestId: number): void {
@@ -196,11 +244,15 @@
     get: (name) => byName.get(name),
     getMajority,
     replaceDatabases,
+    getMemberSet: () => memberSet,
+    isCounted,
+    isOutdated: () => isListOutdated,
     onAnswered,
     onFailed,
     resetSilences,
     getMajorityTerm: () => majorityTerm,
     getPrimary: () => primary,
+    findEstablishedPrimary,
     rejectPrimaryClaimBefore,
     getHighestTerm,
   };
@@ -240,6 +292,10 @@
   return [...logEnds].sort(comparePositions)[majority - 1];
 }
 
+function isSameAddress(left: Database, right: Database): boolean {
+  return left.host === right.host && left.port === right.port;
+}
+
 function indexByName(members: Member[]): Map<string, Member> {
   return new Map(members.map((member) => [member.name, member]));
 }
--- a/packages/core/src/lib/engine/messages.ts
+++ b/packages/core/src/lib/engine/messages.ts
@@ -65,7 +65,8 @@
   | { type: 'transactionFinished'; transactionId: string }
   | { type: 'statusAnswered'; questionId: number; status: MemberStatus }
   | { type: 'questionFailed'; questionId: number; reason: ControlRequestFailureReason }
-  | { type: 'groupChanged'; databases: Database[] }
+  /** `memberSet` is the number of the list of members; unchanged if undefined. */
+  | { type: 'groupChanged'; databases: Database[]; memberSet?: number }
   /** Names of the live instances, including this one; the list may lag behind. */
   | { type: 'instancesChanged'; liveInstances: string[] }
   /** Another instance published a primary; the engine verifies it with status requests. */
@@ -107,11 +108,13 @@
  * - `absent`: a majority responds, but no member reports itself as primary of the majority's term or
  *   a higher one.
  * - `leaving`: the primary is being taken out of service.
+ * - `membersChanged`: the members have changed since the term of the primary began.
  * - `stranded`: a member has recorded a higher term and can no longer follow the primary.
  *
  * @public
  */
-export type SuspicionCause = 'silent' | 'unconfirmed' | 'absent' | 'leaving' | 'stranded';
+export type SuspicionCause =
+  'silent' | 'unconfirmed' | 'absent' | 'leaving' | 'membersChanged' | 'stranded';
 
 /** Where the time of a request went that has reached its deadline, in milliseconds. @public */
 export interface RequestTimes {
@@ -187,6 +190,8 @@
   instance: string;
   dataCentre: string;
   databases: Database[];
+  /** Number of the list of members; 0 by default. */
+  memberSet?: number;
   policy: EnginePolicy;
   /** Returns a uniformly distributed number in [0, 1). */
   random: () => number;
@@ -199,6 +204,13 @@
   primary: string | undefined;
   /** Phase of the failover; `looking` verifies a suspicion with new status requests. */
   phase: string;
+  /** Number of the list of members in use. */
+  memberSet: number;
+  /**
+   * Highest number of a list of members for which the logs of a majority are known to have ended in a term
+   * of it; undefined before the first. From then on, no former list can confirm a write.
+   */
+  establishedMemberSet: number | undefined;
   queued: number;
   running: number;
   members: MemberView[];
--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -21,6 +21,8 @@
   onPaused: (now: number) => void;
   onInstancesChanged: (liveInstances: string[]) => void;
   onDrainStarted: () => void;
+  /** Called after members were added, removed or moved. */
+  onMembersChanged: (now: number) => void;
   getPhase: () => FailoverPhase;
   /** Whether writes are kept in the queue because the primary is about to be replaced. */
   isBlockingWrites: () => boolean;
@@ -83,7 +85,10 @@
 const ANSWER_TIMEOUT_ROUND_TRIPS = 3;
 
 /** Causes for which the failover waits for all grants, to choose the best candidate. */
-const NON_URGENT_CAUSES = new Set(['leaving', 'stranded', 'absent']);
+const NON_URGENT_CAUSES = new Set(['leaving', 'membersChanged', 'stranded', 'absent']);
+
+/** Causes for which work at the primary ends first and new writes are held back. */
+const PLANNED_CAUSES = new Set(['leaving', 'membersChanged']);
 
 /**
  * Creates the controller that replaces a failed or leaving primary.
@@ -143,7 +148,9 @@
 
   /** A planned handover gives other instances time to finish their work at the primary. */
   function computeFailoverDelay({ cause }: Suspicion): number {
-    const otherInstancesDrain = cause === 'leaving' ? times.otherInstancesDrainMilliseconds : 0;
+    const otherInstancesDrain = PLANNED_CAUSES.has(cause)
+      ? times.otherInstancesDrainMilliseconds
+      : 0;
     return coordination.computeStaggerDelay() + otherInstancesDrain;
   }
 
@@ -175,7 +182,7 @@
 
   /** A planned handover waits a limited time for this instance's own work in flight. */
   function hasWorkToFinish({ cause, member }: Suspicion, now: number): boolean {
-    if (cause !== 'leaving' || options.countInFlight(member) === 0) return false;
+    if (!PLANNED_CAUSES.has(cause) || options.countInFlight(member) === 0) return false;
     return now - suspectedSince < times.ownDrainTimeoutMilliseconds;
   }
 
@@ -289,6 +296,7 @@
   function isDeprioritized(name: string): boolean {
     const { member: suspect, cause } = getSuspicion();
     if (members.get(name)?.database.leaving) return true;
+    if (cause === 'membersChanged') return name !== suspect;
     return cause !== 'stranded' && name === suspect;
   }
 
@@ -399,11 +407,15 @@
     onDrainStarted: () => {
       isDraining = true;
     },
+    onMembersChanged: (now) => {
+      // Grants of the former members are no majority of the present ones.
+      if (lifecycle.getPhase() === 'fencing') failAttempt(now);
+    },
     getPhase: lifecycle.getPhase,
     isBlockingWrites: () => {
       const phase = lifecycle.getPhase();
       if (phase === 'fencing' || phase === 'promoting') return true;
-      return phase !== 'steady' && getSuspicion().cause === 'leaving';
+      return phase !== 'steady' && PLANNED_CAUSES.has(getSuspicion().cause);
     },
     getNextDueAt: () => lifecycle.getContext().dueAt,
   };
--- a/packages/core/src/lib/failover/failoverCoordination.ts
+++ b/packages/core/src/lib/failover/failoverCoordination.ts
@@ -1,3 +1,4 @@
+import { getTermBefore } from '../engine/memberSet';
 import type { MemberTable } from '../engine/memberTable';
 import { orderByRendezvous } from '../membership/rendezvous';
 
@@ -8,7 +9,7 @@
   computeStaggerDelay: () => number;
   /** Returns the delay after a failed failover, in milliseconds. */
   computeBackoffDelay: (failures: number) => number;
-  /** Reserves and returns a term above all that this instance has seen or proposed. */
+  /** Reserves and returns a term of the member set in use, above all seen or proposed here. */
   reserveTerm: () => number;
   /** Detects terms fenced by other instances. */
   observeTerms: (now: number) => void;
@@ -63,7 +64,8 @@
   }
 
   function reserveTerm(): number {
-    highestProposed = Math.max(members.getHighestTerm(), highestProposed) + 1;
+    const lowest = getTermBefore(members.getMemberSet());
+    highestProposed = Math.max(members.getHighestTerm(), highestProposed, lowest) + 1;
     return highestProposed;
   }
 
--- a/packages/core/src/lib/failover/primaryFailureDetector.ts
+++ b/packages/core/src/lib/failover/primaryFailureDetector.ts
@@ -1,5 +1,6 @@
 import { comparePositions } from '@wisterialift/schema';
 import type { PendingWrite } from '../acknowledgement/confirmationTracker';
+import { getMemberSet } from '../engine/memberSet';
 import { hasRespondedWithin, getTerm } from '../engine/memberTable';
 import type { Member, MemberTable } from '../engine/memberTable';
 import type { SuspicionCause } from '../engine/messages';
@@ -12,7 +13,7 @@
   unconfirmedMilliseconds: number;
   /** How long a member may have a higher term than the primary. */
   strandedMilliseconds: number;
-  /** Delay before a leaving primary is replaced, for all instances to learn that it is leaving. */
+  /** Delay of a planned change of term, for all instances to learn what causes it. */
   handoverAnnouncementMilliseconds: number;
 }
 
@@ -52,6 +53,8 @@
  * - `absent`: a majority responds and no member is primary, for example after an instance failed
  *   between fencing and promoting.
  * - `leaving`: the primary is being taken out of service and a successor has caught up.
+ * - `membersChanged`: the term is one of a former list of members; it ends so that no majority of that list
+ *   can confirm anything any more.
  * - `stranded`: a member recorded a higher term in a failed failover and refuses the primary's log.
  *
  * @internal
@@ -146,7 +149,13 @@
     );
   }
 
+  function isOfFormerMembers(primary: Member): boolean {
+    return getMemberSet(getTerm(primary)) < members.getMemberSet();
+  }
+
+  /** Without a list as new as the terms of the members, a majority of it proves nothing. */
   function findSuspicion(now: number): Suspicion | undefined {
+    if (members.isOutdated()) return undefined;
     const primary = members.getPrimary();
     const isAbsent = !primary && hasMajority(findAnswering(members.list(), now));
     if (updateCondition('absent', isAbsent, times.suspicionMilliseconds, now)) {
@@ -163,11 +172,18 @@
       times.handoverAnnouncementMilliseconds,
       now,
     );
+    const isOfFormer = updateCondition(
+      'membersChanged',
+      isOfFormerMembers(primary),
+      times.handoverAnnouncementMilliseconds,
+      now,
+    );
     const stranded = findStranded(primary, now);
     const isStranded = updateCondition('stranded', !!stranded, times.strandedMilliseconds, now);
     if (isPrimarySilent(primary, now)) return { cause: 'silent', member: name };
     if (isIsolatedFromGroup(primary, now)) return { cause: 'unconfirmed', member: name };
     if (isLeaving && hasSuccessor(primary, now)) return { cause: 'leaving', member: name };
+    if (isOfFormer) return { cause: 'membersChanged', member: name };
     if (isStranded && stranded) return { cause: 'stranded', member: stranded.name };
     return undefined;
   }
@@ -187,6 +203,10 @@
       if (!primary) return true;
       return primary.name === member && primary.database.leaving && hasSuccessor(primary, now);
     },
+    membersChanged: ({ member }) => {
+      const primary = members.getPrimary();
+      return !primary || (primary.name === member && isOfFormerMembers(primary));
+    },
     stranded: (_suspicion, now) => {
       const primary = members.getPrimary();
       return !primary || findStranded(primary, now) !== undefined;
@@ -195,7 +215,8 @@
 
   return {
     findSuspicion,
-    isStillSuspected: (suspicion, now) => suspicionChecks[suspicion.cause](suspicion, now),
+    isStillSuspected: (suspicion, now) =>
+      !members.isOutdated() && suspicionChecks[suspicion.cause](suspicion, now),
     onPaused: () => conditionSince.clear(),
     onConfirmed: (waitedMilliseconds) => {
       if (waitedMilliseconds < times.unconfirmedMilliseconds) extensions = 0;
--- a/packages/core/src/lib/reads/floorRounds.ts
+++ b/packages/core/src/lib/reads/floorRounds.ts
@@ -36,7 +36,8 @@
  *
  * Preserves read-your-writes for sessions that write through another instance: a majority holds each
  * acknowledged write and overlaps with any majority polled after the read arrived. Each majority
- * gives a valid bound, so further answers only lower the floor.
+ * gives a valid bound, so further answers only lower the floor. An answer in a term of a later list of
+ * members does not count: a majority of that list may share no member with one of the list in use.
  *
  * @internal
  */
@@ -81,9 +82,10 @@
 function updateRound(round: FloorRound, members: MemberTable): void {
   const logEnds: Position[] = [];
   let { term } = round;
-  for (const { status, statusControlRequestId } of members.list()) {
+  for (const member of members.list()) {
+    const { status, statusControlRequestId } = member;
     if (!status || statusControlRequestId < round.firstControlRequestId) continue;
-    logEnds.push(status.logEnd);
+    if (members.isCounted(member)) logEnds.push(status.logEnd);
     term = Math.max(term, status.currentTerm);
   }
   const bound = findLowestMajorityLogEnd(logEnds, members.getMajority());
--- a/packages/core/src/lib/reads/stalenessSamples.ts
+++ b/packages/core/src/lib/reads/stalenessSamples.ts
@@ -51,7 +51,7 @@
 }
 
 function takeSample(members: MemberTable): Sample | undefined {
-  const answered = members.list().filter(({ status }) => status !== undefined);
+  const answered = members.list().filter(members.isCounted);
   if (answered.length < members.getMajority()) return undefined;
   const newest = [...answered]
     .sort((left, right) => right.statusRequestedAt - left.statusRequestedAt)
--- a/packages/core/src/lib/routing/requestRouter.ts
+++ b/packages/core/src/lib/routing/requestRouter.ts
@@ -1,6 +1,7 @@
 import { isAtMost } from '@wisterialift/schema';
 import type { NotRunReason } from '@wisterialift/schema';
 import { hasApplied } from '../engine/logHistory';
+import { getMemberSet } from '../engine/memberSet';
 import { hasRespondedWithin, getTerm } from '../engine/memberTable';
 import type { Member } from '../engine/memberTable';
 import type { RequestContext } from '../engine/requestContext';
@@ -120,6 +121,8 @@
     if (isBlockingWrites()) return undefined;
     const primary = members.getPrimary();
     if (!primary || !isUsable(primary, now)) return undefined;
+    // The list of members in use cannot confirm a write in a term of a later list.
+    if (getMemberSet(getTerm(primary)) > members.getMemberSet()) return undefined;
     const answering = members
       .list()
       .filter((member) => hasRespondedWithin(member, policy.suspicionMilliseconds, now));
--- a/packages/core/src/test/configuration.test.ts
+++ b/packages/core/src/test/configuration.test.ts
@@ -183,11 +183,27 @@
   function changeMembers(databases: object[]): PreparedPatch {
     const groups = { archivio: { ...GROUP, databases: [a, b, c] } };
     const current = accept({ patchId: 'first', changes: { groups } });
-    return submit({
-      current,
-      againstNumber: 1,
-      changes: { groups: { archivio: { databases } } },
-    });
+    return submitWith({ establishedMemberSets: { archivio: 1 } }, current, databases);
+  }
+
+  function submitWith(
+    seen: { establishedMemberSets: Record<string, number> },
+    current: ConfigurationObject,
+    databases: object[],
+    settings: object = {},
+  ): PreparedPatch {
+    const patch = {
+      patchId: `patch-${current.number}`,
+      againstNumber: current.number,
+      author: 'operator',
+      changes: { groups: { archivio: { databases, ...settings } } },
+    };
+    return preparePatch({ current, patch, acceptedAt: '2026-01-01', ...seen });
+  }
+
+  function readMemberSet(prepared: PreparedPatch): number | undefined {
+    if (prepared.status !== 'ready') throw new Error(`unexpected patch status: ${prepared.status}`);
+    return prepared.configurationObject.configuration.groups.archivio?.memberSet;
   }
 
   it('are limited to one database per patch', () => {
@@ -201,4 +217,29 @@
     expect(changeMembers([a, b]).status).toBe('ready');
     expect(changeMembers([a, b, { ...c, leaving: true }]).status).toBe('ready');
   });
+
+  it('are numbered by the configuration that makes them', () => {
+    const groups = { archivio: { ...GROUP, databases: [a, b, c] } };
+    const current = accept({ patchId: 'first', changes: { groups } });
+    const other = accept({ current, patchId: 'second', againstNumber: 1, changes: { kinds: {} } });
+    const seen = { establishedMemberSets: { archivio: 1 } };
+    expect(readMemberSet(submitWith(seen, other, [a, b, { ...c, leaving: true }]))).toBe(1);
+    expect(readMemberSet(submitWith(seen, other, [a, b, c, d]))).toBe(3);
+    expect(readMemberSet(submitWith(seen, other, [a, b, c, d], { memberSet: 0 }))).toBe(3);
+  });
+
+  it('are refused while the last one is not established, unless the number is raised', () => {
+    // Guards against {a,b,c} and {a,c,d} in use at the same time, whose majorities {a,b} and {c,d} differ.
+    const groups = { archivio: { ...GROUP, databases: [a, b, c] } };
+    const current = accept({ patchId: 'first', changes: { groups } });
+    const seen = { establishedMemberSets: { archivio: 0 } };
+    expect(submitWith(seen, current, [a, b]).status).toBe('invalid');
+    expect(submitWith({ establishedMemberSets: {} }, current, [a, b]).status).toBe('invalid');
+    expect(submitWith(seen, current, [a, b, { ...c, leaving: true }]).status).toBe('ready');
+    const raised = submitWith(seen, current, [a, b], { memberSet: 7 });
+    expect(readMemberSet(raised)).toBe(7);
+    if (raised.status !== 'ready') return;
+    const established = { establishedMemberSets: { archivio: 7 } };
+    expect(readMemberSet(submitWith(established, raised.configurationObject, [a]))).toBe(8);
+  });
 });
--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -5,6 +5,7 @@
   RequestOutcome,
   Position,
   TermStart,
+  UpstreamGroup,
 } from '@wisterialift/schema';
 import { DEFAULT_ENGINE_POLICY, createGroupEngine, preparePatch } from '../index';
 import type {
@@ -474,6 +475,7 @@
         changes: { groups: { [GROUP]: { databases: changed } } },
       },
       acceptedAt: '2026-01-01',
+      establishedMemberSets: collectEstablishedMemberSets(),
     });
     if (prepared.status !== 'ready') return false;
     configurationObject = prepared.configurationObject;
@@ -484,7 +486,15 @@
 
   /** Makes an instance adopt the newest list of members. */
   function putInForce(name: string): void {
-    handle(instance(name), { type: 'groupChanged', databases });
+    const { memberSet } = configurationObject.configuration.groups[GROUP] as UpstreamGroup;
+    handle(instance(name), { type: 'groupChanged', databases, memberSet });
+  }
+
+  function collectEstablishedMemberSets(): Record<string, number> {
+    const numbers = [...instances.values()].flatMap(
+      ({ engine }) => engine.view(now).establishedMemberSet ?? [],
+    );
+    return numbers.length > 0 ? { [GROUP]: Math.max(...numbers) } : {};
   }
 
   instances.forEach((target) => {
--- a/packages/core/src/test/memberSets.test.ts
+++ b/packages/core/src/test/memberSets.test.ts
@@ -1,6 +1,7 @@
+import type { Position } from '@wisterialift/schema';
 import { describe, expect, it } from 'vitest';
 import { createEmptyMember, createScenario } from './engineScenario';
-import type { Scenario } from './engineScenario';
+import type { RequestHandle, Scenario } from './engineScenario';
 
 const SPARE_MEMBERS = ['d1', 'e1'];
 const ALL_MEMBERS = ['a1', 'b1', 'c1', 'd1', 'e1'];
@@ -128,6 +129,19 @@
     expect(read.visibleRequestIds).toContain(write.requestId);
   });
 
+  it('reset what is known of a database that moves to another address', () => {
+    // Guards against a stale read that trusts the freshness of the database at the former address.
+    const scenario = createScenario();
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    isolate(scenario, ['b1'], true);
+    scenario.member('b1').log.splice(1);
+    scenario.changeDatabase('b1', { port: 3307 });
+    const read = scenario.read({ maximumStalenessMilliseconds: 2_000 });
+    scenario.runUntil(() => read.outcome !== undefined);
+    expect(read.visibleRequestIds).toContain(write.requestId);
+  });
+
   it('do not count a database that restarts without its log before it has the group’s log', () => {
     // Guards against a promotion by a member that lost an acknowledged write and one that lacks it.
     const scenario = createScenario();
@@ -142,4 +156,49 @@
       expect(log.map(({ requestId }) => requestId)).toContain(write.requestId);
     });
   });
+
+  it('keep an instance with an old list from running what it could not prove, until it hears', () => {
+    // Guards against writes that run and end as unknown, and against refusals that last.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
+    scenario.changeMembers(['a1', 'b1', 'c1', 'd1'], { inForceAt: ['p2'] });
+    const before = scenario.write({}, 'p1');
+    scenario.runUntil(() => before.outcome?.status === 'done', 100);
+    scenario.runUntil(() => scenario.findRecords('primaryPromoted', 'p2').length > 0);
+    scenario.run(200);
+    const deadlineAt = scenario.now() + 300;
+    const [write, read] = [
+      scenario.write({ deadlineAt }, 'p1'),
+      scenario.read({ deadlineAt }, 'p1'),
+    ];
+    const { position } = before.outcome as { position: Position };
+    const own = scenario.read({ token: position, deadlineAt }, 'p1');
+    scenario.run(300);
+    expect(write.outcome).toMatchObject({ status: 'notRun', reason: 'noPrimary' });
+    expect(read.outcome).toMatchObject({ status: 'notRun', reason: 'noFreshMember' });
+    expect(own.visibleRequestIds).toContain(before.requestId);
+    scenario.putInForce('p1');
+    const [later, laterRead] = [scenario.write({}, 'p1'), scenario.read({}, 'p1')];
+    scenario.runUntil(() => later.outcome?.status === 'done', 100);
+    scenario.runUntil(() => laterRead.outcome?.status === 'done', 100);
+  });
+
+  it('hold writes back for less than a second and refuse none', () => {
+    // Guards against a change of term for new members that costs more than a planned handover.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
+    scenario.changeMembers(['a1', 'b1', 'c1', 'd1']);
+    const writes: RequestHandle[] = [];
+    let longestWait = 0;
+    for (let sentAt = scenario.now(); scenario.now() < sentAt + 3_000;) {
+      const [write, startedAt] = [scenario.write({}, 'p1'), scenario.now()];
+      scenario.runUntil(() => write.outcome !== undefined);
+      longestWait = Math.max(longestWait, scenario.now() - startedAt);
+      writes.push(write);
+    }
+    expect(new Set(writes.map(({ outcome }) => outcome?.status))).toEqual(new Set(['done']));
+    expect(longestWait).toBeLessThan(1_000);
+    const { memberSet, establishedMemberSet } = scenario.instance().engine.view(scenario.now());
+    expect(establishedMemberSet).toBe(memberSet);
+    expect(scenario.findPrimaries().map(({ name }) => name)).toEqual(['a1']);
+    expect(scenario.findRecords('primaryPromoted')).toHaveLength(1);
+  });
 });
--- a/packages/proxy/src/lib/configuration/configurationTask.ts
+++ b/packages/proxy/src/lib/configuration/configurationTask.ts
@@ -1,5 +1,10 @@
 import { findPatchStatus } from '@wisterialift/core';
-import type { ConfigurationSource, PatchStatusResult, PatchOutcome } from '@wisterialift/core';
+import type {
+  ConfigurationSource,
+  EstablishedMemberSets,
+  PatchOutcome,
+  PatchStatusResult,
+} from '@wisterialift/core';
 import type { PeerClient, PeerHandlers, PublishedPrimary } from '@wisterialift/peer';
 import type { PlatformClient } from '@wisterialift/platform';
 import type {
@@ -30,6 +35,8 @@
   settings: Settings;
   platform: PlatformClient;
   peers: PeerClient;
+  /** Numbers of the newest member sets that are established, as seen by the groups of this instance. */
+  getEstablishedMemberSets: () => EstablishedMemberSets;
   /** Uniform random numbers in [0, 1). */
   random: () => number;
   /** Monotonic clock in milliseconds. */
@@ -150,6 +157,7 @@
     platform,
     health,
     reader,
+    getEstablishedMemberSets: options.getEstablishedMemberSets,
     random,
     times,
     onAccepted,
--- a/packages/proxy/src/lib/configuration/patchSubmitter.ts
+++ b/packages/proxy/src/lib/configuration/patchSubmitter.ts
@@ -1,6 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { computeBackOffMilliseconds, createPatchSubmission } from '@wisterialift/core';
-import type { PatchOutcome, SubmissionEvent, SubmissionStep } from '@wisterialift/core';
+import type {
+  EstablishedMemberSets,
+  PatchOutcome,
+  SubmissionEvent,
+  SubmissionStep,
+} from '@wisterialift/core';
 import { PlatformUnavailableError, VersionConflictError } from '@wisterialift/platform';
 import type { PlatformClient } from '@wisterialift/platform';
 import { CONFIGURATION_OBJECT } from '@wisterialift/schema';
@@ -14,6 +19,7 @@
   platform: PlatformClient;
   health: PlatformHealth;
   reader: ConfigurationReader;
+  getEstablishedMemberSets: () => EstablishedMemberSets;
   random: () => number;
   times: ConfigurationTaskTimes;
   /** Called when the platform has stored the patched configuration. */
@@ -34,7 +40,7 @@
 export function createPatchSubmitter(
   options: PatchSubmitterOptions,
 ): (patch: ConfigurationPatch) => Promise<PatchOutcome> {
-  const { platform, health, reader, random, times, onAccepted } = options;
+  const { platform, health, reader, getEstablishedMemberSets, random, times, onAccepted } = options;
 
   const handlers: StepHandlers = {
     readObject: async () => {
@@ -75,6 +81,7 @@
       patch,
       acceptedAt: new Date().toISOString(),
       maximumFailures: times.maximumPatchFailures,
+      establishedMemberSets: getEstablishedMemberSets(),
     });
     for (;;) {
       const step = submission.step();
--- a/packages/proxy/src/lib/process/createProxy.ts
+++ b/packages/proxy/src/lib/process/createProxy.ts
@@ -1,4 +1,5 @@
 import { performance } from 'node:perf_hooks';
+import type { EstablishedMemberSets } from '@wisterialift/core';
 import { createPeerClient, createPeerServer } from '@wisterialift/peer';
 import { PlatformError, createPlatformClient } from '@wisterialift/platform';
 import type { ConfigurationObject, Instance, Settings } from '@wisterialift/schema';
@@ -77,6 +78,7 @@
     settings,
     platform,
     peers,
+    getEstablishedMemberSets,
     random: Math.random,
     now: () => performance.now(),
     onConfiguration,
@@ -126,6 +128,15 @@
     );
   }
 
+  function getEstablishedMemberSets(): EstablishedMemberSets {
+    const views = path?.views() ?? [];
+    return Object.fromEntries(
+      views.flatMap(({ group, establishedMemberSet: number }) =>
+        number === undefined ? [] : [[group, number]],
+      ),
+    );
+  }
+
   function onPrimaryPromoted({ group, term, primary }: GroupPrimary): void {
     const groupObject = { group, term, primary, promotedBy: instanceName };
     void configurationTask.publishPrimary(groupObject);
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -77,6 +77,7 @@
     instance: instance.name,
     dataCentre: instance.dataCentre,
     databases: options.upstreamGroup.databases,
+    memberSet: options.upstreamGroup.memberSet,
     policy,
     random: options.random,
   });
@@ -153,7 +154,8 @@
     leaseReset: ({ lease }) => transactions.onLeaseReset(lease),
     upstreamGroupChanged: ({ upstreamGroup }) => {
       members.update(upstreamGroup);
-      handleEvent({ type: 'groupChanged', databases: upstreamGroup.databases });
+      const { databases, memberSet = 0 } = upstreamGroup;
+      handleEvent({ type: 'groupChanged', databases, memberSet });
     },
     engineEvent: ({ event }) => handleEvent(event),
   };
--- a/packages/proxy/src/test/configurationFleet.ts
+++ b/packages/proxy/src/test/configurationFleet.ts
@@ -123,6 +123,7 @@
     settings,
     platform: wrapPlatform(platformClient),
     peers: wrapPeers(peerClient),
+    getEstablishedMemberSets: () => ({}),
     random: createRandom(name),
     now: () => performance.now(),
     onConfiguration: ({ number }) => {
--- a/packages/schema/src/lib/configuration/configuration.ts
+++ b/packages/schema/src/lib/configuration/configuration.ts
@@ -22,9 +22,17 @@
 /** @public */
 export type Database = z.infer<typeof databaseSchema>;
 
+/** Terms are 100 million times this number at most, which a 64-bit floating-point number holds exactly. */
+const MAXIMUM_MEMBER_SET = 90_000_000;
+
 /** An upstream database group: one primary and its replicas. @public */
 export const upstreamGroupSchema = z.strictObject({
   databases: z.array(databaseSchema).min(1).max(9),
+  /**
+   * Number of the configuration that last added, removed or moved a database; set when a patch is accepted.
+   * A patch may raise it, for example for databases whose terms belong to a configuration that was lost.
+   */
+  memberSet: z.number().int().min(0).max(MAXIMUM_MEMBER_SET).optional(),
   /** Account that instances use to connect to the databases of the group. */
   user: z.string().min(1),
   password: z.string(),
--- a/tools/fuzz/src/lib/history/faultInjector.ts
+++ b/tools/fuzz/src/lib/history/faultInjector.ts
@@ -46,6 +46,8 @@
   const numbers = new Map<string, number>();
   let configurationNumber = 0;
   let removed: string | undefined;
+  /** Number of the list of members, which grows when one is removed or added back. */
+  let memberSet = 0;
   let isHealed = false;
   let restarting = new Set<number>();
 
@@ -82,12 +84,13 @@
     configurationNumber += 1;
     const number = configurationNumber;
     const described = options.describeDatabases(leaving).filter(({ name }) => name !== removed);
+    const event = { type: 'groupChanged', databases: described, memberSet } as const;
     proxies.forEach((proxy) => {
       scheduler.after(options.random.between(5, 800), () => {
         if ((numbers.get(proxy.name) ?? 0) > number) return;
         numbers.set(proxy.name, number);
         options.onStep('adopt', proxy.name);
-        proxy.notify({ type: 'groupChanged', databases: described });
+        proxy.notify(event);
       });
     });
   };
@@ -197,9 +200,11 @@
     },
     databaseRemoved: (fault) => {
       removed = memberOf(fault).name;
+      memberSet += 1;
       tellDatabases();
       return () => {
         removed = undefined;
+        memberSet += 1;
         tellDatabases();
       };
     },
@@ -244,7 +249,8 @@
     configurationNumber += 1;
     proxies.forEach(({ name }) => numbers.set(name, configurationNumber));
     const described = options.describeDatabases(leaving);
-    proxies.forEach((proxy) => proxy.notify({ type: 'groupChanged', databases: described }));
+    const event = { type: 'groupChanged', databases: described, memberSet } as const;
+    proxies.forEach((proxy) => proxy.notify(event));
     options.setPlatformUp(true);
   };
 
