Count a member that lost its log only once it has the others' log again

Callers would see an acknowledged write missing after a change of primary, or an empty answer to a read of a stated age: a database that came back under its name without its log, or with a part of it, counted as the one that had confirmed.

Cause: the newest status replaced the former one without a comparison, and the time up to which a member was known to be fresh only grew.

An instance compares each status with one that had arrived before its request was sent. A lower term, an empty log, or less of the log of the current term breaks the contract of the databases: the member's freshness is dropped, it grants nothing and its log end gives no floor, until the primary and a majority of the others have answered later in one term and it has that log end. Where the others can be no majority, all members count as before, since nothing can be proved.

--- a/packages/core/src/lib/engine/memberTable.ts
+++ b/packages/core/src/lib/engine/memberTable.ts
@@ -39,6 +39,18 @@
   /** Time of the newest staleness sample whose position the member has applied. */
   freshAsOf: number;
   nextFollowAt: number;
+  /** The status that later ones are compared with, and when it arrived. */
+  reference: { status: MemberStatus; answeredAt: number } | undefined;
+  /** Set after it answered without the log or the term that it had; undefined once it has caught up. */
+  lostLog: LostLog | undefined;
+}
+
+/** A member that has lost its log, and with it writes that it confirmed. @internal */
+export interface LostLog {
+  /** The request whose answer showed the loss. */
+  controlRequestId: number;
+  /** Log end of the primary at a later request; the member counts again from there. */
+  recoveredAt: Position | undefined;
 }
 
 /** The members of the group by name, with state derived from a majority of them. @internal */
@@ -58,7 +70,9 @@
   getMemberSet: () => number;
   /**
    * Whether the member's newest answer counts towards a majority. One in a term of a later member set
-   * does not: this instance cannot know which members that set has.    */
+   * does not: this instance cannot know which members that set has. Neither does one of a member that
+   * has lost its log, as long as the others can be a majority.
+   */
   isCounted: (member: Member) => boolean;
   /** Whether any member has recorded a term of a later member set than the one in use. */
   isOutdated: () => boolean;
@@ -76,8 +90,10 @@
   /**
    * The primary once the logs of a majority end in its term. Until then a later promotion can still
    * start from another log.
+   *
+   * @param afterRequestId - only answers to later requests count; by default any.
    */
-  findEstablishedPrimary: () => MemberStatus | undefined;
+  findEstablishedPrimary: (afterRequestId?: number) => MemberStatus | undefined;
   getHighestTerm: () => number;
   /** Ignores the member's claim to be primary in responses to requests before `firstValidRequestId`. */
   rejectPrimaryClaimBefore: (name: string, firstValidRequestId: number) => void;
@@ -114,6 +130,7 @@
   let majorityTerm: number | undefined;
   let primary: Member | undefined;
   let isListOutdated = false;
+  let hasLostLogs = false;
 
   /** A database at another address is another member until it answers. */
   function replaceDatabases(changed: Database[], changedSet: number, now: number): boolean {
@@ -134,17 +151,55 @@
     return hasChanged;
   }
 
-  function isCounted({ status }: Member): boolean {
-    return status !== undefined && getMemberSet(status.currentTerm) <= memberSet;
+  function isCounted({ status, lostLog }: Member): boolean {
+    if (!status || getMemberSet(status.currentTerm) > memberSet) return false;
+    return !lostLog || members.filter((member) => !member.lostLog).length < getMajority();
+  }
+
+  /** Answers to requests that were open at the same time may have been given in either order. */
+  function compareWithReference(
+    member: Member,
+    { status, questionId, sentAt, now }: StatusAnswer,
+  ): void {
+    const { reference } = member;
+    if (reference && sentAt <= reference.answeredAt) return;
+    if (reference && isLogLost(reference.status, status)) onLogLost(member, questionId);
+    Object.assign(member, { reference: { status, answeredAt: now } });
+  }
+
+  function onLogLost(member: Member, controlRequestId: number): void {
+    Object.assign(member, {
+      freshAsOf: Number.NEGATIVE_INFINITY,
+      lostLog: { controlRequestId, recoveredAt: undefined },
+    });
+    hasLostLogs = true;
   }
 
-  function findEstablishedPrimary(): MemberStatus | undefined {
+  /** Counts a member again once it holds what a majority of the others held after the loss was seen. */
+  function updateLostLogs(): void {
+    members.forEach((member) => {
+      if (member.lostLog) updateLostLog(member, member.lostLog);
+    });
+    hasLostLogs = members.some(({ lostLog }) => lostLog);
+  }
+
+  function updateLostLog(member: Member, lostLog: LostLog): void {
+    const recoveredAt =
+      lostLog.recoveredAt ?? findEstablishedPrimary(lostLog.controlRequestId)?.logEnd;
+    const hasRecovered =
+      recoveredAt && member.status && comparePositions(member.status.logEnd, recoveredAt) >= 0;
+    Object.assign(member, { lostLog: hasRecovered ? undefined : { ...lostLog, recoveredAt } });
+  }
+
+  function findEstablishedPrimary(afterRequestId = -1): MemberStatus | undefined {
     const status = primary?.status;
-    if (!primary || !status || !isCounted(primary)) return undefined;
+    if (!primary || !status) return undefined;
+    if (primary.statusControlRequestId <= afterRequestId) return undefined;
     const { currentTerm } = status;
     const membersInTerm = members.filter(
       (member) =>
         isCounted(member) &&
+        member.statusControlRequestId > afterRequestId &&
         member.status?.currentTerm === currentTerm &&
         member.status.logEnd.term === currentTerm,
     );
@@ -167,6 +222,7 @@
     if (!member.status || comparePositions(member.status.logEnd, status.logEnd) !== 0) {
       member.logAdvancedAt = now;
     }
+    compareWithReference(member, { member: name, status, questionId, sentAt, now });
     const wasPrimaryClaimValid =
       member.statusControlRequestId >= member.primaryClaimValidFromRequestId;
     const isSameTerm = member.status?.currentTerm === status.currentTerm;
@@ -175,6 +231,7 @@
     member.statusControlRequestId = questionId;
     member.statusRequestedAt = sentAt;
     if (!wasPrimaryClaimValid || !isSameTerm || !isSameRole) refreshPrimary();
+    if (hasLostLogs) updateLostLogs();
     return member;
   }
 
@@ -292,6 +349,15 @@
   return [...logEnds].sort(comparePositions)[majority - 1];
 }
 
+/** A member keeps its terms, and drops entries only for those of a later term. */
+function isLogLost(former: MemberStatus, status: MemberStatus): boolean {
+  const { currentTerm, logEnd } = former;
+  if (status.currentTerm < currentTerm) return true;
+  if (status.logEnd.index === 0 && logEnd.index > 0) return true;
+  const isSameTerm = status.currentTerm === currentTerm && logEnd.term === currentTerm;
+  return isSameTerm && comparePositions(status.logEnd, logEnd) < 0;
+}
+
 function isSameAddress(left: Database, right: Database): boolean {
   return left.host === right.host && left.port === right.port;
 }
@@ -317,5 +383,7 @@
     primaryClaimValidFromRequestId: 0,
     freshAsOf: Number.NEGATIVE_INFINITY,
     nextFollowAt: 0,
+    reference: undefined,
+    lostLog: undefined,
   };
 }
--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -200,7 +200,8 @@
     }
     const { dueAt, fromControlRequestId } = lifecycle.getContext();
     const fresh = findFenceTargets(suspicion).filter(
-      (member) => member.statusControlRequestId >= fromControlRequestId,
+      (member) =>
+        members.isCounted(member) && member.statusControlRequestId >= fromControlRequestId,
     );
     const hasMajority = fresh.length >= members.getMajority();
     const hasTime = now < dueAt;
@@ -375,7 +376,10 @@
   function onAnswered(answer: FailoverAnswer, now: number): void {
     if (answer.kind === 'fence' && ballot.open.delete(answer.questionId)) {
       const isGrant = answer.status.currentTerm === lifecycle.getContext().term;
-      if (isGrant) ballot.grants.set(answer.member, answer.status);
+      const member = members.get(answer.member);
+      if (isGrant && member && members.isCounted(member)) {
+        ballot.grants.set(answer.member, answer.status);
+      }
     }
     if (answer.kind === 'follow') {
       record({ name: 'memberAttached', term: answer.status.currentTerm, member: answer.member });
--- a/packages/core/src/test/memberSets.test.ts
+++ b/packages/core/src/test/memberSets.test.ts
@@ -76,6 +76,70 @@
     }
   });
 
+  it('do not let an old list vouch for the age of a read', () => {
+    // Guards against freshness by {a,b} of a member that lacks what {c,d,e} confirmed long before.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
+    addTwoMembersWithout(scenario);
+    isolate(scenario, ['a1', 'b1'], true);
+    scenario.instance('p1').droppedMembers.add('c1');
+    ['a1', 'b1'].forEach((name) => scenario.instance('p2').droppedMembers.add(name));
+    scenario.runUntil(() => scenario.findRecords('primaryPromoted', 'p2').length > 1);
+    const write = scenario.write({ deadlineAt: scenario.now() + 20_000 }, 'p2');
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.run(2_000);
+    const deadlineAt = scenario.now() + 300;
+    const read = scenario.read({ maximumStalenessMilliseconds: 1_000, deadlineAt }, 'p1');
+    scenario.run(400);
+    if (read.outcome?.status === 'done') {
+      expect(read.visibleRequestIds).toContain(write.requestId);
+    }
+  });
+
+  it('do not let an old list confirm a write that ran in a term of the new one', () => {
+    // Guards against a write that was sent before the instance saw the term of the new list.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
+    scenario.changeMembers(['a1', 'b1', 'c1', 'd1'], { inForceAt: ['p2'] });
+    scenario.read({}, 'p1');
+    const getPhase = () => scenario.instance('p2').engine.view(scenario.now()).phase;
+    scenario.runUntil(() => getPhase() === 'looking');
+    ALL_MEMBERS.forEach((name) => scenario.instance('p1').droppedMembers.add(name));
+    scenario.runUntil(() => scenario.findRecords('primaryPromoted', 'p2').length > 0);
+    const write = scenario.write({}, 'p1');
+    scenario.run(50);
+    expect(scenario.member('a1').receivedWriteIds).toContain(write.requestId);
+    scenario.instance('p1').droppedMembers.clear();
+    scenario.run(300);
+    expect(write.outcome).toBeUndefined();
+    scenario.putInForce('p1');
+    scenario.runUntil(() => write.outcome?.status === 'done', 200);
+  });
+
+  it('keep an instance with an old list from replacing a primary', () => {
+    // Guards against a fence by a majority of the old list at a term of the new one.
+    const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
+    addTwoMembersWithout(scenario);
+    scenario.pause('p2');
+    scenario.member('a1').state = 'down';
+    scenario.run(3_000);
+    expect(scenario.findRecords('primarySuspected', 'p1')).toEqual([]);
+    expect(scenario.findRecords('termFenced', 'p1')).toEqual([]);
+  });
+
+  it('keep an instance from fencing once it sees a term of a later list', () => {
+    // Guards against a suspicion that outlives the list of members that it was formed with.
+    const scenario = createScenario({ spareMembers: SPARE_MEMBERS });
+    scenario.runUntil(() => scenario.changeMembers(ALL_MEMBERS.slice(0, 4)));
+    scenario.runUntil(() => scenario.changeMembers(ALL_MEMBERS));
+    scenario.run(3_000);
+    scenario.member('a1').state = 'down';
+    const isSuspected = () => scenario.findRecords('primarySuspected').length > 2;
+    scenario.runUntil(isSuspected);
+    const laterTerm = 300_000_001;
+    Object.assign(scenario.member('e1'), { currentTerm: laterTerm, following: undefined });
+    scenario.run(1_000);
+    expect(scenario.member('c1').currentTerm).toBeLessThan(laterTerm);
+  });
+
   it('are refused until the last one is in force at a majority', () => {
     // Guards against a second change while only the first list's members hold the acknowledged writes.
     const scenario = createScenario({ spareMembers: SPARE_MEMBERS });
@@ -129,6 +193,18 @@
     expect(read.visibleRequestIds).toContain(write.requestId);
   });
 
+  it('reset what is known of a database once its restart without a log is seen', () => {
+    // Guards against a stale read that trusts the freshness of the database's former log.
+    const scenario = createScenario();
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    Object.assign(scenario.member('b1'), createEmptyMember('b1'), { isIsolatedFromGroup: true });
+    scenario.run(300);
+    const read = scenario.read({ maximumStalenessMilliseconds: 2_000 });
+    scenario.runUntil(() => read.outcome !== undefined);
+    expect(read.visibleRequestIds).toContain(write.requestId);
+  });
+
   it('reset what is known of a database that moves to another address', () => {
     // Guards against a stale read that trusts the freshness of the database at the former address.
     const scenario = createScenario();
@@ -157,6 +233,55 @@
     });
   });
 
+  it('count a database that lost its log again once it has caught up', () => {
+    // Guards against reads and writes that stay refused although the log was copied back.
+    const scenario = createScenario();
+    const first = scenario.write();
+    scenario.runUntil(() => first.outcome?.status === 'done');
+    Object.assign(scenario.member('b1'), createEmptyMember('b1'));
+    scenario.run(300);
+    scenario.member('c1').state = 'down';
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done', 1_000);
+    const read = scenario.read({}, 'p1');
+    scenario.runUntil(() => read.outcome?.status === 'done', 1_000);
+    expect(read.visibleRequestIds).toContain(write.requestId);
+  });
+
+  it('do not count a database that lost its log and has copied a part of it', () => {
+    // Guards against a promotion by a member that an instance did not see empty.
+    const scenario = createScenario();
+    isolate(scenario, ['c1'], true);
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.member('b1').log.splice(1);
+    isolate(scenario, ['b1'], true);
+    scenario.run(300);
+    scenario.member('a1').state = 'down';
+    scenario.run(3_000);
+    scenario.findPrimaries().forEach(({ log }) => {
+      expect(log.map(({ requestId }) => requestId)).toContain(write.requestId);
+    });
+  });
+
+  it('do not count a database that lost what another instance saw', () => {
+    // Guards against a promotion by an instance that cannot tell the database from a lagging one.
+    const scenario = createScenario({ instances: ['p1', 'p2'] });
+    scenario.instance('p1').droppedMembers.add('b1');
+    isolate(scenario, ['c1'], true);
+    const write = scenario.write({}, 'p2');
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.pause('p2');
+    scenario.member('b1').log.splice(1);
+    isolate(scenario, ['b1'], true);
+    scenario.instance('p1').droppedMembers.clear();
+    scenario.member('a1').state = 'down';
+    scenario.run(3_000);
+    scenario.findPrimaries().forEach(({ log }) => {
+      expect(log.map(({ requestId }) => requestId)).toContain(write.requestId);
+    });
+  });
+
   it('keep an instance with an old list from running what it could not prove, until it hears', () => {
     // Guards against writes that run and end as unknown, and against refusals that last.
     const scenario = createScenario({ instances: ['p1', 'p2'], spareMembers: SPARE_MEMBERS });
@@ -200,5 +325,6 @@
     expect(establishedMemberSet).toBe(memberSet);
     expect(scenario.findPrimaries().map(({ name }) => name)).toEqual(['a1']);
     expect(scenario.findRecords('primaryPromoted')).toHaveLength(1);
+    expect(scenario.findRecords('requestRetried')).toEqual([]);
   });
 });
