--- a/packages/core/src/lib/engine/memberTable.ts
+++ b/packages/core/src/lib/engine/memberTable.ts
@@ -1,5 +1,6 @@
 import { comparePositions } from '@wisterialift/schema';
 import type { Database, MemberStatus, Position } from '@wisterialift/schema';
+import { getMemberSet } from './memberSet';
 
 /** Weight of a new sample in the moving average of the round-trip time. */
 const ROUND_TRIP_SMOOTHING = 0.25;
@@ -38,6 +39,18 @@
   /** Time of the newest staleness sample whose position the member has applied. */
   freshAsOf: number;
   nextFollowAt: number;
+  /** The status that later ones are compared with, and when it arrived. */
+  reference: { status: MemberStatus; answeredAt: number } | undefined;
+  /** Set after it answered without the log or the term that it had; undefined once it has caught up. */
+  lostLog: LostLog | undefined;
+}
+
+/** A member that has lost its log, and with it writes that it confirmed. @internal */
+export interface LostLog {
+  /** The request whose answer showed the loss. */
+  controlRequestId: number;
+  /** Log end of the primary at a later request; the member counts again from there. */
+  recoveredAt: Position | undefined;
 }
 
 /** The members of the group by name, with state derived from a majority of them. @internal */
@@ -46,7 +59,23 @@
   get: (name: string) => Member | undefined;
   /** Number of members that form a majority. */
   getMajority: () => number;
-  replaceDatabases: (databases: Database[], now: number) => void;
+  /**
+   * Replaces the list of databases.
+   *
+   * @param memberSet - number of the list; it grows with each change of the members.
+   * @returns whether the members have changed, and not only settings of theirs.
+   */
+  replaceDatabases: (databases: Database[], memberSet: number, now: number) => boolean;
+  /** Number of the list of databases in use. */
+  getMemberSet: () => number;
+  /**
+   * Whether the member's newest answer counts towards a majority. One in a term of a later member set
+   * does not: this instance cannot know which members that set has. Neither does one of a member that
+   * has lost its log, as long as the others can be a majority.
+   */
+  isCounted: (member: Member) => boolean;
+  /** Whether any member has recorded a term of a later member set than the one in use. */
+  isOutdated: () => boolean;
   onAnswered: (answer: StatusAnswer) => Member | undefined;
   onFailed: (failure: ControlRequestFailure) => void;
   /** Restarts failure detection for every member, after a pause of this process. */
@@ -58,6 +87,13 @@
    * the one recorded by a majority.
    */
   getPrimary: () => Member | undefined;
+  /**
+   * The primary once the logs of a majority end in its term. Until then a later promotion can still
+   * start from another log.
+   *
+   * @param afterRequestId - only answers to later requests count; by default any.
+   */
+  findEstablishedPrimary: (afterRequestId?: number) => MemberStatus | undefined;
   getHighestTerm: () => number;
   /** Ignores the member's claim to be primary in responses to requests before `firstValidRequestId`. */
   rejectPrimaryClaimBefore: (name: string, firstValidRequestId: number) => void;
@@ -87,21 +123,87 @@
  *
  * @internal
  */
-export function createMemberTable(databases: Database[]): MemberTable {
+export function createMemberTable(databases: Database[], initialMemberSet = 0): MemberTable {
+  let memberSet = initialMemberSet;
   let members: Member[] = databases.map((database) => createMember(database, 0));
   let byName = indexByName(members);
   let majorityTerm: number | undefined;
   let primary: Member | undefined;
+  let isListOutdated = false;
+  let hasLostLogs = false;
 
-  function replaceDatabases(changed: Database[], now: number): void {
+  /** A database at another address is another member until it answers. */
+  function replaceDatabases(changed: Database[], changedSet: number, now: number): boolean {
+    const former = members;
     members = changed.map((database) => {
       const known = byName.get(database.name);
-      if (!known) return createMember(database, now);
+      if (!known || !isSameAddress(known.database, database)) return createMember(database, now);
       known.database = database;
       return known;
     });
+    const hasChanged =
+      changedSet !== memberSet ||
+      members.length !== former.length ||
+      members.some((member) => !former.includes(member));
+    memberSet = changedSet;
     byName = indexByName(members);
     refreshPrimary();
+    return hasChanged;
+  }
+
+  function isCounted({ status, lostLog }: Member): boolean {
+    if (!status || getMemberSet(status.currentTerm) > memberSet) return false;
+    return !lostLog || members.filter((member) => !member.lostLog).length < getMajority();
+  }
+
+  /** Answers to requests that were open at the same time may have been given in either order. */
+  function compareWithReference(
+    member: Member,
+    { status, questionId, sentAt, now }: StatusAnswer,
+  ): void {
+    const { reference } = member;
+    if (reference && sentAt <= reference.answeredAt) return;
+    if (reference && isLogLost(reference.status, status)) onLogLost(member, questionId);
+    Object.assign(member, { reference: { status, answeredAt: now } });
+  }
+
+  function onLogLost(member: Member, controlRequestId: number): void {
+    Object.assign(member, {
+      freshAsOf: Number.NEGATIVE_INFINITY,
+      lostLog: { controlRequestId, recoveredAt: undefined },
+    });
+    hasLostLogs = true;
+  }
+
+  /** Counts a member again once it holds what a majority of the others held after the loss was seen. */
+  function updateLostLogs(): void {
+    members.forEach((member) => {
+      if (member.lostLog) updateLostLog(member, member.lostLog);
+    });
+    hasLostLogs = members.some(({ lostLog }) => lostLog);
+  }
+
+  function updateLostLog(member: Member, lostLog: LostLog): void {
+    const recoveredAt =
+      lostLog.recoveredAt ?? findEstablishedPrimary(lostLog.controlRequestId)?.logEnd;
+    const hasRecovered =
+      recoveredAt && member.status && comparePositions(member.status.logEnd, recoveredAt) >= 0;
+    Object.assign(member, { lostLog: hasRecovered ? undefined : { ...lostLog, recoveredAt } });
+  }
+
+  function findEstablishedPrimary(afterRequestId = -1): MemberStatus | undefined {
+    const status = primary?.status;
+    if (!primary || !status) return undefined;
+    if (primary.statusControlRequestId <= afterRequestId) return undefined;
+    const { currentTerm } = status;
+    const membersInTerm = members.filter(
+      (member) =>
+        isCounted(member) &&
+        member.statusControlRequestId > afterRequestId &&
+        member.status?.currentTerm === currentTerm &&
+        member.status.logEnd.term === currentTerm,
+    );
+    return membersInTerm.length >= getMajority() ? status : undefined;
   }
 
   function onAnswered({ member: name, status, questionId, sentAt, now }: StatusAnswer) {
@@ -120,6 +222,7 @@
     if (!member.status || comparePositions(member.status.logEnd, status.logEnd) !== 0) {
       member.logAdvancedAt = now;
     }
+    compareWithReference(member, { member: name, status, questionId, sentAt, now });
     const wasPrimaryClaimValid =
       member.statusControlRequestId >= member.primaryClaimValidFromRequestId;
     const isSameTerm = member.status?.currentTerm === status.currentTerm;
@@ -128,6 +231,7 @@
     member.statusControlRequestId = questionId;
     member.statusRequestedAt = sentAt;
     if (!wasPrimaryClaimValid || !isSameTerm || !isSameRole) refreshPrimary();
+    if (hasLostLogs) updateLostLogs();
     return member;
   }
 
@@ -178,6 +282,7 @@
   function refreshPrimary(): void {
     majorityTerm = findMajorityTerm();
     primary = findPrimary();
+    isListOutdated = getMemberSet(getHighestTerm()) > memberSet;
   }
 
   function rejectPrimaryClaimBefore(name: string, firstValidRequestId: number): void {
@@ -196,11 +301,15 @@
     get: (name) => byName.get(name),
     getMajority,
     replaceDatabases,
+    getMemberSet: () => memberSet,
+    isCounted,
+    isOutdated: () => isListOutdated,
     onAnswered,
     onFailed,
     resetSilences,
     getMajorityTerm: () => majorityTerm,
     getPrimary: () => primary,
+    findEstablishedPrimary,
     rejectPrimaryClaimBefore,
     getHighestTerm,
   };
@@ -240,6 +349,19 @@
   return [...logEnds].sort(comparePositions)[majority - 1];
 }
 
+/** A member keeps its terms, and drops entries only for those of a later term. */
+function isLogLost(former: MemberStatus, status: MemberStatus): boolean {
+  const { currentTerm, logEnd } = former;
+  if (status.currentTerm < currentTerm) return true;
+  if (status.logEnd.index === 0 && logEnd.index > 0) return true;
+  const isSameTerm = status.currentTerm === currentTerm && logEnd.term === currentTerm;
+  return isSameTerm && comparePositions(status.logEnd, logEnd) < 0;
+}
+
+function isSameAddress(left: Database, right: Database): boolean {
+  return left.host === right.host && left.port === right.port;
+}
+
 function indexByName(members: Member[]): Map<string, Member> {
   return new Map(members.map((member) => [member.name, member]));
 }
@@ -261,5 +383,7 @@
     primaryClaimValidFromRequestId: 0,
     freshAsOf: Number.NEGATIVE_INFINITY,
     nextFollowAt: 0,
+    reference: undefined,
+    lostLog: undefined,
   };
 }
