--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -175,6 +175,19 @@
     expect(gateway.orders).toEqual(orders);
   });
 
+  it('is awaited by a promotion from the moment at which its entry is missing', async () => {
+    // Guards against passing over a member whose entry lapses while it is busy.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    gateway.silence('db-1');
+    gateway.silence('db-2');
+    gateway.openSession().write('lost');
+    await listFor(4_500, [primary!, copy!, lagging!]);
+    await listFor(2_000, [primary!, lagging!]);
+    expect(gateway.events).not.toContain('memberGone');
+    expect(gateway.events).toContain('promotionDeferred');
+    expect(gateway.orders).toEqual([]);
+  });
+
   it('is given up by a promotion after 13.5 s', async () => {
     // Guards against a group that waits for good for a member that does not come back.
     await listFor(1_000, [primary!, copy!, lagging!]);
