Let members that joined cover the commits of those that they replaced

What callers would see: where all members are replaced in turn, a primary that crashes within 11.5 s of its members' joining was not replaced for 13.5 s: the answers of members that are not registered yet did not show who holds the commits of the departed. For a promotion and for an instance's own reads they do, since that instance misses each of them itself; taking a member off the register still needs registered holders, because an instance that starts later goes by the register alone. Of equal logs a registered replica is promoted, whose commits need not wait for all others.

--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -149,7 +149,7 @@
       listPresent().some(
         (member) => !countedIds.has(member.entry.memberId) && canRegister(member),
       ) ||
-      register.members.some(departures.isSettled));
+      register.members.some(departures.isRemovable));
 
   function check(): void {
     if (!isHolder() || members.size === 0) return;
@@ -214,7 +214,7 @@
     if (!isDirectoryRecent()) return false;
     const present = listPresent();
     const added = findAdded();
-    const removed = registered.filter(departures.isSettled);
+    const removed = registered.filter(departures.isRemovable);
     if (added.length + removed.length === 0) return false;
     const next = { members: [...subtractMembers(registered, removed), ...added] };
     const { type: outcome } = await memberRegisters.replace({
@@ -233,7 +233,7 @@
   }
 
   function isCoverageMissing(member: RegisteredMember): boolean {
-    if (departures.isForgotten(member, clock.now())) return !departures.isSettled(member);
+    if (departures.isForgotten(member, clock.now())) return !departures.isRemovable(member);
     return !departures.isCovered(member);
   }
 
@@ -293,9 +293,11 @@
     check,
     forget: (memberId) => countedIds.delete(memberId),
     observe: (observation) => {
-      const { memberId } = observation;
-      const isPresent = members.get(memberId)?.missingSince === undefined;
-      if (countedIds.has(memberId) && isPresent) departures.observe(observation, evidence);
+      const member = members.get(observation.memberId);
+      if (!member || member.missingSince !== undefined) return;
+      const isRegistered = countedIds.has(observation.memberId);
+      const { takeNextSequenceNumber } = evidence;
+      departures.observe(observation, { isRegistered, takeNextSequenceNumber });
     },
     findRequired,
     refresh,
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -46,7 +46,7 @@
   /** Reads the directory again. @throws Error if the store does not answer. */
   refreshDirectory: () => Promise<void>;
   soleMemberGuard: Pick<SoleMemberGuard, 'isReplicationProven'>;
-  registrar: Pick<MemberRegistrar, 'canPromoteFrom' | 'refresh'>;
+  registrar: Pick<MemberRegistrar, 'canPromoteFrom' | 'isRegistered' | 'refresh'>;
   reachMonitor: Pick<ReachMonitor, 'reportSilentReplicas' | 'reportUnreachablePrimary'>;
 }
 
@@ -317,7 +317,9 @@
   function toPausedReplicas(member: Member, received: Position | undefined): PausedReplica[] {
     if (!received) return [];
     const { memberId, isLeaving, dataCentre: memberDataCentre } = member.entry;
-    return [{ memberId, received, isLeaving, isPreferred: memberDataCentre === dataCentre }];
+    const isRegistered = registrar.isRegistered(memberId);
+    const isPreferred = memberDataCentre === dataCentre;
+    return [{ memberId, received, isLeaving, isRegistered, isPreferred }];
   }
 
   async function orderPromotion(plan: {
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -200,6 +200,23 @@
   });
 });
 
+describe('members that were all replaced in turn', () => {
+  it('do not defer the promotion of one of their successors', async () => {
+    // Guards against a group without a primary until its new members are registered.
+    indexes = { 'db-1': 23, 'db-2': 23, 'db-3': 23, 'db-4': 23, 'db-5': 23, 'db-6': 23 };
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    const [first, second, third] = [4, 5, 6].map((number) =>
+      createEntry(number, { address: `db-${number - 3}:1`, isPrimary: number === 4 }),
+    );
+    await listFor(5_000, [first!, second!, third!]);
+    gateway.silence('db-4');
+    gateway.openSession().write('lost');
+    await listFor(6_500, [first!, second!, third!]);
+    await listFor(3_000, [second!, third!]);
+    expect(gateway.orders).toEqual(['db-5']);
+  });
+});
+
 describe('an instance whose directory is too old', () => {
   it('learns no position without the primary', async () => {
     // Guards against a commit on a member that joined and was registered meanwhile.
--- a/packages/pooling/src/lib/membership/departedMembers.ts
+++ b/packages/pooling/src/lib/membership/departedMembers.ts
@@ -12,43 +12,54 @@
   recordEnd: (member: RegisteredMember) => void;
   /** Forgets members that are listed again or no longer registered. */
   retain: (members: readonly RegisteredMember[]) => void;
-  /**
-   * Takes an answer of a registered and listed member into account.
-   *
-   * @param options.takeNextSequenceNumber - see `ReplicationTracker`.
-   */
-  observe: (
-    observation: MemberObservation,
-    options: { takeNextSequenceNumber: () => number },
-  ) => void;
+  /** Takes an answer of a listed member into account. */
+  observe: (observation: MemberObservation, options: ObservationOptions) => void;
   /**
    * Whether other members hold every commit that the member can have confirmed by its departure. More
    * may have been confirmed if it still runs, for an instance that does not know of the departure.
    */
   isCovered: (member: RegisteredMember) => boolean;
-  /** Whether other members hold everything that it confirmed, and no instance counts its word. */
+  /** Whether listed members hold everything that it confirmed, and no instance counts its word. */
   isSettled: (member: RegisteredMember) => boolean;
+  /** Whether registered members do, so that it can be taken off the register. */
+  isRemovable: (member: RegisteredMember) => boolean;
   /** Whether the member departed so long ago that no instance counts its word any more. */
   isForgotten: (member: RegisteredMember, now: number) => boolean;
   list: () => RegisteredMember[];
 }
 
+/** How an answer is taken into account. @public */
+export interface ObservationOptions {
+  isRegistered: boolean;
+  /** See `ReplicationTracker`. */
+  takeNextSequenceNumber: () => number;
+}
+
 /** Waits for a replica to hold the log end of the primary that was requested after `validFrom`. */
 interface CoverageCheck {
   validFrom: number;
+  /** Whether only the answers of registered members count. */
+  needsRegistered: boolean;
   target?: { position: Position; sequence: number };
   isCovered: boolean;
 }
 
+type CoverageChecks = Record<'byListed' | 'byRegistered', CoverageCheck>;
+
 interface Departure {
   member: RegisteredMember;
   hasEnded: boolean;
   /** Counted from the departure. */
-  atDeparture: CoverageCheck;
+  atDeparture: CoverageChecks;
   /** Counted from the time at which no instance counts the member's word any more. */
-  afterSettling: CoverageCheck;
+  afterSettling: CoverageChecks;
 }
 
+const createChecks = (validFrom: number): CoverageChecks => ({
+  byListed: { validFrom, needsRegistered: false, isCovered: false },
+  byRegistered: { validFrom, needsRegistered: true, isCovered: false },
+});
+
 /**
  * @param options.settlingTime - milliseconds after which no instance counts the word of a member that
  *   the directory does not list.
@@ -60,14 +71,20 @@
   const find = (member: RegisteredMember) =>
     departures.find((departure) => isSameLife(departure.member, member));
 
+  const hasSettled = (departure: Departure | undefined, holders: keyof CoverageChecks) => {
+    if (!departure) return false;
+    const { hasEnded, atDeparture, afterSettling } = departure;
+    return afterSettling[holders].isCovered || (hasEnded && atDeparture[holders].isCovered);
+  };
+
   return {
     recordDeparture: (member, now) => {
       if (find(member)) return;
       departures.push({
         member,
         hasEnded: false,
-        atDeparture: { validFrom: now, isCovered: false },
-        afterSettling: { validFrom: now + settlingTime, isCovered: false },
+        atDeparture: createChecks(now),
+        afterSettling: createChecks(now + settlingTime),
       });
     },
     recordEnd: (member) => {
@@ -79,20 +96,20 @@
         members.some((retained) => isSameLife(retained, member)),
       );
     },
-    observe: (observation, { takeNextSequenceNumber }) => {
+    observe: (observation, options) => {
       for (const { atDeparture, afterSettling } of departures) {
-        updateCheck(atDeparture, observation, takeNextSequenceNumber);
-        updateCheck(afterSettling, observation, takeNextSequenceNumber);
+        for (const check of [...Object.values(atDeparture), ...Object.values(afterSettling)]) {
+          updateCheck(check, observation, options);
+        }
       }
     },
-    isCovered: (member) => find(member)?.atDeparture.isCovered ?? false,
-    isSettled: (member) => {
+    isCovered: (member) => find(member)?.atDeparture.byListed.isCovered ?? false,
+    isSettled: (member) => hasSettled(find(member), 'byListed'),
+    isRemovable: (member) => hasSettled(find(member), 'byRegistered'),
+    isForgotten: (member, now) => {
       const departure = find(member);
-      if (!departure) return false;
-      const { hasEnded, atDeparture, afterSettling } = departure;
-      return afterSettling.isCovered || (hasEnded && atDeparture.isCovered);
+      return departure !== undefined && now >= departure.afterSettling.byListed.validFrom;
     },
-    isForgotten: (member, now) => now >= (find(member)?.afterSettling.validFrom ?? Infinity),
     list: () => departures.map(({ member }) => member),
   };
 }
@@ -104,8 +121,9 @@
 function updateCheck(
   check: CoverageCheck,
   observation: MemberObservation,
-  takeNextSequenceNumber: () => number,
+  { isRegistered, takeNextSequenceNumber }: ObservationOptions,
 ): void {
+  if (check.needsRegistered && !isRegistered) return;
   const { isPrimary, position, requestedAt, requestSequenceNumber, term } = observation;
   if (check.isCovered || requestedAt.monotonic < check.validFrom) return;
   const { target } = check;
--- a/packages/pooling/src/lib/promotion/promotionCandidate.ts
+++ b/packages/pooling/src/lib/promotion/promotionCandidate.ts
@@ -6,6 +6,8 @@
   memberId: string;
   received: Position;
   isLeaving: boolean;
+  /** Whether its word counts alone; a primary that is not registered waits for all others. */
+  isRegistered: boolean;
   /** Whether it is in the preferred data centre; breaks ties only. */
   isPreferred: boolean;
 }
@@ -26,7 +28,9 @@
     ({ isLeaving, received }) =>
       !isLeaving && comparePositions(received, mostAdvanced.received) === 0,
   );
-  return eligible.find(({ isPreferred }) => isPreferred) ?? eligible[0];
+  const registered = eligible.filter(({ isRegistered }) => isRegistered);
+  const candidates = registered.length > 0 ? registered : eligible;
+  return candidates.find(({ isPreferred }) => isPreferred) ?? candidates[0];
 }
 
 function findMostAdvanced(replicas: PausedReplica[]): PausedReplica | undefined {
--- a/packages/pooling/src/test/decisions.test.ts
+++ b/packages/pooling/src/test/decisions.test.ts
@@ -50,6 +50,7 @@
     memberId,
     received: { term: 1, index },
     isLeaving: false,
+    isRegistered: true,
     isPreferred: false,
     ...options,
   });
@@ -66,6 +67,16 @@
       [replica('b', 5), replica('c', 5, { isPreferred: true })],
       'c',
     ],
+    [
+      'of equal logs, a registered replica before the preferred one',
+      [replica('b', 5, { isRegistered: false, isPreferred: true }), replica('c', 5)],
+      'c',
+    ],
+    [
+      'a replica that is not registered if it has the highest log end',
+      [replica('b', 4), replica('c', 5, { isRegistered: false })],
+      'c',
+    ],
   ])('chooses %s', (_, replicas, expected) => {
     expect(choosePromotionCandidate(replicas)?.memberId).toBe(expected);
   });
@@ -76,12 +87,14 @@
     memberId: 'b',
     received: { term: 1, index: 5 },
     isLeaving: true,
+    isRegistered: true,
     isPreferred: true,
   };
   const staying = {
     memberId: 'c',
     received: { term: 1, index: 4 },
     isLeaving: false,
+    isRegistered: true,
     isPreferred: false,
   };
 
--- a/packages/pooling/src/test/memberRegister.test.ts
+++ b/packages/pooling/src/test/memberRegister.test.ts
@@ -34,6 +34,7 @@
       requestedAt: number;
       index: number;
     })[],
+    isRegistered = true,
   ) {
     const members = createDepartedMembers({ settlingTime: SETTLING_MILLISECONDS });
     let sequence = 0;
@@ -52,7 +53,7 @@
         position,
         applied: position,
       };
-      members.observe(observation, { takeNextSequenceNumber });
+      members.observe(observation, { isRegistered, takeNextSequenceNumber });
     }
     return members;
   }
@@ -100,6 +101,15 @@
     expect(members.isSettled(departed)).toBe(true);
   });
 
+  it('stays registered while only members that are not hold what it confirmed', () => {
+    // Guards against an instance that starts later and misses neither it nor them.
+    const requestedAt = 100 + SETTLING_MILLISECONDS;
+    const answers = [primaryAnswer, replicaAnswer].map((answer) => ({ ...answer, requestedAt }));
+    const members = observeAnswers(answers, false);
+    expect([members.isSettled(departed), members.isRemovable(departed)]).toEqual([true, false]);
+    expect(observeAnswers(answers).isRemovable(departed)).toBe(true);
+  });
+
   it('is tracked anew after it was listed again', () => {
     // Guards against a coverage from before the member confirmed further commits.
     const members = observeAnswers([primaryAnswer, replicaAnswer]);
