Register a member after 4.5 s, and learn positions by a directory of the last 3 s

A member that had been listed for 7 s was promoted; as it was not registered before 11.5 s, each commit waited for all other members, the former primary among them, for 3 s, and the group was suspected and changed its primary again. The wait let positions without the primary outlast an outage of the store by 10 s. Now it is 4.5 s, and such a position needs a directory of the last 3 s, which is read again first if it is older.

--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -3,7 +3,9 @@
   createDepartedMembers,
   DEPARTURE_SETTLING_MILLISECONDS,
   isDirectoryValid,
+  isMemberListComplete,
   isSameLife,
+  REGISTRATION_DELAY_MILLISECONDS,
   subtractMembers,
 } from '@wisterialift/pooling';
 import type {
@@ -13,16 +15,16 @@
   RegisteredMember,
 } from '@wisterialift/pooling';
 import type { MemberRegisterStore, StoredRecord } from '../ports/platformPort';
+import { resolveWithTimeout } from '../timing/promiseTimeout';
 import type { GroupContext } from './groupContext';
-import { isKnownToAllInstances } from './member';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
 
 /**
  * Keeps the group's register of members that acknowledged commits may rest on.
  *
- * Members are registered before their word counts, and once every instance that relies on its directory
- * knows them. A member that the directory no longer lists stays registered until no instance counts its
+ * Members are registered before their word counts, and once every instance that learns a position without
+ * the primary lists them. A member that the directory no longer lists stays registered until no instance counts its
  * word and others are seen to hold what it confirmed.
  */
 export interface MemberRegistrar {
@@ -72,6 +74,9 @@
 /** What is known was not checked for longer than this only after a suspension or a stall. */
 const MAXIMUM_CHECK_AGE_MILLISECONDS = 1_500;
 
+/** Limit of the wait for a directory that is too old; reads wait for it. */
+const REFRESH_TIMEOUT_MILLISECONDS = 300;
+
 const PROBE_INTERVAL_MILLISECONDS = 1_000;
 const PROBE_TIMEOUT_MILLISECONDS = 400;
 
@@ -93,9 +98,12 @@
   let isSynchronizing = false;
   let isProbing = false;
   let probedAt = -Infinity;
+  let refreshedAt = -Infinity;
 
   const isDirectoryRecent = () => isDirectoryValid(getDirectoryCompleteAt(), clock.readClocks());
 
+  const isListComplete = () => isMemberListComplete(getDirectoryCompleteAt(), clock.readClocks());
+
   const listPresent = () =>
     [...members.values()].filter(({ missingSince }) => missingSince === undefined);
 
@@ -140,8 +148,8 @@
     );
   }
 
-  const canRegister = (member: Member) =>
-    register === undefined || isKnownToAllInstances(member, clock.now());
+  const canRegister = ({ listedSince }: Member) =>
+    register === undefined || clock.now() - listedSince >= REGISTRATION_DELAY_MILLISECONDS;
 
   const needsSynchronization = () =>
     isDirectoryRecent() &&
@@ -253,9 +261,20 @@
     isProbing = false;
   }
 
+  async function tryRefreshDirectory(): Promise<void> {
+    if (clock.now() < refreshedAt + RETRY_DELAY_MILLISECONDS) return;
+    refreshedAt = clock.now();
+    try {
+      await resolveWithTimeout(clock, options.refreshDirectory(), REFRESH_TIMEOUT_MILLISECONDS);
+    } catch (error) {
+      logger.warn('directoryNotRefreshed', { group, error: error as Error });
+    }
+  }
+
   async function findRequired(): Promise<RegisteredMember[] | undefined> {
     if (!register) await refresh();
-    if (!register || !isDirectoryRecent()) return undefined;
+    if (!isListComplete()) await tryRefreshDirectory();
+    if (!register || !isListComplete()) return undefined;
     return listKnown().filter((member) => !departures.isSettled(member));
   }
 
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -69,7 +69,9 @@
 export {
   DEPARTURE_SETTLING_MILLISECONDS,
   isDirectoryValid,
+  isMemberListComplete,
   MEMBER_SETTLING_MILLISECONDS,
+  REGISTRATION_DELAY_MILLISECONDS,
 } from './lib/membership/directoryValidity';
 export { createDepartedMembers, type DepartedMembers } from './lib/membership/departedMembers';
 export {
