Close the orders of events that a review of the register found

Besides: a member that is listed again counts after 4.5 s, as one that joins; an older answer of the store does not replace a newer register; an instance that stopped checking, as one that is no holder any more, counts no word; a group reduced to one member is not probed each second without end.

--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -30,6 +30,8 @@
 export interface MemberRegistrar {
   /** Whether the member is known to be registered, so that its word counts. */
   isRegistered: (memberId: string) => boolean;
+  /** Whether these are all members that an instance may count or miss. */
+  isHeldByAll: (memberIds: readonly string[]) => boolean;
   /** Brings the register up to date; to be called regularly and after changes of the directory. */
   check: () => void;
   /** Stops counting a member's word until the register is read again. */
@@ -71,7 +73,7 @@
 /** Tries to replace a register that other instances replace at the same time. */
 const MAXIMUM_REPLACEMENTS = 3;
 
-/** What is known was not checked for longer than this only after a suspension or a stall. */
+/** Checks come more often; a longer pause is a suspension, a stall, or a time as no holder. */
 const MAXIMUM_CHECK_AGE_MILLISECONDS = 1_500;
 
 /** Limit of the wait for a directory that is too old; reads wait for it. */
@@ -91,6 +93,9 @@
   const countedIds = new Set<string>();
   /** The register as it was read last; it may have members removed since. */
   let register: MemberRegister | undefined;
+  let registerRevision = -Infinity;
+  /** When this instance first listed members; those of then count as soon as the register names them. */
+  let openedAt: number | undefined;
   /** Members listed since this instance started, which others may have registered. */
   let knownLives: KnownLife[] = [];
   let checkedAt: ClockReadings | undefined;
@@ -107,17 +112,17 @@
   const listPresent = () =>
     [...members.values()].filter(({ missingSince }) => missingSince === undefined);
 
+  const isCheckRecent = () =>
+    checkedAt !== undefined &&
+    computeAgeUpperBound(checkedAt, clock.readClocks()) <= MAXIMUM_CHECK_AGE_MILLISECONDS;
+
   /** Forgets what may have changed unseen during an outage of the store or a suspension. */
   function expireKnowledge(): void {
-    const now = clock.readClocks();
-    const isCheckRecent =
-      checkedAt !== undefined &&
-      computeAgeUpperBound(checkedAt, now) <= MAXIMUM_CHECK_AGE_MILLISECONDS;
-    if (!isCheckRecent || !isDirectoryRecent()) countedIds.clear();
+    if (!isCheckRecent() || !isDirectoryRecent()) countedIds.clear();
     const outageEnd = getDirectoryOutageEnd();
     if (outageEnd !== knownOutageEnd) departures.retain([]);
     knownOutageEnd = outageEnd;
-    checkedAt = now;
+    checkedAt = clock.readClocks();
   }
 
   function trackDepartures(): void {
@@ -129,7 +134,9 @@
     const added = subtractMembers(absent, departures.list());
     for (const member of added) departures.recordDeparture(member, clock.now());
     for (const life of knownLives) {
-      if (present.some((other) => isSuccessor(other, life))) departures.recordEnd(life);
+      if (present.some((other) => isSuccessor(other, life))) {
+        departures.recordEnd(life, clock.now());
+      }
     }
     // Statements usually show within this time what a probe would ask.
     if (added.length > 0) probedAt = clock.now();
@@ -148,8 +155,14 @@
     );
   }
 
-  const canRegister = ({ listedSince }: Member) =>
-    register === undefined || clock.now() - listedSince >= REGISTRATION_DELAY_MILLISECONDS;
+  const isListedForLong = ({ listedSince }: Member) =>
+    clock.now() - listedSince >= REGISTRATION_DELAY_MILLISECONDS;
+
+  const canRegister = (member: Member) => register === undefined || isListedForLong(member);
+
+  /** A member that was taken off the register and is listed again counts as one that joined. */
+  const canCount = (member: Member) =>
+    isListedForLong(member) || member.listedSince <= (openedAt ?? -Infinity);
 
   const needsSynchronization = () =>
     isDirectoryRecent() &&
@@ -161,6 +174,7 @@
 
   function check(): void {
     if (!isHolder() || members.size === 0) return;
+    openedAt ??= clock.now();
     expireKnowledge();
     trackDepartures();
     dropSettled();
@@ -189,15 +203,20 @@
   }
 
   async function readStored(): Promise<StoredRecord<MemberRegister> | undefined> {
-    const present = listPresent();
+    const present = listPresent().filter(canCount);
     const stored = await memberRegisters.read(group);
-    if (stored) adopt(stored.record, present);
+    if (stored) adopt(stored, present);
     return stored;
   }
 
-  /** @param present - members that were listed when the register was requested. */
-  function adopt(next: MemberRegister, present: readonly Member[]): void {
+  /** @param present - members that could count when the register was requested. */
+  function adopt(
+    { record: next, revision }: StoredRecord<MemberRegister>,
+    present: readonly Member[],
+  ): void {
+    if (revision < registerRevision) return;
     register = next;
+    registerRevision = revision;
     for (const member of present) {
       const life = toRegisteredMember(member);
       const isListed = members.get(life.memberId) === member;
@@ -214,8 +233,14 @@
   ): Promise<boolean> {
     const registered = stored?.record.members ?? [];
     const findAdded = () => {
-      const added = listPresent().filter((member) => !stored || canRegister(member));
-      return subtractMembers(added.map(toRegisteredMember), registered);
+      // Commits of before the register may rest on departed members.
+      const added = stored
+        ? listPresent().filter(canRegister).map(toRegisteredMember)
+        : listKnown().filter((member) => !departures.isSettled(member));
+      return subtractMembers(added, registered).map(({ memberId, startedAt }) => ({
+        memberId,
+        startedAt,
+      }));
     };
     // Without the refresh, a member could be registered after its departure was tracked elsewhere.
     if (findAdded().length > 0) await options.refreshDirectory();
@@ -225,18 +250,21 @@
     const removed = registered.filter(departures.isRemovable);
     if (added.length + removed.length === 0) return false;
     const next = { members: [...subtractMembers(registered, removed), ...added] };
-    const { type: outcome } = await memberRegisters.replace({
+    const outcome = await memberRegisters.replace({
       group,
       record: next,
       revision: stored?.revision,
     });
-    logger.info('membersRegistered', { group, added, removed, outcome });
-    if (outcome === 'replaced') adopt(next, present);
-    return outcome === 'conflict';
+    logger.info('membersRegistered', { group, added, removed, outcome: outcome.type });
+    if (outcome.type === 'replaced') {
+      adopt({ record: next, revision: outcome.revision }, present);
+    }
+    return outcome.type === 'conflict';
   }
 
   function needsProbe(): boolean {
     if (isProbing || clock.now() - probedAt < PROBE_INTERVAL_MILLISECONDS) return false;
+    if (listPresent().length < 2) return false;
     return departures.list().some(isCoverageMissing);
   }
 
@@ -275,7 +303,23 @@
     if (!register) await refresh();
     if (!isListComplete()) await tryRefreshDirectory();
     if (!register || !isListComplete()) return undefined;
-    return listKnown().filter((member) => !departures.isSettled(member));
+    return listRequired();
+  }
+
+  /** Returns the known members less those that are settled and not registered. */
+  function listRequired(): RegisteredMember[] {
+    const registered = register?.members ?? [];
+    const isContained = (life: RegisteredMember) =>
+      registered.some((member) => isSameLife(member, life));
+    return listKnown().filter((life) => isContained(life) || !departures.isSettled(life));
+  }
+
+  function isHeldByAll(memberIds: readonly string[]): boolean {
+    const present = [...members.values()];
+    const holders = present.filter(({ entry }) => memberIds.includes(entry.memberId));
+    const lives = present.map(toRegisteredMember);
+    const all = [...lives, ...subtractMembers(listRequired(), lives)];
+    return subtractMembers(all, holders.map(toRegisteredMember)).length === 0;
   }
 
   async function refresh(): Promise<boolean> {
@@ -308,7 +352,8 @@
   }
 
   return {
-    isRegistered: (memberId) => countedIds.has(memberId),
+    isRegistered: (memberId) => countedIds.has(memberId) && isCheckRecent(),
+    isHeldByAll,
     check,
     forget: (memberId) => countedIds.delete(memberId),
     observe: (observation) => {
--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -102,7 +102,7 @@
   }: {
     poller: EvidencePoller;
     soleMemberGuard: SoleMemberGuard;
-    registrar: Pick<MemberRegistrar, 'isRegistered'>;
+    registrar: Pick<MemberRegistrar, 'isHeldByAll' | 'isRegistered'>;
   },
 ): PrimaryVerifier {
   const { primaryTracker, clock, evidence, members } = context;
@@ -187,6 +187,7 @@
         primaryId: member.entry.memberId,
         memberIds: () => [...members.keys()],
         isRegistered: registrar.isRegistered,
+        isHeldByAll: (holderIds) => registrar.isHeldByAll([member.entry.memberId, ...holderIds]),
       });
       const result = await waitForEvidence(wait, { member, polls, deadlineAt });
       if (!result) return 'unknown';
--- a/packages/gateway/src/test/failureEjection.test.ts
+++ b/packages/gateway/src/test/failureEjection.test.ts
@@ -128,6 +128,7 @@
     const replica = { memberId: 'db-2', address: 'db-2:1', isPrimary: false };
     const entries = [leaving, createDirectoryEntry(replica)];
     gateway.updateMembers(entries, createProcessClock().readClocks());
+    gateway.setEntriesAtRefresh(entries);
     await vi.advanceTimersByTimeAsync(7_000);
     const session = gateway.openSession();
     await failRead(session, 'read');
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -102,6 +102,14 @@
     expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
   });
 
+  it('confirms no commit with the primary alone while another member is only missing', async () => {
+    // Guards against a commit on members that an instance with an older directory does not list.
+    await listFor(1_000, [primary!, lagging!]);
+    gateway.silence('db-3');
+    await listFor(3_300, [primary!, copy!]);
+    expect((await write()).answers).toEqual([]);
+  });
+
   it('does not answer for one that left', async () => {
     // Guards against counting answers in place of the members that confirmed the commits.
     await listFor(1_000, [primary!, copy!, lagging!]);
@@ -133,6 +141,28 @@
   });
 });
 
+describe('a member that is listed again', () => {
+  it('confirms no commit alone before other instances list it', async () => {
+    // Guards against a register that was read before the member was taken off.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(4_000, [primary!, lagging!]);
+    await listFor(1_500, [primary!, createEntry(2, { createdRevision: 12 }), lagging!]);
+    expect((await write()).answers).toEqual([]);
+    await listFor(4_500, [primary!, createEntry(2, { createdRevision: 12 }), lagging!]);
+    expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
+  });
+});
+
+describe('a primary that is not registered', () => {
+  it('has no commit confirmed by one replica', async () => {
+    // Guards against a commit that only one registered member holds.
+    indexes['db-4'] = 23;
+    await listFor(1_000, [copy!, lagging!]);
+    await listFor(3_300, [createEntry(4, { isPrimary: true }), copy!, lagging!]);
+    expect((await write()).answers).toEqual([]);
+  });
+});
+
 describe('a member that departed', () => {
   it('is taken off the register once others hold what it confirmed', async () => {
     // Guards against refusing reads without the primary for good after each departure.
--- a/packages/pooling/src/lib/membership/departedMembers.ts
+++ b/packages/pooling/src/lib/membership/departedMembers.ts
@@ -9,7 +9,7 @@
   /** Records that a member is not listed, unless that is known already. */
   recordDeparture: (member: RegisteredMember, now: number) => void;
   /** Records that a departed member's process has ended, so that it confirms nothing more. */
-  recordEnd: (member: RegisteredMember) => void;
+  recordEnd: (member: RegisteredMember, now: number) => void;
   /** Forgets members that are listed again or no longer registered. */
   retain: (members: readonly RegisteredMember[]) => void;
   /** Takes an answer of a listed member into account. */
@@ -48,7 +48,8 @@
 
 interface Departure {
   member: RegisteredMember;
-  hasEnded: boolean;
+  /** Counted from the time at which its process was known to have ended. */
+  afterEnd?: CoverageChecks;
   /** Counted from the departure. */
   atDeparture: CoverageChecks;
   /** Counted from the time at which no instance counts the member's word any more. */
@@ -73,8 +74,8 @@
 
   const hasSettled = (departure: Departure | undefined, holders: keyof CoverageChecks) => {
     if (!departure) return false;
-    const { hasEnded, atDeparture, afterSettling } = departure;
-    return afterSettling[holders].isCovered || (hasEnded && atDeparture[holders].isCovered);
+    const { afterEnd, afterSettling } = departure;
+    return afterSettling[holders].isCovered || (afterEnd?.[holders].isCovered ?? false);
   };
 
   return {
@@ -82,14 +83,13 @@
       if (find(member)) return;
       departures.push({
         member,
-        hasEnded: false,
         atDeparture: createChecks(now),
         afterSettling: createChecks(now + settlingTime),
       });
     },
-    recordEnd: (member) => {
+    recordEnd: (member, now) => {
       const departure = find(member);
-      if (departure) departure.hasEnded = true;
+      if (departure) departure.afterEnd ??= createChecks(now);
     },
     retain: (members) => {
       departures = departures.filter(({ member }) =>
@@ -97,10 +97,9 @@
       );
     },
     observe: (observation, options) => {
-      for (const { atDeparture, afterSettling } of departures) {
-        for (const check of [...Object.values(atDeparture), ...Object.values(afterSettling)]) {
-          updateCheck(check, observation, options);
-        }
+      for (const { atDeparture, afterSettling, afterEnd = {} } of departures) {
+        const checks = [atDeparture, afterSettling, afterEnd].flatMap(Object.values);
+        for (const check of checks) updateCheck(check, observation, options);
       }
     },
     isCovered: (member) => find(member)?.atDeparture.byListed.isCovered ?? false,
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -44,7 +44,8 @@
    *
    * The first condition makes the commit survive a promotion, which pauses all replicas and starts
    * the next term from their highest log end. It holds for instances with another list of members
-   * only if the primary and the replica are registered, or every replica has received the position.
+   * only if the primary and the replica are registered, or every replica that one of them may know has
+   * received the position.
    * The second condition lets `waitForTermConfirmation` rely on one replica.
    */
   waitForReplication: (options: {
@@ -54,6 +55,8 @@
     memberIds: () => string[];
     /** Whether the member is known to be in the group's register; see `memberRegisterSchema`. */
     isRegistered: (memberId: string) => boolean;
+    /** Whether `holderIds` and the primary are all members that an instance may know. */
+    isHeldByAll: (holderIds: string[]) => boolean;
   }) => ConfirmationWait;
   /**
    * Waits until a replica answers in `term` to a request sent after `sequence`, which shows that
@@ -222,7 +225,7 @@
       if (observation.isPrimary && isAgeKnown(observation)) positionHistory.add(observation);
       resolveDecidedWaits();
     },
-    waitForReplication: ({ position, primaryId, memberIds, isRegistered }) =>
+    waitForReplication: ({ position, primaryId, memberIds, isRegistered, isHeldByAll }) =>
       startWait(() => {
         const superseded = getSupersededResult(position.term);
         if (superseded) return superseded;
@@ -233,8 +236,8 @@
         if (membersInTerm.length < otherMembers.length - 1) return undefined;
         const holders = membersInTerm.filter((memberId) => hasReceived(memberId, position));
         const isHeldByRegistered = isRegistered(primaryId) && holders.some(isRegistered);
-        const isHeldByAll = holders.length > 0 && holders.length === otherMembers.length;
-        return isHeldByRegistered || isHeldByAll ? { type: 'proved' } : undefined;
+        const isHeld = isHeldByRegistered || (holders.length > 0 && isHeldByAll(holders));
+        return isHeld ? { type: 'proved' } : undefined;
       }),
     waitForTermConfirmation: ({ term, sequence: readSequence, primaryId }) =>
       startWait(() => {
--- a/packages/pooling/src/test/memberRegister.test.ts
+++ b/packages/pooling/src/test/memberRegister.test.ts
@@ -94,10 +94,30 @@
     expect(observeAnswers(answers).isSettled(departed)).toBe(true);
   });
 
-  it('is settled by its coverage once its process has ended', () => {
-    // Guards against refusing reads for longer than a process can confirm anything.
+  it('is settled by a coverage that was requested once its process had ended', () => {
+    // Guards against commits that it confirmed between its departure and its end.
     const members = observeAnswers([primaryAnswer, replicaAnswer]);
-    members.recordEnd(departed);
+    members.recordEnd(departed, 300);
+    expect(members.isSettled(departed)).toBe(false);
+    let sequence = 100;
+    const takeNextSequenceNumber = () => {
+      sequence += 1;
+      return sequence;
+    };
+    for (const { index, ...answer } of [primaryAnswer, replicaAnswer]) {
+      const position = { term: answer.term, index };
+      members.observe(
+        {
+          ...answer,
+          requestedAt: { monotonic: 300, wall: 300 },
+          memberId: answer.isPrimary ? 'primary' : 'lagging',
+          requestSequenceNumber: takeNextSequenceNumber(),
+          position,
+          applied: position,
+        },
+        { isRegistered: true, takeNextSequenceNumber },
+      );
+    }
     expect(members.isSettled(departed)).toBe(true);
   });
 
--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -46,6 +46,7 @@
     primaryId: 'a',
     memberIds: () => members,
     isRegistered: () => true,
+    isHeldByAll: () => false,
   });
 }
 
