Count members that are listed again after the delay also once others were registered

A register that this instance replaced let every listed member count at once, also one that had been taken off and came back.

--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -35,7 +35,7 @@
   /** Brings the register up to date; to be called regularly and after changes of the directory. */
   check: () => void;
   /** Stops counting a member's word until the register is read again. */
-  forget: (memberId: string) => void;
+  stopCounting: (memberId: string) => void;
   /** Takes an answer of a member into account. */
   observe: (observation: MemberObservation) => void;
   /**
@@ -195,7 +195,7 @@
         if (!isConflict) break;
       }
     } catch (error) {
-      logger.warn('memberRegisterNotRead', { group, error: error as Error });
+      logger.warn('memberRegisterNotUpdated', { group, error: error as Error });
       await clock.sleep(RETRY_DELAY_MILLISECONDS);
     } finally {
       isSynchronizing = false;
@@ -237,15 +237,12 @@
       const added = stored
         ? listPresent().filter(canRegister).map(toRegisteredMember)
         : listKnown().filter((member) => !departures.isSettled(member));
-      return subtractMembers(added, registered).map(({ memberId, startedAt }) => ({
-        memberId,
-        startedAt,
-      }));
+      return subtractMembers(added, registered).map(toStoredMember);
     };
     // Without the refresh, a member could be registered after its departure was tracked elsewhere.
     if (findAdded().length > 0) await options.refreshDirectory();
     if (!isDirectoryRecent()) return false;
-    const present = listPresent();
+    const present = stored ? listPresent().filter(canCount) : listPresent();
     const added = findAdded();
     const removed = registered.filter(departures.isRemovable);
     if (added.length + removed.length === 0) return false;
@@ -269,7 +266,7 @@
   }
 
   function isCoverageMissing(member: RegisteredMember): boolean {
-    if (departures.isForgotten(member, clock.now())) return !departures.isRemovable(member);
+    if (departures.isUncounted(member, clock.now())) return !departures.isRemovable(member);
     return !departures.isCovered(member);
   }
 
@@ -341,7 +338,7 @@
     // One of them may be the former primary: another registered member holds its commits.
     if (unaccounted.length <= 1) return true;
     const memberIds = unaccounted.map(({ memberId }) => memberId);
-    const awaited = unaccounted.filter((member) => !departures.isForgotten(member, clock.now()));
+    const awaited = unaccounted.filter((member) => !departures.isUncounted(member, clock.now()));
     if (awaited.length > 1) {
       const reason = 'members that may alone hold acknowledged commits are missing';
       logger.warn('promotionDeferred', { group, reason, memberIds });
@@ -355,7 +352,7 @@
     isRegistered: (memberId) => countedIds.has(memberId) && isCheckRecent(),
     isHeldByAll,
     check,
-    forget: (memberId) => countedIds.delete(memberId),
+    stopCounting: (memberId) => countedIds.delete(memberId),
     observe: (observation) => {
       const member = members.get(observation.memberId);
       if (!member || member.missingSince !== undefined) return;
@@ -369,6 +366,11 @@
   };
 }
 
+/** Leaves out what only this instance needs to know of a member. */
+function toStoredMember({ memberId, startedAt }: RegisteredMember): RegisteredMember {
+  return { memberId, ...(startedAt !== undefined && { startedAt }) };
+}
+
 /** One life of a member's process that the directory has listed. */
 interface KnownLife extends RegisteredMember {
   address: string;
@@ -386,6 +388,5 @@
 
 /** Returns the life of a member's process that the directory lists. */
 export function toRegisteredMember({ entry }: Member): RegisteredMember {
-  const { memberId, startedAt } = entry;
-  return { memberId, ...(startedAt !== undefined && { startedAt }) };
+  return toStoredMember(entry);
 }
--- a/packages/pooling/src/lib/membership/departedMembers.ts
+++ b/packages/pooling/src/lib/membership/departedMembers.ts
@@ -24,7 +24,7 @@
   /** Whether registered members do, so that it can be taken off the register. */
   isRemovable: (member: RegisteredMember) => boolean;
   /** Whether the member departed so long ago that no instance counts its word any more. */
-  isForgotten: (member: RegisteredMember, now: number) => boolean;
+  isUncounted: (member: RegisteredMember, now: number) => boolean;
   list: () => RegisteredMember[];
 }
 
@@ -105,7 +105,7 @@
     isCovered: (member) => find(member)?.atDeparture.byListed.isCovered ?? false,
     isSettled: (member) => hasSettled(find(member), 'byListed'),
     isRemovable: (member) => hasSettled(find(member), 'byRegistered'),
-    isForgotten: (member, now) => {
+    isUncounted: (member, now) => {
       const departure = find(member);
       return departure !== undefined && now >= departure.afterSettling.byListed.validFrom;
     },
--- a/packages/pooling/src/lib/membership/directoryValidity.ts
+++ b/packages/pooling/src/lib/membership/directoryValidity.ts
@@ -2,8 +2,8 @@
 import type { ClockReadings } from '../timing/clockReadings';
 
 /**
- * Longest time for which an instance relies on a directory snapshot that lists a single member of a
- * group. Covers most outages of the store.
+ * Longest time for which an instance relies on a directory snapshot to count a member's word, or that of a
+ * group's only member. Covers most outages of the store.
  */
 const DIRECTORY_VALIDITY_MILLISECONDS = 10_000;
 
