Claim no more of the register than holds for an old directory

The schema's comment said that the registered members hold every commit whichever directory the acknowledging instance used; an instance without a recent one is the open case of the postmortem. Three comments are plainer.

--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -23,14 +23,14 @@
 /**
  * Keeps the group's register of members that acknowledged commits may rest on.
  *
- * Members are registered before their word counts, and once every instance that learns a position without
- * the primary lists them. A member that the directory no longer lists stays registered until no instance counts its
- * word and others are seen to hold what it confirmed.
+ * A member is registered once every instance that learns a position without the primary lists it; its
+ * word counts alone from then on. A member that the directory no longer lists stays registered until no
+ * instance counts its word and others are seen to hold what it confirmed.
  */
 export interface MemberRegistrar {
   /** Whether the member is known to be registered, so that its word counts. */
   isRegistered: (memberId: string) => boolean;
-  /** Whether these are all members that an instance may count or miss. */
+  /** Whether these are all members that this instance knows, departed ones that are not settled included. */
   isHeldByAll: (memberIds: readonly string[]) => boolean;
   /** Brings the register up to date; to be called regularly and after changes of the directory. */
   check: () => void;
--- a/packages/pooling/src/lib/membership/memberRegister.ts
+++ b/packages/pooling/src/lib/membership/memberRegister.ts
@@ -16,7 +16,8 @@
  * A commit is acknowledged once two registered members hold it, the primary and a replica, or all members
  * that the acknowledging instance knows. A member is added before its word counts, and removed once no
  * instance counts it any more and others hold all that it confirmed. So all registered members but one,
- * taken together, hold every acknowledged commit, whichever directory that instance used.
+ * taken together, hold every acknowledged commit. An instance without a recent directory may know none of
+ * the registered members; what it acknowledges then is not covered.
  *
  * @public
  */
