Confirm a promoted primary before its first commit

What callers saw: after a promotion, a read of the primary and every transaction were refused ("no member can show the read in time", "the primary may have been replaced") until some write outside a transaction had committed, for good where there was none.

Cause: the term of an answer was taken from the log end that it shows. The log of a promoted primary ends in an earlier term until its first commit, so its answers counted as superseded by its own term. A transaction that began there even recorded the member as the primary of the earlier term.

Change: a read carries the term that its member was known to lead when it was sent. If the answer's log end is of an earlier term, a status question after the answer has to show that the member still leads it; a member that had started again without its log would not. Only the answer of a write confirms a primary by its log end. A former primary's answer below the term that it led no longer passes for a replica's.

The primary answers one more status question for each read until its first commit; it did so before, in vain.

--- a/packages/gateway/src/lib/groups/primaryTracker.ts
+++ b/packages/gateway/src/lib/groups/primaryTracker.ts
@@ -12,6 +12,8 @@
   discardConfirmations: (memberId: string) => void;
   /** Whether the member was confirmed as the primary of `term`. */
   isConfirmed: (memberId: string, term: number) => boolean;
+  /** Returns the highest term that the member was confirmed as the primary of, 0 if none. */
+  getConfirmedTerm: (memberId: string) => number;
   /** Resolves at the next change or after `milliseconds`. */
   waitForChange: (milliseconds: number) => Promise<void>;
   notifyChange: () => void;
@@ -82,6 +84,10 @@
       notifyChange();
     },
     isConfirmed: (memberId, term) => primaryByTerm.get(term) === memberId,
+    getConfirmedTerm: (memberId) => {
+      const confirmed = [...primaryByTerm].filter(([, primaryId]) => primaryId === memberId);
+      return Math.max(0, ...confirmed.map(([term]) => term));
+    },
     waitForChange: (milliseconds) =>
       new Promise((resolve) => {
         let cancelTimer: CancelTimer | undefined;
--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -14,14 +14,20 @@
 /** Verifies that answers of the primary are current and its commits replicated. */
 export interface PrimaryVerifier {
   /**
-   * Whether a read in `term` includes all commits acknowledged at least `maximumStaleness`
-   * milliseconds before `eventStamp`, the arrival of the read or the start of its transaction.
+   * Whether a read whose answer shows a log end in `term` includes all commits acknowledged at least
+   * `maximumStaleness` milliseconds before `eventStamp`, the arrival of the read or the start of its
+   * transaction.
    *
    * Guards against a replaced primary that still answers and lacks later commits.
    */
   verifyCurrent: (options: {
     member: Member;
     term: number;
+    /**
+     * Highest term that the member was confirmed as the primary of before the read was sent. The log
+     * of a promoted primary ends in an earlier term until its first commit.
+     */
+    confirmedTerm: number;
     eventStamp: SequencedTime;
     maximumStaleness: number;
     /** When replicas are polled; see `planPolls`. */
@@ -111,20 +117,32 @@
   /** Start times of pending waits, oldest first. */
   const waitStartTimes = new Set<number>();
 
-  async function confirmPrimaryRole(member: Member, term: number): Promise<boolean> {
+  /**
+   * Returns the term in which the member led when it answered with a log end in `term`, if that is
+   * certain.
+   */
+  async function findLedTerm(
+    member: Member,
+    { term, confirmedTerm }: { term: number; confirmedTerm: number },
+  ): Promise<number | undefined> {
     const { memberId } = member.entry;
-    if (primaryTracker.isConfirmed(memberId, term)) return true;
+    const isKnown = () => term >= confirmedTerm && primaryTracker.isConfirmed(memberId, term);
+    if (isKnown()) return term;
     const report = await sendMemberCommand(
       context,
       member,
       { type: 'status' },
       ROLE_QUERY_TIMEOUT_MILLISECONDS,
     );
-    if (primaryTracker.isConfirmed(memberId, term)) return true;
+    if (isKnown()) return term;
     // A query without a report proves nothing. After a loss of all instances it found no connection,
     // and rejecting the member left the group without a primary for seconds.
-    if (report) primaryTracker.rejectPrimary(member, term);
-    return false;
+    if (!report) return undefined;
+    const ledTerm = Math.max(term, confirmedTerm);
+    // A member that still leads the term has not lost its log since it was confirmed.
+    if (report.isPrimary && report.term === ledTerm) return ledTerm;
+    if (!report.isPrimary) primaryTracker.rejectPrimary(member, ledTerm);
+    return undefined;
   }
 
   /** Whether a replica answered in `term` to a command that was sent within the age limit. */
@@ -161,8 +179,16 @@
   return {
     isStalled,
     pollAhead: poller.startPolling,
-    verifyCurrent: async ({ member, term, eventStamp, maximumStaleness, polls, deadlineAt }) => {
-      if (!(await confirmPrimaryRole(member, term))) return false;
+    verifyCurrent: async ({
+      member,
+      eventStamp,
+      maximumStaleness,
+      polls,
+      deadlineAt,
+      ...terms
+    }) => {
+      const term = await findLedTerm(member, terms);
+      if (term === undefined) return false;
       if (!hasOtherMembers(member)) {
         const waitUntil = Math.min(deadlineAt, clock.now() + STALL_TIMEOUT_MILLISECONDS);
         return soleMemberGuard.waitForPermit({ member, term, deadlineAt: waitUntil });
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -17,6 +17,8 @@
   /** Whether the read tests if a member with an outdated lag estimate still lags. */
   isTrialRead: boolean;
   isPrimary: boolean;
+  /** Highest term that the member was confirmed as the primary of so far, 0 if none. */
+  confirmedTerm: number;
   /** Position that must be applied for the read; undefined if only the primary can serve it. */
   after: Position | undefined;
   /** Expected milliseconds until a connection is available. */
@@ -72,6 +74,7 @@
         memberId: member.entry.memberId,
         member,
         isPrimary: member === primary,
+        confirmedTerm: primaryTracker.getConfirmedTerm(member.entry.memberId),
         after: required?.position,
         latency: member.latency.getCurrent(now),
         hasExclusiveStatements: member === primary && isMechanismEnabled('reservedPrimary'),
--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -249,14 +249,16 @@
     if (answer.outcome === 'refused') return evaluateRefusal(request, candidate, answer);
     if (!answer.position) return 'retry';
     const { term } = answer.position;
-    // Also verify a member confirmed for this term that is no longer considered the primary: the
-    // required position may be its own, so an equal term proves nothing.
+    // Also verify a member confirmed for this term or a later one that is no longer considered the
+    // primary: the required position may be its own, so an equal term proves nothing.
+    const { memberId } = candidate.member.entry;
     const isPrimaryAnswer =
-      candidate.isPrimary || primaryTracker.isConfirmed(candidate.member.entry.memberId, term);
+      candidate.isPrimary || primaryTracker.getConfirmedTerm(memberId) >= term;
     if (!isPrimaryAnswer) return term === candidate.after?.term ? 'accepted' : 'retry';
     const isCurrent = await verifier.verifyCurrent({
       member: candidate.member,
       term,
+      confirmedTerm: candidate.confirmedTerm,
       eventStamp: request.arrivalStamp,
       maximumStaleness: request.route.maximumStaleness - STALENESS_MARGIN_MILLISECONDS,
       polls: planPolls(context, request.route),
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -80,9 +80,13 @@
   ): Promise<OpenedTransaction | { refusal: UpstreamAnswer }> {
     const { deadlineAt } = request;
     const command: UpstreamCommand = { type: 'begin', isReadOnly };
+    let confirmedTerm = 0;
     const result = await writes.runOnPrimary(request, {
-      isPrimaryOnly: !isReadOnly,
-      run: (member) => attemptCommand(context, member, { request, command, deadlineAt }),
+      isWrite: false,
+      run: (member) => {
+        confirmedTerm = context.primaryTracker.getConfirmedTerm(member.entry.memberId);
+        return attemptCommand(context, member, { request, command, deadlineAt });
+      },
     });
     if (result?.outcome.type !== 'answered') return { refusal: refuseBegin(request) };
     const { member, outcome } = result;
@@ -94,6 +98,7 @@
     const verification = primaryVerifier.verifyCurrent({
       member,
       term: answer.position.term,
+      confirmedTerm,
       eventStamp: beginStamp,
       maximumStaleness: request.route.maximumStaleness,
       polls: planPolls(context, request.route),
--- a/packages/gateway/src/lib/groups/writeRouter.ts
+++ b/packages/gateway/src/lib/groups/writeRouter.ts
@@ -25,15 +25,15 @@
    * Retries a command at the primary until it may have run, the deadline passes or no primary can
    * take it.
    *
-   * @param options.isPrimaryOnly - whether only a primary completes the command, so that its
-   *   completed answer confirms the member as primary. A replica also begins read-only transactions;
-   *   taken for the primary by that, its log would pass for the newest.
+   * @param options.isWrite - whether the command commits a write, so that its completed answer shows
+   *   a log end in the term that the member leads. The log of a member that begins a transaction may
+   *   end in an earlier term.
    * @returns undefined if the command certainly did not run.
    */
   runOnPrimary: (
     request: StatementRequest,
     options: {
-      isPrimaryOnly: boolean;
+      isWrite: boolean;
       run: (member: Member) => Promise<AttemptOutcome>;
     },
   ) => Promise<{ member: Member; outcome: AttemptOutcome } | undefined>;
@@ -77,7 +77,7 @@
     const command = toCommand(request);
     const { deadlineAt } = request;
     const result = await runOnPrimary(request, {
-      isPrimaryOnly: true,
+      isWrite: true,
       run: (member) => attemptCommand(context, member, { request, command, deadlineAt }),
     });
     if (!result) {
@@ -103,7 +103,7 @@
 
   async function runOnPrimary(
     request: StatementRequest,
-    { isPrimaryOnly, run }: Parameters<WriteRouter['runOnPrimary']>[1],
+    { isWrite, run }: Parameters<WriteRouter['runOnPrimary']>[1],
   ): Promise<{ member: Member; outcome: AttemptOutcome } | undefined> {
     while (canStillRun(request)) {
       const member = primaryTracker.find();
@@ -117,7 +117,7 @@
       const outcome = await run(member);
       if (!isSafeToRetry(outcome)) {
         if (outcome.type === 'lost') context.suspectPrimary('silent', member);
-        if (isPrimaryOnly) recordConfirmation(member, outcome);
+        if (isWrite) recordConfirmation(member, outcome);
         return { member, outcome };
       }
       if (outcome.type === 'notSent' && outcome.cause === 'noCapacity') return undefined;
