Suspect no primary whose commits a replica holds

What callers saw: a primary that crashed and came back under another id, at the address of its former life, was replaced by a healthy replica 4.7 s later, and the writes of those seconds were reported as in doubt.

Cause: a commit waits until the register holds its primary, 4.5 s after it was listed. The wait counted as a sign that the primary is cut off from its replicas, although one was seen to hold the commit. By then no write came any more that would have cleared the primary.

Change: a primary is suspected of being unconfirmed only if no other member was seen to hold the commit. The commit itself waits as before.

Result: memberRegistrar.test.ts, "is not replaced as a primary whose commits a replica holds", failed (the replica's promotion was ordered) and passes.

--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -93,6 +93,8 @@
 
 interface EvidenceOptions {
   member: Member;
+  /** Whether the primary was seen to lead its replicas meanwhile; false if omitted. */
+  isLeading?: () => boolean;
   polls: EvidencePollPlan;
   deadlineAt: number;
 }
@@ -155,12 +157,12 @@
   }
 
   async function waitForEvidence(wait: ConfirmationWait, options: EvidenceOptions) {
-    const { member, polls, deadlineAt } = options;
+    const { member, isLeading = () => false, polls, deadlineAt } = options;
     const stopPolling = poller.startPolling(polls);
     const startedAt = clock.now();
     waitStartTimes.add(startedAt);
     const cancelStallTimer = clock.runAfter(STALL_TIMEOUT_MILLISECONDS, () => {
-      context.suspectPrimary('unconfirmed', member);
+      if (!isLeading()) context.suspectPrimary('unconfirmed', member);
     });
     const result = await resolveWithTimeout(clock, wait.result, deadlineAt - clock.now());
     cancelStallTimer();
@@ -215,7 +217,8 @@
         isRegistered: registrar.isRegistered,
         isHeldByAll: (holderIds) => registrar.isHeldByAll([member.entry.memberId, ...holderIds]),
       });
-      const result = await waitForEvidence(wait, { member, polls, deadlineAt });
+      const isLeading = wait.isReceived;
+      const result = await waitForEvidence(wait, { member, isLeading, polls, deadlineAt });
       if (!result) return 'unknown';
       if (result.type === 'superseded') {
         primaryTracker.rejectPrimary(member, position.term);
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -94,6 +94,18 @@
     expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
   });
 
+  it('is not replaced as a primary whose commits a replica holds', async () => {
+    // Guards against a promotion because the register does not hold the primary yet.
+    const returned = { ...joined!, address: primary!.address, isPrimary: true };
+    indexes['db-4'] = 23;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    gateway.silence('db-1');
+    await listFor(3_000, [copy!, lagging!, returned]);
+    expect((await write()).answers).toEqual([]);
+    await listFor(1_000, [copy!, lagging!, returned]);
+    expect(gateway.orders).toEqual([]);
+  });
+
   it('confirms commits at once together with all others', async () => {
     // Guards against refusing writes for seconds after each change of members.
     indexes['db-3'] = 23;
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -12,6 +12,7 @@
   type AgeLimit,
   type ConfirmationResult,
   type ConfirmationWait,
+  type ReplicationWait,
   type ReplicationTracker,
   type MemberObservation,
 } from './lib/replication/replicationTracker';
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -33,6 +33,12 @@
   cancel: () => void;
 }
 
+/** A pending confirmation that a commit is replicated. @public */
+export interface ReplicationWait extends ConfirmationWait {
+  /** Whether another member was seen to hold the commit, be it registered or not. */
+  isReceived: () => boolean;
+}
+
 /** Replication state of a group, as observed from its members' answers. @public */
 export interface ReplicationTracker {
   /** Returns the next sequence number; requests sent later have higher numbers. */
@@ -57,7 +63,7 @@
     isRegistered: (memberId: string) => boolean;
     /** Whether `holderIds` and the primary are all members that an instance may know. */
     isHeldByAll: (holderIds: string[]) => boolean;
-  }) => ConfirmationWait;
+  }) => ReplicationWait;
   /**
    * Waits until a replica answers in `term` to a request sent after `sequence`, which shows that
    * what the primary read is current.
@@ -225,11 +231,12 @@
       if (observation.isPrimary && isAgeKnown(observation)) positionHistory.add(observation);
       resolveDecidedWaits();
     },
-    waitForReplication: ({ position, primaryId, memberIds, isRegistered, isHeldByAll }) =>
-      startWait(() => {
+    waitForReplication: ({ position, primaryId, memberIds, isRegistered, isHeldByAll }) => {
+      const listOthers = () => memberIds().filter((memberId) => memberId !== primaryId);
+      const wait = startWait(() => {
         const superseded = getSupersededResult(position.term);
         if (superseded) return superseded;
-        const otherMembers = memberIds().filter((memberId) => memberId !== primaryId);
+        const otherMembers = listOthers();
         const membersInTerm = otherMembers.filter((memberId) =>
           hasAppliedTerm(memberId, position.term),
         );
@@ -238,7 +245,10 @@
         const isHeldByRegistered = isRegistered(primaryId) && holders.some(isRegistered);
         const isHeld = isHeldByRegistered || (holders.length > 0 && isHeldByAll(holders));
         return isHeld ? { type: 'proved' } : undefined;
-      }),
+      });
+      const isReceived = () => listOthers().some((memberId) => hasReceived(memberId, position));
+      return { ...wait, isReceived };
+    },
     waitForTermConfirmation: ({ term, sequence: readSequence, primaryId }) =>
       startWait(() => {
         const superseded = getSupersededResult(term);
