Show a write that is lost with the newest entries of a member's log

Callers would see an acknowledged write missing after a change of primary: b loses the newest entry of its log (a crash before it reached the disk), a ends, and the instance that acknowledged the write promotes c, which never had it, by the grants of b and c.

Cause, read in the code: a status is compared with one that had arrived before its request was sent, and only compared ones become the reference. While requests overlap, the answer that confirmed the write is counted and not kept, so the loss of what it showed beyond the reference is not seen.

--- a/packages/core/src/test/lostLog.test.ts
+++ b/packages/core/src/test/lostLog.test.ts
@@ -52,6 +52,14 @@
     expect(isCounted('b1')).toBe(false);
   });
 
+  it('is seen in an answer below one that crossed another', () => {
+    // Guards against the loss of entries that a crossed answer showed, and that it confirmed a write with.
+    const { answer, isCounted } = createTable();
+    answer('b1', { questionId: 4, sentAt: 5, now: 12, index: 7 });
+    answer('b1', { questionId: 5, sentAt: 13, now: 15, index: 6 });
+    expect(isCounted('b1')).toBe(false);
+  });
+
   it('is seen by a lower term, or by an empty log in any term', () => {
     // Guards against a member that lost one of the two, or was fenced before it answered.
     const { answer, isCounted } = createTable();
--- a/packages/core/src/test/memberSets.test.ts
+++ b/packages/core/src/test/memberSets.test.ts
@@ -264,6 +264,29 @@
     });
   });
 
+  it('do not count a database that lost the newest entry that it confirmed', () => {
+    // Guards against status answers that cross, of which the one that confirms is not compared.
+    const losses = Array.from({ length: 20 }, (_, index) => index + 1).filter((seed) => {
+      const scenario = createScenario({ seed });
+      isolate(scenario, ['c1'], true);
+      for (let count = 0; count < 4; count += 1) {
+        scenario.write();
+        scenario.run(1);
+      }
+      const write = scenario.write();
+      scenario.runUntil(() => write.outcome?.status === 'done');
+      scenario.member('b1').log.pop();
+      isolate(scenario, ['b1'], true);
+      scenario.run(300);
+      scenario.member('a1').state = 'down';
+      scenario.run(3_000);
+      return scenario
+        .findPrimaries()
+        .some(({ log }) => log.every(({ requestId }) => requestId !== write.requestId));
+    });
+    expect(losses).toEqual([]);
+  });
+
   it('do not count a database that lost what another instance saw', () => {
     // Guards against a promotion by an instance that cannot tell the database from a lagging one.
     const scenario = createScenario({ instances: ['p1', 'p2'] });
