Show a write that is lost where a fence hides the loss of a part of the log

Callers would see an acknowledged write missing after a change of primary: b loses entries, another instance fences b for the next term and ends, the instance that saw b with the entries asks b again and counts it, a ends, and c is promoted.

Cause, read in the code: a shorter log counts as a loss only in the term that the log ends in, so any change of the recorded term between two answers hides it. A shorter log is legitimate in a later term only once the member followed a primary of one.

--- a/packages/core/src/test/memberSets.test.ts
+++ b/packages/core/src/test/memberSets.test.ts
@@ -287,6 +287,25 @@
     expect(losses).toEqual([]);
   });
 
+  it('do not count a database that lost entries and was fenced before it answered again', () => {
+    // Guards against a loss that a fence of another instance hides from one that saw the entries.
+    const scenario = createScenario({ instances: ['p1', 'p2'] });
+    isolate(scenario, ['c1'], true);
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.run(1_000);
+    scenario.pause('p2');
+    scenario.member('b1').log.splice(1);
+    Object.assign(scenario.member('b1'), { currentTerm: 2, following: undefined });
+    isolate(scenario, ['b1'], true);
+    scenario.run(300);
+    scenario.member('a1').state = 'down';
+    scenario.run(3_000);
+    scenario.findPrimaries().forEach(({ log }) => {
+      expect(log.map(({ requestId }) => requestId)).toContain(write.requestId);
+    });
+  });
+
   it('do not count a database that lost what another instance saw', () => {
     // Guards against a promotion by an instance that cannot tell the database from a lagging one.
     const scenario = createScenario({ instances: ['p1', 'p2'] });
