Show a member that counts for longer than others wait, across suspensions

Callers could see an acknowledged commit missing after a promotion: once a member's entry has been missing for 13.5 s, other instances take it that nobody counts its word, and promote without it.

Cause, read in the code: the 13.5 s are made of the 10 s for which a directory is relied on, which go by both clocks, and of the 2.5 s to 3 s for which a missing member is kept, which go by the monotonic clock. Each suspension shorter than the 1.5 s after which a check is too old makes the second longer. A member whose entry comes back meanwhile counts at once, whatever the register says by then.

The promotion is not part of the test. The test gateway's directory takes its time from the clock of the test.

--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { createProcessClock } from '../index';
+import type { Clock, DirectoryEntry } from '../index';
 import { createDirectoryEntry, startTestGateway } from './testGateway';
-import type { DirectoryEntry } from '../index';
 
 type TestGateway = ReturnType<typeof startTestGateway>;
 
@@ -26,6 +27,19 @@
 
 let gateway: TestGateway;
 let indexes: Record<string, number>;
+/** Milliseconds by which the time of day is ahead of the timers. */
+let wallLead: number;
+
+function createSuspendableClock(): Clock {
+  const clock = createProcessClock();
+  return {
+    ...clock,
+    readClocks: () => {
+      const { monotonic, wall } = clock.readClocks();
+      return { monotonic, wall: wall + wallLead };
+    },
+  };
+}
 
 const settle = (milliseconds = 1) => vi.advanceTimersByTimeAsync(milliseconds);
 
@@ -64,7 +78,9 @@
     toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'],
   });
   indexes = { 'db-1': 23, 'db-2': 23, 'db-3': 21, 'db-4': 20 };
+  wallLead = 0;
   gateway = startTestGateway({
+    clock: createSuspendableClock(),
     getPosition: (memberId) => ({ term: 1, index: indexes[memberId]! }),
     changes: { consistency: 'boundedStaleness', maximumStaleness: 1_500 },
   });
@@ -153,6 +169,25 @@
   });
 });
 
+describe('a missing member at an instance that is suspended', () => {
+  it('counts no longer than other instances wait for', async () => {
+    // Guards against a retention by a clock that stands still: others gave the member up after 13.5 s.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await settle(9_000);
+    for (let suspension = 0; suspension < 4; suspension += 1) {
+      gateway.updateMembers([primary!, lagging!]);
+      await settle(500);
+      wallLead += 950;
+    }
+    gateway.memberRegisters.current = {
+      record: { members: [1, 3].map((n) => ({ memberId: `db-${n}`, startedAt: 1 })) },
+      revision: 7,
+    };
+    gateway.updateMembers([primary!, createEntry(2, { createdRevision: 12 }), lagging!]);
+    expect((await write()).answers).toEqual([]);
+  });
+});
+
 describe('a primary that is not registered', () => {
   it('has no commit confirmed by one replica', async () => {
     // Guards against a commit that only one registered member holds.
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -303,7 +303,7 @@
     changedAfter?: DirectoryFreshness['changedAfter'],
   ): void {
     currentEntries = entries;
-    const completeAt = createProcessClock().readClocks();
+    const completeAt = clock.readClocks();
     updateDirectory!(entries, { isFresh: true, changedAfter, completeAt });
   }
 
