Show a member that is taken off the register after it was listed again

Callers could see an acknowledged commit missing after a promotion: commits rest on a member that the register does not name, so that no promotion waits for it.

Cause, read in the code: the directory is read again before members are added to the register, and not before they are taken off; there it may be 10 s old. Other instances count a member that is listed again 4.5 s after they list it, if the register that they read then still names it, and do not read it again while they count it. Until the instance that took it off lists it and has waited for 4.5 s, they count a member that is not registered. In touch with the store a directory is at most 3.3 s old; it takes a watch that is late while the register is read and written.

The commit and the promotion are not part of the test.

--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -169,6 +169,20 @@
   });
 });
 
+describe('a member that was listed again without this instance knowing it', () => {
+  it('is not taken off the register, by which other instances count it', async () => {
+    // Guards against a removal by a directory from before other instances wait for 4.5 s.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(DEPARTURE_SETTLING_MILLISECONDS, [primary!, lagging!]);
+    const entries = [primary!, createEntry(2, { createdRevision: 12 }), lagging!];
+    gateway.setEntriesAtRefresh(entries);
+    await settle(REGISTRATION_MILLISECONDS + 500);
+    indexes['db-3'] = 23;
+    await settle(2_500);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-2', 'db-3']);
+  });
+});
+
 describe('a missing member at an instance that is suspended', () => {
   it('counts no longer than other instances wait for', async () => {
     // Guards against a retention by a clock that stands still: others gave the member up after 13.5 s.
