--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -167,6 +167,18 @@
     await listFor(4_500, [primary!, createEntry(2, { createdRevision: 12 }), lagging!]);
     expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
   });
+
+  it('confirms none alone either when the register is read for another member', async () => {
+    // Guards against counting every listed member that a register contains when it is read or replaced.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(3_500, [primary!, lagging!, joined!]);
+    const entries = [primary!, createEntry(2, { createdRevision: 12 }), lagging!, joined!];
+    await listFor(3_300, entries);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-2', 'db-3', 'db-4']);
+    expect((await write()).answers).toEqual([]);
+    await listFor(REGISTRATION_MILLISECONDS, entries);
+    expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
+  });
 });
 
 describe('a member that was listed again without this instance knowing it', () => {
