Show a read of a stated age that ages do not bound after a suspension, in the own form

Callers would see a read that accepts data of 2 s without a write that was acknowledged 5 s before, at an instance whose machine was suspended meanwhile, until its next status answers.

Cause: packages/proxy gives the engine performance.now() alone, which stands still during a suspension on Linux, and freshness, the pause that a late timer shows and all thresholds go by it.

Measured: the read was served by a replica that lacks the write, with the engine's clock held back by 5 s. A suspension of a real machine was not tried.

--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -60,6 +60,8 @@
   engine: GroupEngine;
   timerAt: number;
   isPaused: boolean;
+  /** Time that its clock has stood still. */
+  clockLag: number;
   pendingEvents: EngineEvent[];
   records: EngineRecord[];
   /** Members whose control requests from this instance are dropped without a response. */
@@ -143,7 +145,13 @@
     const unreachable = new Set<string>();
     const lostFences = new Set<string>();
     const lostFollows = new Set<string>();
-    const state = { timerAt: Infinity, isPaused: false, pendingEvents: [], records: [] };
+    const state = {
+      timerAt: Infinity,
+      isPaused: false,
+      clockLag: 0,
+      pendingEvents: [],
+      records: [],
+    };
     return { name, engine, droppedMembers: unreachable, lostFences, lostFollows, ...state };
   }
 
@@ -182,12 +190,16 @@
     return random() < (options.lossRate ?? 0);
   }
 
+  function readClock({ clockLag }: FakeInstance): number {
+    return now - clockLag;
+  }
+
   function handle(target: FakeInstance, event: EngineEvent): void {
     if (target.isPaused) {
       target.pendingEvents.push(event);
       return;
     }
-    target.engine.handle(event, now).forEach((effect) => applyEffect(target, effect));
+    target.engine.handle(event, readClock(target)).forEach((effect) => applyEffect(target, effect));
   }
 
   type EffectHandlers = {
@@ -363,7 +375,7 @@
       due = takeDue();
     }
     instances.forEach((target) => {
-      if (target.isPaused || target.timerAt > now) return;
+      if (target.isPaused || target.timerAt > readClock(target)) return;
       Object.assign(target, { timerAt: Infinity });
       handle(target, { type: 'timerFired' });
     });
@@ -394,14 +406,15 @@
   ) {
     requestCount += 1;
     const requestId = draft.requestId ?? `${draft.access}-${requestCount}`;
+    const sentAt = readClock(instance(instanceName));
     const request: EngineRequest = {
       requestId,
       caller: 'consorzio',
       weight: 1,
       kind: 'default',
       maximumStalenessMilliseconds: 0,
-      arrivedAt: now,
-      deadlineAt: now + 5_000,
+      arrivedAt: sentAt,
+      deadlineAt: sentAt + 5_000,
       priority: 5,
       isRepeatable: true,
       ...draft,
@@ -432,6 +445,14 @@
       .forEach((event) => handle(target, event));
   }
 
+  /** Suspends an instance's machine, on which the monotonic clock stands still meanwhile. */
+  function suspend(milliseconds: number, name = 'p1'): void {
+    pause(name);
+    run(milliseconds);
+    instance(name).clockLag += milliseconds;
+    resume(name);
+  }
+
   /** Simulates a promotion by an instance outside the scenario, unnoticed by the old primary. */
   function simulateExternalPromotion(name: string, term: number, group = ['b1', 'c1']): void {
     group.forEach((each) => {
@@ -509,6 +530,7 @@
     run,
     runUntil,
     pause,
+    suspend,
     unfreeze,
     simulateExternalPromotion,
     resume,
--- a/packages/core/src/test/reads.test.ts
+++ b/packages/core/src/test/reads.test.ts
@@ -119,6 +119,19 @@
     expect(accepting.visibleRequestIds).toContain(requiredWrite?.requestId);
   }, 60_000);
 
+  it('bounds the staleness across a suspension of the machine', () => {
+    // Guards against ages by a clock that stands still while the machine is suspended.
+    const scenario = createScenario({ instances: ['p1', 'p2'] });
+    scenario.run(1_000);
+    Object.assign(scenario.member('b1'), { isIsolatedFromGroup: true });
+    const write = scenario.write({}, 'p2');
+    scenario.runUntil(() => write.outcome !== undefined);
+    scenario.suspend(5_000, 'p1');
+    const read = scenario.read({ maximumStalenessMilliseconds: 2_000 }, 'p1');
+    scenario.runUntil(() => read.outcome !== undefined);
+    expect(read.visibleRequestIds).toContain(write.requestId);
+  });
+
   it('serves only stale reads while two databases are down', () => {
     const scenario = createScenario();
     scenario.run(200);
