Show a read of an emptied database where two of three lost their logs

Callers would see an empty database, in reads without a token and of a stated age, while the primary answers and holds all writes, at an instance that has seen both replicas without their logs.

Cause, read in the code: where the members that kept their logs are no majority, all members count again.

Measured: the read was served by a database without any entry.

--- a/packages/core/src/test/memberSets.test.ts
+++ b/packages/core/src/test/memberSets.test.ts
@@ -306,6 +306,25 @@
     });
   });
 
+  it('do not let databases that lost their logs vouch for reads while the primary has its own', () => {
+    // Guards against a floor by a majority without a log although the rest of the group answers.
+    const scenario = createScenario();
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.run(1_000);
+    ['b1', 'c1'].forEach((name) => {
+      Object.assign(scenario.member(name), createEmptyMember(name), { isIsolatedFromGroup: true });
+    });
+    scenario.run(1_500);
+    const reads = [0, 1_000].map((maximumStalenessMilliseconds) =>
+      scenario.read({ maximumStalenessMilliseconds, deadlineAt: scenario.now() + 1_000 }),
+    );
+    scenario.run(1_500);
+    reads
+      .filter(({ outcome }) => outcome?.status === 'done')
+      .forEach(({ visibleRequestIds }) => expect(visibleRequestIds).toContain(write.requestId));
+  });
+
   it('do not count a database that lost what another instance saw', () => {
     // Guards against a promotion by an instance that cannot tell the database from a lagging one.
     const scenario = createScenario({ instances: ['p1', 'p2'] });
