Show a rolled back commit that the world's oracle takes for kept

The simulated world would miss stale reads and a rolled back write: its databases lead with the highest term of all members plus one, so a term that only a member had that restarted empty is given out again, and the oracle tells entries by term and index. The comparison with the logs at the end still finds the write missing, by reading; reads in between are not found stale.

Measured: a commit of the former term 2 is not reported once the later term 2 has reached its index.

--- a/tools/world/src/test/oracle.test.ts
+++ b/tools/world/src/test/oracle.test.ts
@@ -175,6 +175,22 @@
   });
 });
 
+describe('a term that begins anew after its members lost it', () => {
+  it('holds none of what was acknowledged in it before', () => {
+    // Guards against taking the entries of one term for those of another with the same number.
+    const { replication, commit, read, promote, brokenPromises } = createHistory();
+    for (const memberId of ['db-1', 'db-3']) replication.setCutOff(memberId, true);
+    promote('db-2');
+    commit('w1', { at: 'db-2' });
+    replication.restartEmpty('db-2');
+    promote('db-3');
+    for (const id of ['w2', 'w3']) commit(id, { at: 'db-3' });
+    expect(brokenPromises()).toEqual(['rolledBack']);
+    read('db-3', 'primary');
+    expect(brokenPromises()).toEqual(['rolledBack']);
+  });
+});
+
 describe('a promotion', () => {
   it('that keeps what was acknowledged rolls nothing back', () => {
     const { oracle, commit, promote, read, brokenPromises } = createHistory();
