--- a/packages/core/src/test/memberSets.test.ts
+++ b/packages/core/src/test/memberSets.test.ts
@@ -264,6 +264,67 @@
     });
   });
 
+  it('do not count a database that lost the newest entry that it confirmed', () => {
+    // Guards against status answers that cross, of which the one that confirms is not compared.
+    const losses = Array.from({ length: 20 }, (_, index) => index + 1).filter((seed) => {
+      const scenario = createScenario({ seed });
+      isolate(scenario, ['c1'], true);
+      for (let count = 0; count < 4; count += 1) {
+        scenario.write();
+        scenario.run(1);
+      }
+      const write = scenario.write();
+      scenario.runUntil(() => write.outcome?.status === 'done');
+      scenario.member('b1').log.pop();
+      isolate(scenario, ['b1'], true);
+      scenario.run(300);
+      scenario.member('a1').state = 'down';
+      scenario.run(3_000);
+      return scenario
+        .findPrimaries()
+        .some(({ log }) => log.every(({ requestId }) => requestId !== write.requestId));
+    });
+    expect(losses).toEqual([]);
+  });
+
+  it('do not count a database that lost entries and was fenced before it answered again', () => {
+    // Guards against a loss that a fence of another instance hides from one that saw the entries.
+    const scenario = createScenario({ instances: ['p1', 'p2'] });
+    isolate(scenario, ['c1'], true);
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.run(1_000);
+    scenario.pause('p2');
+    scenario.member('b1').log.splice(1);
+    Object.assign(scenario.member('b1'), { currentTerm: 2, following: undefined });
+    isolate(scenario, ['b1'], true);
+    scenario.run(300);
+    scenario.member('a1').state = 'down';
+    scenario.run(3_000);
+    scenario.findPrimaries().forEach(({ log }) => {
+      expect(log.map(({ requestId }) => requestId)).toContain(write.requestId);
+    });
+  });
+
+  it('do not let databases that lost their logs vouch for reads while the primary has its own', () => {
+    // Guards against a floor by a majority without a log although the rest of the group answers.
+    const scenario = createScenario();
+    const write = scenario.write();
+    scenario.runUntil(() => write.outcome?.status === 'done');
+    scenario.run(1_000);
+    ['b1', 'c1'].forEach((name) => {
+      Object.assign(scenario.member(name), createEmptyMember(name), { isIsolatedFromGroup: true });
+    });
+    scenario.run(1_500);
+    const reads = [0, 1_000].map((maximumStalenessMilliseconds) =>
+      scenario.read({ maximumStalenessMilliseconds, deadlineAt: scenario.now() + 1_000 }),
+    );
+    scenario.run(1_500);
+    reads
+      .filter(({ outcome }) => outcome?.status === 'done')
+      .forEach(({ visibleRequestIds }) => expect(visibleRequestIds).toContain(write.requestId));
+  });
+
   it('do not count a database that lost what another instance saw', () => {
     // Guards against a promotion by an instance that cannot tell the database from a lagging one.
     const scenario = createScenario({ instances: ['p1', 'p2'] });
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { createProcessClock } from '../index';
+import type { Clock, DirectoryEntry } from '../index';
 import { createDirectoryEntry, startTestGateway } from './testGateway';
-import type { DirectoryEntry } from '../index';
 
 type TestGateway = ReturnType<typeof startTestGateway>;
 
@@ -26,6 +27,19 @@
 
 let gateway: TestGateway;
 let indexes: Record<string, number>;
+/** Milliseconds by which the time of day is ahead of the timers. */
+let wallLead: number;
+
+function createSuspendableClock(): Clock {
+  const clock = createProcessClock();
+  return {
+    ...clock,
+    readClocks: () => {
+      const { monotonic, wall } = clock.readClocks();
+      return { monotonic, wall: wall + wallLead };
+    },
+  };
+}
 
 const settle = (milliseconds = 1) => vi.advanceTimersByTimeAsync(milliseconds);
 
@@ -64,7 +78,9 @@
     toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'],
   });
   indexes = { 'db-1': 23, 'db-2': 23, 'db-3': 21, 'db-4': 20 };
+  wallLead = 0;
   gateway = startTestGateway({
+    clock: createSuspendableClock(),
     getPosition: (memberId) => ({ term: 1, index: indexes[memberId]! }),
     changes: { consistency: 'boundedStaleness', maximumStaleness: 1_500 },
   });
@@ -163,6 +179,51 @@
     await listFor(4_500, [primary!, createEntry(2, { createdRevision: 12 }), lagging!]);
     expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
   });
+
+  it('confirms none alone either when the register is read for another member', async () => {
+    // Guards against counting every listed member that a register contains when it is read or replaced.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(3_500, [primary!, lagging!, joined!]);
+    const entries = [primary!, createEntry(2, { createdRevision: 12 }), lagging!, joined!];
+    await listFor(3_300, entries);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-2', 'db-3', 'db-4']);
+    expect((await write()).answers).toEqual([]);
+    await listFor(REGISTRATION_MILLISECONDS, entries);
+    expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
+  });
+});
+
+describe('a member that was listed again without this instance knowing it', () => {
+  it('is not taken off the register, by which other instances count it', async () => {
+    // Guards against a removal by a directory from before other instances wait for 4.5 s.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(DEPARTURE_SETTLING_MILLISECONDS, [primary!, lagging!]);
+    const entries = [primary!, createEntry(2, { createdRevision: 12 }), lagging!];
+    gateway.setEntriesAtRefresh(entries);
+    await settle(REGISTRATION_MILLISECONDS + 500);
+    indexes['db-3'] = 23;
+    await settle(2_500);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-2', 'db-3']);
+  });
+});
+
+describe('a missing member at an instance that is suspended', () => {
+  it('counts no longer than other instances wait for', async () => {
+    // Guards against a retention by a clock that stands still: others gave the member up after 13.5 s.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await settle(9_000);
+    for (let suspension = 0; suspension < 4; suspension += 1) {
+      gateway.updateMembers([primary!, lagging!]);
+      await settle(500);
+      wallLead += 950;
+    }
+    gateway.memberRegisters.current = {
+      record: { members: [1, 3].map((n) => ({ memberId: `db-${n}`, startedAt: 1 })) },
+      revision: 7,
+    };
+    gateway.updateMembers([primary!, createEntry(2, { createdRevision: 12 }), lagging!]);
+    expect((await write()).answers).toEqual([]);
+  });
 });
 
 describe('a primary that is not registered', () => {
