Read the register again after a gap of the directory, before a position is learned

What callers would see: a read of a stated age at a lagging replica. An instance whose directory had a gap of 4.5 to 10 s kept the register that it had read before the gap. A member that was listed, registered and gone within the gap may have confirmed a commit with the primary, and was in neither list: the lagging replica counted as all but one.

Test first: 'reads the register again once its directory is up to date' served the read at db-3, which stands at 21 of 23. A gap as long as the delay of a registration now makes the instance read the register before it learns a position and at its next check. A shorter one hides nobody, since a member is listed for that delay before its word counts alone. The cost is one call for a gap.

--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -94,6 +94,11 @@
   /** The register as it was read last; it may have members removed since. */
   let register: MemberRegister | undefined;
   let registerRevision = -Infinity;
+  /** Every change of the directory before this time was seen, except in the gaps. */
+  let seenThrough: ClockReadings | undefined;
+  let gapCount = 0;
+  /** Gaps that had ended when the register was requested. */
+  let coveredGapCount = 0;
   /** When this instance first listed members; those of then count as soon as the register names them. */
   let openedAt: number | undefined;
   /** Members listed since this instance started, which others may have registered. */
@@ -125,6 +130,17 @@
     checkedAt = clock.readClocks();
   }
 
+  /** Whether members may have been registered since that this instance never listed. */
+  const isRegisterOutdated = () => register === undefined || coveredGapCount < gapCount;
+
+  /** A member is listed for the registration delay before it counts, so only a longer gap hides it. */
+  function detectGap(): void {
+    const completeAt = getDirectoryCompleteAt();
+    const gap = seenThrough && completeAt ? computeAgeUpperBound(seenThrough, completeAt) : 0;
+    if (gap >= REGISTRATION_DELAY_MILLISECONDS) gapCount += 1;
+    seenThrough = completeAt;
+  }
+
   function trackDepartures(): void {
     const present = listPresent().map(toKnownLife);
     const unknown = present.filter((life) => !knownLives.some((known) => isSameLife(known, life)));
@@ -166,16 +182,17 @@
 
   const needsSynchronization = () =>
     isDirectoryRecent() &&
-    (register === undefined ||
+    (isRegisterOutdated() ||
       listPresent().some(
         (member) => !countedIds.has(member.entry.memberId) && canRegister(member),
       ) ||
-      register.members.some(departures.isRemovable));
+      register?.members.some(departures.isRemovable));
 
   function check(): void {
     if (!isHolder() || members.size === 0) return;
     openedAt ??= clock.now();
     expireKnowledge();
+    detectGap();
     trackDepartures();
     dropSettled();
     if (needsSynchronization() && !isSynchronizing) void synchronize();
@@ -186,7 +203,7 @@
     isSynchronizing = true;
     try {
       // An instance that starts reads at once: its first reads may need the register.
-      const isKnown = register !== undefined || (await readStored()) !== undefined;
+      const isKnown = !isRegisterOutdated() || (await readStored()) !== undefined;
       if (isKnown && !needsSynchronization()) return;
       await clock.sleep(random() * MAXIMUM_JITTER_MILLISECONDS);
       for (let attempt = 0; attempt < MAXIMUM_REPLACEMENTS; attempt += 1) {
@@ -204,7 +221,9 @@
 
   async function readStored(): Promise<StoredRecord<MemberRegister> | undefined> {
     const present = listPresent().filter(canCount);
+    const gaps = gapCount;
     const stored = await memberRegisters.read(group);
+    coveredGapCount = gaps;
     if (stored) adopt(stored, present);
     return stored;
   }
@@ -297,9 +316,9 @@
   }
 
   async function findRequired(): Promise<RegisteredMember[] | undefined> {
-    if (!register) await refresh();
     if (!isListComplete()) await tryRefreshDirectory();
-    if (!register || !isListComplete()) return undefined;
+    if (isRegisterOutdated()) await refresh();
+    if (isRegisterOutdated() || !isListComplete()) return undefined;
     return listRequired();
   }
 
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -260,6 +260,17 @@
     expect(await readBelow(Infinity)).toEqual([]);
   });
 
+  it('reads the register again once its directory is up to date', async () => {
+    // Guards against missing a member that was listed, registered and gone in between.
+    await listFor(1_000, [primary!, lagging!]);
+    await settle(6_000);
+    const members = [1, 2, 3].map((number) => ({ memberId: `db-${number}`, startedAt: 1 }));
+    gateway.memberRegisters.current = { record: { members }, revision: 7 };
+    gateway.silence('db-1');
+    await listFor(500, [primary!, lagging!]);
+    expect(await readBelow(23)).toEqual([]);
+  });
+
   it('reads it again first', async () => {
     // Guards against refusing reads because nothing has changed for a while.
     indexes['db-3'] = 23;
