Count a member by the directory entry that the register names

What callers would see: a read of a stated age at a lagging replica. A member whose entry had lapsed and came back counted at once at an instance that started just then and read the register before another, whose directory was older, took the member off. Until all directories listed it again, one that learned a position missed neither the member nor the commit that it had confirmed. Besides, an instance with an older directory took a member off that had been registered again.

The register names entries now: an entry that lapsed comes back with another revision of its creation. A departure is that of one entry, so it takes no later one off.

This replaces what was kept beside the register: the members counted when it was read, the filter of those listed again (which failed no test when it was taken out), the resets after an outage and a stall, and the reset when a member restarts or is dropped.

Tests first: 'confirms no commit alone at an instance that starts just then' acknowledged the write at once; 'is not taken off for its former entry' took the member off. What is refused more: at an instance that starts right after entries have lapsed and come back, writes wait for all members for 4.5 s. A register of before names no entries and counts after the same time.

gateway, pooling and tools/world/src/test/staleWithoutPrimary.test.ts pass (10.4 s). Of the six tests of platform/src/test/departedMembers.test.ts five pass; 'is kept if the crashed primary comes within seconds' timed out in three runs of three, and in one of two on the code before: the write is kept over a promotion, no write follows in the new term, and reads of the new primary are refused.

--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -305,7 +305,6 @@
     logger.warn('memberRestarted', { group, memberId, former: former.startedAt });
     pool.close();
     failureEjection.removeMember(memberId);
-    registrar.stopCounting(memberId);
     primaryTracker.discardConfirmations(memberId);
     ignoreDuringPromotions(entry);
   }
@@ -393,7 +392,6 @@
       if (missing !== undefined && clock.now() - missing > missingMemberRetentionMilliseconds) {
         logger.warn('memberGone', { group, memberId, logEnds: describeLogEnds(context) });
         members.delete(memberId);
-        registrar.stopCounting(memberId);
         evidence.removeMember(memberId);
         failureEjection.removeMember(memberId);
         member.pool.close();
--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -1,15 +1,19 @@
 import {
   computeAgeUpperBound,
   createDepartedMembers,
+  createRecentListings,
   DEPARTURE_SETTLING_MILLISECONDS,
   isDirectoryValid,
   isMemberListComplete,
   isSameLife,
+  isSameListing,
   REGISTRATION_DELAY_MILLISECONDS,
+  renewListing,
   subtractMembers,
 } from '@wisterialift/pooling';
 import type {
   ClockReadings,
+  ListedMember,
   MemberObservation,
   MemberRegister,
   RegisteredMember,
@@ -28,14 +32,12 @@
  * instance counts its word and others are seen to hold what it confirmed.
  */
 export interface MemberRegistrar {
-  /** Whether the member is known to be registered, so that its word counts. */
+  /** Whether the member is known to be registered with a recent entry, so that its word counts. */
   isRegistered: (memberId: string) => boolean;
   /** Whether these are all members that this instance knows, departed ones that are not settled included. */
   isHeldByAll: (memberIds: readonly string[]) => boolean;
   /** Brings the register up to date; to be called regularly and after changes of the directory. */
   check: () => void;
-  /** Stops counting a member's word until the register is read again. */
-  stopCounting: (memberId: string) => void;
   /** Takes an answer of a member into account. */
   observe: (observation: MemberObservation) => void;
   /**
@@ -58,8 +60,6 @@
   isHolder: () => boolean;
   /** The directory includes every change accepted before this time; undefined if unknown. */
   getDirectoryCompleteAt: () => ClockReadings | undefined;
-  /** When the last outage of the directory ended; `-Infinity` if there was none. */
-  getDirectoryOutageEnd: () => number;
   /** Reads the directory again. @throws Error if the store does not answer. */
   refreshDirectory: () => Promise<void>;
 }
@@ -73,9 +73,6 @@
 /** Tries to replace a register that other instances replace at the same time. */
 const MAXIMUM_REPLACEMENTS = 3;
 
-/** Checks come more often; a longer pause is a suspension, a stall, or a time as no holder. */
-const MAXIMUM_CHECK_AGE_MILLISECONDS = 1_500;
-
 /** Limit of the wait for a directory that is too old; reads wait for it. */
 const REFRESH_TIMEOUT_MILLISECONDS = 300;
 
@@ -87,10 +84,9 @@
   options: MemberRegistrarOptions,
 ): MemberRegistrar {
   const { clock, evidence, group, logger, members, primaryTracker, random } = context;
-  const { memberRegisters, isHolder, getDirectoryCompleteAt, getDirectoryOutageEnd } = options;
+  const { memberRegisters, isHolder, getDirectoryCompleteAt } = options;
   const departures = createDepartedMembers({ settlingTime: DEPARTURE_SETTLING_MILLISECONDS });
-  /** Listed members that the register contained when it was read. */
-  const countedIds = new Set<string>();
+  const recentListings = createRecentListings();
   /** The register as it was read last; it may have members removed since. */
   let register: MemberRegister | undefined;
   let registerRevision = -Infinity;
@@ -99,12 +95,8 @@
   let gapCount = 0;
   /** Gaps that had ended when the register was requested. */
   let coveredGapCount = 0;
-  /** When this instance first listed members; those of then count as soon as the register names them. */
-  let openedAt: number | undefined;
   /** Members listed since this instance started, which others may have registered. */
-  let knownLives: KnownLife[] = [];
-  let checkedAt: ClockReadings | undefined;
-  let knownOutageEnd = getDirectoryOutageEnd();
+  let knownLives: ListedMember[] = [];
   let isSynchronizing = false;
   let isProbing = false;
   let probedAt = -Infinity;
@@ -117,19 +109,6 @@
   const listPresent = () =>
     [...members.values()].filter(({ missingSince }) => missingSince === undefined);
 
-  const isCheckRecent = () =>
-    checkedAt !== undefined &&
-    computeAgeUpperBound(checkedAt, clock.readClocks()) <= MAXIMUM_CHECK_AGE_MILLISECONDS;
-
-  /** Forgets what may have changed unseen during an outage of the store or a suspension. */
-  function expireKnowledge(): void {
-    if (!isCheckRecent() || !isDirectoryRecent()) countedIds.clear();
-    const outageEnd = getDirectoryOutageEnd();
-    if (outageEnd !== knownOutageEnd) departures.retain([]);
-    knownOutageEnd = outageEnd;
-    checkedAt = clock.readClocks();
-  }
-
   /** Whether members may have been registered since that this instance never listed. */
   const isRegisterOutdated = () => register === undefined || coveredGapCount < gapCount;
 
@@ -142,12 +121,12 @@
   }
 
   function trackDepartures(): void {
-    const present = listPresent().map(toKnownLife);
-    const unknown = present.filter((life) => !knownLives.some((known) => isSameLife(known, life)));
-    knownLives.push(...unknown);
+    const present = listPresent().map(toListedMember);
+    knownLives = knownLives.filter((life) => !present.some((other) => isSameLife(life, other)));
+    knownLives.push(...present);
     const absent = subtractMembers(listKnown(), present);
     departures.retain(absent);
-    const added = subtractMembers(absent, departures.list());
+    const added = subtractMembers(absent, departures.list(), isSameListing);
     for (const member of added) departures.recordDeparture(member, clock.now());
     for (const life of knownLives) {
       if (present.some((other) => isSuccessor(other, life))) {
@@ -159,7 +138,9 @@
   }
 
   function listKnown(): RegisteredMember[] {
-    return [...knownLives, ...subtractMembers(register?.members ?? [], knownLives)];
+    const registered = register?.members ?? [];
+    const known = knownLives.map((life) => renewListing(life, registered));
+    return [...known, ...subtractMembers(registered, known)];
   }
 
   /** Drops departed members that no acknowledged commit rests on any more. */
@@ -176,23 +157,20 @@
 
   const canRegister = (member: Member) => register === undefined || isListedForLong(member);
 
-  /** A member that was taken off the register and is listed again counts as one that joined. */
-  const canCount = (member: Member) =>
-    isListedForLong(member) || member.listedSince <= (openedAt ?? -Infinity);
+  const isNamed = (member: Member) =>
+    register?.members.some((other) => isSameListing(other, toRegisteredMember(member))) ?? false;
 
   const needsSynchronization = () =>
     isDirectoryRecent() &&
     (isRegisterOutdated() ||
-      listPresent().some(
-        (member) => !countedIds.has(member.entry.memberId) && canRegister(member),
-      ) ||
+      listPresent().some((member) => !isNamed(member) && canRegister(member)) ||
       register?.members.some(departures.isRemovable));
 
   function check(): void {
     if (!isHolder() || members.size === 0) return;
-    openedAt ??= clock.now();
-    expireKnowledge();
     detectGap();
+    recentListings.retain((memberId) => members.has(memberId));
+    recentListings.record(listPresent().map(toListedMember), getDirectoryCompleteAt());
     trackDepartures();
     dropSettled();
     if (needsSynchronization() && !isSynchronizing) void synchronize();
@@ -220,28 +198,17 @@
   }
 
   async function readStored(): Promise<StoredRecord<MemberRegister> | undefined> {
-    const present = listPresent().filter(canCount);
     const gaps = gapCount;
     const stored = await memberRegisters.read(group);
     coveredGapCount = gaps;
-    if (stored) adopt(stored, present);
+    if (stored) adopt(stored);
     return stored;
   }
 
-  /** @param present - members that could count when the register was requested. */
-  function adopt(
-    { record: next, revision }: StoredRecord<MemberRegister>,
-    present: readonly Member[],
-  ): void {
+  function adopt({ record, revision }: StoredRecord<MemberRegister>): void {
     if (revision < registerRevision) return;
-    register = next;
+    register = record;
     registerRevision = revision;
-    for (const member of present) {
-      const life = toRegisteredMember(member);
-      const isListed = members.get(life.memberId) === member;
-      const isContained = next.members.some((other) => isSameLife(other, life));
-      if (isListed && isContained) countedIds.add(life.memberId);
-    }
     trackDepartures();
     evidence.reevaluate();
   }
@@ -256,16 +223,15 @@
       const added = stored
         ? listPresent().filter(canRegister).map(toRegisteredMember)
         : listKnown().filter((member) => !departures.isSettled(member));
-      return subtractMembers(added, registered).map(toStoredMember);
+      return subtractMembers(added, registered, isSameListing).map(toStoredMember);
     };
     // Without the refresh, a member could be registered after its departure was tracked elsewhere.
     if (findAdded().length > 0) await options.refreshDirectory();
     if (!isDirectoryRecent()) return false;
-    const present = stored ? listPresent().filter(canCount) : listPresent();
     const added = findAdded();
     const removed = registered.filter(departures.isRemovable);
     if (added.length + removed.length === 0) return false;
-    const next = { members: [...subtractMembers(registered, removed), ...added] };
+    const next = { members: [...subtractMembers(registered, [...removed, ...added]), ...added] };
     const outcome = await memberRegisters.replace({
       group,
       record: next,
@@ -273,7 +239,7 @@
     });
     logger.info('membersRegistered', { group, added, removed, outcome: outcome.type });
     if (outcome.type === 'replaced') {
-      adopt({ record: next, revision: outcome.revision }, present);
+      adopt({ record: next, revision: outcome.revision });
     }
     return outcome.type === 'conflict';
   }
@@ -348,6 +314,13 @@
     }
   }
 
+  function isRegistered(memberId: string): boolean {
+    const member = members.get(memberId);
+    if (!member || !register) return false;
+    const now = clock.readClocks();
+    return recentListings.isCounted(toListedMember(member), { register, now });
+  }
+
   function canPromoteFrom(answered: readonly Member[]): boolean {
     if (!register) return true;
     const accounted = answered.map(toRegisteredMember);
@@ -368,16 +341,16 @@
   }
 
   return {
-    isRegistered: (memberId) => countedIds.has(memberId) && isCheckRecent(),
+    isRegistered,
     isHeldByAll,
     check,
-    stopCounting: (memberId) => countedIds.delete(memberId),
     observe: (observation) => {
       const member = members.get(observation.memberId);
       if (!member || member.missingSince !== undefined) return;
-      const isRegistered = countedIds.has(observation.memberId);
-      const { takeNextSequenceNumber } = evidence;
-      departures.observe(observation, { isRegistered, takeNextSequenceNumber });
+      departures.observe(observation, {
+        isRegistered: isRegistered(observation.memberId),
+        takeNextSequenceNumber: evidence.takeNextSequenceNumber,
+      });
     },
     findRequired,
     refresh,
@@ -386,22 +359,25 @@
 }
 
 /** Leaves out what only this instance needs to know of a member. */
-function toStoredMember({ memberId, startedAt }: RegisteredMember): RegisteredMember {
-  return { memberId, ...(startedAt !== undefined && { startedAt }) };
-}
-
-/** One life of a member's process that the directory has listed. */
-interface KnownLife extends RegisteredMember {
-  address: string;
+function toStoredMember({
+  memberId,
+  startedAt,
+  createdRevision,
+}: RegisteredMember): RegisteredMember {
+  return {
+    memberId,
+    ...(startedAt !== undefined && { startedAt }),
+    ...(createdRevision !== undefined && { createdRevision }),
+  };
 }
 
 /** Whether a process can only have started after the other one ended. */
-function isSuccessor(life: KnownLife, former: KnownLife): boolean {
+function isSuccessor(life: ListedMember, former: ListedMember): boolean {
   if (isSameLife(life, former)) return false;
   return life.memberId === former.memberId || life.address === former.address;
 }
 
-function toKnownLife(member: Member): KnownLife {
+function toListedMember(member: Member): ListedMember {
   return { ...toRegisteredMember(member), address: member.entry.address };
 }
 
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -24,6 +24,12 @@
 
 const [primary, copy, lagging, joined] = [1, 2, 3, 4].map((number) => createEntry(number));
 
+const registered = [1, 2, 3].map((number) => ({
+  memberId: `db-${number}`,
+  startedAt: 1,
+  createdRevision: number,
+}));
+
 let gateway: TestGateway;
 let indexes: Record<string, number>;
 
@@ -151,6 +157,28 @@
     await listFor(4_500, [primary!, createEntry(2, { createdRevision: 12 }), lagging!]);
     expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
   });
+
+  it('confirms no commit alone at an instance that starts just then', async () => {
+    // Guards against a member that an instance with an older directory takes off meanwhile.
+    gateway.memberRegisters.current = { record: { members: registered }, revision: 7 };
+    const entries = [primary!, createEntry(2, { createdRevision: 12 }), lagging!];
+    await listFor(1_500, entries);
+    expect((await write()).answers).toEqual([]);
+    await listFor(4_500, entries);
+    expect((await write()).answers).toMatchObject([{ outcome: 'completed' }]);
+  });
+
+  it('is not taken off for its former entry', async () => {
+    // Guards against a member that counts elsewhere, and that the register does not name.
+    indexes['db-3'] = 23;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(DEPARTURE_SETTLING_MILLISECONDS - 500, [primary!, lagging!]);
+    const listedAgain = { ...registered[1]!, createdRevision: 12 };
+    const members = [registered[0]!, listedAgain, registered[2]!];
+    gateway.memberRegisters.current = { record: { members }, revision: 7 };
+    await listFor(4_000, [primary!, lagging!]);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-2', 'db-3']);
+  });
 });
 
 describe('a primary that is not registered', () => {
@@ -185,10 +213,7 @@
 
   it('is missed by an instance that starts later', async () => {
     // Guards against a position learned by an instance that never listed the member.
-    gateway.memberRegisters.current = {
-      record: { members: [1, 2, 3].map((n) => ({ memberId: `db-${n}`, startedAt: 1 })) },
-      revision: 7,
-    };
+    gateway.memberRegisters.current = { record: { members: registered }, revision: 7 };
     gateway.silence('db-1');
     await listFor(2_000, [primary!, lagging!]);
     expect(await readBelow(23)).toEqual([]);
@@ -264,8 +289,7 @@
     // Guards against missing a member that was listed, registered and gone in between.
     await listFor(1_000, [primary!, lagging!]);
     await settle(6_000);
-    const members = [1, 2, 3].map((number) => ({ memberId: `db-${number}`, startedAt: 1 }));
-    gateway.memberRegisters.current = { record: { members }, revision: 7 };
+    gateway.memberRegisters.current = { record: { members: registered }, revision: 7 };
     gateway.silence('db-1');
     await listFor(500, [primary!, lagging!]);
     expect(await readBelow(23)).toEqual([]);
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -77,11 +77,18 @@
 export {
   isEveryCommitHeld,
   isSameLife,
+  isSameListing,
   memberRegisterSchema,
+  renewListing,
   subtractMembers,
   type MemberRegister,
   type RegisteredMember,
 } from './lib/membership/memberRegister';
+export {
+  createRecentListings,
+  type ListedMember,
+  type RecentListings,
+} from './lib/membership/recentListings';
 export { choosePromotionCandidate, type PausedReplica } from './lib/promotion/promotionCandidate';
 export {
   determineWriteOutcome,
--- a/packages/pooling/src/lib/membership/departedMembers.ts
+++ b/packages/pooling/src/lib/membership/departedMembers.ts
@@ -1,7 +1,7 @@
 import { comparePositions } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import type { MemberObservation } from '../replication/replicationTracker';
-import { isSameLife } from './memberRegister';
+import { isListedNoLater, isSameListing } from './memberRegister';
 import type { RegisteredMember } from './memberRegister';
 
 /** Tracks whether others hold what members confirmed that the directory no longer lists. @public */
@@ -70,7 +70,7 @@
   let departures: Departure[] = [];
 
   const find = (member: RegisteredMember) =>
-    departures.find((departure) => isSameLife(departure.member, member));
+    departures.find((departure) => isListedNoLater(member, departure.member));
 
   const hasSettled = (departure: Departure | undefined, holders: keyof CoverageChecks) => {
     if (!departure) return false;
@@ -93,7 +93,7 @@
     },
     retain: (members) => {
       departures = departures.filter(({ member }) =>
-        members.some((retained) => isSameLife(retained, member)),
+        members.some((retained) => isSameListing(retained, member)),
       );
     },
     observe: (observation, options) => {
--- a/packages/pooling/src/lib/membership/memberRegister.ts
+++ b/packages/pooling/src/lib/membership/memberRegister.ts
@@ -5,6 +5,8 @@
   memberId: z.string(),
   /** Start time of the process by its own time of day, if it reports one. */
   startedAt: z.number().optional(),
+  /** Revision at which its directory entry was created; one that lapsed returns with another. */
+  createdRevision: z.number().optional(),
 });
 
 /** @public */
@@ -33,12 +35,40 @@
   return isStartUnknown || left.startedAt === right.startedAt;
 }
 
+/**
+ * Whether both describe the same directory entry of a process. A member that is listed again counts as one
+ * that joined: an instance may not know yet, and take it off the register for its former entry.
+ *
+ * @public
+ */
+export function isSameListing(left: RegisteredMember, right: RegisteredMember): boolean {
+  return isSameLife(left, right) && left.createdRevision === right.createdRevision;
+}
+
+const getCreation = ({ createdRevision }: RegisteredMember) => createdRevision ?? -Infinity;
+
+/** Whether both are the same process and `other` was listed no earlier. @public */
+export function isListedNoLater(member: RegisteredMember, other: RegisteredMember): boolean {
+  return isSameLife(member, other) && getCreation(member) <= getCreation(other);
+}
+
+/** Returns the member with its latest entry of those in `listings`. @public */
+export function renewListing<Member extends RegisteredMember>(
+  member: Member,
+  listings: readonly RegisteredMember[],
+): Member {
+  const revisions = listings.filter((other) => isSameLife(member, other)).map(getCreation);
+  const latest = Math.max(getCreation(member), ...revisions);
+  return { ...member, createdRevision: Number.isFinite(latest) ? latest : undefined };
+}
+
 /** Returns those of `members` that `others` does not contain. @public */
 export function subtractMembers(
   members: readonly RegisteredMember[],
   others: readonly RegisteredMember[],
+  isSame = isSameLife,
 ): RegisteredMember[] {
-  return members.filter((member) => !others.some((other) => isSameLife(member, other)));
+  return members.filter((member) => !others.some((other) => isSame(member, other)));
 }
 
 /**
