Split the registrar of members, one concept a file

The store's copy is read and replaced by registerSynchronizer.ts, departed members are asked after by departureProbe.ts, and the decisions are in pooling, without a clock or a store: which members are known, how a register changes, whether a promotion covers what departed members confirmed. Behaviour is as before, but that a register which vanishes from the store is created anew with the members it named last.

--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -5,8 +5,8 @@
 import { createSequencedTime, describeLogEnds } from './groupContext';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
-import { toRegisteredMember } from './memberRegistrar';
 import type { MemberRegistrar } from './memberRegistrar';
+import { toRegisteredMember } from './registeredMember';
 import { sendMemberCommand } from './sendMemberCommand';
 import type { SoleMemberGuard } from './soleMemberGuard';
 
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -73,6 +73,9 @@
   MEMBER_SETTLING_MILLISECONDS,
   REGISTRATION_DELAY_MILLISECONDS,
 } from './lib/membership/directoryValidity';
+export { createKnownMembers, type KnownMembers } from './lib/membership/knownMembers';
+export { assessPromotionCoverage } from './lib/membership/promotionCoverage';
+export { planRegisterUpdate } from './lib/membership/registerUpdate';
 export { createDepartedMembers, type DepartedMembers } from './lib/membership/departedMembers';
 export {
   isEveryCommitHeld,
