--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -74,15 +74,25 @@
   MEMBER_SETTLING_MILLISECONDS,
   REGISTRATION_DELAY_MILLISECONDS,
 } from './lib/membership/directoryValidity';
+export { createKnownMembers, type KnownMembers } from './lib/membership/knownMembers';
+export { assessPromotionCoverage } from './lib/membership/promotionCoverage';
+export { planRegisterUpdate } from './lib/membership/registerUpdate';
 export { createDepartedMembers, type DepartedMembers } from './lib/membership/departedMembers';
 export {
   isEveryCommitHeld,
   isSameLife,
+  isSameListing,
   memberRegisterSchema,
+  renewListing,
   subtractMembers,
   type MemberRegister,
   type RegisteredMember,
 } from './lib/membership/memberRegister';
+export {
+  createRecentListings,
+  type ListedMember,
+  type RecentListings,
+} from './lib/membership/recentListings';
 export { choosePromotionCandidate, type PausedReplica } from './lib/promotion/promotionCandidate';
 export {
   determineWriteOutcome,
