Count the ages of the own form by both clocks

What callers saw: a read that accepts data of 2 s was served without a write acknowledged 5 s before, by a replica that lagged, at an instance whose machine had been suspended in between.

Cause: packages/proxy gives the engine the monotonic clock alone, which stands still during a suspension. The samples from before it, and answers to what was asked before it, looked younger by its length.

Change: an event comes with the readings of both clocks. Staleness samples go by an age clock, which advances by whichever clock advanced more, and by more than any stated age once the two disagree by 100 ms in either direction, since a step of the time of day may hide a part of a suspension. All waits stay with the monotonic clock, so a step causes no suspicion and ends no statement. An event "time was lost" from the proxy was considered and left: it would not count suspensions below its threshold, nor the time until it is noticed. ClockReadings moves to packages/core, which pooling builds on.

A read after a step of the time of day forward is served in under 20 ms, with no suspicion.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
   type AdmissionQueueOptions,
   type QueuedRequest,
 } from './lib/admission/admissionQueue';
+export { type ClockReadings } from './lib/timing/clockReadings';
 export { planEvidencePolls, type EvidencePollPlan } from './lib/reads/evidencePolling';
 export { createFairOrder, type FairOrder } from './lib/admission/fairOrder';
 export { type FindWeight } from './lib/admission/priorityBand';
--- a/packages/core/src/lib/engine/controlRequestTable.ts
+++ b/packages/core/src/lib/engine/controlRequestTable.ts
@@ -7,6 +7,8 @@
   kind: ControlRequestKind;
   member: string;
   sentAt: number;
+  /** The same on the age clock. */
+  askedAt: number;
 }
 
 /** Control requests that have not completed. @internal */
--- a/packages/core/src/lib/engine/groupEngine.ts
+++ b/packages/core/src/lib/engine/groupEngine.ts
@@ -2,6 +2,8 @@
 import type { FailoverCommand } from '../failover/failoverCommand';
 import type { FailoverTimes } from '../failover/failoverController';
 import { createPrimaryFailureDetector } from '../failover/primaryFailureDetector';
+import { createAgeClock } from '../timing/ageClock';
+import type { ClockReadings } from '../timing/clockReadings';
 import { createMemberCapacity } from './memberCapacity';
 import { getMemberSet } from './memberSet';
 import { createMemberTable } from './memberTable';
@@ -55,7 +57,7 @@
  * @example
  * ```ts
  * const engine = createGroupEngine({ ...options, policy: DEFAULT_ENGINE_POLICY });
- * engine.handle({ type: 'timerFired' }, now).forEach(applyEffect);
+ * engine.handle({ type: 'timerFired' }, readClocks()).forEach(applyEffect);
  * ```
  * @public
  */
@@ -63,6 +65,7 @@
   const { group, instance, dataCentre, policy, random } = options;
   const pauseMilliseconds = policy.suspicionMilliseconds * PAUSE_DETECTION_FACTOR;
   const members = createMemberTable(options.databases, options.memberSet);
+  const ageClock = createAgeClock();
   const controlRequests = createControlRequestTable();
   const capacity = createMemberCapacity(instance, options.databases);
   let effects: EngineEffect[] = [];
@@ -80,6 +83,7 @@
       kind: 'status',
       member: member.name,
       sentAt: now,
+      askedAt: ageClock.now(),
     });
     emit({ type: 'askStatus', questionId, member: member.name });
     return questionId;
@@ -87,7 +91,8 @@
 
   function sendCommand(draft: FailoverCommand, now: number): number {
     const { type: kind, member } = draft;
-    const { questionId } = controlRequests.add({ kind, member, sentAt: now });
+    const askedAt = ageClock.now();
+    const { questionId } = controlRequests.add({ kind, member, sentAt: now, askedAt });
     emit({ ...draft, questionId });
     return questionId;
   }
@@ -97,6 +102,7 @@
     dataCentre,
     members,
     capacity,
+    ageClock,
     peekNextControlRequestId: controlRequests.peekNextId,
     isBlockingWrites,
     onConfirmed,
@@ -150,8 +156,7 @@
     statusAnswered: ({ questionId, status }, now) => {
       const controlRequest = controlRequests.take(questionId);
       if (!controlRequest) return;
-      const { sentAt } = controlRequest;
-      const member = members.onAnswered({ ...controlRequest, status, sentAt, now });
+      const member = members.onAnswered({ ...controlRequest, status, now });
       if (!member) return;
       requests.onAnswered(member, now);
       failover.onAnswered({ ...controlRequest, status }, now);
@@ -261,8 +266,10 @@
     emit({ type: 'setTimer', at: due });
   }
 
-  function handle(event: EngineEvent, now: number): EngineEffect[] {
+  function handle(event: EngineEvent, readings: ClockReadings): EngineEffect[] {
+    const { monotonic: now } = readings;
     effects = [];
+    ageClock.advance(readings);
     detectPause(now);
     const handler = handlers[event.type] as (event: EngineEvent, now: number) => void;
     handler(event, now);
--- a/packages/core/src/lib/engine/memberTable.ts
+++ b/packages/core/src/lib/engine/memberTable.ts
@@ -13,7 +13,7 @@
   status: MemberStatus | undefined;
   /** Identifier of that request; -1 before the first response. */
   statusControlRequestId: number;
-  /** Send time of that request. */
+  /** Send time of that request on the age clock. */
   statusRequestedAt: number;
   /**
    * Send time of the newest answered request. The arrival time is unreliable, since a response can
@@ -36,7 +36,7 @@
   avoidUntil: number;
   /** Responses to requests before this one cannot identify the member as primary. */
   primaryClaimValidFromRequestId: number;
-  /** Time of the newest staleness sample whose position the member has applied. */
+  /** Time on the age clock of the newest staleness sample whose position the member has applied. */
   freshAsOf: number;
   nextFollowAt: number;
   /** The status that later ones are compared with, and when it arrived. */
@@ -105,6 +105,8 @@
   status: MemberStatus;
   questionId: number;
   sentAt: number;
+  /** Send time on the age clock; without it, the answer bounds no age. */
+  askedAt?: number;
   now: number;
 }
 
@@ -206,7 +208,8 @@
     return membersInTerm.length >= getMajority() ? status : undefined;
   }
 
-  function onAnswered({ member: name, status, questionId, sentAt, now }: StatusAnswer) {
+  function onAnswered(answer: StatusAnswer) {
+    const { member: name, status, questionId, sentAt, now } = answer;
     const member = byName.get(name);
     if (!member) return undefined;
     member.smoothedRoundTripMilliseconds +=
@@ -222,14 +225,14 @@
     if (!member.status || comparePositions(member.status.logEnd, status.logEnd) !== 0) {
       member.logAdvancedAt = now;
     }
-    compareWithReference(member, { member: name, status, questionId, sentAt, now });
+    compareWithReference(member, answer);
     const wasPrimaryClaimValid =
       member.statusControlRequestId >= member.primaryClaimValidFromRequestId;
     const isSameTerm = member.status?.currentTerm === status.currentTerm;
     const isSameRole = member.status?.role === status.role;
     member.status = status;
     member.statusControlRequestId = questionId;
-    member.statusRequestedAt = sentAt;
+    member.statusRequestedAt = answer.askedAt ?? Number.NEGATIVE_INFINITY;
     if (!wasPrimaryClaimValid || !isSameTerm || !isSameRole) refreshPrimary();
     if (hasLostLogs) updateLostLogs();
     return member;
--- a/packages/core/src/lib/engine/messages.ts
+++ b/packages/core/src/lib/engine/messages.ts
@@ -1,4 +1,5 @@
 import type { Database, MemberStatus, RequestOutcome, Position } from '@wisterialift/schema';
+import type { ClockReadings } from '../timing/clockReadings';
 
 /**
  * Kind of database access that a request needs.
@@ -232,7 +233,11 @@
 
 /** Routing and failover logic of one upstream group: events in, effects out. @public */
 export interface GroupEngine {
-  /** @param now - milliseconds on a monotonic clock. */
-  handle: (event: EngineEvent, now: number) => EngineEffect[];
+  /**
+   * @param readings - the monotonic clock is that of all other times of the engine; the wall clock
+   *   shows that the machine was suspended.
+   */
+  handle: (event: EngineEvent, readings: ClockReadings) => EngineEffect[];
+  /** @param now - milliseconds on the monotonic clock. */
   view: (now: number) => GroupEngineView;
 }
--- a/packages/core/src/lib/engine/requestContext.ts
+++ b/packages/core/src/lib/engine/requestContext.ts
@@ -5,6 +5,7 @@
 import type { AdmissionQueue } from '../admission/admissionQueue';
 import { createFloorRounds } from '../reads/floorRounds';
 import type { FloorRounds } from '../reads/floorRounds';
+import type { AgeClock } from '../timing/ageClock';
 import type { MemberTable } from './memberTable';
 import type { MemberCapacity } from './memberCapacity';
 import { createRequestTable } from './requestTable';
@@ -40,6 +41,7 @@
   dataCentre: string;
   members: MemberTable;
   capacity: MemberCapacity;
+  ageClock: AgeClock;
   peekNextControlRequestId: () => number;
   /** Whether writes are kept in the queue during a failover. */
   isBlockingWrites: () => boolean;
--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -87,7 +87,7 @@
   function onReadArrived(request: TrackedRequest, now: number): void {
     const isStalenessAccepted = request.maximumStalenessMilliseconds > 0;
     const canQueueDirectly = isStalenessAccepted
-      ? router.isServable(request, now)
+      ? router.isServable(request)
       : request.token !== undefined;
     if (canQueueDirectly) enqueue(request, now);
     else awaitFloor(request, now);
--- a/packages/core/src/lib/reads/readRouter.ts
+++ b/packages/core/src/lib/reads/readRouter.ts
@@ -7,7 +7,7 @@
 export interface ReadRequirement {
   /** Minimum applied position; undefined while unknown. */
   floor: Position | undefined;
-  /** Oldest accepted time of the data in milliseconds; undefined if stale reads are not allowed. */
+  /** Oldest accepted time of the data on the age clock; undefined if stale reads are not allowed. */
   freshSince: number | undefined;
   /** Position of the session token, required even for stale reads. */
   token: Position | undefined;
--- a/packages/core/src/lib/reads/stalenessSamples.ts
+++ b/packages/core/src/lib/reads/stalenessSamples.ts
@@ -3,7 +3,7 @@
 import type { Member, MemberTable } from '../engine/memberTable';
 
 interface Sample {
-  /** Time in milliseconds before which every acknowledged write is covered by `position`. */
+  /** Time on the age clock before which every acknowledged write is covered by `position`. */
   at: number;
   position: Position;
 }
@@ -21,7 +21,7 @@
 }
 
 /**
- * Creates the samples that bound the staleness of members using only the local clock.
+ * Creates the samples that bound the staleness of members using only the clocks of this machine.
  *
  * A sample records the log position of a majority that was polled at time t. A member that has
  * applied this position contains every write acknowledged before t.
--- a/packages/core/src/lib/routing/requestRouter.ts
+++ b/packages/core/src/lib/routing/requestRouter.ts
@@ -23,7 +23,7 @@
   findUsablePrimary: (now: number) => Member | undefined;
   canRunAtPrimary: (request: TrackedRequest, primary: Member) => boolean;
   /** Whether any member is eligible for the read, regardless of its capacity. */
-  isServable: (request: TrackedRequest, now: number) => boolean;
+  isServable: (request: TrackedRequest) => boolean;
   /** Returns the reason why a queued request has not been sent. */
   findNotRunReason: (request: TrackedRequest, now: number) => NotRunReason;
   isSilent: (member: Member, now: number) => boolean;
@@ -42,17 +42,18 @@
     dataCentre,
     members,
     capacity,
+    ageClock,
     requests,
     readQueue,
     primaryQueue,
     isBlockingWrites,
   } = context;
 
-  function createRequirement(request: TrackedRequest, now: number): ReadRequirement {
+  function createRequirement(request: TrackedRequest): ReadRequirement {
     const staleness = request.maximumStalenessMilliseconds;
     return {
       floor: staleness === 0 ? (request.token ?? request.round?.floor) : request.round?.floor,
-      freshSince: staleness > 0 ? now - staleness : undefined,
+      freshSince: staleness > 0 ? ageClock.computeEarliest(staleness) : undefined,
       token: request.token,
       avoidedMember: request.avoidedMember,
     };
@@ -79,7 +80,7 @@
     now: number,
   ): ReadRoute | undefined {
     const primary = members.getPrimary();
-    const read = createRequirement(request, now);
+    const read = createRequirement(request);
     const route = chooseReadMember({
       candidates,
       read,
@@ -146,7 +147,7 @@
 
   function findNotRunReason(request: TrackedRequest, now: number): NotRunReason {
     if (request.access !== 'read') return findUsablePrimary(now) ? 'deadline' : 'noPrimary';
-    return isServable(request, now) ? 'deadline' : 'noFreshMember';
+    return isServable(request) ? 'deadline' : 'noFreshMember';
   }
 
   function hasRequestsWaitingForStatus(now: number): boolean {
@@ -156,8 +157,8 @@
     return !primary || capacity.hasCapacity(primary);
   }
 
-  function isServable(request: TrackedRequest, now: number): boolean {
-    const read = createRequirement(request, now);
+  function isServable(request: TrackedRequest): boolean {
+    const read = createRequirement(request);
     return members.list().some((member) => findReadEligibility(member, read) !== undefined);
   }
 
--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -62,6 +62,8 @@
   isPaused: boolean;
   /** Time that its clock has stood still. */
   clockLag: number;
+  /** By how much its time of day was stepped. */
+  wallStep: number;
   pendingEvents: EngineEvent[];
   records: EngineRecord[];
   /** Members whose control requests from this instance are dropped without a response. */
@@ -149,6 +151,7 @@
       timerAt: Infinity,
       isPaused: false,
       clockLag: 0,
+      wallStep: 0,
       pendingEvents: [],
       records: [],
     };
@@ -199,7 +202,8 @@
       target.pendingEvents.push(event);
       return;
     }
-    target.engine.handle(event, readClock(target)).forEach((effect) => applyEffect(target, effect));
+    const readings = { monotonic: readClock(target), wall: now + target.wallStep };
+    target.engine.handle(event, readings).forEach((effect) => applyEffect(target, effect));
   }
 
   type EffectHandlers = {
--- a/packages/core/src/test/reads.test.ts
+++ b/packages/core/src/test/reads.test.ts
@@ -132,6 +132,38 @@
     expect(read.visibleRequestIds).toContain(write.requestId);
   });
 
+  it.each([
+    { name: 'short suspensions that add up', suspensions: 30, milliseconds: 90, wallStep: 0 },
+    { name: 'one that a step back hides', suspensions: 1, milliseconds: 5_000, wallStep: -8_000 },
+  ])('bounds the staleness across $name', ({ suspensions, milliseconds, wallStep }) => {
+    const policy = { idleProbeIntervalMilliseconds: 100 };
+    const scenario = createScenario({ instances: ['p1', 'p2'], policy });
+    scenario.run(1_000);
+    Object.assign(scenario.member('b1'), { isIsolatedFromGroup: true });
+    const write = scenario.write({}, 'p2');
+    scenario.runUntil(() => write.outcome !== undefined);
+    Object.assign(scenario.instance('p1'), { wallStep });
+    for (let count = 0; count < suspensions; count += 1) {
+      scenario.suspend(milliseconds, 'p1');
+      scenario.run(5);
+    }
+    const read = scenario.read({ maximumStalenessMilliseconds: 2_000 }, 'p1');
+    scenario.runUntil(() => read.outcome !== undefined);
+    expect(read.visibleRequestIds).toContain(write.requestId);
+  });
+
+  it('serves a read of a stated age at once after a step of the time of day forward', () => {
+    // Guards against waits and limits by a clock that can be stepped.
+    const scenario = createScenario();
+    scenario.run(1_000);
+    Object.assign(scenario.instance('p1'), { wallStep: 3_600_000 });
+    const read = scenario.read({ maximumStalenessMilliseconds: 2_000 });
+    expect(scenario.runUntil(() => read.outcome !== undefined)).toBeLessThan(20);
+    expect(read.outcome?.status).toBe('done');
+    scenario.run(1_000);
+    expect(scenario.findRecords('primarySuspected')).toEqual([]);
+  });
+
   it('serves only stale reads while two databases are down', () => {
     const scenario = createScenario();
     scenario.run(200);
--- a/packages/pooling/src/lib/timing/clockReadings.ts
+++ b/packages/pooling/src/lib/timing/clockReadings.ts
@@ -1,10 +1,6 @@
-/** Readings of both clocks at the same moment, in milliseconds. @public */
-export interface ClockReadings {
-  /** Monotonic clock; stops while the machine is suspended. */
-  monotonic: number;
-  /** Wall clock; runs during a suspension but may be adjusted. */
-  wall: number;
-}
+import type { ClockReadings } from '@wisterialift/core';
+
+export type { ClockReadings };
 
 /** Earlier than any reading, for events whose time is unknown. @public */
 export const DISTANT_PAST_READINGS: ClockReadings = { monotonic: -Infinity, wall: -Infinity };
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -30,6 +30,8 @@
   instance: { name: string; dataCentre: string };
   policy: EnginePolicy;
   clock: () => number;
+  /** Reads the time of day, in milliseconds; it runs while the machine is suspended. */
+  readWallClock: () => number;
   random: () => number;
   record: (record: EngineRecord) => void;
   onPrimaryPromoted: (promotion: { term: number; primary: string }) => void;
@@ -208,7 +210,8 @@
   }
 
   function handleEvent(event: EngineEvent): void {
-    engine.handle(event, clock()).forEach(executeEffect);
+    const readings = { monotonic: clock(), wall: options.readWallClock() };
+    engine.handle(event, readings).forEach(executeEffect);
   }
 
   function executeEffect(effect: EngineEffect): void {
--- a/packages/proxy/src/lib/statements/statementPath.ts
+++ b/packages/proxy/src/lib/statements/statementPath.ts
@@ -160,6 +160,7 @@
       instance: settings.instance,
       policy: createPolicy(options),
       clock,
+      readWallClock: () => Date.now(),
       random: options.random,
       record: (record) => options.record({ group, record }),
       onPrimaryPromoted: (promotion) => options.onPrimaryPromoted({ group, ...promotion }),
--- a/packages/proxy/src/test/statementsFailures.test.ts
+++ b/packages/proxy/src/test/statementsFailures.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, onTestFinished, vi } from 'vitest';
 import { encodeToken } from '@wisterialift/core';
 import { toFrames } from '@wisterialift/mysql';
 import type { Caller } from '@wisterialift/schema';
@@ -215,6 +215,25 @@
     expect((await connection.query('SELECT 2 AS two'))[0]).toEqual([{ two: 2 }]);
   });
 
+  // Guards against ages by a clock that stands still while the machine is suspended.
+  it('of a stated age are not older after suspensions, which only the time of day shows', async () => {
+    const { connect, records } = await startStatementPath({
+      kinds: { aged: { maximumStalenessMilliseconds: 5_000 } },
+    });
+    const connection = await connect();
+    await connection.query("SET wisterialift_kind = 'aged', wisterialift_roaming = 0");
+    await connection.query('SELECT 1');
+    let timeOfDay = Date.now();
+    const timeOfDayReader = vi.spyOn(Date, 'now').mockImplementation(() => {
+      timeOfDay += 10_000;
+      return timeOfDay;
+    });
+    onTestFinished(() => timeOfDayReader.mockRestore());
+    await connection.query('SELECT 1');
+    const routes = records.flatMap((record) => (record.name === 'readRouted' ? [record.by] : []));
+    expect(routes).toEqual(['staleness', 'token']);
+  });
+
   // The primary applies the write, but its answer does not reach the proxy.
   it('lost after a write are reported as unknown, not as "not run"', async () => {
     const { connect, setFaults, readRows } = await startStatementPath();
--- a/tools/fuzz/src/lib/fakes/fakeProxy.ts
+++ b/tools/fuzz/src/lib/fakes/fakeProxy.ts
@@ -135,7 +135,7 @@
 
   const decide = (event: EngineEvent): EngineEffect[] => {
     try {
-      return engine.handle(event, localNow());
+      return engine.handle(event, { monotonic: localNow(), wall: scheduler.now() });
     } catch (error) {
       oracle.report('engineFailed', `${name} ${event.type}: ${String(error)}`);
       return [];
