Run a statement at the incarnation of the database that its status is from

A read that accepts 2 s went to a database that had restarted without its log and showed it empty: until the next status answer the instance trusted the freshness of the former log. A connection did not tell who answers.

A connection now asks for @@server_uuid when it opens and fails to open where there is none. The control connection adds it to each status, so what is known of a member is about one incarnation: another one ends its freshness and what it counts for, also where its log looks like the former one. A statement names the incarnation of the status by which its member was chosen; the pool leases a connection to that one alone, and otherwise refuses, which is repeated elsewhere while the status is asked for again. It holds because a server keeps its uuid from start to end, and connections end with it. This is done for all statements but COMMIT, which keeps the connection of its transaction: a token and a floor could be trusted as wrongly as an age.

The fixture gives a database whose log a test shortens another incarnation, and checks it where a statement runs, as a connection does.

--- a/packages/core/src/lib/engine/memberTable.ts
+++ b/packages/core/src/lib/engine/memberTable.ts
@@ -162,6 +162,12 @@
     { status, questionId, sentAt, now }: StatusAnswer,
   ): void {
     const { reference } = member;
+    // Whichever of the two answered last, the member has no longer what the other one had.
+    if (member.status && member.status.incarnation !== status.incarnation) {
+      onLogLost(member, questionId);
+      Object.assign(member, { reference: { status, answeredAt: now } });
+      return;
+    }
     if (reference && sentAt <= reference.answeredAt) return;
     if (reference && isLogLost(reference.status, status)) onLogLost(member, questionId);
     Object.assign(member, { reference: { status, answeredAt: now } });
--- a/packages/core/src/lib/engine/messages.ts
+++ b/packages/core/src/lib/engine/messages.ts
@@ -48,7 +48,13 @@
   | { kind: 'lost'; answerStarted: boolean };
 
 /** @public */
-export type RefusalReason = 'connectionLimit' | 'connectFailed' | 'notPrimary' | 'stopping';
+export type RefusalReason =
+  | 'connectionLimit'
+  | 'connectFailed'
+  | 'notPrimary'
+  /** The connection reached another incarnation of the database than the effect named. */
+  | 'otherIncarnation'
+  | 'stopping';
 
 /** @public */
 export type ControlRequestFailureReason = 'timeout' | 'unreachable' | 'refused';
@@ -78,7 +84,17 @@
 
 /** An action for the code that runs the engine. @public */
 export type EngineEffect =
-  | { type: 'runStatement'; requestId: string; attempt: number; member: string }
+  /**
+   * Run the statement on a connection to this incarnation of the member; only COMMIT runs on the connection
+   * of its transaction.
+   */
+  | {
+      type: 'runStatement';
+      requestId: string;
+      attempt: number;
+      member: string;
+      incarnation: string;
+    }
   /**
    * Close the upstream connection of this attempt and drop its response. With `reportsLoss` the
    * request stays open until `statementFinished` arrives with the result `lost`.
--- a/packages/core/src/lib/engine/requestFlow.ts
+++ b/packages/core/src/lib/engine/requestFlow.ts
@@ -238,6 +238,7 @@
       fromControlRequestId: Math.max(
         openRoundRequestId,
         hasUnconfirmedWrites ? attempts.getFirstConfirmingRequestId() : 0,
+        attempts.getFirstIdentifyingRequestId(),
       ),
       isContinuous: hasUnconfirmedWrites || router.hasRequestsWaitingForStatus(now),
       minimumIntervalMilliseconds: isUrgent
--- a/packages/core/src/lib/engine/statementAttempts.ts
+++ b/packages/core/src/lib/engine/statementAttempts.ts
@@ -48,6 +48,8 @@
   cancelSilentAttempts: (isSilent: (member: Member) => boolean, now: number) => void;
   /** First control request whose response can confirm the newest unconfirmed write. */
   getFirstConfirmingRequestId: () => number;
+  /** First control request that tells the incarnation of a member that refused a statement for its own. */
+  getFirstIdentifyingRequestId: () => number;
   /** Open transactions plus running statements at the member; a running COMMIT counts in both. */
   countInFlight: (member: string) => number;
 }
@@ -76,6 +78,7 @@
   });
   const transactions = new Map<string, OpenTransaction>();
   let firstConfirmingRequestId = 0;
+  let firstIdentifyingRequestId = 0;
 
   function run(request: TrackedRequest, member: Member, now: number): void {
     request.phase = 'running';
@@ -87,7 +90,8 @@
     if (request.access !== 'commit') capacity.takeConnection(member);
     capacity.startStatement(member);
     const { requestId, attempt } = request;
-    emit({ type: 'runStatement', requestId, attempt, member: member.name });
+    const incarnation = member.status?.incarnation ?? '';
+    emit({ type: 'runStatement', requestId, attempt, member: member.name, incarnation });
   }
 
   const resultHandlers: {
@@ -180,10 +184,17 @@
       avoidMember(member, now);
     },
     connectFailed: avoidMember,
+    otherIncarnation: onOtherIncarnation,
     notPrimary: ({ name }) => members.rejectPrimaryClaimBefore(name, peekNextControlRequestId()),
     stopping: () => {},
   };
 
+  /** What is known of the member is about a database that has ended, so its status is asked for again. */
+  function onOtherIncarnation(member: Member, now: number): void {
+    avoidMember(member, now);
+    firstIdentifyingRequestId = peekNextControlRequestId();
+  }
+
   function avoidMember(member: Member, now: number): void {
     Object.assign(member, { avoidUntil: now + MEMBER_AVOIDANCE_MILLISECONDS });
   }
@@ -299,6 +310,7 @@
     cancelAttempt,
     cancelSilentAttempts,
     getFirstConfirmingRequestId: () => firstConfirmingRequestId,
+    getFirstIdentifyingRequestId: () => firstIdentifyingRequestId,
     countInFlight,
   };
 }
--- a/packages/core/src/test/ballot.test.ts
+++ b/packages/core/src/test/ballot.test.ts
@@ -13,6 +13,7 @@
         logEnd,
         applied: logEnd,
         termStarts: [],
+        incarnation: `${member}-1`,
       });
     }
     return chooseCandidate({
--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -1,7 +1,7 @@
 import type {
   ConfigurationObject,
   Database,
-  MemberStatus,
+  ReportedMemberStatus,
   RequestOutcome,
   Position,
   TermStart,
@@ -108,6 +108,9 @@
   const random = createRandom(options.seed ?? 1);
   const members = new Map(MEMBER_NAMES.map((name) => [name, createMember(name)]));
   options.spareMembers?.forEach((name) => members.set(name, createEmptyMember(name)));
+  const incarnations = new Map(
+    [...members].map(([name, { log }]) => [name, { number: 1, entries: log.length }]),
+  );
   const deliveries: Delivery[] = [];
   const requestHandles = new Map<string, RequestHandle & { access: EngineRequest['access'] }>();
   let now = 0;
@@ -279,7 +282,7 @@
         return;
       }
       const isAccepted = apply(database);
-      const status = createStatus(database);
+      const status = { ...createStatus(database), incarnation: nameIncarnation(database) };
       if (isLost()) return;
       schedule(computeLinkDelay(), () => {
         if (isAccepted) handle(target, { type: 'statusAnswered', questionId, status });
@@ -295,7 +298,7 @@
     const { requestId, attempt, member: name } = effect;
     requestHandles.get(requestId)?.sentTo.push(name);
     deliverTo(name, (database) => {
-      const result = execute(database, requestId);
+      const result = execute(database, requestId, effect.incarnation);
       schedule(computeLinkDelay(), () => finish(target, requestId, attempt, result));
     });
   }
@@ -309,11 +312,14 @@
     handle(target, { type: 'statementFinished', requestId, attempt, result });
   }
 
-  function execute(database: FakeMember, requestId: string): StatementResult {
+  function execute(database: FakeMember, requestId: string, incarnation: string): StatementResult {
     const request = requestHandles.get(requestId) as RequestHandle & {
       access: EngineRequest['access'];
     };
     if (database.state === 'down') return { kind: 'refused', reason: 'connectFailed' };
+    if (incarnation !== nameIncarnation(database)) {
+      return { kind: 'refused', reason: 'otherIncarnation' };
+    }
     request.visibleRequestIds = database.log.map((entry) => entry.requestId);
     const isWrite = request.access === 'write' || request.access === 'commit';
     if (isWrite) {
@@ -354,8 +360,21 @@
     }
   }
 
+  /** A database whose log a test has shortened comes back as another incarnation. */
+  function renewIncarnations(): void {
+    incarnations.forEach((incarnation, name) => {
+      if (member(name).log.length >= incarnation.entries) return;
+      Object.assign(incarnation, { number: incarnation.number + 1 });
+    });
+  }
+
+  function nameIncarnation({ name }: FakeMember): string {
+    return `${name}-${incarnations.get(name)?.number}`;
+  }
+
   function tick(): void {
     now += 1;
+    renewIncarnations();
     members.forEach(replicate);
     let due = takeDue();
     while (due) {
@@ -367,6 +386,9 @@
       Object.assign(target, { timerAt: Infinity });
       handle(target, { type: 'timerFired' });
     });
+    incarnations.forEach((incarnation, name) => {
+      Object.assign(incarnation, { entries: member(name).log.length });
+    });
   }
 
   function takeDue(): Delivery | undefined {
@@ -557,7 +579,7 @@
   return { name, ...address, connectionLimit: 30, slots: 5, leaving: false };
 }
 
-function createStatus(database: FakeMember): MemberStatus {
+function createStatus(database: FakeMember): ReportedMemberStatus {
   const { name, role, currentTerm, log, following } = database;
   const end = getLogEnd(log);
   const termStarts = log.reduce<TermStart[]>(
--- a/packages/core/src/test/lostLog.test.ts
+++ b/packages/core/src/test/lostLog.test.ts
@@ -9,6 +9,7 @@
   index: number;
   currentTerm?: number;
   role?: 'primary' | 'replica';
+  incarnation?: string;
 }
 
 describe('a member that loses its log', () => {
@@ -16,7 +17,7 @@
     const table = createMemberTable(names.map(createDatabase));
     const answer = (
       member: string,
-      { index, currentTerm = 1, role = 'replica', ...request }: Answer,
+      { index, currentTerm = 1, role = 'replica', incarnation = '1', ...request }: Answer,
     ) => {
       const position = { term: index > 0 ? Math.max(1, currentTerm) : 0, index };
       table.onAnswered({
@@ -29,6 +30,7 @@
           logEnd: position,
           applied: position,
           termStarts: [{ term: 1, start: 0 }],
+          incarnation,
         },
       });
     };
@@ -62,6 +64,13 @@
     expect(other.isCounted('b1')).toBe(false);
   });
 
+  it('is seen by another incarnation that answers with the same log', () => {
+    // Guards against a log that was lost in part and has grown again since.
+    const { answer, isCounted } = createTable();
+    answer('b1', { questionId: 4, sentAt: 5, now: 12, index: 5, incarnation: '2' });
+    expect(isCounted('b1')).toBe(false);
+  });
+
   it('counts again only after the primary and a majority have answered', () => {
     // Guards against a primary that was replaced, and against its log end from before the loss.
     const five = ['a1', 'b1', 'c1', 'd1', 'e1'];
--- a/packages/mysql/src/lib/control/groupControlConnection.ts
+++ b/packages/mysql/src/lib/control/groupControlConnection.ts
@@ -1,13 +1,13 @@
 import type { ControlRequestFailureReason } from '@wisterialift/core';
 import type { MemberStatus } from '@wisterialift/schema';
-import { commandCode } from '../protocol/constants';
+import { encodeQuery } from '../protocol/query';
+import { readSingleValue } from '../protocol/singleValue';
 import {
   createUpstreamConnection,
   type UpstreamAddress,
   type UpstreamConnection,
 } from '../upstream/upstreamConnection';
 import type { CompletedAnswer } from '../upstream/upstreamStatement';
-import { readSingleValue } from './singleValue';
 import { createStatusReader } from './statusReader';
 
 /** A status request or a role command for a group member. @public */
@@ -132,16 +132,21 @@
   ): void {
     if (pending !== request) return;
     pending = undefined;
-    complete(request, toControlResponse(frames, response));
+    complete(request, toControlResponse(frames, response, connection?.incarnation ?? ''));
     sendNext();
   }
 
-  function toControlResponse(frames: Buffer[], { final }: CompletedAnswer): ControlResponse {
+  function toControlResponse(
+    frames: Buffer[],
+    { final }: CompletedAnswer,
+    incarnation: string,
+  ): ControlResponse {
     if (final.type === 'error') return { type: 'failed', reason: 'refused' };
     const text = readSingleValue(frames);
     const status = text && statusReader.read(text);
     // A database that sends no valid status is treated as unreachable.
-    return status ? { type: 'answered', status } : { type: 'failed', reason: 'unreachable' };
+    if (!status) return { type: 'failed', reason: 'unreachable' };
+    return { type: 'answered', status: { ...status, incarnation } };
   }
 
   return {
@@ -162,7 +167,3 @@
   const toSql = sqlBuildersByType[request.type] as (request: ControlQuestion) => string;
   return encodeQuery(toSql(request));
 }
-
-function encodeQuery(sql: string): Buffer {
-  return Buffer.concat([Buffer.from([commandCode.query]), Buffer.from(sql)]);
-}
--- a/packages/mysql/src/lib/control/statusReader.ts
+++ b/packages/mysql/src/lib/control/statusReader.ts
@@ -1,9 +1,9 @@
-import { memberStatusSchema, type MemberStatus } from '@wisterialift/schema';
+import { memberStatusSchema, type ReportedMemberStatus } from '@wisterialift/schema';
 
 /** Parses the status responses of one member. @internal */
 export interface StatusReader {
   /** @returns undefined if the text is not a valid status. */
-  read: (text: Buffer) => MemberStatus | undefined;
+  read: (text: Buffer) => ReportedMemberStatus | undefined;
 }
 
 /**
@@ -16,7 +16,7 @@
  */
 export function createStatusReader(): StatusReader {
   let lastText: Buffer | undefined;
-  let lastStatus: MemberStatus | undefined;
+  let lastStatus: ReportedMemberStatus | undefined;
   return {
     read: (text) => {
       if (lastText?.equals(text)) return lastStatus;
@@ -27,7 +27,7 @@
   };
 }
 
-function parseStatus(text: Buffer): MemberStatus | undefined {
+function parseStatus(text: Buffer): ReportedMemberStatus | undefined {
   try {
     return memberStatusSchema.safeParse(JSON.parse(text.toString())).data;
   } catch {
--- a/packages/mysql/src/lib/control/singleValue.ts
+++ b/packages/mysql/src/lib/protocol/singleValue.ts
@@ -1,5 +1,5 @@
-import { HEADER_BYTES } from '../protocol/constants';
-import { getLengthEncodedIntegerSize, readLengthEncodedInteger } from '../protocol/lengthEncoded';
+import { HEADER_BYTES } from './constants';
+import { getLengthEncodedIntegerSize, readLengthEncodedInteger } from './lengthEncoded';
 
 /**
  * Reads the value of a result set with one row and one column.
--- a/packages/mysql/src/lib/upstream/upstreamConnection.ts
+++ b/packages/mysql/src/lib/upstream/upstreamConnection.ts
@@ -7,6 +7,8 @@
 } from '../driverConnection';
 import { commandCode } from '../protocol/constants';
 import { toFrames } from '../protocol/frames';
+import { encodeQuery } from '../protocol/query';
+import { readSingleValue } from '../protocol/singleValue';
 import {
   createResponseReader,
   createPrepareResponseReader,
@@ -48,6 +50,8 @@
 /** A database connection that runs one statement at a time. @public */
 export interface UpstreamConnection {
   readonly isOpen: boolean;
+  /** The `server_uuid` of the database that it reached; empty until it is open. */
+  readonly incarnation: string;
   /** Runs a statement; calls `onLost` at once if the connection is not open. */
   run: (statement: UpstreamStatement, receiver: ResponseReceiver) => void;
   /** Resets the session state; `onReset` is not called if the connection closes first. */
@@ -69,11 +73,13 @@
 const DEFAULT_MAXIMUM_PREPARED_STATEMENTS = 64;
 const STATEMENT_ID_OFFSET = 1;
 const COMMAND_SEQUENCE = 0;
+const INCARNATION_QUERY = encodeQuery('SELECT @@server_uuid');
 
-type State = 'opening' | 'open' | 'closed';
+type State = 'opening' | 'identifying' | 'open' | 'closed';
 
 /**
- * Opens a connection to a database.
+ * Opens a connection to a database. A database process keeps its incarnation, so it is asked for once; a
+ * database that does not tell it fails to open.
  *
  * Responses are forwarded as the frames that the database sent. The final packet is parsed, since
  * the proxy needs the statement's outcome.
@@ -89,12 +95,15 @@
   );
   let state: State = 'opening';
   let receiver: ResponseReceiver | undefined;
+  let incarnation = '';
+  let identificationTimer: NodeJS.Timeout | undefined;
 
   /** @param failure - reason for `onOpenFailed`; unused if the connection was open. */
   const close = (failure: ConnectFailure): void => {
     if (state === 'closed') return;
     const wasOpen = state === 'open';
     state = 'closed';
+    clearTimeout(identificationTimer);
     stream.destroy();
     const interruptedReceiver = receiver;
     receiver = undefined;
@@ -103,11 +112,6 @@
     else options.onOpenFailed(failure);
   };
 
-  driver.once('connect', () => {
-    if (state !== 'opening') return;
-    state = 'open';
-    options.onOpened();
-  });
   driver.on('error', (error: { errno?: number }) => {
     close(error.errno === TOO_MANY_CONNECTIONS_ERROR_CODE ? 'connectionLimit' : 'connectFailed');
   });
@@ -151,6 +155,28 @@
     driver.addCommand(command);
   };
 
+  driver.once('connect', () => {
+    if (state !== 'opening') return;
+    state = 'identifying';
+    identificationTimer = setTimeout(
+      () => close('connectFailed'),
+      options.connectTimeoutMilliseconds,
+    );
+    const frames = [toFrames(INCARNATION_QUERY, COMMAND_SEQUENCE)];
+    send(frames, createResponseReader(), true, onIdentified);
+  });
+
+  function onIdentified(answer: CompletedAnswer): void {
+    clearTimeout(identificationTimer);
+    incarnation = readIncarnation(answer);
+    if (incarnation === '') {
+      close('connectFailed');
+      return;
+    }
+    state = 'open';
+    options.onOpened();
+  }
+
   function readOrClose(reader: ResponseReader, packet: DriverPacket): FinalPacket | undefined {
     try {
       return reader.read(getPayload(packet));
@@ -214,6 +240,9 @@
     get isOpen() {
       return state === 'open';
     },
+    get incarnation() {
+      return incarnation;
+    },
     run: (statement, newReceiver) => {
       if (state !== 'open') {
         newReceiver.onLost();
@@ -258,6 +287,16 @@
   return createConnection(connectionOptions) as unknown as DriverConnection;
 }
 
+/** Returns an empty text if the answer is not a single value. */
+function readIncarnation({ frames, final }: CompletedAnswer): string {
+  if (final.type !== 'eof') return '';
+  try {
+    return readSingleValue(frames)?.toString() ?? '';
+  } catch {
+    return '';
+  }
+}
+
 function replaceStatementId(command: Buffer, statementId: number): Buffer {
   const copy = Buffer.from(command);
   copy.writeUInt32LE(statementId, STATEMENT_ID_OFFSET);
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -161,12 +161,12 @@
   };
 
   const effectHandlers: EffectHandlers = {
-    runStatement: ({ requestId, attempt, member }) => {
+    runStatement: ({ requestId, attempt, member, incarnation }) => {
       const run = runs.get(requestId);
       if (!run) return;
       Object.assign(run, { attempt });
       if (run.access === 'commit') runCommit(run);
-      else acquireLease(run, member);
+      else acquireLease(run, member, incarnation);
     },
     abandonStatement: ({ requestId, attempt, reportsLoss }) => {
       const run = runs.get(requestId);
@@ -234,7 +234,7 @@
 
   // Attempts
 
-  function acquireLease(run: StatementRun, memberName: string): void {
+  function acquireLease(run: StatementRun, memberName: string, incarnation: string): void {
     const { attempt } = run;
     const member = members.get(memberName);
     if (!member) {
@@ -242,6 +242,7 @@
       return;
     }
     member.pool.acquire({
+      incarnation,
       onGranted: (lease) => post({ type: 'leaseGranted', run, attempt, lease }),
       onRefused: (failure) => post({ type: 'leaseRefused', run, attempt, failure }),
     });
--- a/packages/proxy/src/lib/statements/group/upstreamPool.ts
+++ b/packages/proxy/src/lib/statements/group/upstreamPool.ts
@@ -12,7 +12,7 @@
 }
 
 /** @internal */
-export type LeaseFailure = ConnectFailure;
+export type LeaseFailure = ConnectFailure | 'otherIncarnation';
 
 /** @internal */
 export interface UpstreamPoolOptions {
@@ -25,6 +25,8 @@
 
 /** @internal */
 export interface LeaseRequest {
+  /** The incarnation of the database to which the connection must lead. */
+  incarnation: string;
   onGranted: (lease: Lease) => void;
   onRefused: (failure: LeaseFailure) => void;
 }
@@ -32,7 +34,10 @@
 /** A pool of connections to one database. @internal */
 export interface UpstreamPool {
   readonly address: UpstreamAddress;
-  /** Leases an idle connection or opens one. The engine limits the number of leases. */
+  /**
+   * Leases an idle connection or opens one. The engine limits the number of leases. Refused if the database
+   * has another incarnation than the requested one.
+   */
   acquire: (request: LeaseRequest) => void;
   hasLease: (lease: Lease) => boolean;
   /** Returns a connection to the pool. */
@@ -84,6 +89,16 @@
     if (leased.delete(lease)) options.onLeaseClosed(lease);
   }
 
+  const keepIdle = (lease: Lease): void => {
+    if (isDraining) lease.connection.destroy();
+    else idle.push({ lease, idleSince: clock() });
+  };
+
+  const takeIdle = (incarnation: string): Lease | undefined => {
+    const index = idle.findLastIndex(({ lease }) => lease.connection.incarnation === incarnation);
+    return index < 0 ? undefined : idle.splice(index, 1)[0]?.lease;
+  };
+
   const open = (request: LeaseRequest): void => {
     let lease: Lease | undefined;
     const connection: UpstreamConnection = createUpstreamConnection({
@@ -92,7 +107,11 @@
       onOpened: () => {
         opening.delete(connection);
         lease = { member, connection };
-        grant(lease, request);
+        if (connection.incarnation === request.incarnation) grant(lease, request);
+        else {
+          keepIdle(lease);
+          request.onRefused('otherIncarnation');
+        }
       },
       onOpenFailed: (failure) => {
         opening.delete(connection);
@@ -115,15 +134,13 @@
   return {
     address,
     acquire: (request) => {
-      const last = idle.pop();
-      if (last) grant(last.lease, request);
+      const lease = takeIdle(request.incarnation);
+      if (lease) grant(lease, request);
       else open(request);
     },
     hasLease: (lease) => leased.has(lease),
     release: (lease) => {
-      if (!leased.delete(lease)) return;
-      if (isDraining) lease.connection.destroy();
-      else idle.push({ lease, idleSince: clock() });
+      if (leased.delete(lease)) keepIdle(lease);
     },
     sweep: (maximumConnections) => {
       const usedBefore = clock() - IDLE_TIMEOUT_MILLISECONDS;
--- a/packages/proxy/src/test/scriptedDatabase.ts
+++ b/packages/proxy/src/test/scriptedDatabase.ts
@@ -36,6 +36,8 @@
           if (command.type !== 'query') connection.finishOk({});
           else if (command.sql === 'SHOW GROUP STATUS') {
             connection.finishResult({ columns: ['status'], rows: [[JSON.stringify(status)]] });
+          } else if (command.sql === 'SELECT @@server_uuid') {
+            connection.finishResult({ columns: ['@@server_uuid'], rows: [['a1-1']] });
           } else handleQuery(scripted, command.sql);
         },
         onDrain: () => scripted.onDrain(),
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -14,6 +14,7 @@
   termStartSchema,
   type MemberRole,
   type MemberStatus,
+  type ReportedMemberStatus,
   type TermStart,
 } from './lib/group/memberStatus';
 export { GROUP_OBJECT_KIND, groupObjectSchema, type GroupObject } from './lib/group/groupObject';
--- a/packages/schema/src/lib/group/memberStatus.ts
+++ b/packages/schema/src/lib/group/memberStatus.ts
@@ -44,4 +44,13 @@
 });
 
 /** @public */
-export type MemberStatus = z.infer<typeof memberStatusSchema>;
+export type ReportedMemberStatus = z.infer<typeof memberStatusSchema>;
+
+/** A status, and which incarnation of the database it is from. @public */
+export interface MemberStatus extends ReportedMemberStatus {
+  /**
+   * The `server_uuid` of the database, which is kept beside its data: a database that comes back without
+   * them has another one.
+   */
+  incarnation: string;
+}
--- a/stand-ins/database/src/lib/createStandInDatabase.ts
+++ b/stand-ins/database/src/lib/createStandInDatabase.ts
@@ -10,6 +10,7 @@
 import { createMember } from './group/createMember';
 import type { FollowedPrimary, Member } from './group/createMember';
 import { createLog } from './log/createLog';
+import { readServerUuid } from './log/readServerUuid';
 import { createListener } from './protocol/createListener';
 import { createServerConnection } from './protocol/serverConnection';
 import { createLogServer } from './replication/createLogServer';
@@ -64,6 +65,7 @@
   const { directory } = options;
   if (directory !== undefined) mkdirSync(directory, { recursive: true });
   const log = createLog(directory);
+  const serverUuid = readServerUuid(directory);
   const engine = createEngine(await loadSqlEngine());
   const faults = createFaults(options.faults);
   const member = createMember({ name: options.name, log, engine, directory });
@@ -77,7 +79,8 @@
     connectionLimit: options.connectionLimit,
     connectMilliseconds: options.connectMilliseconds,
     faults,
-    createSession: () => createSession({ engine, member, lock, onCommit: logServer.notify }),
+    createSession: () =>
+      createSession({ engine, member, lock, serverUuid, onCommit: logServer.notify }),
     engine,
     member,
     slots,
--- a/stand-ins/database/src/lib/group/createMember.ts
+++ b/stand-ins/database/src/lib/group/createMember.ts
@@ -1,7 +1,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import { existsSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import type { MemberStatus } from '@wisterialift/schema';
+import type { ReportedMemberStatus } from '@wisterialift/schema';
 import { DatabaseError } from '../engine/databaseError';
 import type { Engine } from '../engine/createEngine';
 import type { Log, LoggedStatement, LogEntry } from '../log/createLog';
@@ -21,7 +21,7 @@
 
 /** The part of a database that takes part in its group: term, role, log and applied position. */
 export interface Member {
-  status: () => MemberStatus;
+  status: () => ReportedMemberStatus;
   isPrimary: () => boolean;
   currentTerm: () => number;
   following: () => FollowedPrimary | undefined;
--- a/stand-ins/database/src/lib/session/createSession.ts
+++ b/stand-ins/database/src/lib/session/createSession.ts
@@ -31,6 +31,8 @@
   engine: Engine;
   member: Member;
   lock: WriterLock;
+  /** Answers `@@server_uuid`. */
+  serverUuid: string;
   /** Runs after each written entry. */
   onCommit: () => void;
 }
@@ -49,8 +51,19 @@
 
 const NOTHING: SessionAnswer = { columns: [], rows: [], affectedRows: 0, insertId: 0 };
 
+const VARIABLE_VALUES: Record<string, SqlValue> = {
+  max_allowed_packet: 16_777_216n,
+  version: '8.0.0-stand-in',
+  version_comment: 'stand-in',
+  autocommit: 1n,
+  wait_timeout: 28_800n,
+  system_time_zone: 'UTC',
+  time_zone: 'SYSTEM',
+};
+
 /** Creates the SQL state of a new connection. */
-export function createSession({ engine, member, lock, onCommit }: SessionOptions): Session {
+export function createSession(options: SessionOptions): Session {
+  const { engine, member, lock, serverUuid, onCommit } = options;
   const identity = {};
   let transaction: TransactionState = { type: 'none' };
 
@@ -147,7 +160,7 @@
       return NOTHING;
     },
     ignored: () => NOTHING,
-    variables: (sql) => answerVariables(sql),
+    variables: (sql) => answerVariables(sql, { ...VARIABLE_VALUES, server_uuid: serverUuid }),
     sleep: answerSleep,
     show: () => ({ ...NOTHING, columns: ['Variable_name', 'Value'] }),
     read: (sql, parameters) =>
@@ -179,18 +192,8 @@
   return { sql, parameters: parameters.map(toLoggedValue) };
 }
 
-const VARIABLE_VALUES: Record<string, SqlValue> = {
-  max_allowed_packet: 16_777_216n,
-  version: '8.0.0-stand-in',
-  version_comment: 'stand-in',
-  autocommit: 1n,
-  wait_timeout: 28_800n,
-  system_time_zone: 'UTC',
-  time_zone: 'SYSTEM',
-};
-
 /** Answers the variables that drivers ask for when they connect. */
-function answerVariables(sql: string): SessionAnswer {
+function answerVariables(sql: string, variables: Record<string, SqlValue>): SessionAnswer {
   const columns = sql
     .replace(/^[\s\S]*?SELECT\s+/i, '')
     .replace(/\s+LIMIT\s+\d+\s*;?\s*$/i, '')
@@ -199,7 +202,7 @@
     .map((column) => column.trim());
   const names = columns.map((column) => /\s+AS\s+`?(\w+)`?$/i.exec(column)?.[1] ?? column);
   const values = columns.map(
-    (column) => VARIABLE_VALUES[/(\w+)/.exec(column.replace(/@@(?:\w+\.)?/, ''))?.[1] ?? ''] ?? '',
+    (column) => variables[/(\w+)/.exec(column.replace(/@@(?:\w+\.)?/, ''))?.[1] ?? ''] ?? '',
   );
   return { ...NOTHING, columns: names, rows: [values] };
 }
--- a/stand-ins/database/src/test/helpers.ts
+++ b/stand-ins/database/src/test/helpers.ts
@@ -1,7 +1,7 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import type { MemberStatus } from '@wisterialift/schema';
+import type { ReportedMemberStatus } from '@wisterialift/schema';
 import { createConnection } from 'mysql2/promise';
 import type { Connection, ResultSetHeader, RowDataPacket } from 'mysql2/promise';
 import { onTestFinished } from 'vitest';
@@ -16,8 +16,8 @@
   connect: () => Promise<Connection>;
   setFaults: (faults: Partial<FaultSettings>) => Promise<void>;
   /** Runs a statement of the group's control; gives the status or the error's code. */
-  control: (sql: string) => Promise<MemberStatus | number>;
-  status: () => Promise<MemberStatus>;
+  control: (sql: string) => Promise<ReportedMemberStatus | number>;
+  status: () => Promise<ReportedMemberStatus>;
 }
 
 /** A connection that ends with the test. */
@@ -48,11 +48,11 @@
   };
   onTestFinished(stop);
   const connect = (): Promise<Connection> => connectTo(database.port);
-  const control = async (sql: string): Promise<MemberStatus | number> => {
+  const control = async (sql: string): Promise<ReportedMemberStatus | number> => {
     const connection = await connect();
     try {
       const [rows] = await connection.query<RowDataPacket[]>(sql);
-      return JSON.parse(String(rows[0]?.status)) as MemberStatus;
+      return JSON.parse(String(rows[0]?.status)) as ReportedMemberStatus;
     } catch (error) {
       return errorCode(error);
     } finally {
@@ -67,7 +67,7 @@
     directory,
     connect,
     control,
-    status: async () => (await control('SHOW GROUP STATUS')) as MemberStatus,
+    status: async () => (await control('SHOW GROUP STATUS')) as ReportedMemberStatus,
     setFaults: async (faults) => {
       const response = await fetch(`http://127.0.0.1:${database.controlPort}/faults`, {
         method: 'PUT',
--- a/tools/bench/src/lib/cluster/startDatabase.ts
+++ b/tools/bench/src/lib/cluster/startDatabase.ts
@@ -1,5 +1,5 @@
 import { join } from 'node:path';
-import type { Database, MemberStatus } from '@wisterialift/schema';
+import type { Database, ReportedMemberStatus } from '@wisterialift/schema';
 import type { FaultSettings } from '@wisterialift/stand-in-database';
 import { requestJson } from './requestJson';
 import { startStandIn } from './startProgram';
@@ -12,7 +12,7 @@
 
 /** What a database tells of itself at its control port. @public */
 export interface DatabaseHealth {
-  status: MemberStatus;
+  status: ReportedMemberStatus;
   connections: number;
   /** Statements that it ran since its start, by kind. */
   statements: Record<string, number>;
--- a/tools/fuzz/src/lib/fakes/fakeDatabase.ts
+++ b/tools/fuzz/src/lib/fakes/fakeDatabase.ts
@@ -113,6 +113,7 @@
     logEnd: endOf(log),
     applied: positionAt(log, isPrimary ? log.length : applied),
     termStarts: termStartsOf(log),
+    incarnation: `${name}-1`,
     ...(following ? { following } : {}),
   });
 
