Give the status of the age clock's test an incarnation

Two merges met: the status names the incarnation of its database, which the test of the age clock did not know. It checks what it checked before.

--- a/packages/core/src/test/ageClock.test.ts
+++ b/packages/core/src/test/ageClock.test.ts
@@ -79,6 +79,7 @@
     asked.forEach(({ questionId, member }) => {
       const status = {
         member,
+        incarnation: member,
         role: member === 'a1' ? ('primary' as const) : ('replica' as const),
         currentTerm: 1,
         logEnd: position,
