--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -91,6 +91,14 @@
     expect(getRegisteredIds()).toEqual(['db-1', 'db-3', 'db-2']);
   });
 
+  it('is not registered while the directory, read again, does not list it', async () => {
+    // Guards against registering a member whose departure other instances track already.
+    await listFor(1_000, [primary!, lagging!]);
+    gateway.setEntriesAtRefresh([primary!, lagging!]);
+    await listFor(REGISTRATION_MILLISECONDS + 2_000, [primary!, lagging!, copy!]);
+    expect(getRegisteredIds()).toEqual(['db-1', 'db-3']);
+  });
+
   it('confirms no commit alone before it is registered', async () => {
     // Guards against a commit on a member that an instance with an older directory does not miss.
     await listFor(1_000, [primary!, lagging!]);
@@ -243,9 +251,28 @@
     await listFor(2_000, [primary!, lagging!]);
     expect(gateway.events).not.toContain('memberGone');
     expect(gateway.events).toContain('promotionDeferred');
+    expect(gateway.countCommands('db-3', 'pause')).toBe(0);
     expect(gateway.orders).toEqual([]);
   });
 
+  it.each([
+    { name: 'names it by then', fails: false, orders: [] },
+    { name: 'cannot be read', fails: true, orders: [] },
+    { name: 'names no other', fails: false, members: registered, orders: ['db-2'] },
+  ])(
+    'is missed by a promotion according to the register under the claim: it $name',
+    async ({ fails, members, orders }) => {
+      // Guards against a promotion by a register from before another instance changed it.
+      await listFor(1_000, [primary!, copy!, lagging!]);
+      const all = [...registered, { memberId: 'db-4', startedAt: 1, createdRevision: 4 }];
+      gateway.memberRegisters.current = { record: { members: members ?? all }, revision: 7 };
+      if (fails) vi.spyOn(gateway.memberRegisters, 'read').mockRejectedValue(new Error('away'));
+      gateway.silence('db-1');
+      await listFor(6_000, [copy!, lagging!]);
+      expect(gateway.orders).toEqual(orders);
+    },
+  );
+
   it('is given up by a promotion after 13.5 s', async () => {
     // Guards against a group that waits for good for a member that does not come back.
     await listFor(1_000, [primary!, copy!, lagging!]);
