Keep the list of members of a removed group

What callers would see: an acknowledged write is lost. A group of {a,b,c} is removed and added again under its name with {c,d,e}, all patches accepted with nothing established. An instance that has not heard of it acknowledges on {a,b}, another promotes by {d,e}.

Its number was lost as well: a group whose memberSet an operator had raised came back below the terms of its databases, and found no primary.

Change: the configuration object keeps the databases and the number of removed groups until they are added again. With the same databases a group comes back and goes on from its number; with others the patch is refused as invalid, unless it states a higher memberSet, the operator's word as for groups that lost their majority.

--- a/packages/core/src/lib/configuration/memberChanges.ts
+++ b/packages/core/src/lib/configuration/memberChanges.ts
@@ -1,4 +1,4 @@
-import type { Configuration, Database, UpstreamGroup } from '@wisterialift/schema';
+import type { Configuration, Database, RemovedGroup } from '@wisterialift/schema';
 import type { ConfigurationFault } from './configurationFault';
 
 /** Maximum number of databases of a group that one patch can add, remove or move. */
@@ -7,6 +7,12 @@
 /** Number of each group's newest member set that is established, by name of the group. @public */
 export type EstablishedMemberSets = Readonly<Record<string, number>>;
 
+/** Removed groups by name. @internal */
+export type RemovedGroups = Readonly<Record<string, RemovedGroup>>;
+
+/** The part of a group that says who its members are. */
+type GroupMembers = RemovedGroup;
+
 /**
  * Reports each group in which a patch adds, removes or moves more than one database, or any before the
  * last such change is established.
@@ -14,27 +20,30 @@
  * Instances may use the old and the new members at the same time; with more than one change between them
  * their majorities may not overlap, which can lose acknowledged writes. Once a member set is established,
  * no former one can confirm a write, and a majority holds all that former ones confirmed. A moved database
- * must keep its log.
+ * must keep its log. A group that is added again under its name has the databases that it had, for instances that
+ * have not heard of the removal still use them.
  *
  * @internal
  */
 export function findMemberChangeFaults(options: {
   previous: Configuration;
+  removedGroups: RemovedGroups;
   next: Configuration;
   establishedMemberSets: EstablishedMemberSets;
 }): ConfigurationFault[] {
-  const { previous, next, establishedMemberSets } = options;
+  const { previous, removedGroups, next, establishedMemberSets } = options;
   return Object.entries(next.groups).flatMap(([name, group]) => {
     const previousGroup = previous.groups[name];
-    if (!previousGroup) return [];
-    const reason = findFault(previousGroup, group, establishedMemberSets[name]);
+    const reason = previousGroup
+      ? findFault(previousGroup, group, establishedMemberSets[name])
+      : findReturnFault(removedGroups[name], group);
     return reason ? [{ path: `groups.${name}.databases`, reason }] : [];
   });
 }
 
 function findFault(
-  previousGroup: UpstreamGroup,
-  nextGroup: UpstreamGroup,
+  previousGroup: GroupMembers,
+  nextGroup: GroupMembers,
   established = -1,
 ): string | undefined {
   const changes = countChanges(previousGroup, nextGroup);
@@ -46,20 +55,49 @@
   return 'this instance has not seen a majority of the present databases in a term of theirs; try again';
 }
 
+function findReturnFault(
+  removed: GroupMembers | undefined,
+  nextGroup: GroupMembers,
+): string | undefined {
+  if (!removed || isRaised(removed, nextGroup)) return undefined;
+  if (countChanges(removed, nextGroup) === 0) return undefined;
+  return `a group of this name was removed with other databases; add it with those, or state a memberSet above ${getNumber(removed)} if what they hold may be lost`;
+}
+
 /**
- * Numbers the members of each group that a patch creates or whose members it changes.
+ * Returns what is to be kept of removed groups after a patch.
  *
- * @param configurationNumber - number of the configuration that the patch creates.
  * @internal
  */
-export function numberMemberSets(
+export function updateRemovedGroups(
   previous: Configuration,
   next: Configuration,
-  configurationNumber: number,
-): Configuration {
+  removedGroups: RemovedGroups,
+): RemovedGroups {
+  const former = Object.entries(previous.groups).map(
+    ([name, { databases, memberSet }]) => [name, { databases, memberSet }] as const,
+  );
+  const known = [...Object.entries(removedGroups), ...former];
+  return Object.fromEntries(known.filter(([name]) => !next.groups[name]));
+}
+
+/**
+ * Numbers the members of each group that a patch creates or whose members it changes.
+ *
+ * @param options.configurationNumber - number of the configuration that the patch creates.
+ * @internal
+ */
+export function numberMemberSets(options: {
+  previous: Configuration;
+  removedGroups: RemovedGroups;
+  next: Configuration;
+  configurationNumber: number;
+}): Configuration {
+  const { previous, removedGroups, next, configurationNumber } = options;
   const groups = Object.entries(next.groups).map(([name, group]) => {
     const previousGroup = previous.groups[name];
-    const previousNumber = previousGroup ? getNumber(previousGroup) : -1;
+    const formerGroup = previousGroup ?? removedGroups[name];
+    const previousNumber = formerGroup ? getNumber(formerGroup) : -1;
     const hasChanged = !previousGroup || countChanges(previousGroup, group) > 0;
     const lowest = hasChanged ? Math.max(previousNumber + 1, configurationNumber) : previousNumber;
     const memberSet = Math.max(getNumber(group), lowest);
@@ -69,15 +107,15 @@
 }
 
 /** Whether the operator declares that the former members no longer matter. */
-function isRaised(previousGroup: UpstreamGroup, nextGroup: UpstreamGroup): boolean {
+function isRaised(previousGroup: GroupMembers, nextGroup: GroupMembers): boolean {
   return getNumber(nextGroup) > getNumber(previousGroup);
 }
 
-function getNumber({ memberSet = 0 }: UpstreamGroup): number {
+function getNumber({ memberSet = 0 }: GroupMembers): number {
   return memberSet;
 }
 
-function countChanges(previousGroup: UpstreamGroup, nextGroup: UpstreamGroup): number {
+function countChanges(previousGroup: GroupMembers, nextGroup: GroupMembers): number {
   const previousAddresses = mapAddressesByName(previousGroup.databases);
   const nextAddresses = mapAddressesByName(nextGroup.databases);
   const names = new Set([...previousAddresses.keys(), ...nextAddresses.keys()]);
--- a/packages/core/src/lib/configuration/preparePatch.ts
+++ b/packages/core/src/lib/configuration/preparePatch.ts
@@ -7,8 +7,8 @@
 } from '@wisterialift/schema';
 import { describeFaults } from './configurationFault';
 import type { ConfigurationFault } from './configurationFault';
-import { findMemberChangeFaults, numberMemberSets } from './memberChanges';
-import type { EstablishedMemberSets } from './memberChanges';
+import { findMemberChangeFaults, numberMemberSets, updateRemovedGroups } from './memberChanges';
+import type { EstablishedMemberSets, RemovedGroups } from './memberChanges';
 import { mergePatch } from './mergePatch';
 
 /** Result of applying a patch to the current configuration. @public */
@@ -49,11 +49,13 @@
   }
   const result = configurationSchema.safeParse(mergePatch(current.configuration, patch.changes));
   if (!result.success) return { status: 'invalid', faults: describeFaults(result.error) };
-  const { configuration: previous, number } = current;
-  const faults = findMemberChangeFaults({ previous, next: result.data, establishedMemberSets });
+  const { configuration: previous, removedGroups = {}, number } = current;
+  const change = { previous, removedGroups, next: result.data };
+  const faults = findMemberChangeFaults({ ...change, establishedMemberSets });
   if (faults.length > 0) return { status: 'invalid', faults };
-  const configuration = numberMemberSets(previous, result.data, number + 1);
-  return checkSize(createNextObject({ current, patch, acceptedAt, configuration }));
+  const configuration = numberMemberSets({ ...change, configurationNumber: number + 1 });
+  const removed = updateRemovedGroups(previous, configuration, removedGroups);
+  return checkSize(createNextObject({ current, patch, acceptedAt, configuration, removed }));
 }
 
 /** Finds an accepted patch in the object's patch history. @public */
@@ -69,12 +71,18 @@
   patch: ConfigurationPatch;
   acceptedAt: string;
   configuration: Configuration;
+  removed: RemovedGroups;
 }): ConfigurationObject {
-  const { current, patch, acceptedAt, configuration } = options;
+  const { current, patch, acceptedAt, configuration, removed } = options;
   const { patchId, author } = patch;
   const number = current.number + 1;
   const patches = [...current.patches, { patchId, number, author, acceptedAt }];
-  return { number, configuration, patches: patches.slice(-MAXIMUM_RETAINED_PATCHES) };
+  return {
+    number,
+    configuration,
+    patches: patches.slice(-MAXIMUM_RETAINED_PATCHES),
+    ...(Object.keys(removed).length > 0 ? { removedGroups: removed } : {}),
+  };
 }
 
 function checkSize(configurationObject: ConfigurationObject): PreparedPatch {
--- a/packages/core/src/test/configuration.test.ts
+++ b/packages/core/src/test/configuration.test.ts
@@ -179,6 +179,8 @@
   const b = { ...DATABASE, name: 'b', port: 4002 };
   const c = { ...DATABASE, name: 'c', port: 4003 };
   const d = { ...DATABASE, name: 'd', port: 4004 };
+  const e = { ...DATABASE, name: 'e', port: 4005 };
+  const account = { user: GROUP.user, password: GROUP.password };
 
   function changeMembers(databases: object[]): PreparedPatch {
     const groups = { archivio: { ...GROUP, databases: [a, b, c] } };
@@ -242,4 +244,44 @@
     const established = { establishedMemberSets: { archivio: 7 } };
     expect(readMemberSet(submitWith(established, raised.configurationObject, [a]))).toBe(8);
   });
+
+  it('are not hidden by removing the group and adding it again', () => {
+    // Guards against {a,b,c} and {c,d,e} in use at the same time: a write that {a,b} confirms is lost by {d,e}.
+    const groups = { archivio: { ...GROUP, databases: [a, b, c] } };
+    const present = accept({ patchId: 'first', changes: { groups } });
+    const removal = {
+      patchId: 'second',
+      againstNumber: 1,
+      changes: { groups: { archivio: null } },
+    };
+    const removed = accept({ current: present, ...removal });
+    const other = { patchId: 'third', againstNumber: 2, changes: { kinds: {} } };
+    const current = accept({ current: removed, ...other });
+    const add = (databases: object[], settings: object = {}) =>
+      submitWith({ establishedMemberSets: {} }, current, databases, { ...settings, ...account });
+    expect(add([c, d, e])).toMatchObject({
+      status: 'invalid',
+      faults: [{ path: 'groups.archivio.databases' }],
+    });
+    expect(add([a, b, { ...c, port: 5003 }]).status).toBe('invalid');
+    expect(add([c, d, e], { memberSet: 1 }).status).toBe('invalid');
+    expect(readMemberSet(add([a, b, c]))).toBe(4);
+    expect(readMemberSet(add([c, d, e], { memberSet: 2 }))).toBe(4);
+  });
+
+  it('go on from the number that a removed group had', () => {
+    // Guards against a group whose databases have terms above all that an instance may use.
+    const groups = { archivio: { ...GROUP, databases: [a], memberSet: 700 } };
+    const present = accept({ patchId: 'first', changes: { groups } });
+    const removal = {
+      patchId: 'second',
+      againstNumber: 1,
+      changes: { groups: { archivio: null } },
+    };
+    const removed = accept({ current: present, ...removal });
+    const added = submitWith({ establishedMemberSets: {} }, removed, [a], account);
+    expect(readMemberSet(added)).toBe(701);
+    if (added.status !== 'ready') return;
+    expect(added.configurationObject.removedGroups).toBeUndefined();
+  });
 });
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -38,9 +38,11 @@
   acceptedPatchSchema,
   configurationObjectSchema,
   configurationPatchSchema,
+  removedGroupSchema,
   type AcceptedPatch,
   type ConfigurationObject,
   type ConfigurationPatch,
+  type RemovedGroup,
 } from './lib/configuration/configurationObject';
 export { instanceSchema, instanceStateSchema, type Instance } from './lib/instance/instance';
 export { settingsSchema, type Settings } from './lib/settings/settings';
--- a/packages/schema/src/lib/configuration/configurationObject.ts
+++ b/packages/schema/src/lib/configuration/configurationObject.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { configurationSchema } from './configuration';
+import { configurationSchema, upstreamGroupSchema } from './configuration';
 
 /** Kind and name of the platform object that stores the shared configuration. @public */
 export const CONFIGURATION_OBJECT = { kind: 'configuration', name: 'wisterialift' } as const;
@@ -25,6 +25,12 @@
 /** @public */
 export type AcceptedPatch = z.infer<typeof acceptedPatchSchema>;
 
+/** What is kept of a removed group, so that adding it again is no way round the rules for its members. @public */
+export const removedGroupSchema = upstreamGroupSchema.pick({ databases: true, memberSet: true });
+
+/** @public */
+export type RemovedGroup = z.infer<typeof removedGroupSchema>;
+
 /**
  * The numbered configuration as stored on the platform; each accepted patch increments the number.
  *
@@ -35,6 +41,8 @@
   configuration: configurationSchema,
   /** Oldest first, at most {@link MAXIMUM_RETAINED_PATCHES}. */
   patches: z.array(acceptedPatchSchema),
+  /** By name; a group that is added again leaves the list. */
+  removedGroups: z.record(z.string(), removedGroupSchema).optional(),
 });
 
 /** @public */
