Let the list of instances lag by less than the test's instances have lived

configurationTask.test.ts, "include an announced leaving before the list does", failed once beside other runs: the first instance was unknown to the second ("expected undefined to be 'leaving'").

Cause: the test lets the platform list the instances as they were ten minutes before, which is none at all. After two polls, 0.1 s each, every instance drops the others; the announcement usually came earlier.

Change: the list lags by 2 s, and only after the instances have been listed for as long. It then shows all of them, and the leaving one as active, as the name of the test says.

--- a/packages/proxy/src/test/configurationTask.test.ts
+++ b/packages/proxy/src/test/configurationTask.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from 'node:timers/promises';
 import type { PeerClient } from '@wisterialift/peer';
 import { PlatformUnavailableError } from '@wisterialift/platform';
 import type { PlatformClient } from '@wisterialift/platform';
@@ -18,6 +19,9 @@
 
 const POLL_OPTIONS = { timeout: 20_000 };
 
+/** Lag of the platform's list of instances. */
+const LIST_LAG_MILLISECONDS = 2_000;
+
 async function waitForNumber(
   number: number,
   fleetInstances: FleetInstance[] = fleet.instances,
@@ -370,7 +374,8 @@
   it('include an announced leaving before the list does, and omit stopped instances', async () => {
     const [first, second] = await addSevenInstances(fleet);
     await waitForInstances(7);
-    fleet.platform.changeFaults({ instanceLagMilliseconds: 600_000 });
+    await delay(LIST_LAG_MILLISECONDS);
+    fleet.platform.changeFaults({ instanceLagMilliseconds: LIST_LAG_MILLISECONDS });
     await first!.task.announceLeaving();
     const getStateAtSecond = (): string | undefined =>
       second!.instances().find(({ name }) => name === 'p1')?.state;
