Compare a database's log with every answer that counts

What callers would see: an acknowledged write is lost at an instance that had seen it at the database that lost it.

Cause: an answer that crossed another one counts as a confirmation, but was not kept as the reference that later answers are compared with. A database that lost the entry of such an answer was not noticed.

Change: a crossed answer that is as far as the reference or further becomes the reference; whatever is sent after its arrival is answered after it. One that is behind decides nothing, as before.

--- a/packages/core/src/lib/engine/memberTable.ts
+++ b/packages/core/src/lib/engine/memberTable.ts
@@ -170,9 +170,14 @@
       Object.assign(member, { reference: { status, answeredAt: now } });
       return;
     }
-    if (reference && sentAt <= reference.answeredAt) return;
-    if (reference && isLogLost(reference.status, status)) onLogLost(member, questionId);
-    Object.assign(member, { reference: { status, answeredAt: now } });
+    const isOrdered = !reference || sentAt > reference.answeredAt;
+    if (isOrdered && reference && isLogLost(reference.status, status)) {
+      onLogLost(member, questionId);
+    }
+    // An answer that crossed the reference counts, so that later ones must not be below it.
+    if (isOrdered || comparePositions(status.logEnd, reference.status.logEnd) >= 0) {
+      Object.assign(member, { reference: { status, answeredAt: now } });
+    }
   }
 
   function onLogLost(member: Member, controlRequestId: number): void {
