--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -1,24 +1,22 @@
 import {
+  assessPromotionCoverage,
   computeAgeUpperBound,
-  createDepartedMembers,
-  DEPARTURE_SETTLING_MILLISECONDS,
+  createKnownMembers,
+  createRecentListings,
   isDirectoryValid,
   isMemberListComplete,
-  isSameLife,
+  isSameListing,
   REGISTRATION_DELAY_MILLISECONDS,
   subtractMembers,
 } from '@wisterialift/pooling';
-import type {
-  ClockReadings,
-  MemberObservation,
-  MemberRegister,
-  RegisteredMember,
-} from '@wisterialift/pooling';
-import type { MemberRegisterStore, StoredRecord } from '../ports/platformPort';
+import type { ClockReadings, MemberObservation, RegisteredMember } from '@wisterialift/pooling';
+import type { MemberRegisterStore } from '../ports/platformPort';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
+import { createDepartureProbe } from './departureProbe';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
-import { sendMemberCommand } from './sendMemberCommand';
+import { toListedMember, toRegisteredMember, toStoredMember } from './registeredMember';
+import { createRegisterSynchronizer } from './registerSynchronizer';
 
 /**
  * Keeps the group's register of members that acknowledged commits may rest on.
@@ -28,14 +26,12 @@
  * instance counts its word and others are seen to hold what it confirmed.
  */
 export interface MemberRegistrar {
-  /** Whether the member is known to be registered, so that its word counts. */
+  /** Whether the member is known to be registered with a recent entry, so that its word counts. */
   isRegistered: (memberId: string) => boolean;
   /** Whether these are all members that this instance knows, departed ones that are not settled included. */
   isHeldByAll: (memberIds: readonly string[]) => boolean;
   /** Brings the register up to date; to be called regularly and after changes of the directory. */
   check: () => void;
-  /** Stops counting a member's word until the register is read again. */
-  stopCounting: (memberId: string) => void;
   /** Takes an answer of a member into account. */
   observe: (observation: MemberObservation) => void;
   /**
@@ -58,232 +54,90 @@
   isHolder: () => boolean;
   /** The directory includes every change accepted before this time; undefined if unknown. */
   getDirectoryCompleteAt: () => ClockReadings | undefined;
-  /** When the last outage of the directory ended; `-Infinity` if there was none. */
-  getDirectoryOutageEnd: () => number;
   /** Reads the directory again. @throws Error if the store does not answer. */
   refreshDirectory: () => Promise<void>;
 }
 
-/** Random delay, so that one instance registers a member and the others find it done. */
-const MAXIMUM_JITTER_MILLISECONDS = 200;
-
 /** Pause after the store did not answer. */
 const RETRY_DELAY_MILLISECONDS = 500;
 
-/** Tries to replace a register that other instances replace at the same time. */
-const MAXIMUM_REPLACEMENTS = 3;
-
-/** Checks come more often; a longer pause is a suspension, a stall, or a time as no holder. */
-const MAXIMUM_CHECK_AGE_MILLISECONDS = 1_500;
-
 /** Limit of the wait for a directory that is too old; reads wait for it. */
 const REFRESH_TIMEOUT_MILLISECONDS = 300;
 
-const PROBE_INTERVAL_MILLISECONDS = 1_000;
-const PROBE_TIMEOUT_MILLISECONDS = 400;
-
 export function createMemberRegistrar(
   context: GroupContext,
   options: MemberRegistrarOptions,
 ): MemberRegistrar {
-  const { clock, evidence, group, logger, members, primaryTracker, random } = context;
-  const { memberRegisters, isHolder, getDirectoryCompleteAt, getDirectoryOutageEnd } = options;
-  const departures = createDepartedMembers({ settlingTime: DEPARTURE_SETTLING_MILLISECONDS });
-  /** Listed members that the register contained when it was read. */
-  const countedIds = new Set<string>();
-  /** The register as it was read last; it may have members removed since. */
-  let register: MemberRegister | undefined;
-  let registerRevision = -Infinity;
-  /** When this instance first listed members; those of then count as soon as the register names them. */
-  let openedAt: number | undefined;
-  /** Members listed since this instance started, which others may have registered. */
-  let knownLives: KnownLife[] = [];
-  let checkedAt: ClockReadings | undefined;
-  let knownOutageEnd = getDirectoryOutageEnd();
-  let isSynchronizing = false;
-  let isProbing = false;
-  let probedAt = -Infinity;
+  const { clock, evidence, group, logger, members } = context;
+  const { isHolder, getDirectoryCompleteAt } = options;
+  const known = createKnownMembers();
+  const { departures } = known;
+  const recentListings = createRecentListings();
+  const probe = createDepartureProbe(context, { departures, listPresent });
+  const synchronizer = createRegisterSynchronizer(context, {
+    ...options,
+    isDirectoryRecent: () => isDirectoryValid(getDirectoryCompleteAt(), clock.readClocks()),
+    needsUpdate,
+    listAddable,
+    isRemovable: departures.isRemovable,
+    onRead: () => {
+      trackDepartures();
+      evidence.reevaluate();
+    },
+  });
+  const { getRegister, isOutdated, refresh } = synchronizer;
+  /** Every change of the directory before this time was seen, except in the gaps. */
+  let seenThrough: ClockReadings | undefined;
   let refreshedAt = -Infinity;
 
-  const isDirectoryRecent = () => isDirectoryValid(getDirectoryCompleteAt(), clock.readClocks());
-
   const isListComplete = () => isMemberListComplete(getDirectoryCompleteAt(), clock.readClocks());
 
-  const listPresent = () =>
-    [...members.values()].filter(({ missingSince }) => missingSince === undefined);
+  const listRegistered = () => getRegister()?.members ?? [];
 
-  const isCheckRecent = () =>
-    checkedAt !== undefined &&
-    computeAgeUpperBound(checkedAt, clock.readClocks()) <= MAXIMUM_CHECK_AGE_MILLISECONDS;
-
-  /** Forgets what may have changed unseen during an outage of the store or a suspension. */
-  function expireKnowledge(): void {
-    if (!isCheckRecent() || !isDirectoryRecent()) countedIds.clear();
-    const outageEnd = getDirectoryOutageEnd();
-    if (outageEnd !== knownOutageEnd) departures.retain([]);
-    knownOutageEnd = outageEnd;
-    checkedAt = clock.readClocks();
+  function listPresent(): Member[] {
+    return [...members.values()].filter(({ missingSince }) => missingSince === undefined);
   }
 
-  function trackDepartures(): void {
-    const present = listPresent().map(toKnownLife);
-    const unknown = present.filter((life) => !knownLives.some((known) => isSameLife(known, life)));
-    knownLives.push(...unknown);
-    const absent = subtractMembers(listKnown(), present);
-    departures.retain(absent);
-    const added = subtractMembers(absent, departures.list());
-    for (const member of added) departures.recordDeparture(member, clock.now());
-    for (const life of knownLives) {
-      if (present.some((other) => isSuccessor(other, life))) {
-        departures.recordEnd(life, clock.now());
-      }
-    }
-    // Statements usually show within this time what a probe would ask.
-    if (added.length > 0) probedAt = clock.now();
+  /** A member is listed for the registration delay before it counts, so only a longer gap hides it. */
+  function detectGap(): void {
+    const completeAt = getDirectoryCompleteAt();
+    const gap = seenThrough && completeAt ? computeAgeUpperBound(seenThrough, completeAt) : 0;
+    if (gap >= REGISTRATION_DELAY_MILLISECONDS) synchronizer.recordGap();
+    seenThrough = completeAt;
   }
 
-  function listKnown(): RegisteredMember[] {
-    return [...knownLives, ...subtractMembers(register?.members ?? [], knownLives)];
-  }
-
-  /** Drops departed members that no acknowledged commit rests on any more. */
-  function dropSettled(): void {
-    const registered = register?.members ?? [];
-    knownLives = knownLives.filter(
-      (life) =>
-        !departures.isSettled(life) || registered.some((member) => isSameLife(member, life)),
-    );
+  function trackDepartures(): void {
+    const state = { present: listPresent().map(toListedMember), register: getRegister() };
+    if (known.update(state, clock.now())) probe.postpone();
   }
 
   const isListedForLong = ({ listedSince }: Member) =>
     clock.now() - listedSince >= REGISTRATION_DELAY_MILLISECONDS;
 
-  const canRegister = (member: Member) => register === undefined || isListedForLong(member);
-
-  /** A member that was taken off the register and is listed again counts as one that joined. */
-  const canCount = (member: Member) =>
-    isListedForLong(member) || member.listedSince <= (openedAt ?? -Infinity);
+  const isNamed = (member: Member) =>
+    listRegistered().some((other) => isSameListing(other, toRegisteredMember(member)));
 
-  const needsSynchronization = () =>
-    isDirectoryRecent() &&
-    (register === undefined ||
-      listPresent().some(
-        (member) => !countedIds.has(member.entry.memberId) && canRegister(member),
-      ) ||
-      register.members.some(departures.isRemovable));
-
-  function check(): void {
-    if (!isHolder() || members.size === 0) return;
-    openedAt ??= clock.now();
-    expireKnowledge();
-    trackDepartures();
-    dropSettled();
-    if (needsSynchronization() && !isSynchronizing) void synchronize();
-    if (needsProbe()) void probe();
-  }
-
-  async function synchronize(): Promise<void> {
-    isSynchronizing = true;
-    try {
-      // An instance that starts reads at once: its first reads may need the register.
-      const isKnown = register !== undefined || (await readStored()) !== undefined;
-      if (isKnown && !needsSynchronization()) return;
-      await clock.sleep(random() * MAXIMUM_JITTER_MILLISECONDS);
-      for (let attempt = 0; attempt < MAXIMUM_REPLACEMENTS; attempt += 1) {
-        const stored = await readStored();
-        const isConflict = await replaceIfOutdated(stored);
-        if (!isConflict) break;
-      }
-    } catch (error) {
-      logger.warn('memberRegisterNotUpdated', { group, error: error as Error });
-      await clock.sleep(RETRY_DELAY_MILLISECONDS);
-    } finally {
-      isSynchronizing = false;
-    }
+  function needsUpdate(): boolean {
+    const isMissing = (member: Member) => !isNamed(member) && isListedForLong(member);
+    return listPresent().some(isMissing) || listRegistered().some(departures.isRemovable);
   }
 
-  async function readStored(): Promise<StoredRecord<MemberRegister> | undefined> {
-    const present = listPresent().filter(canCount);
-    const stored = await memberRegisters.read(group);
-    if (stored) adopt(stored, present);
-    return stored;
+  /** A new register names departed members as well: commits of before may rest on them. */
+  function listAddable(isStored: boolean): RegisteredMember[] {
+    return isStored
+      ? listPresent().filter(isListedForLong).map(toRegisteredMember)
+      : known.listRequired().map(toStoredMember);
   }
 
-  /** @param present - members that could count when the register was requested. */
-  function adopt(
-    { record: next, revision }: StoredRecord<MemberRegister>,
-    present: readonly Member[],
-  ): void {
-    if (revision < registerRevision) return;
-    register = next;
-    registerRevision = revision;
-    for (const member of present) {
-      const life = toRegisteredMember(member);
-      const isListed = members.get(life.memberId) === member;
-      const isContained = next.members.some((other) => isSameLife(other, life));
-      if (isListed && isContained) countedIds.add(life.memberId);
-    }
+  function check(): void {
+    if (!isHolder() || members.size === 0) return;
+    detectGap();
+    recentListings.retain((memberId) => members.has(memberId));
+    recentListings.record(listPresent().map(toListedMember), getDirectoryCompleteAt());
     trackDepartures();
-    evidence.reevaluate();
-  }
-
-  /** @returns whether another instance replaced the register in the meantime. */
-  async function replaceIfOutdated(
-    stored: StoredRecord<MemberRegister> | undefined,
-  ): Promise<boolean> {
-    const registered = stored?.record.members ?? [];
-    const findAdded = () => {
-      // Commits of before the register may rest on departed members.
-      const added = stored
-        ? listPresent().filter(canRegister).map(toRegisteredMember)
-        : listKnown().filter((member) => !departures.isSettled(member));
-      return subtractMembers(added, registered).map(toStoredMember);
-    };
-    // Without the refresh, a member could be registered after its departure was tracked elsewhere.
-    if (findAdded().length > 0) await options.refreshDirectory();
-    if (!isDirectoryRecent()) return false;
-    const present = stored ? listPresent().filter(canCount) : listPresent();
-    const added = findAdded();
-    const removed = registered.filter(departures.isRemovable);
-    if (added.length + removed.length === 0) return false;
-    const next = { members: [...subtractMembers(registered, removed), ...added] };
-    const outcome = await memberRegisters.replace({
-      group,
-      record: next,
-      revision: stored?.revision,
-    });
-    logger.info('membersRegistered', { group, added, removed, outcome: outcome.type });
-    if (outcome.type === 'replaced') {
-      adopt({ record: next, revision: outcome.revision }, present);
-    }
-    return outcome.type === 'conflict';
-  }
-
-  function needsProbe(): boolean {
-    if (isProbing || clock.now() - probedAt < PROBE_INTERVAL_MILLISECONDS) return false;
-    if (listPresent().length < 2) return false;
-    return departures.list().some(isCoverageMissing);
-  }
-
-  function isCoverageMissing(member: RegisteredMember): boolean {
-    if (departures.isUncounted(member, clock.now())) return !departures.isRemovable(member);
-    return !departures.isCovered(member);
-  }
-
-  /** Queries the primary and then the replicas, because statements have not shown the coverage. */
-  async function probe(): Promise<void> {
-    const primary = primaryTracker.find();
-    if (!primary || primary.avoidUntil > clock.now()) return;
-    isProbing = true;
-    const query = (member: Member) =>
-      sendMemberCommand(context, member, { type: 'status' }, PROBE_TIMEOUT_MILLISECONDS);
-    const report = await query(primary);
-    if (report?.isPrimary) {
-      const replicas = listPresent().filter((member) => member !== primary);
-      await Promise.all(replicas.map(query));
-    }
-    probedAt = clock.now();
-    isProbing = false;
+    known.dropSettled();
+    void synchronizer.synchronize();
+    probe.check();
   }
 
   async function tryRefreshDirectory(): Promise<void> {
@@ -297,96 +151,54 @@
   }
 
   async function findRequired(): Promise<RegisteredMember[] | undefined> {
-    if (!register) await refresh();
     if (!isListComplete()) await tryRefreshDirectory();
-    if (!register || !isListComplete()) return undefined;
-    return listRequired();
-  }
-
-  /** Returns the known members less those that are settled and not registered. */
-  function listRequired(): RegisteredMember[] {
-    const registered = register?.members ?? [];
-    const isContained = (life: RegisteredMember) =>
-      registered.some((member) => isSameLife(member, life));
-    return listKnown().filter((life) => isContained(life) || !departures.isSettled(life));
+    if (isOutdated()) await refresh();
+    if (isOutdated() || !isListComplete()) return undefined;
+    return known.listRequired();
   }
 
   function isHeldByAll(memberIds: readonly string[]): boolean {
     const present = [...members.values()];
     const holders = present.filter(({ entry }) => memberIds.includes(entry.memberId));
     const lives = present.map(toRegisteredMember);
-    const all = [...lives, ...subtractMembers(listRequired(), lives)];
+    const all = [...lives, ...subtractMembers(known.listRequired(), lives)];
     return subtractMembers(all, holders.map(toRegisteredMember)).length === 0;
   }
 
-  async function refresh(): Promise<boolean> {
-    try {
-      await readStored();
-      return true;
-    } catch (error) {
-      logger.warn('memberRegisterNotRead', { group, error: error as Error });
-      return false;
-    }
+  function isRegistered(memberId: string): boolean {
+    const member = members.get(memberId);
+    const register = getRegister();
+    if (!member || !register) return false;
+    const now = clock.readClocks();
+    return recentListings.isCounted(toListedMember(member), { register, now });
   }
 
   function canPromoteFrom(answered: readonly Member[]): boolean {
-    if (!register) return true;
-    const accounted = answered.map(toRegisteredMember);
-    const unaccounted = subtractMembers(register.members, accounted).filter(
-      (member) => !departures.isCovered(member),
-    );
-    // One of them may be the former primary: another registered member holds its commits.
-    if (unaccounted.length <= 1) return true;
-    const memberIds = unaccounted.map(({ memberId }) => memberId);
-    const awaited = unaccounted.filter((member) => !departures.isUncounted(member, clock.now()));
-    if (awaited.length > 1) {
-      const reason = 'members that may alone hold acknowledged commits are missing';
-      logger.warn('promotionDeferred', { group, reason, memberIds });
-      return false;
+    const coverage = assessPromotionCoverage({
+      registered: listRegistered(),
+      answered: answered.map(toRegisteredMember),
+      departures,
+      now: clock.now(),
+    });
+    if (coverage.type === 'covered') return true;
+    const { memberIds } = coverage;
+    if (coverage.type === 'givenUp') {
+      logger.error('departedMembersGivenUp', { group, memberIds });
+      return true;
     }
-    logger.error('departedMembersGivenUp', { group, memberIds });
-    return true;
+    const reason = 'members that may alone hold acknowledged commits are missing';
+    logger.warn('promotionDeferred', { group, reason, memberIds });
+    return false;
   }
 
-  return {
-    isRegistered: (memberId) => countedIds.has(memberId) && isCheckRecent(),
-    isHeldByAll,
-    check,
-    stopCounting: (memberId) => countedIds.delete(memberId),
-    observe: (observation) => {
-      const member = members.get(observation.memberId);
-      if (!member || member.missingSince !== undefined) return;
-      const isRegistered = countedIds.has(observation.memberId);
-      const { takeNextSequenceNumber } = evidence;
-      departures.observe(observation, { isRegistered, takeNextSequenceNumber });
-    },
-    findRequired,
-    refresh,
-    canPromoteFrom,
-  };
-}
-
-/** Leaves out what only this instance needs to know of a member. */
-function toStoredMember({ memberId, startedAt }: RegisteredMember): RegisteredMember {
-  return { memberId, ...(startedAt !== undefined && { startedAt }) };
-}
-
-/** One life of a member's process that the directory has listed. */
-interface KnownLife extends RegisteredMember {
-  address: string;
-}
-
-/** Whether a process can only have started after the other one ended. */
-function isSuccessor(life: KnownLife, former: KnownLife): boolean {
-  if (isSameLife(life, former)) return false;
-  return life.memberId === former.memberId || life.address === former.address;
-}
-
-function toKnownLife(member: Member): KnownLife {
-  return { ...toRegisteredMember(member), address: member.entry.address };
-}
+  function observe(observation: MemberObservation): void {
+    const { memberId } = observation;
+    const member = members.get(memberId);
+    if (!member || member.missingSince !== undefined) return;
+    const { takeNextSequenceNumber } = evidence;
+    const isCounted = isRegistered(memberId);
+    departures.observe(observation, { isRegistered: isCounted, takeNextSequenceNumber });
+  }
 
-/** Returns the life of a member's process that the directory lists. */
-export function toRegisteredMember({ entry }: Member): RegisteredMember {
-  return toStoredMember(entry);
+  return { isRegistered, isHeldByAll, check, observe, findRequired, refresh, canPromoteFrom };
 }
