Read the directory again before a member is taken off the register

What was seen: an instance took a member off by a directory 5 s old, which did not list it again yet. Since entries are named a word waits for its new entry, so no commit is lost by it: the register is written twice and loses for 4.5 s a member that is listed.

Cause: only an addition had the directory read again. Change: the directory is read before any change is written, and what it lists is not taken off.

--- a/packages/gateway/src/lib/groups/registerSynchronizer.ts
+++ b/packages/gateway/src/lib/groups/registerSynchronizer.ts
@@ -80,8 +80,9 @@
         addable: listAddable(stored !== undefined),
         isRemovable,
       });
-    // Without the refresh, a member could be registered after its departure was tracked elsewhere.
-    if (plan()?.added.length) await options.refreshDirectory();
+    // Without the refresh, a member could be registered after its departure was tracked elsewhere, or
+    // taken off after it was listed again.
+    if (plan()) await options.refreshDirectory();
     const planned = plan();
     if (!planned || !isDirectoryRecent()) return false;
     const { added, removed, next } = planned;
