Ask the other holders before a primary that is out of reach is replaced

What callers saw: nothing broken, but the primary of a group was replaced although it led its replicas and a third of the instances reached it. The writes that it took meanwhile can be rolled back, and the group has no primary for the time of a promotion.

The instances that do not reach the primary keep their callers' writes meanwhile, so few commits are left to fall between the looks; a group that nobody writes to is always promoted.

Change: as the look begins, all other holders of the group are asked over their streams to probe the primary. One that it answers as the leader, and then a replica of its term too, tells the primary's log end. The primary is cleared if a replica holds that log end by the second look. Nothing waits for the answers. While statements go through other holders, the probe repeats as long as the log does not grow. A holder runs one probe at a time for all that ask and asks the replicas only of a living primary; nothing is sent without a suspicion.

Why it holds: the probe only adds a reason not to promote, so a promotion is as safe as before. A primary that is partitioned together with some holders from its replicas is still replaced, since they reach no replica; so is one whose log no replica has. Only holders are asked, through whom alone callers are served: a primary that none of them reaches serves nobody.

Open: without streams between instances only a growing log clears a primary.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -30,6 +30,7 @@
 import type { UpstreamDriver } from './ports/upstreamPort';
 import { createHolderRefusals } from './relay/holderRefusals';
 import { createHolderSelector } from './relay/holderSelector';
+import { createIndirectProbe } from './relay/indirectProbe';
 import type { PeerLink } from './relay/peerLink';
 import { createPrimaryRoute } from './relay/primaryRoute';
 import { createRelayedGroup } from './relay/relayedGroup';
@@ -327,6 +328,7 @@
       findTeamWeight,
       isHolder: () => holders.isHolder(group),
       hasOtherHolders: () => holders.hasOtherHolders(group),
+      probeIndirectly: createIndirectProbe({ group, holders, clock }),
       countConnectedInstances: () => holders.countConnectedInstances(group),
       countHoldersIn: (dataCentre) => holders.countHoldersIn(group, dataCentre),
       areInstancesKnown: holders.isReady,
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -38,6 +38,8 @@
 import type { Member } from './member';
 import { computeTargetDelay } from './memberConcurrency';
 import type { ConcurrencyReport } from './memberConcurrency';
+import { createPrimaryProbe } from './primaryProbe';
+import type { ProbeIndirectly, ProbePrimary } from './primaryProbe';
 import { createPrimaryTracker } from './primaryTracker';
 import { createPrimaryVerifier } from './primaryVerifier';
 import { createReadRouter } from './readRouter';
@@ -64,6 +66,8 @@
   findPrimaryDataCentre: () => string | undefined;
   /** Discards the latencies of statements in progress after the process was suspended. */
   discardLatencySamples: () => void;
+  /** Probes the primary for another instance, which does not reach it. */
+  probePrimary: ProbePrimary;
   /** Describes the members' concurrency limits; empty without `adaptiveConcurrency`. */
   reportConcurrency: () => ConcurrencyReport[];
   /** Estimates further refusals of statements like a refused one; see `estimateRefusal`. */
@@ -111,6 +115,8 @@
   isHolder: () => boolean;
   /** Whether other instances hold connections to the members, for this one as well. */
   hasOtherHolders: () => boolean;
+  /** Asks other holders to probe a primary that this instance does not reach. */
+  probeIndirectly: ProbeIndirectly;
   /** Number of instances that keep connections to the members, including this one. */
   countConnectedInstances: () => number;
   /** Number of those in a data centre; 0 if every instance connects for its own callers. */
@@ -422,6 +428,7 @@
     },
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
     isOutOfReach: reachMonitor.isOutOfReach,
+    probePrimary: createPrimaryProbe(context),
     estimateRefusal: (request, access) => estimateRefusal(context, reads, { request, access }),
     discardAges: evidence.discardAges,
     findPrimaryDataCentre: () => primaryTracker.find()?.entry.dataCentre,
--- a/packages/gateway/src/lib/groups/reachMonitor.ts
+++ b/packages/gateway/src/lib/groups/reachMonitor.ts
@@ -1,6 +1,9 @@
+import type { MemberReport } from '@wisterialift/pooling';
 import { comparePositions } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import type { GroupContext } from './groupContext';
+import { isLogEndReceived } from './primaryProbe';
+import type { ProbeIndirectly } from './primaryProbe';
 import { sendMemberCommand } from './sendMemberCommand';
 import { isWrite } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
@@ -34,8 +37,8 @@
 const QUERY_TIMEOUT_MILLISECONDS = 400;
 
 /**
- * Time without a new log entry after which an unreachable primary may be down, so that statements
- * wait for its successor instead of being sent elsewhere.
+ * Time without a new log entry, and without an instance that reaches it, after which an unreachable
+ * primary may be down, so that statements wait for its successor instead of being sent elsewhere.
  */
 const PRIMARY_LIFE_SIGN_MILLISECONDS = 1_500;
 
@@ -47,13 +50,17 @@
 /** @param options.hasOtherHolders - whether statements can be sent to another instance. */
 export function createReachMonitor(
   context: GroupContext,
-  { hasOtherHolders }: { hasOtherHolders: () => boolean },
+  {
+    hasOtherHolders,
+    probeIndirectly,
+  }: { hasOtherHolders: () => boolean; probeIndirectly: ProbeIndirectly },
 ): ReachMonitor {
   const { clock, group, logger, members, primaryTracker, isMechanismEnabled } = context;
   let areReplicasSilent = false;
-  /** When the log of the unreachable primary last grew; undefined if the primary is reachable. */
+  /** When the unreachable primary last gave a sign of life; undefined if it is reachable. */
   let primaryAliveAt: number | undefined;
   let highestReceived: Position | undefined;
+  let isLogGrowing = false;
   let isChecking = false;
   let isClosed = false;
 
@@ -79,6 +86,12 @@
   async function checkMembers(): Promise<void> {
     const primary = primaryTracker.find();
     const listed = [...members.values()].filter(({ missingSince }) => missingSince === undefined);
+    const logEnds: Position[] = [];
+    const isProbeNeeded = primaryAliveAt !== undefined && !isLogGrowing;
+    const probe =
+      primary && isProbeNeeded
+        ? probeIndirectly(primary.entry.memberId, (logEnd) => logEnds.push(logEnd))
+        : undefined;
     const answers = await Promise.all(
       listed.map(async (member) => ({
         member,
@@ -97,22 +110,26 @@
     const hasReplica = listed.some((member) => member !== primary);
     areReplicasSilent = areReplicasSilent && hasReplica && replicaReports.length === 0;
     if (hasPrimaryAnswered) primaryAliveAt = undefined;
-    else recordGrowth(replicaReports.map(({ received }) => received));
-  }
-
-  function recordGrowth(positions: Position[]): void {
     if (primaryAliveAt === undefined) return;
-    const now = clock.now();
-    const [latest] = [...positions].sort((left, right) => comparePositions(right, left));
-    const hasGrown = latest && (!highestReceived || comparePositions(latest, highestReceived) > 0);
-    if (hasGrown) {
-      highestReceived = latest;
-      primaryAliveAt = now;
-    } else if (now - primaryAliveAt > PRIMARY_LIFE_SIGN_MILLISECONDS) {
+    await probe;
+    isLogGrowing = recordGrowth(replicaReports);
+    if (isLogGrowing || logEnds.some((logEnd) => isLogEndReceived(logEnd, replicaReports))) {
+      primaryAliveAt = clock.now();
+    } else if (clock.now() - primaryAliveAt > PRIMARY_LIFE_SIGN_MILLISECONDS) {
       primaryAliveAt = undefined;
     }
   }
 
+  function recordGrowth(reports: MemberReport[]): boolean {
+    const [latest] = reports
+      .map(({ received }) => received)
+      .sort((left, right) => comparePositions(right, left));
+    const hasGrown =
+      latest !== undefined && (!highestReceived || comparePositions(latest, highestReceived) > 0);
+    if (hasGrown) highestReceived = latest;
+    return hasGrown;
+  }
+
   return {
     reportSilentReplicas: () => {
       areReplicasSilent = true;
@@ -121,6 +138,7 @@
     reportUnreachablePrimary: () => {
       primaryAliveAt = clock.now();
       highestReceived = undefined;
+      isLogGrowing = true;
       startChecks({ cause: 'the primary is alive and does not answer' });
     },
     isOutOfReach: (needs) =>
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -10,6 +10,8 @@
 import type { GroupContext, SuspicionCause } from '../groups/groupContext';
 import type { Member } from '../groups/member';
 import type { MemberRegistrar } from '../groups/memberRegistrar';
+import { isLogEndReceived } from '../groups/primaryProbe';
+import type { ProbeIndirectly } from '../groups/primaryProbe';
 import type { ReachMonitor } from '../groups/reachMonitor';
 import { sendMemberCommand } from '../groups/sendMemberCommand';
 import type { SoleMemberGuard } from '../groups/soleMemberGuard';
@@ -47,6 +49,7 @@
   refreshDirectory: () => Promise<void>;
   soleMemberGuard: Pick<SoleMemberGuard, 'isReplicationProven'>;
   registrar: Pick<MemberRegistrar, 'canPromoteFrom' | 'isRegistered' | 'refresh'>;
+  probeIndirectly: ProbeIndirectly;
   reachMonitor: Pick<ReachMonitor, 'reportSilentReplicas' | 'reportUnreachablePrimary'>;
 }
 
@@ -131,6 +134,10 @@
     cause: SuspicionCause,
     member: Member | undefined,
   ): Promise<boolean> {
+    const probedLogEnds: Position[] = [];
+    if (member && !CAUSES_INDEPENDENT_OF_LIVENESS.has(cause)) {
+      void options.probeIndirectly(member.entry.memberId, (end) => probedLogEnds.push(end));
+    }
     const before = await queryMembers(member);
     const reportedPrimaries = before.filter(({ report }) => report?.isPrimary);
     const successor = reportedPrimaries.find(({ isSuspect }) => !isSuspect);
@@ -146,9 +153,12 @@
     }
     if (cause === 'leaving') return !hasResponseFromEveryReplica(before);
     await clock.sleep(REPLICATION_CHECK_INTERVAL_MILLISECONDS);
+    // Later answers are not used: the log may have grown after the replicas were asked.
+    const earlierLogEnds = [...probedLogEnds];
     const after = await queryMembers(member);
-    if (hasReplicationAdvanced(before, after)) {
-      logger.info('primaryCleared', { group, cause, detail: 'replicas still receive its log' });
+    const detail = findLifeSign({ before, after, probedLogEnds: earlierLogEnds });
+    if (detail) {
+      logger.info('primaryCleared', { group, cause, detail });
       if (member && isSilent(member)) reachMonitor.reportUnreachablePrimary();
       return true;
     }
@@ -196,6 +206,22 @@
     });
   }
 
+  /** Describes what shows that an unreachable primary still leads its replicas. */
+  function findLifeSign({
+    before,
+    after,
+    probedLogEnds,
+  }: {
+    before: MemberStatuses;
+    after: MemberStatuses;
+    probedLogEnds: Position[];
+  }): string | undefined {
+    if (hasReplicationAdvanced(before, after)) return 'replicas still receive its log';
+    const reports = after.flatMap(({ isSuspect, report }) => (isSuspect ? [] : (report ?? [])));
+    const isFollowed = probedLogEnds.some((logEnd) => isLogEndReceived(logEnd, reports));
+    return isFollowed ? 'another instance reaches it, and a replica has its log' : undefined;
+  }
+
   /** Whether a listed member other than the primary is available for promotion. */
   function hasCandidate(primary: Member | undefined): boolean {
     return [...members.values()].some(
--- a/packages/gateway/src/lib/relay/holderSelector.ts
+++ b/packages/gateway/src/lib/relay/holderSelector.ts
@@ -26,6 +26,8 @@
    * every instance connects for its own callers.
    */
   selectLinkIn: (group: string, dataCentre: string) => PeerLink | undefined;
+  /** Returns the links to all other reachable holders; none if every instance is one. */
+  listOtherLinks: (group: string) => PeerLink[];
   /** Number of holders planned in a data centre; 0 if every instance connects for its own callers. */
   countHoldersIn: (group: string, dataCentre: string) => number;
   /** Returns the link to an instance; undefined if it is unknown or cannot be reached at present. */
@@ -164,6 +166,14 @@
     return findLeastBusy(openLinks(names).filter((link) => link.isOpen()));
   }
 
+  function listOtherLinks(group: string): PeerLink[] {
+    const plan = getPlan(group);
+    if (plan.type === 'everyone') return [];
+    const near = plan.near.filter(isReachable).slice(0, plan.nearCount);
+    const names = [...near, ...plan.far.filter(isReachable)];
+    return openLinks(names.filter((name) => name !== instance));
+  }
+
   function countHoldersIn(group: string, place: string): number {
     const plan = getPlan(group);
     if (plan.type === 'everyone') return 0;
@@ -222,6 +232,7 @@
     selectLink,
     selectOtherLink,
     selectLinkIn,
+    listOtherLinks,
     countHoldersIn,
     findLink: (name) => {
       const peer = peers.get(name);
--- a/packages/gateway/src/lib/relay/peerLink.ts
+++ b/packages/gateway/src/lib/relay/peerLink.ts
@@ -146,6 +146,7 @@
       wantsConfiguration: false,
       configurationJson: '',
       permits: undefined,
+      primaryProbe: undefined,
       ...content,
     });
   }
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -52,10 +52,11 @@
 
 /** Runs relayed statements of a group. */
 export type RelayTarget = StatementRunner &
-  Pick<GroupRouter, 'isOutOfReach'> &
+  Pick<GroupRouter, 'isOutOfReach' | 'probePrimary'> &
   Partial<Pick<GroupRouter, 'estimateRefusal'>>;
 
-type ResponseContent = 'answer' | 'configurationJson' | 'isOutOfReach' | 'load' | 'permits';
+type ResponseContent =
+  'answer' | 'configurationJson' | 'isOutOfReach' | 'load' | 'permits' | 'probedLogEnd';
 
 type Respond = (response: RelayResponse) => void;
 
@@ -225,12 +226,16 @@
     { number, statement, permits, ...rest }: RelayRequest,
     { respond, transactions }: { respond: Respond; transactions: StreamTransactions },
   ): Promise<void> {
-    const { rolledBackTransaction, wantsConfiguration, configurationJson } = rest;
+    const { rolledBackTransaction, wantsConfiguration, configurationJson, primaryProbe } = rest;
     if (rolledBackTransaction > 0) {
       rollBack(transactions, rolledBackTransaction);
     } else if (permits) {
       const granted = grantPermits(permits.team, permits.count);
       respond(createResponse(number, { permits: granted }));
+    } else if (primaryProbe) {
+      const { group, memberId } = primaryProbe;
+      const probedLogEnd = await findRunner(group)?.probePrimary(memberId);
+      respond(createResponse(number, { probedLogEnd }));
     } else if (statement) {
       runningStatements += 1;
       const outcome = await handleStatement(statement, transactions)
@@ -267,6 +272,7 @@
       isOutOfReach: false,
       permits: undefined,
       load: undefined,
+      probedLogEnd: undefined,
       isConfigurationCurrent: isConfigurationCurrent(),
       ...content,
     };
--- a/packages/gateway/src/test/holderRefusals.test.ts
+++ b/packages/gateway/src/test/holderRefusals.test.ts
@@ -45,6 +45,7 @@
     openTransaction: async () => ({ transaction }),
     createArrivalStamp: () => createTestStamp(now.value),
     isOutOfReach: () => false,
+    probePrimary: async () => undefined,
     estimateRefusal: () => estimate,
   };
   const configuration = createActiveConfiguration({ clock, onAdopted: noop });
@@ -88,6 +89,7 @@
             wantsConfiguration: false,
             configurationJson: '',
             permits: undefined,
+            primaryProbe: undefined,
             ...content,
           });
         });
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -72,6 +72,7 @@
     openTransaction: async () => ({ transaction }),
     createArrivalStamp: () => createTestStamp(clock.now()),
     isOutOfReach: () => options.isOutOfReach,
+    probePrimary: async () => undefined,
   };
   const service = createRelayService({
     grantPermits: () => ({ count: 0, retryAfterMilliseconds: 0 }),
@@ -119,6 +120,7 @@
       selectLink: () => links.find((link) => link.isUsable()),
       selectOtherLink: (_, refusing) => links.find((link) => !refusing.has(link)),
       selectLinkIn: () => undefined,
+      listOtherLinks: () => links,
       countHoldersIn: () => 0,
       findLink: () => undefined,
       isInformed: () => false,
--- a/packages/gateway/src/test/peerLink.test.ts
+++ b/packages/gateway/src/test/peerLink.test.ts
@@ -38,6 +38,7 @@
     configurationJson: '',
     isOutOfReach: false,
     permits: undefined,
+    probedLogEnd: undefined,
     load: undefined,
     isConfigurationCurrent: true,
   };
--- a/packages/gateway/src/test/primaryRoute.test.ts
+++ b/packages/gateway/src/test/primaryRoute.test.ts
@@ -81,6 +81,7 @@
             configurationJson: '',
             isOutOfReach,
             permits: undefined,
+            probedLogEnd: undefined,
             isConfigurationCurrent: true,
             load: isOutOfReach
               ? undefined
@@ -346,6 +347,7 @@
         wantsConfiguration: false,
         configurationJson: '',
         permits: undefined,
+        primaryProbe: undefined,
       });
     });
     expect(ran).toEqual(['WRITE a']);
@@ -374,6 +376,7 @@
               configurationJson: '',
               isOutOfReach: false,
               permits: undefined,
+              probedLogEnd: undefined,
               isConfigurationCurrent: true,
               load: undefined,
             }),
--- a/packages/gateway/src/test/relayService.test.ts
+++ b/packages/gateway/src/test/relayService.test.ts
@@ -42,6 +42,7 @@
     wantsConfiguration: false,
     configurationJson: '',
     permits: undefined,
+    primaryProbe: undefined,
     ...content,
   };
 }
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -116,6 +116,7 @@
       selectLink: () => (isLost ? undefined : link),
       selectOtherLink: () => undefined,
       selectLinkIn: () => undefined,
+      listOtherLinks: () => [],
       countHoldersIn: () => 0,
       findLink: () => undefined,
       isInformed: () => false,
--- a/packages/gateway/src/test/suspension.test.ts
+++ b/packages/gateway/src/test/suspension.test.ts
@@ -58,6 +58,7 @@
       wantsConfiguration: false,
       configurationJson: '',
       permits: undefined,
+      primaryProbe: undefined,
       statement: {
         action: 'read',
         transaction: 0,
