Let the log of a group name the incarnations that vote

A database that lost an acknowledged write, and one that lacked it, could promote at an instance that had not known the first one before: to it, the emptied database looked like one that lags. Reads with a floor could miss the write in the same way. What an instance remembers cannot close this.

An entry of the log now names the voters, each member with its incarnation (GROUP VOTERS, a conditional update at the primary; replicated and kept as all entries). Answers are counted by the newest such entry in their own logs: a majority of the list, as before, and a majority of the named ones among them. The floor, the samples of age and the candidate are at or past the newest entry. Where too few voters are left, all members together may promote and name anew. Chosen over names in the configuration, which need a patch and an operator for each loss.

Two tests of memberSets.test.ts waited for a promotion that the changes of members had already brought, so whether their write reached the former primary hung on the phase of the idle probe.

--- a/packages/core/src/lib/acknowledgement/confirmationTracker.ts
+++ b/packages/core/src/lib/acknowledgement/confirmationTracker.ts
@@ -93,11 +93,14 @@
 }
 
 function isConfirmed(write: PendingWrite, members: MemberTable): boolean {
-  let confirmationCount = 0;
-  for (const member of members.list()) {
-    if (members.isCounted(member) && hasConfirmed(member, write)) confirmationCount += 1;
-  }
-  return confirmationCount >= members.getMajority();
+  const confirming = members
+    .list()
+    .flatMap((member) =>
+      member.status && members.isCounted(member) && hasConfirmed(member, write)
+        ? [member.status]
+        : [],
+    );
+  return confirming.length > 0 && members.countVotes(confirming).isMajority;
 }
 
 function hasConfirmed({ status, statusControlRequestId }: Member, write: PendingWrite): boolean {
--- a/packages/core/src/lib/engine/controlRequestTable.ts
+++ b/packages/core/src/lib/engine/controlRequestTable.ts
@@ -1,5 +1,5 @@
 /** @internal */
-export type ControlRequestKind = 'status' | 'fence' | 'promote' | 'follow';
+export type ControlRequestKind = 'status' | 'fence' | 'promote' | 'follow' | 'nameVoters';
 
 /** @internal */
 export interface ControlRequest {
--- a/packages/core/src/lib/engine/memberTable.ts
+++ b/packages/core/src/lib/engine/memberTable.ts
@@ -1,6 +1,8 @@
-import { comparePositions } from '@wisterialift/schema';
+import { INITIAL_POSITION, comparePositions, isAtMost } from '@wisterialift/schema';
 import type { Database, MemberStatus, Position } from '@wisterialift/schema';
 import { getMemberSet } from './memberSet';
+import { findNewestVoters, isVoter } from './voters';
+import type { VoteCount } from './voters';
 
 /** Weight of a new sample in the moving average of the round-trip time. */
 const ROUND_TRIP_SMOOTHING = 0.25;
@@ -74,6 +76,16 @@
    * has lost its log, as long as the others can be a majority.
    */
   isCounted: (member: Member) => boolean;
+  /**
+   * Counts answers by the newest voters in their logs: an incarnation that these do not name has no vote. All
+   * count as long as no entry is known that names voters.
+   */
+  countVotes: (statuses: readonly MemberStatus[]) => VoteCount;
+  /**
+   * Counts the answers that are counted; where too few voters are left, all members together are a majority.
+   * Nobody else holds anything, so the most advanced of them has all that is left.
+   */
+  countVotesOrAll: (statuses: readonly MemberStatus[]) => VoteCount;
   /** Whether any member has recorded a term of a later member set than the one in use. */
   isOutdated: () => boolean;
   onAnswered: (answer: StatusAnswer) => Member | undefined;
@@ -94,6 +106,8 @@
    * @param afterRequestId - only answers to later requests count; by default any.
    */
   findEstablishedPrimary: (afterRequestId?: number) => MemberStatus | undefined;
+  /** The answers of members whose logs end in the term of the primary, at or after the position. */
+  listReaching: (position: Position) => MemberStatus[];
   getHighestTerm: () => number;
   /** Ignores the member's claim to be primary in responses to requests before `firstValidRequestId`. */
   rejectPrimaryClaimBefore: (name: string, firstValidRequestId: number) => void;
@@ -131,6 +145,7 @@
   let primary: Member | undefined;
   let isListOutdated = false;
   let hasLostLogs = false;
+  let hasSeenVoters = false;
 
   /** A database at another address is another member until it answers. */
   function replaceDatabases(changed: Database[], changedSet: number, now: number): boolean {
@@ -201,15 +216,50 @@
     const status = primary?.status;
     if (!primary || !status) return undefined;
     if (primary.statusControlRequestId <= afterRequestId) return undefined;
-    const { currentTerm } = status;
-    const membersInTerm = members.filter(
-      (member) =>
-        isCounted(member) &&
-        member.statusControlRequestId > afterRequestId &&
-        member.status?.currentTerm === currentTerm &&
-        member.status.logEnd.term === currentTerm,
+    const recent = members.filter(
+      (member) => isCounted(member) && member.statusControlRequestId > afterRequestId,
     );
-    return membersInTerm.length >= getMajority() ? status : undefined;
+    return countVotes(listInTerm(recent, status)).isMajority ? status : undefined;
+  }
+
+  /** The members whose logs end in the term of the primary. */
+  function listInTerm(list: readonly Member[], { currentTerm }: MemberStatus): MemberStatus[] {
+    return list.flatMap(({ status }) => {
+      const isInTerm = status?.currentTerm === currentTerm && status.logEnd.term === currentTerm;
+      return isInTerm ? [status] : [];
+    });
+  }
+
+  function listReaching(position: Position): MemberStatus[] {
+    if (!primary?.status) return [];
+    return listInTerm(members, primary.status).filter(({ logEnd }) => isAtMost(position, logEnd));
+  }
+
+  function countVotes(statuses: readonly MemberStatus[]): VoteCount {
+    const voters = findNewestVoters(statuses);
+    const named = members.filter(({ name }) => !voters || name in voters.incarnations);
+    const majority = toMajority(named.length);
+    const counted = statuses.filter((status) =>
+      voters ? isVoter(status, voters) : !hasSeenVoters,
+    );
+    return {
+      isMajority: statuses.length >= getMajority() && counted.length >= majority,
+      statuses: counted,
+      majority,
+      votersAt: voters?.position ?? INITIAL_POSITION,
+    };
+  }
+
+  function countVotesOrAll(statuses: readonly MemberStatus[]): VoteCount {
+    const votes = countVotes(
+      statuses.filter(({ member: name }) => {
+        const member = byName.get(name);
+        return member && isCounted(member);
+      }),
+    );
+    if (votes.isMajority || isListOutdated || statuses.length < members.length) return votes;
+    const all = { isMajority: true, statuses: [...statuses], majority: statuses.length };
+    return { ...votes, ...all };
   }
 
   function onAnswered({ member: name, status, questionId, sentAt, now }: StatusAnswer) {
@@ -234,6 +284,7 @@
     const isSameTerm = member.status?.currentTerm === status.currentTerm;
     const isSameRole = member.status?.role === status.role;
     member.status = status;
+    hasSeenVoters ||= status.voters !== undefined && status.voters.position.index > 0;
     member.statusControlRequestId = questionId;
     member.statusRequestedAt = sentAt;
     if (!wasPrimaryClaimValid || !isSameTerm || !isSameRole) refreshPrimary();
@@ -264,7 +315,7 @@
   }
 
   function getMajority(): number {
-    return Math.floor(members.length / 2) + 1;
+    return toMajority(members.length);
   }
 
   function findMajorityTerm(): number | undefined {
@@ -309,6 +360,8 @@
     replaceDatabases,
     getMemberSet: () => memberSet,
     isCounted,
+    countVotes,
+    countVotesOrAll,
     isOutdated: () => isListOutdated,
     onAnswered,
     onFailed,
@@ -316,6 +369,7 @@
     getMajorityTerm: () => majorityTerm,
     getPrimary: () => primary,
     findEstablishedPrimary,
+    listReaching,
     rejectPrimaryClaimBefore,
     getHighestTerm,
   };
@@ -338,23 +392,6 @@
   );
 }
 
-/**
- * Returns the lowest log end that is known to cover every acknowledged write.
- *
- * Each acknowledged write is stored by a majority, so the highest log end of any majority covers it;
- * the majority with the lowest log ends gives the tightest bound.
- *
- * @returns undefined if fewer than `majority` log ends are given.
- * @internal
- */
-export function findLowestMajorityLogEnd(
-  logEnds: Position[],
-  majority: number,
-): Position | undefined {
-  if (logEnds.length < majority) return undefined;
-  return [...logEnds].sort(comparePositions)[majority - 1];
-}
-
 /** A member keeps its terms, and drops entries only for those of a later term. */
 function isLogLost(former: MemberStatus, status: MemberStatus): boolean {
   const { currentTerm, logEnd } = former;
@@ -364,6 +401,10 @@
   return isSameTerm && comparePositions(status.logEnd, logEnd) < 0;
 }
 
+function toMajority(count: number): number {
+  return Math.floor(count / 2) + 1;
+}
+
 function isSameAddress(left: Database, right: Database): boolean {
   return left.host === right.host && left.port === right.port;
 }
--- a/packages/core/src/lib/engine/messages.ts
+++ b/packages/core/src/lib/engine/messages.ts
@@ -110,6 +110,18 @@
   | { type: 'promote'; questionId: number; member: string; term: number }
   /** Make a member replicate from the primary of `term`. */
   | { type: 'follow'; questionId: number; member: string; term: number; primary: string }
+  /**
+   * Make the primary of `term` write an entry that names the incarnations of the voters; it refuses unless
+   * its newest such entry is at `after`.
+   */
+  | {
+      type: 'nameVoters';
+      questionId: number;
+      member: string;
+      term: number;
+      after: Position;
+      incarnations: Record<string, string>;
+    }
   /** Announce a newly promoted primary to the other instances. */
   | { type: 'publishPrimary'; term: number; primary: string }
   /** Send `timerFired` at this time; replaces the previous timer. */
@@ -157,6 +169,7 @@
   | { name: 'primaryPromoted'; term: number; member: string; silentMilliseconds: number }
   | { name: 'primaryLearned'; term: number; member: string }
   | { name: 'memberAttached'; term: number; member: string }
+  | { name: 'votersNamed'; term: number; incarnations: Record<string, string> }
   /**
    * `by` is `staleness` if the member was within the accepted staleness. Otherwise the member has
    * applied the minimum position: `token` if the request carries a session position, else `floor`.
@@ -173,7 +186,7 @@
   probeIntervalMilliseconds: number;
   /** Probe interval for groups that are idle and healthy. */
   idleProbeIntervalMilliseconds: number;
-  /** Timeout of requests to members (status, fence, promote, follow). */
+  /** Timeout of requests to members (status and commands). */
   questionTimeoutMilliseconds: number;
   /** A member that has not responded for this long is considered silent. */
   suspicionMilliseconds: number;
--- a/packages/core/src/lib/failover/ballot.ts
+++ b/packages/core/src/lib/failover/ballot.ts
@@ -1,6 +1,7 @@
 import { comparePositions } from '@wisterialift/schema';
 import type { MemberStatus } from '@wisterialift/schema';
-import { findLowestMajorityLogEnd } from '../engine/memberTable';
+import { findCoveringPosition } from '../engine/voters';
+import type { VoteCount } from '../engine/voters';
 
 /** Open requests of one failover, and the members that granted its term. @internal */
 export interface Ballot {
@@ -22,21 +23,20 @@
  * Only members whose log end covers that of some majority are eligible, since they hold every
  * acknowledged write. The most advanced one wins, deprioritized members last.
  *
- * @param options.ballot - must contain the grants of a majority.
+ * @param options.grants - of a majority.
  * @param options.isDeprioritized - whether other eligible members are preferred to this one.
  * @returns the name of the member.
  * @internal
  */
 export function chooseCandidate(options: {
-  ballot: Ballot;
-  majority: number;
+  grants: VoteCount;
   isDeprioritized: (member: string) => boolean;
 }): string {
-  const { ballot, majority, isDeprioritized } = options;
-  const grants = [...ballot.grants].map(([member, { logEnd }]) => ({ member, logEnd }));
-  const logEnds = grants.map(({ logEnd }) => logEnd);
-  const bound = findLowestMajorityLogEnd(logEnds, majority);
-  const eligible = grants.filter(({ logEnd }) => bound && comparePositions(logEnd, bound) >= 0);
+  const { grants, isDeprioritized } = options;
+  const bound = findCoveringPosition(grants);
+  const eligible = grants.statuses.filter(
+    ({ logEnd }) => bound && comparePositions(logEnd, bound) >= 0,
+  );
   eligible.sort(
     (left, right) =>
       Number(isDeprioritized(left.member)) - Number(isDeprioritized(right.member)) ||
--- a/packages/core/src/lib/failover/failoverController.ts
+++ b/packages/core/src/lib/failover/failoverController.ts
@@ -1,7 +1,9 @@
 import type { MemberStatus } from '@wisterialift/schema';
+import type { ControlRequestKind } from '../engine/controlRequestTable';
 import { getTerm } from '../engine/memberTable';
 import type { Member, MemberTable } from '../engine/memberTable';
 import type { EngineEffect, EngineRecord } from '../engine/messages';
+import type { VoteCount } from '../engine/voters';
 import { chooseCandidate, createBallot } from './ballot';
 import type { Ballot } from './ballot';
 import type { FailoverCommand } from './failoverCommand';
@@ -12,6 +14,7 @@
 import type { PrimaryFailureDetector } from './primaryFailureDetector';
 import { createFailoverCoordination } from './failoverCoordination';
 import type { CoordinationTimes } from './failoverCoordination';
+import { createVoterNaming } from './voterNaming';
 
 /** @internal */
 export interface FailoverController {
@@ -32,7 +35,7 @@
 /** @internal */
 export interface FailoverAnswer {
   questionId: number;
-  kind: 'status' | 'fence' | 'promote' | 'follow';
+  kind: ControlRequestKind;
   member: string;
   status: MemberStatus;
 }
@@ -40,7 +43,7 @@
 /** @internal */
 export interface FailoverFailure {
   questionId: number;
-  kind: 'status' | 'fence' | 'promote' | 'follow';
+  kind: ControlRequestKind;
   member: string;
   reason: 'timeout' | 'unreachable' | 'refused';
 }
@@ -52,7 +55,7 @@
   /** Lower limit of the response timeout during verification, fencing and promotion. */
   minimumAnswerTimeoutMilliseconds: number;
   questionTimeoutMilliseconds: number;
-  /** Mean interval between two follow commands to the same member. */
+  /** Mean interval between two follow commands to the same member, and between two that name voters. */
   followMilliseconds: number;
   /** Extra delay of a planned handover, for work in flight at other instances. */
   otherInstancesDrainMilliseconds: number;
@@ -105,6 +108,7 @@
   const lifecycle = createFailoverLifecycle();
   const coordination = createFailoverCoordination(options);
   const attachment = createMemberAttachment({ ...options, ...times });
+  const voterNaming = createVoterNaming({ ...options, ...times });
   let isDraining = false;
   let ballot: Ballot = createBallot();
   let fenceAttempts = 0;
@@ -200,15 +204,14 @@
     }
     const { dueAt, fromControlRequestId } = lifecycle.getContext();
     const fresh = findFenceTargets(suspicion).filter(
-      (member) =>
-        members.isCounted(member) && member.statusControlRequestId >= fromControlRequestId,
+      (member) => member.statusControlRequestId >= fromControlRequestId,
     );
-    const hasMajority = fresh.length >= members.getMajority();
+    const votes = members.countVotesOrAll(fresh.flatMap(({ status }) => status ?? []));
     const hasTime = now < dueAt;
     const isFullWaitNeeded = suspicion.cause === 'silent' && !isSuspectUnreachable();
-    if (hasTime && (isFullWaitNeeded || !hasMajority)) return;
+    if (hasTime && (isFullWaitNeeded || !votes.isMajority)) return;
     fenceAttempts = 0;
-    if (hasMajority && !coordination.hasCompetitor(now)) startFence(suspicion, now);
+    if (votes.isMajority && !coordination.hasCompetitor(now)) startFence(suspicion, now);
     else failAttempt(now);
   }
 
@@ -244,7 +247,10 @@
     const { term, dueAt } = lifecycle.getContext();
     const majority = members.getMajority();
     const granted = ballot.grants.size;
-    if (granted >= majority && (!canWaitForAllGrants() || ballot.open.size === 0 || now >= dueAt)) {
+    if (
+      countGrants().isMajority &&
+      (!canWaitForAllGrants() || ballot.open.size === 0 || now >= dueAt)
+    ) {
       startPromotion(now);
       return;
     }
@@ -255,6 +261,10 @@
     else failAttempt(now);
   }
 
+  function countGrants(): VoteCount {
+    return members.countVotesOrAll([...ballot.grants.values()]);
+  }
+
   /**
    * Counts the failed fence and returns whether to start another one.
    *
@@ -277,13 +287,9 @@
 
   function startPromotion(now: number): void {
     const { term } = lifecycle.getContext();
-    const granted = [...ballot.grants.keys()];
-    record({ name: 'termFenced', term, members: granted });
-    const candidate = chooseCandidate({
-      ballot,
-      majority: members.getMajority(),
-      isDeprioritized,
-    });
+    const grants = countGrants();
+    record({ name: 'termFenced', term, members: grants.statuses.map(({ member }) => member) });
+    const candidate = chooseCandidate({ grants, isDeprioritized });
     promotionAttempts = 0;
     ballot.open.clear();
     lifecycle.send({
@@ -362,7 +368,9 @@
     checkedPrimary = members.getPrimary();
     phaseHandlers[lifecycle.getPhase()](now);
     learnPrimary();
-    if (lifecycle.getPhase() !== 'fencing') attachment.attach(now);
+    if (lifecycle.getPhase() === 'fencing') return;
+    attachment.attach(now);
+    voterNaming.nameVoters(now);
   }
 
   function learnPrimary(): void {
@@ -376,14 +384,15 @@
   function onAnswered(answer: FailoverAnswer, now: number): void {
     if (answer.kind === 'fence' && ballot.open.delete(answer.questionId)) {
       const isGrant = answer.status.currentTerm === lifecycle.getContext().term;
-      const member = members.get(answer.member);
-      if (isGrant && member && members.isCounted(member)) {
-        ballot.grants.set(answer.member, answer.status);
-      }
+      if (isGrant) ballot.grants.set(answer.member, answer.status);
     }
     if (answer.kind === 'follow') {
       record({ name: 'memberAttached', term: answer.status.currentTerm, member: answer.member });
     }
+    if (answer.kind === 'nameVoters') {
+      const { currentTerm: term, voters } = answer.status;
+      record({ name: 'votersNamed', term, incarnations: voters?.incarnations ?? {} });
+    }
     step(now);
   }
 
--- a/packages/core/src/lib/reads/floorRounds.ts
+++ b/packages/core/src/lib/reads/floorRounds.ts
@@ -1,7 +1,7 @@
 import { comparePositions } from '@wisterialift/schema';
-import type { Position } from '@wisterialift/schema';
-import { findLowestMajorityLogEnd } from '../engine/memberTable';
+import type { MemberStatus, Position } from '@wisterialift/schema';
 import type { Member, MemberTable } from '../engine/memberTable';
+import { findCoveringPosition } from '../engine/voters';
 
 /**
  * A round of status requests to all members, shared by the reads that arrived before its first request.
@@ -80,15 +80,15 @@
 }
 
 function updateRound(round: FloorRound, members: MemberTable): void {
-  const logEnds: Position[] = [];
+  const answered: MemberStatus[] = [];
   let { term } = round;
   for (const member of members.list()) {
     const { status, statusControlRequestId } = member;
     if (!status || statusControlRequestId < round.firstControlRequestId) continue;
-    if (members.isCounted(member)) logEnds.push(status.logEnd);
+    if (members.isCounted(member)) answered.push(status);
     term = Math.max(term, status.currentTerm);
   }
-  const bound = findLowestMajorityLogEnd(logEnds, members.getMajority());
+  const bound = findCoveringPosition(members.countVotes(answered));
   const isLower = bound && (!round.floor || comparePositions(bound, round.floor) < 0);
   Object.assign(round, { term, floor: isLower ? bound : round.floor });
 }
--- a/packages/core/src/lib/reads/stalenessSamples.ts
+++ b/packages/core/src/lib/reads/stalenessSamples.ts
@@ -1,4 +1,4 @@
-import { comparePositions, isAtMost } from '@wisterialift/schema';
+import { comparePositions, getHigherPosition, isAtMost } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import type { Member, MemberTable } from '../engine/memberTable';
 
@@ -52,13 +52,16 @@
 
 function takeSample(members: MemberTable): Sample | undefined {
   const answered = members.list().filter(members.isCounted);
-  if (answered.length < members.getMajority()) return undefined;
-  const newest = [...answered]
+  const votes = members.countVotes(answered.flatMap(({ status }) => status ?? []));
+  if (!votes.isMajority) return undefined;
+  const newest = answered
+    .filter(({ status }) => status && votes.statuses.includes(status))
     .sort((left, right) => right.statusRequestedAt - left.statusRequestedAt)
-    .slice(0, members.getMajority());
+    .slice(0, votes.majority);
   const ends = newest.flatMap(({ status }) => (status ? [status.logEnd] : []));
   const at = Math.min(...newest.map(({ statusRequestedAt }) => statusRequestedAt));
-  return { at, position: ends.sort(comparePositions).at(-1) as Position };
+  const highest = ends.sort(comparePositions).at(-1) as Position;
+  return { at, position: getHigherPosition(highest, votes.votersAt) };
 }
 
 function addSample(samples: Sample[], sample: Sample): void {
--- a/packages/core/src/test/ballot.test.ts
+++ b/packages/core/src/test/ballot.test.ts
@@ -1,12 +1,12 @@
 import { describe, expect, it } from 'vitest';
-import { chooseCandidate, createBallot } from '../lib/failover/ballot';
+import type { MemberStatus } from '@wisterialift/schema';
+import { chooseCandidate } from '../lib/failover/ballot';
 
 describe('chooseCandidate', () => {
   function choose(logEnds: Record<string, number>, deprioritized: string): string {
-    const ballot = createBallot();
-    for (const [member, index] of Object.entries(logEnds)) {
+    const statuses = Object.entries(logEnds).map(([member, index]): MemberStatus => {
       const logEnd = { term: 1, index };
-      ballot.grants.set(member, {
+      return {
         member,
         role: 'replica',
         currentTerm: 2,
@@ -14,11 +14,10 @@
         applied: logEnd,
         termStarts: [],
         incarnation: `${member}-1`,
-      });
-    }
+      };
+    });
     return chooseCandidate({
-      ballot,
-      majority: 2,
+      grants: { isMajority: true, statuses, majority: 2, votersAt: { term: 0, index: 0 } },
       isDeprioritized: (member) => member === deprioritized,
     });
   }
--- a/packages/core/src/test/engineScenario.ts
+++ b/packages/core/src/test/engineScenario.ts
@@ -6,7 +6,9 @@
   Position,
   TermStart,
   UpstreamGroup,
+  Voters,
 } from '@wisterialift/schema';
+import { comparePositions } from '@wisterialift/schema';
 import { DEFAULT_ENGINE_POLICY, createGroupEngine, preparePatch } from '../index';
 import type {
   EngineEffect,
@@ -23,6 +25,8 @@
   /** Request that wrote it; empty for the first entry of a term. */
   requestId: string;
   appendedAt: number;
+  /** Incarnations of the voters that the entry names. */
+  voters?: Record<string, string>;
 }
 
 /** A simulated database with a log, a term and injected faults. */
@@ -90,8 +94,13 @@
 
 export type Scenario = ReturnType<typeof createScenario>;
 
-const FIRST_ENTRY: Entry = { term: 1, requestId: '', appendedAt: 0 };
 const MEMBER_NAMES = ['a1', 'b1', 'c1'];
+const FIRST_ENTRY: Entry = {
+  term: 1,
+  requestId: '',
+  appendedAt: 0,
+  voters: Object.fromEntries(MEMBER_NAMES.map((name) => [name, `${name}-1`])),
+};
 const GROUP = 'archivio-1';
 /** Request id prefix of writes that change no rows and write no log entry. */
 export const NO_ENTRY_PREFIX = 'no-entry';
@@ -140,6 +149,7 @@
       instance: name,
       dataCentre: 'dc-b1',
       databases,
+      memberSet: configurationObject.configuration.groups[GROUP]?.memberSet,
       policy: { ...DEFAULT_ENGINE_POLICY, ...options.policy },
       random,
     });
@@ -241,6 +251,14 @@
         return true;
       });
     },
+    nameVoters: (target, effect) =>
+      sendControlRequest(target, effect, (database) => {
+        const { term, after, incarnations: voters } = effect;
+        const isNewest = comparePositions(findVoters(database.log).position, after) === 0;
+        const isAccepted = database.role === 'primary' && database.currentTerm === term && isNewest;
+        if (isAccepted) database.log.push({ term, requestId: '', appendedAt: now, voters });
+        return isAccepted;
+      }),
     publishPrimary: () => {},
     setTimer: (target, { at }) => {
       Object.assign(target, { timerAt: at });
@@ -454,6 +472,13 @@
       .forEach((event) => handle(target, event));
   }
 
+  /** Starts an instance anew, without what it knew and without its open requests. */
+  function restart(name: string): void {
+    pause(name);
+    instances.set(name, createInstance(name));
+    handle(instance(name), { type: 'instancesChanged', liveInstances: [...instances.keys()] });
+  }
+
   /** Simulates a promotion by an instance outside the scenario, unnoticed by the old primary. */
   function simulateExternalPromotion(name: string, term: number, group = ['b1', 'c1']): void {
     group.forEach((each) => {
@@ -531,6 +556,7 @@
     run,
     runUntil,
     pause,
+    restart,
     unfreeze,
     simulateExternalPromotion,
     resume,
@@ -544,6 +570,8 @@
     read: (draft: Partial<EngineRequest> = {}, instanceName?: string) =>
       send({ access: 'read', ...draft }, instanceName),
     send,
+    /** The voters that the log of a database names. */
+    findVoters: (name: string) => findVoters(member(name).log),
     findPrimaries: () => [...members.values()].filter(({ role }) => role === 'primary'),
     /** Number of status requests sent by all instances. */
     statusRequestCount: () => statusRequestCount,
@@ -587,16 +615,23 @@
       starts.at(-1)?.term === term ? starts : [...starts, { term, start: index }],
     [],
   );
-  const status = { member: name, role, currentTerm, logEnd: end, applied: end, termStarts };
+  const voters = findVoters(log);
+  const status = { member: name, role, currentTerm, logEnd: end, applied: end, termStarts, voters };
   return following ? { ...status, following } : status;
 }
 
+function findVoters(log: Entry[]): Voters {
+  const index = log.findLastIndex(({ voters }) => voters) + 1;
+  const { term = 0, voters = {} } = log[index - 1] ?? {};
+  return { position: { term, index }, incarnations: voters };
+}
+
 function getLogEnd(log: Entry[]): Position {
   return { term: log.at(-1)?.term ?? 0, index: log.length };
 }
 
 /** Mulberry32 generator, for reproducible runs. */
-function createRandom(seed: number): () => number {
+export function createRandom(seed: number): () => number {
   let state = seed;
   return () => {
     state = Math.trunc(state + 0x6d2b79f5);
--- a/packages/core/src/test/memberSets.test.ts
+++ b/packages/core/src/test/memberSets.test.ts
@@ -25,6 +25,12 @@
   }
 }
 
+function runUntilNextPromotion(scenario: Scenario, instance: string): void {
+  const count = () => scenario.findRecords('primaryPromoted', instance).length;
+  const before = count();
+  scenario.runUntil(() => count() > before);
+}
+
 describe('changes of the members of a group', () => {
   it('do not let an instance with an old list acknowledge a write that a promotion loses', () => {
     // Guards against majorities of {a,b,c} and of {a,b,c,d,e} that share no member.
@@ -66,7 +72,7 @@
     isolate(scenario, ['a1', 'b1'], true);
     scenario.instance('p1').droppedMembers.add('c1');
     ['a1', 'b1'].forEach((name) => scenario.instance('p2').droppedMembers.add(name));
-    scenario.runUntil(() => scenario.findRecords('primaryPromoted', 'p2').length > 0);
+    runUntilNextPromotion(scenario, 'p2');
     const write = scenario.write({ deadlineAt: scenario.now() + 20_000 }, 'p2');
     scenario.runUntil(() => write.outcome?.status === 'done');
     const read = scenario.read({ deadlineAt: scenario.now() + 300 }, 'p1');
@@ -83,7 +89,7 @@
     isolate(scenario, ['a1', 'b1'], true);
     scenario.instance('p1').droppedMembers.add('c1');
     ['a1', 'b1'].forEach((name) => scenario.instance('p2').droppedMembers.add(name));
-    scenario.runUntil(() => scenario.findRecords('primaryPromoted', 'p2').length > 1);
+    runUntilNextPromotion(scenario, 'p2');
     const write = scenario.write({ deadlineAt: scenario.now() + 20_000 }, 'p2');
     scenario.runUntil(() => write.outcome?.status === 'done');
     scenario.run(2_000);
--- a/packages/mysql/src/lib/control/groupControlConnection.ts
+++ b/packages/mysql/src/lib/control/groupControlConnection.ts
@@ -1,5 +1,5 @@
 import type { ControlRequestFailureReason } from '@wisterialift/core';
-import type { MemberStatus } from '@wisterialift/schema';
+import type { MemberStatus, Position } from '@wisterialift/schema';
 import { encodeQuery } from '../protocol/query';
 import { readSingleValue } from '../protocol/singleValue';
 import {
@@ -15,7 +15,8 @@
   | { type: 'askStatus' }
   | { type: 'fence'; term: number }
   | { type: 'promote'; term: number }
-  | { type: 'follow'; term: number; primary: string; primaryAddress: string };
+  | { type: 'follow'; term: number; primary: string; primaryAddress: string }
+  | { type: 'nameVoters'; term: number; after: Position; incarnations: Record<string, string> };
 
 /** @public */
 export type ControlResponse =
@@ -55,6 +56,8 @@
   promote: ({ term }) => `GROUP PROMOTE TERM ${term}`,
   follow: ({ term, primary, primaryAddress }) =>
     `GROUP FOLLOW TERM ${term} PRIMARY '${primary}' AT '${primaryAddress}'`,
+  nameVoters: ({ term, after, incarnations }) =>
+    `GROUP VOTERS TERM ${term} AFTER TERM ${after.term} INDEX ${after.index} ARE '${JSON.stringify(incarnations)}'`,
 };
 
 /**
--- a/packages/proxy/src/lib/process/decisionRecorder.ts
+++ b/packages/proxy/src/lib/process/decisionRecorder.ts
@@ -13,6 +13,7 @@
   primaryPromoted: 'warn',
   primaryLearned: 'info',
   memberAttached: 'info',
+  votersNamed: 'info',
   readRouted: 'notLogged',
   writeConfirmed: 'notLogged',
   requestRetried: 'debug',
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -196,6 +196,8 @@
       const primaryAddress = `${host}:${port}`;
       askMember(questionId, member, { type: 'follow', term, primary, primaryAddress });
     },
+    nameVoters: ({ questionId, member, term, after, incarnations }) =>
+      askMember(questionId, member, { type: 'nameVoters', term, after, incarnations }),
     publishPrimary: ({ term, primary }) => options.onPrimaryPromoted({ term, primary }),
     setTimer: ({ at }) => timer.set(at - clock()),
     record: ({ record }) => options.record(record),
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -12,10 +12,12 @@
   memberRoleSchema,
   memberStatusSchema,
   termStartSchema,
+  votersSchema,
   type MemberRole,
   type MemberStatus,
   type ReportedMemberStatus,
   type TermStart,
+  type Voters,
 } from './lib/group/memberStatus';
 export { GROUP_OBJECT_KIND, groupObjectSchema, type GroupObject } from './lib/group/groupObject';
 export {
--- a/packages/schema/src/lib/group/memberStatus.ts
+++ b/packages/schema/src/lib/group/memberStatus.ts
@@ -20,6 +20,19 @@
 /** @public */
 export type MemberRole = z.infer<typeof memberRoleSchema>;
 
+/**
+ * The incarnation of each member that votes, by its name, and the log entry that names them.
+ *
+ * @public
+ */
+export const votersSchema = z.strictObject({
+  position: positionSchema,
+  incarnations: z.record(z.string(), z.string()),
+});
+
+/** @public */
+export type Voters = z.infer<typeof votersSchema>;
+
 /**
  * Answer of a database to a status request, as parsed from its JSON.
  *
@@ -41,6 +54,8 @@
   termStarts: z.array(termStartSchema),
   /** Member that this one replicates from; absent on a primary or an unattached member. */
   following: z.string().optional(),
+  /** The newest in its log, none at the first position; absent at a database that keeps none. */
+  voters: votersSchema.optional(),
 });
 
 /** @public */
--- a/stand-ins/database/src/lib/group/createMember.ts
+++ b/stand-ins/database/src/lib/group/createMember.ts
@@ -1,7 +1,8 @@
 import { isDeepStrictEqual } from 'node:util';
 import { existsSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import type { ReportedMemberStatus } from '@wisterialift/schema';
+import { comparePositions } from '@wisterialift/schema';
+import type { Position, ReportedMemberStatus } from '@wisterialift/schema';
 import { DatabaseError } from '../engine/databaseError';
 import type { Engine } from '../engine/createEngine';
 import type { Log, LoggedStatement, LogEntry } from '../log/createLog';
@@ -28,6 +29,8 @@
   fence: (term: number) => void;
   promote: (term: number) => void;
   follow: (term: number, primary: FollowedPrimary) => void;
+  /** Writes an entry that names the voters; refused unless the newest such one is at `after`. */
+  nameVoters: (term: number, after: Position, voters: Record<string, string>) => void;
   /** Writes a transaction of the primary as one entry. */
   commit: (statements: LoggedStatement[]) => LogEntry;
   /** Takes entries of the followed primary that fit the end of the log. */
@@ -38,7 +41,7 @@
   applyThrough: (index: number) => void;
   appliedIndex: () => number;
   /**
-   * Runs the listener after every change of term or role.
+   * Runs the listener after every change of term, role or voters.
    *
    * @returns a function that takes the listener off again.
    */
@@ -85,13 +88,15 @@
     }
   }
 
-  function commit(statements: LoggedStatement[]): LogEntry {
-    const entry = { term: state.currentTerm, index: log.end().index + 1, statements };
+  function append(content: Pick<LogEntry, 'statements' | 'voters'>): LogEntry {
+    const entry = { term: state.currentTerm, index: log.end().index + 1, ...content };
     log.append(entry);
     applied = entry.index;
     return entry;
   }
 
+  const commit = (statements: LoggedStatement[]): LogEntry => append({ statements });
+
   function refuseUnless(isAcceptable: boolean, term: number): void {
     if (isAcceptable) return;
     const message = `stale term: ${term} is refused in term ${state.currentTerm}`;
@@ -108,6 +113,7 @@
       logEnd: log.end(),
       applied: { term: log.termAt(applied), index: applied },
       termStarts: log.termStarts(),
+      voters: log.voters(),
       ...(state.following ? { following: state.following.name } : {}),
     }),
     isPrimary: () => state.isPrimary,
@@ -131,6 +137,12 @@
       const next = { currentTerm: term, isPrimary: false, following: primary };
       if (!isDeepStrictEqual(next, state)) changeState(next);
     },
+    nameVoters: (term, after, voters) => {
+      const isNewest = comparePositions(log.voters().position, after) === 0;
+      refuseUnless(state.isPrimary && term === state.currentTerm && isNewest, term);
+      append({ statements: [], voters });
+      listeners.forEach((listener) => listener());
+    },
     commit,
     receive: (entries) => entries.forEach(log.append),
     truncate: (index) => {
--- a/stand-ins/database/src/lib/group/groupStatements.ts
+++ b/stand-ins/database/src/lib/group/groupStatements.ts
@@ -29,6 +29,16 @@
     run: (member, match) =>
       member.follow(Number(match[1]), { name: match[2] ?? '', address: match[3] ?? '' }),
   },
+  {
+    pattern:
+      /^GROUP\s+VOTERS\s+TERM\s+(\d+)\s+AFTER\s+TERM\s+(\d+)\s+INDEX\s+(\d+)\s+ARE\s+'([^']*)'$/i,
+    run: (member, match) =>
+      member.nameVoters(
+        Number(match[1]),
+        { term: Number(match[2]), index: Number(match[3]) },
+        JSON.parse(match[4] ?? '{}') as Record<string, string>,
+      ),
+  },
 ];
 
 /**
--- a/stand-ins/database/src/lib/log/createLog.ts
+++ b/stand-ins/database/src/lib/log/createLog.ts
@@ -1,7 +1,7 @@
 import { appendFileSync, existsSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { INITIAL_POSITION } from '@wisterialift/schema';
-import type { Position, TermStart } from '@wisterialift/schema';
+import type { Position, TermStart, Voters } from '@wisterialift/schema';
 import type { LoggedValue } from '../engine/sqlValue';
 
 /** A statement as it stands in the log. */
@@ -15,12 +15,16 @@
   term: number;
   index: number;
   statements: LoggedStatement[];
+  /** Incarnations of the members that vote from this entry on. */
+  voters?: Record<string, string>;
 }
 
 /** The log of a database. Index 1 is the first entry. */
 export interface Log {
   end: () => Position;
   termStarts: () => TermStart[];
+  /** The voters that the newest such entry names. */
+  voters: () => Voters;
   /** Term of the entry at an index; 0 before the first and beyond the last entry. */
   termAt: (index: number) => number;
   entry: (index: number) => LogEntry | undefined;
@@ -41,6 +45,7 @@
   const file = directory === undefined ? undefined : join(directory, LOG_FILE);
   let entries = file === undefined ? [] : readEntries(file);
   let starts = findTermStarts(entries);
+  let voters = findVoters(entries);
 
   return {
     end: () => {
@@ -48,6 +53,7 @@
       return last ? { term: last.term, index: last.index } : INITIAL_POSITION;
     },
     termStarts: () => starts,
+    voters: () => voters,
     termAt: (index) => entries[index - 1]?.term ?? 0,
     entry: (index) => entries[index - 1],
     entriesAfter: (index, limit) => entries.slice(index, index + limit),
@@ -56,11 +62,13 @@
         starts = [...starts, { term: entry.term, start: entry.index - 1 }];
       }
       entries.push(entry);
+      if (entry.voters) voters = findVoters([entry]);
       if (file !== undefined) appendFileSync(file, `${JSON.stringify(entry)}\n`);
     },
     truncate: (index) => {
       entries = entries.slice(0, index);
       starts = findTermStarts(entries);
+      voters = findVoters(entries);
       if (file !== undefined) writeFileSync(file, entries.map(toLine).join(''));
     },
   };
@@ -85,6 +93,13 @@
     .map((line) => JSON.parse(line) as LogEntry);
 }
 
+function findVoters(entries: readonly LogEntry[]): Voters {
+  const newest = entries.findLast(({ voters }) => voters);
+  if (!newest?.voters) return { position: INITIAL_POSITION, incarnations: {} };
+  const { term, index, voters } = newest;
+  return { position: { term, index }, incarnations: voters };
+}
+
 function findTermStarts(entries: readonly LogEntry[]): TermStart[] {
   return entries.flatMap((entry, place) =>
     entry.term === (entries[place - 1]?.term ?? 0)
--- a/stand-ins/database/src/test/group.test.ts
+++ b/stand-ins/database/src/test/group.test.ts
@@ -32,6 +32,13 @@
             "term": 2,
           },
         ],
+        "voters": {
+          "incarnations": {},
+          "position": {
+            "index": 0,
+            "term": 0,
+          },
+        },
       }
     `);
     expect(await a2!.control('GROUP PROMOTE TERM 2')).toEqual(promoted);
@@ -41,6 +48,21 @@
     expect(await a1!.control('GROUP PROMOTE TERM 2')).toBe(4100);
   });
 
+  test('names voters in the log, one after the other', async () => {
+    const [a1, a2] = await startGroup('a2');
+    const name = (index: number, uuid: string) =>
+      `GROUP VOTERS TERM 1 AFTER TERM ${Math.min(index, 1)} INDEX ${index} ARE '{"a2":"${uuid}"}'`;
+    expect(await a2!.control(name(0, 'x'))).toBe(4100);
+    const named = { position: { term: 1, index: 3 }, incarnations: { a2: 'x' } };
+    expect(await a1!.control(name(0, 'x'))).toMatchObject({ voters: named });
+    expect(await a1!.control(name(0, 'y'))).toBe(4100);
+    await waitForIndex(a2!, 3);
+    expect((await a2!.status()).voters).toEqual(named);
+    await a1!.stop();
+    const restarted = await startDatabase({ name: 'a1', directory: a1!.directory });
+    expect((await restarted.status()).voters).toEqual(named);
+  });
+
   test('takes nothing of a lower term after a fence', async () => {
     const [a1, a2] = await startGroup('a2');
     // Longer than any test runs: the entry is still on its way when the fence is sent.
--- a/tools/fuzz/src/lib/fakes/fakeDatabase.ts
+++ b/tools/fuzz/src/lib/fakes/fakeDatabase.ts
@@ -1,4 +1,4 @@
-import type { MemberStatus } from '@wisterialift/schema';
+import { comparePositions, type MemberStatus, type Position } from '@wisterialift/schema';
 import { createMailbox, type Mailbox } from '../simulation/mailbox';
 import type { Network } from '../simulation/network';
 import type { Random } from '../simulation/random';
@@ -8,6 +8,7 @@
   endOf,
   positionAt,
   termStartsOf,
+  votersOf,
   type LogEntry,
   type LogView,
 } from './memberLog';
@@ -17,7 +18,8 @@
   | { kind: 'status' }
   | { kind: 'fence'; term: number }
   | { kind: 'promote'; term: number }
-  | { kind: 'follow'; term: number; primary: string };
+  | { kind: 'follow'; term: number; primary: string }
+  | { kind: 'nameVoters'; term: number; after: Position; voters: Record<string, string> };
 
 /** A statement of a caller. @public */
 export type CallerStatement =
@@ -113,12 +115,13 @@
     logEnd: endOf(log),
     applied: positionAt(log, isPrimary ? log.length : applied),
     termStarts: termStartsOf(log),
+    voters: votersOf(log),
     incarnation: `${name}-1`,
     ...(following ? { following } : {}),
   });
 
-  const append = (writes: readonly string[]): LogEntry => {
-    const entry = { term: currentTerm, index: log.length + 1, writes };
+  const append = (writes: readonly string[], named: Pick<LogEntry, 'voters'> = {}): LogEntry => {
+    const entry = { term: currentTerm, index: log.length + 1, writes, ...named };
     log.push(entry);
     applied = log.length;
     onExecuted(entry, name);
@@ -217,6 +220,12 @@
       if (!isKnown) startPulling();
       return true;
     },
+    nameVoters: ({ term, after, voters }) => {
+      if (!isPrimary || term !== currentTerm) return false;
+      if (comparePositions(votersOf(log).position, after) !== 0) return false;
+      append([], { voters });
+      return true;
+    },
   };
 
   const control = (statement: ControlStatement, reply: (reply: ControlReply) => void) => {
--- a/tools/fuzz/src/lib/fakes/fakeProxy.ts
+++ b/tools/fuzz/src/lib/fakes/fakeProxy.ts
@@ -368,6 +368,10 @@
       trace(`${name} attaches ${member} to ${primary} at ${term}`);
       ask(questionId, member, { kind: 'follow', term, primary });
     },
+    nameVoters: ({ questionId, member, term, after, incarnations }) => {
+      trace(`${name} names the voters ${JSON.stringify(incarnations)} at ${term}`);
+      ask(questionId, member, { kind: 'nameVoters', term, after, voters: incarnations });
+    },
     publishPrimary: ({ term, primary }) => options.publish(name, term, primary),
     setTimer: ({ at }) => {
       timerNumber += 1;
--- a/tools/fuzz/src/lib/fakes/memberLog.ts
+++ b/tools/fuzz/src/lib/fakes/memberLog.ts
@@ -1,4 +1,4 @@
-import { INITIAL_POSITION, type Position, type TermStart } from '@wisterialift/schema';
+import { INITIAL_POSITION, type Position, type TermStart, type Voters } from '@wisterialift/schema';
 
 /** An entry of the log: everything that one statement or one transaction wrote. @public */
 export interface LogEntry {
@@ -6,6 +6,8 @@
   index: number;
   /** Unique identifiers of the writes; none marks the start of a term. */
   writes: readonly string[];
+  /** Incarnations of the voters that it names. */
+  voters?: Record<string, string>;
 }
 
 /** What a read saw: the entries of `log` through `applied`. @public */
@@ -35,6 +37,13 @@
   return starts;
 }
 
+/** The newest voters that the log names. @public */
+export function votersOf(log: readonly LogEntry[]): Voters {
+  const newest = log.findLast(({ voters }) => voters);
+  if (!newest?.voters) return { position: INITIAL_POSITION, incarnations: {} };
+  return { position: positionAt(log, newest.index), incarnations: newest.voters };
+}
+
 /** Number of entries from the start that two logs share. Entries are shared, never copied. @public */
 export function commonLength(left: readonly LogEntry[], right: readonly LogEntry[]): number {
   let length = Math.min(left.length, right.length);
