Cover a departed member by members that are missed themselves

Course: db-1 leaves and crashes; db-3 leads the next term, db-2 receives nothing. db-1 comes back as db-1-2, receives the whole log and ends 0.3 s later. 0.16 s after that db-2 is stopped, with 1.19, and ordered to be promoted beside db-3, which runs at 2.46 but is not confirmed.

Cause: of the registered members without an answer one may be the former primary, another has to be awaited. db-1 was not, since db-1-2 had been seen to hold what it confirmed. But db-1-2 had never been registered, so nobody missed it when it was gone: the class of the incident, a proof that counts a member which another list no longer holds.

Change: for a promotion, a departed member is covered by registered members, which are missed themselves, or by members that answer the promoter. Who was seen to hold what is kept, so nothing is awaited that the answers show.

Result: memberRegister.test.ts, "is covered by a member that is not registered only while that is present", is new. The tests of pooling, the registrar, departed members and promotions pass.

--- a/packages/gateway/src/lib/groups/departureProbe.ts
+++ b/packages/gateway/src/lib/groups/departureProbe.ts
@@ -1,6 +1,7 @@
 import type { DepartedMembers, RegisteredMember } from '@wisterialift/pooling';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
+import { toRegisteredMember } from './registeredMember';
 import { sendMemberCommand } from './sendMemberCommand';
 
 /** Queries members while it is not known that others hold what departed ones confirmed. */
@@ -30,7 +31,7 @@
 
   function isCoverageMissing(member: RegisteredMember): boolean {
     if (departures.isUncounted(member, clock.now())) return !departures.isRemovable(member);
-    return !departures.isCovered(member);
+    return !departures.isCovered(member, listPresent().map(toRegisteredMember));
   }
 
   function isDue(): boolean {
--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -203,8 +203,11 @@
     const member = members.get(memberId);
     if (!member || member.missingSince !== undefined) return;
     const { takeNextSequenceNumber } = evidence;
-    const isCounted = isRegistered(memberId);
-    departures.observe(observation, { isRegistered: isCounted, takeNextSequenceNumber });
+    departures.observe(observation, {
+      observed: toRegisteredMember(member),
+      isRegistered: isRegistered(memberId),
+      takeNextSequenceNumber,
+    });
   }
 
   return { isRegistered, isHeldByAll, check, observe, findRequired, refresh, canPromoteFrom };
--- a/packages/pooling/src/lib/membership/departedMembers.ts
+++ b/packages/pooling/src/lib/membership/departedMembers.ts
@@ -1,7 +1,7 @@
 import { comparePositions } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import type { MemberObservation } from '../replication/replicationTracker';
-import { isListedNoLater, isSameListing } from './memberRegister';
+import { isListedNoLater, isSameLife, isSameListing } from './memberRegister';
 import type { RegisteredMember } from './memberRegister';
 
 /** Tracks whether others hold what members confirmed that the directory no longer lists. @public */
@@ -15,10 +15,11 @@
   /** Takes an answer of a listed member into account. */
   observe: (observation: MemberObservation, options: ObservationOptions) => void;
   /**
-   * Whether other members hold every commit that the member can have confirmed by its departure. More
-   * may have been confirmed if it still runs, for an instance that does not know of the departure.
+   * Whether registered members, or one of `present`, hold every commit that the member can have
+   * confirmed by its departure. Others may depart and be missed by nobody. More may have been confirmed
+   * if the member still runs, for an instance that does not know of the departure.
    */
-  isCovered: (member: RegisteredMember) => boolean;
+  isCovered: (member: RegisteredMember, present: readonly RegisteredMember[]) => boolean;
   /** Whether listed members hold everything that it confirmed, and no instance counts its word. */
   isSettled: (member: RegisteredMember) => boolean;
   /** Whether registered members do, so that it can be taken off the register. */
@@ -30,6 +31,8 @@
 
 /** How an answer is taken into account. @public */
 export interface ObservationOptions {
+  /** The member that answered. */
+  observed: RegisteredMember;
   isRegistered: boolean;
   /** See `ReplicationTracker`. */
   takeNextSequenceNumber: () => number;
@@ -41,7 +44,8 @@
   /** Whether only the answers of registered members count. */
   needsRegistered: boolean;
   target?: { position: Position; sequence: number };
-  isCovered: boolean;
+  /** Members that were seen to hold it. */
+  holders: RegisteredMember[];
 }
 
 type CoverageChecks = Record<'byListed' | 'byRegistered', CoverageCheck>;
@@ -56,9 +60,11 @@
   afterSettling: CoverageChecks;
 }
 
+const hasHolder = ({ holders }: CoverageCheck) => holders.length > 0;
+
 const createChecks = (validFrom: number): CoverageChecks => ({
-  byListed: { validFrom, needsRegistered: false, isCovered: false },
-  byRegistered: { validFrom, needsRegistered: true, isCovered: false },
+  byListed: { validFrom, needsRegistered: false, holders: [] },
+  byRegistered: { validFrom, needsRegistered: true, holders: [] },
 });
 
 /**
@@ -75,7 +81,7 @@
   const hasSettled = (departure: Departure | undefined, holders: keyof CoverageChecks) => {
     if (!departure) return false;
     const { afterEnd, afterSettling } = departure;
-    return afterSettling[holders].isCovered || (afterEnd?.[holders].isCovered ?? false);
+    return hasHolder(afterSettling[holders]) || (afterEnd ? hasHolder(afterEnd[holders]) : false);
   };
 
   return {
@@ -102,7 +108,14 @@
         for (const check of checks) updateCheck(check, observation, options);
       }
     },
-    isCovered: (member) => find(member)?.atDeparture.byListed.isCovered ?? false,
+    isCovered: (member, present) => {
+      const departure = find(member);
+      if (!departure) return false;
+      const { byListed, byRegistered } = departure.atDeparture;
+      const isPresent = (holder: RegisteredMember) =>
+        present.some((other) => isSameLife(holder, other));
+      return hasHolder(byRegistered) || byListed.holders.some(isPresent);
+    },
     isSettled: (member) => hasSettled(find(member), 'byListed'),
     isRemovable: (member) => hasSettled(find(member), 'byRegistered'),
     isUncounted: (member, now) => {
@@ -120,12 +133,12 @@
 function updateCheck(
   check: CoverageCheck,
   observation: MemberObservation,
-  { isRegistered, takeNextSequenceNumber }: ObservationOptions,
+  { observed, isRegistered, takeNextSequenceNumber }: ObservationOptions,
 ): void {
   if (check.needsRegistered && !isRegistered) return;
   const { isPrimary, position, requestedAt, requestSequenceNumber, term } = observation;
-  if (check.isCovered || requestedAt.monotonic < check.validFrom) return;
-  const { target } = check;
+  const { holders, target, validFrom } = check;
+  if (requestedAt.monotonic < validFrom) return;
   if (isPrimary) {
     if (target && target.position.term >= term) return;
     Object.assign(check, { target: { position, sequence: takeNextSequenceNumber() } });
@@ -133,6 +146,6 @@
   }
   if (!target || requestSequenceNumber <= target.sequence) return;
   const isInTerm = term === target.position.term;
-  const isCovered = isInTerm && comparePositions(position, target.position) >= 0;
-  Object.assign(check, { isCovered });
+  const isHolder = isInTerm && comparePositions(position, target.position) >= 0;
+  if (isHolder && !holders.some((holder) => isSameLife(holder, observed))) holders.push(observed);
 }
--- a/packages/pooling/src/lib/membership/promotionCoverage.ts
+++ b/packages/pooling/src/lib/membership/promotionCoverage.ts
@@ -27,7 +27,7 @@
   now: number;
 }): PromotionCoverage {
   const unaccounted = subtractMembers(registered, answered).filter(
-    (member) => !departures.isCovered(member),
+    (member) => !departures.isCovered(member, answered),
   );
   // One of them may be the former primary: another registered member holds its commits.
   if (unaccounted.length <= 1) return { type: 'covered' };
--- a/packages/pooling/src/test/countedMembers.test.ts
+++ b/packages/pooling/src/test/countedMembers.test.ts
@@ -78,7 +78,12 @@
       const answer = { memberId: 'any', isPrimary, term: 1, position, applied: position };
       const requestSequenceNumber = takeNextSequenceNumber();
       const observation = { ...answer, requestedAt, requestSequenceNumber };
-      known.departures.observe(observation, { isRegistered: true, takeNextSequenceNumber });
+      const observed = { memberId: answer.memberId };
+      known.departures.observe(observation, {
+        observed,
+        isRegistered: true,
+        takeNextSequenceNumber,
+      });
     }
     return known;
   }
@@ -96,9 +101,9 @@
   it('is that of one entry', () => {
     // Guards against a coverage from before the member was listed and registered again.
     const known = createDeparture([primary]);
-    expect(known.departures.isCovered(copy)).toBe(true);
+    expect(known.departures.isCovered(copy, [])).toBe(true);
     known.update({ present: [primary], register: { members: [listedAgain, primary] } }, 300);
-    expect(known.departures.isCovered(listedAgain)).toBe(false);
+    expect(known.departures.isCovered(listedAgain, [])).toBe(false);
     expect(known.departures.list()).toEqual([listedAgain]);
     known.update({ present: [primary, listedAgain], register: undefined }, 400);
     expect(known.departures.list()).toEqual([]);
--- a/packages/pooling/src/test/memberRegister.test.ts
+++ b/packages/pooling/src/test/memberRegister.test.ts
@@ -53,7 +53,8 @@
         position,
         applied: position,
       };
-      members.observe(observation, { isRegistered, takeNextSequenceNumber });
+      const observed = { memberId: observation.memberId };
+      members.observe(observation, { observed, isRegistered, takeNextSequenceNumber });
     }
     return members;
   }
@@ -82,7 +83,14 @@
     ],
   ])('is covered or not: %s', (_, answers, isCovered) => {
     // Guards against taking commits that it alone confirmed for those of others.
-    expect(observeAnswers(answers).isCovered(departed)).toBe(isCovered);
+    expect(observeAnswers(answers).isCovered(departed, [])).toBe(isCovered);
+  });
+
+  it('is covered by a member that is not registered only while that is present', () => {
+    // Guards against a promotion without the commits that both held, since nobody misses the other.
+    const members = observeAnswers([primaryAnswer, replicaAnswer], false);
+    expect(members.isCovered(departed, [{ memberId: 'lagging' }])).toBe(true);
+    expect(members.isCovered(departed, [{ memberId: 'other' }])).toBe(false);
   });
 
   it('is settled by what is requested once no instance counts its word', () => {
@@ -106,16 +114,17 @@
     };
     for (const { index, ...answer } of [primaryAnswer, replicaAnswer]) {
       const position = { term: answer.term, index };
+      const memberId = answer.isPrimary ? 'primary' : 'lagging';
       members.observe(
         {
           ...answer,
           requestedAt: { monotonic: 300, wall: 300 },
-          memberId: answer.isPrimary ? 'primary' : 'lagging',
+          memberId,
           requestSequenceNumber: takeNextSequenceNumber(),
           position,
           applied: position,
         },
-        { isRegistered: true, takeNextSequenceNumber },
+        { observed: { memberId }, isRegistered: true, takeNextSequenceNumber },
       );
     }
     expect(members.isSettled(departed)).toBe(true);
@@ -135,6 +144,6 @@
     const members = observeAnswers([primaryAnswer, replicaAnswer]);
     members.retain([]);
     members.recordDeparture(departed, 300);
-    expect(members.isCovered(departed)).toBe(false);
+    expect(members.isCovered(departed, [])).toBe(false);
   });
 });
