Poll the replicas at once after a promoted primary was asked

What callers saw: nothing; two tests of the world disagreed.

Cause, by trials: the play of soleMember.test.ts does not come to the changed branch at all.

Change: the former order of steps is back. Once the status question was asked, the replicas are polled without the usual delay, which its round trip has used up.

--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -11,22 +11,6 @@
 import type { MemberRegistrar } from './memberRegistrar';
 import type { SoleMemberGuard } from './soleMemberGuard';
 
-/** What a read's answer showed, and what it must include. */
-export interface VerificationOptions {
-  member: Member;
-  term: number;
-  /**
-   * Highest term that the member was confirmed as the primary of before the read was sent. The log
-   * of a promoted primary ends in an earlier term until its first commit.
-   */
-  confirmedTerm: number;
-  eventStamp: SequencedTime;
-  maximumStaleness: number;
-  /** When replicas are polled; see `planPolls`. */
-  polls: EvidencePollPlan;
-  deadlineAt: number;
-}
-
 /** Verifies that answers of the primary are current and its commits replicated. */
 export interface PrimaryVerifier {
   /**
@@ -36,7 +20,20 @@
    *
    * Guards against a replaced primary that still answers and lacks later commits.
    */
-  verifyCurrent: (options: VerificationOptions) => Promise<boolean>;
+  verifyCurrent: (options: {
+    member: Member;
+    term: number;
+    /**
+     * Highest term that the member was confirmed as the primary of before the read was sent. The log
+     * of a promoted primary ends in an earlier term until its first commit.
+     */
+    confirmedTerm: number;
+    eventStamp: SequencedTime;
+    maximumStaleness: number;
+    /** When replicas are polled; see `planPolls`. */
+    polls: EvidencePollPlan;
+    deadlineAt: number;
+  }) => Promise<boolean>;
   /**
    * Polls replicas from now on for a read that will have to be verified, so that the evidence arrives
    * with its answer.
@@ -119,29 +116,35 @@
   const { primaryTracker, clock, evidence, members } = context;
   const { hasOtherMembers } = soleMemberGuard;
 
-  const queryStatus = (member: Member) =>
-    sendMemberCommand(context, member, { type: 'status' }, ROLE_QUERY_TIMEOUT_MILLISECONDS);
-
   /** Start times of pending waits, oldest first. */
   const waitStartTimes = new Set<number>();
 
-  /** Whether the member is confirmed as the primary of `term`, and asks it if not. */
-  async function confirmPrimaryRole(member: Member, term: number): Promise<boolean> {
+  /**
+   * Returns the term in which the member led when it answered with a log end in `term`, if that is
+   * certain.
+   */
+  async function findLedTerm(
+    member: Member,
+    { term, confirmedTerm }: { term: number; confirmedTerm: number },
+  ): Promise<number | undefined> {
     const { memberId } = member.entry;
-    if (primaryTracker.isConfirmed(memberId, term)) return true;
-    const report = await queryStatus(member);
-    if (primaryTracker.isConfirmed(memberId, term)) return true;
+    const isKnown = () => term >= confirmedTerm && primaryTracker.isConfirmed(memberId, term);
+    if (isKnown()) return term;
+    const report = await sendMemberCommand(
+      context,
+      member,
+      { type: 'status' },
+      ROLE_QUERY_TIMEOUT_MILLISECONDS,
+    );
+    if (isKnown()) return term;
     // A query without a report proves nothing. After a loss of all instances it found no connection,
     // and rejecting the member left the group without a primary for seconds.
-    if (report && !report.isPrimary) primaryTracker.rejectPrimary(member, term);
-    return false;
-  }
-
-  /** Whether the member still leads `term`, so that it has not lost its log since it was confirmed. */
-  async function isStillLeading(member: Member, term: number): Promise<boolean> {
-    const report = await queryStatus(member);
-    if (report && !report.isPrimary) primaryTracker.rejectPrimary(member, term);
-    return report?.isPrimary === true && report.term === term;
+    if (!report) return undefined;
+    const ledTerm = Math.max(term, confirmedTerm);
+    // A member that still leads the term has not lost its log since it was confirmed.
+    if (report.isPrimary && report.term === ledTerm) return ledTerm;
+    if (!report.isPrimary) primaryTracker.rejectPrimary(member, ledTerm);
+    return undefined;
   }
 
   /** Whether a replica answered in `term` to a command that was sent within the age limit. */
@@ -169,32 +172,6 @@
     return result;
   }
 
-  /** Whether what the member read as the primary of `term` is current. */
-  async function verifyTerm({
-    member,
-    term,
-    eventStamp,
-    maximumStaleness,
-    polls,
-    deadlineAt,
-  }: Omit<VerificationOptions, 'confirmedTerm'>): Promise<boolean> {
-    if (!hasOtherMembers(member)) {
-      const waitUntil = Math.min(deadlineAt, clock.now() + STALL_TIMEOUT_MILLISECONDS);
-      return soleMemberGuard.waitForPermit({ member, term, deadlineAt: waitUntil });
-    }
-    const limit = { now: eventStamp.readings, maximumAge: maximumStaleness };
-    if (maximumStaleness > 0 && hasRecentReply(member, term, limit)) return true;
-    const { memberId: primaryId } = member.entry;
-    const wait = evidence.waitForTermConfirmation({
-      term,
-      sequence: eventStamp.sequence,
-      primaryId,
-    });
-    const result = await waitForEvidence(wait, { member, polls, deadlineAt });
-    if (result?.type === 'superseded') primaryTracker.rejectPrimary(member, term);
-    return result?.type === 'proved';
-  }
-
   const isStalled = () => {
     const [oldest] = waitStartTimes;
     const isWaiting = oldest !== undefined && clock.now() - oldest > STALL_TIMEOUT_MILLISECONDS;
@@ -204,14 +181,37 @@
   return {
     isStalled,
     pollAhead: poller.startPolling,
-    verifyCurrent: async ({ term, confirmedTerm, ...options }) => {
-      const { member } = options;
-      if (term >= confirmedTerm) {
-        return (await confirmPrimaryRole(member, term)) && verifyTerm({ ...options, term });
+    verifyCurrent: async ({
+      member,
+      eventStamp,
+      maximumStaleness,
+      polls,
+      deadlineAt,
+      ...terms
+    }) => {
+      const term = await findLedTerm(member, terms);
+      if (term === undefined) return false;
+      if (!hasOtherMembers(member)) {
+        const waitUntil = Math.min(deadlineAt, clock.now() + STALL_TIMEOUT_MILLISECONDS);
+        return soleMemberGuard.waitForPermit({ member, term, deadlineAt: waitUntil });
       }
-      const isLeading = isStillLeading(member, confirmedTerm);
-      const isCurrent = verifyTerm({ ...options, term: confirmedTerm });
-      return (await isLeading) && isCurrent;
+      const limit = { now: eventStamp.readings, maximumAge: maximumStaleness };
+      if (maximumStaleness > 0 && hasRecentReply(member, term, limit)) return true;
+      const { memberId: primaryId } = member.entry;
+      const wait = evidence.waitForTermConfirmation({
+        term,
+        sequence: eventStamp.sequence,
+        primaryId,
+      });
+      // The status question took the time in which regular answers usually provide evidence.
+      const hasAsked = terms.term < terms.confirmedTerm;
+      const result = await waitForEvidence(wait, {
+        member,
+        polls: hasAsked ? { ...polls, firstDelay: 0 } : polls,
+        deadlineAt,
+      });
+      if (result?.type === 'superseded') primaryTracker.rejectPrimary(member, term);
+      return result?.type === 'proved';
     },
     waitForReplication: async ({ member, position, requestedAt, polls, deadlineAt }) => {
       const { term } = position;
