--- a/review/lib/instance.mjs
+++ b/review/lib/instance.mjs
@@ -29,7 +29,7 @@
 }
 
 /** Settings of `lsp-registri` on one machine, as DEPLOY.md shows them. */
-function createSettings({ name, ports, store, orders }) {
+function createSettings({ name, ports, store, orders, isFirstStart }) {
   return [
     `node_name=${name}`,
     'role=proxy',
@@ -42,7 +42,7 @@
     `listen.frontend=127.0.0.1:${ports.callers}`,
     `listen.readiness=127.0.0.1:${ports.readiness}`,
     `internal_ports=${ports.internal},${ports.internal}`,
-    'bootstrap=false',
+    `bootstrap=${isFirstStart}`,
     'limits.cpu_share=0.675',
     'limits.cores=1',
     'limits.memory_mb=350',
@@ -89,13 +89,28 @@
     request.on('error', () => resolve(false));
   });
 
+/** Tries to start; a port that was free may have been taken since. */
+const MAXIMUM_STARTS = 5;
+
 /** Starts an instance; `lines` collects its log. */
-export async function startInstance({ name, store, orders }) {
+export async function startInstance(options) {
+  for (let start = 1; ; start += 1) {
+    const instance = await startOnce(options);
+    const isUp = await Promise.race([
+      instance.ended.then(() => false),
+      instance.waitUntilStarted().then(() => true),
+    ]);
+    if (isUp || start === MAXIMUM_STARTS) return instance;
+    await instance.close();
+  }
+}
+
+async function startOnce({ name, store, orders, isFirstStart = false }) {
   const [callers, readiness, internal, metrics] = await findFreePorts(4);
   const folder = mkdtempSync(join(tmpdir(), 'wisterialift-review-'));
   const path = join(folder, 'node.conf');
   const ports = { callers, readiness, internal };
-  writeFileSync(path, createSettings({ name, ports, store, orders }));
+  writeFileSync(path, createSettings({ name, ports, store, orders, isFirstStart }));
   const [program, ...programArguments] = readCommand();
   const { PATH, HOME, LANG } = process.env;
   const child = spawn(program, programArguments, {
@@ -128,6 +143,10 @@
     lines,
     ended,
     signal: (signal) => child.kill(signal),
+    waitUntilStarted: async () => {
+      while (!lines.some((line) => line.includes('"event":"started"'))) await pause(20);
+      await pause(50);
+    },
     /** @throws Error if it is not ready in time. */
     waitUntilReady: async (milliseconds = 15_000) => {
       const until = performance.now() + milliseconds;
--- a/review/lib/pagedStore.mjs
+++ b/review/lib/pagedStore.mjs
@@ -49,11 +49,19 @@
     publish({ kind, revision, object, deleted: true });
   }
 
+  /** Replaces addresses by those of the links over which the caller reaches them. */
+  function translate(text, links) {
+    return Object.entries(links).reduce(
+      (done, [from, to]) => done.replaceAll(`"${from}"`, `"${to}"`),
+      text,
+    );
+  }
+
   function answer(response, code, body) {
     const text = body === undefined ? '' : JSON.stringify(body);
     setTimeout(() => {
       response.writeHead(code, { 'content-type': 'application/json' });
-      response.end(text);
+      response.end(translate(text, response.links));
     }, ANSWER_MILLISECONDS);
   }
 
@@ -131,15 +139,24 @@
     HANDLERS[request.method]?.({ response, kind, name, present, body, query: url.searchParams });
   }
 
-  const server = createServer((request, response) => {
-    handle(request, response).catch(() => response.destroy());
-  });
-  await new Promise((resolve) => {
-    server.listen({ host: '127.0.0.1', port: 0 }, resolve);
-  });
+  const servers = [];
+
+  /** Opens another port, whose callers see other addresses of what they connect to. */
+  async function open(links = {}) {
+    const server = createServer((request, response) => {
+      Object.assign(response, { links });
+      handle(request, response).catch(() => response.destroy());
+    });
+    servers.push(server);
+    await new Promise((resolve) => {
+      server.listen({ host: '127.0.0.1', port: 0 }, resolve);
+    });
+    return `127.0.0.1:${server.address().port}`;
+  }
 
   return {
-    address: `127.0.0.1:${server.address().port}`,
+    address: await open(),
+    open,
     put,
     remove,
     getRevision: () => revision,
@@ -147,8 +164,10 @@
       onPageRead = listener;
     },
     close: () => {
-      server.close();
-      server.closeAllConnections();
+      for (const server of servers) {
+        server.close();
+        server.closeAllConnections();
+      }
     },
   };
 }
