Begin a plain transaction after its session's last commit

Cause: a plain transaction was begun with nothing that it must see. Where few instances hold the connections, the write may run through one holder and the transaction through another one, which a partition keeps with the former primary; its answer was proved current by a replica's answer that is as old as the route allows, which says nothing of the session's own commit.

Change: BEGIN carries the session's last commit, and so does a read that only the primary can serve; a member without it refuses before anything has run. A session's commit of a term in which the holder has seen no member tells it that it is outdated: it asks the members, and passes the statement on to another holder, unsent, if none answers in the term. So the caller is served in place of being refused after its time limit. The look at a refusal that drops a discarded commit compares the position now.

--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -34,6 +34,7 @@
 import type { GroupContext, GroupCounters } from './groupContext';
 import { createLeavingMemberPolicy } from './leavingMemberPolicy';
 import { createMemberRegistrar } from './memberRegistrar';
+import { isBehindSession } from './ownCommit';
 import { backOffFromMember, createMember, describeLeavingTime } from './member';
 import type { Member } from './member';
 import { computeTargetDelay } from './memberConcurrency';
@@ -47,6 +48,8 @@
 import { createSoleMemberGuard } from './soleMemberGuard';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
+import { createTermDiscovery } from './termDiscovery';
+import type { TermDiscovery } from './termDiscovery';
 import { createTransactionOpener } from './transactionOpener';
 import { createUpstreamPool } from './upstreamPool';
 import type { ConnectionCount } from './connectionCounters';
@@ -55,7 +58,8 @@
 import { createWriteRouter } from './writeRouter';
 
 /** Runs the statements of one group and promotes a new primary when necessary. */
-export interface GroupRouter extends StatementRunner, Pick<ReachMonitor, 'isOutOfReach'> {
+export interface GroupRouter
+  extends StatementRunner, Pick<ReachMonitor, 'isOutOfReach'>, Pick<TermDiscovery, 'discover'> {
   updateMembers: (entries: CachedDirectoryEntry[]) => void;
   updateLimits: (limits: RouterLimits) => void;
   /** Whether the group has members and a known primary. */
@@ -425,7 +429,8 @@
       for (const member of members.values()) member.pool.setMaximum(maximum);
     },
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
-    isOutOfReach: reachMonitor.isOutOfReach,
+    isOutOfReach: (needs) => reachMonitor.isOutOfReach(needs) || isBehindSession(context, needs),
+    discover: createTermDiscovery(context).discover,
     probePrimary: createPrimaryProbe(context),
     estimateRefusal: (request, access) => estimateRefusal(context, reads, { request, access }),
     discardAges: evidence.discardAges,
--- a/packages/gateway/src/lib/groups/readCandidates.ts
+++ b/packages/gateway/src/lib/groups/readCandidates.ts
@@ -5,6 +5,7 @@
 import type { Position } from '@wisterialift/schema';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
+import { findOwnCommit } from './ownCommit';
 import type { PrimaryVerifier } from './primaryVerifier';
 import type { MemberQueue } from './returnGuidance';
 import type { StatementRequest } from './statementRequest';
@@ -19,7 +20,10 @@
   isPrimary: boolean;
   /** Highest term that the member was confirmed as the primary of so far, 0 if none. */
   confirmedTerm: number;
-  /** Position that must be applied for the read; undefined if only the primary can serve it. */
+  /**
+   * Position that must be applied for the read. If none is known from which replicas can serve it, the
+   * session's last commit, which the primary must have; undefined without one.
+   */
   after: Position | undefined;
   /** Expected milliseconds until a connection is available. */
   delay: number;
@@ -68,6 +72,7 @@
     const now = clock.now();
     const primary = primaryTracker.find();
     const required = findRequiredLog(request);
+    const ownCommit = findOwnCommit(request);
     const candidates = listEligible(primary, required)
       .filter((member) => member !== failedMember)
       .map((member) => ({
@@ -75,7 +80,7 @@
         member,
         isPrimary: member === primary,
         confirmedTerm: primaryTracker.getConfirmedTerm(member.entry.memberId),
-        after: required?.position,
+        after: (required ?? ownCommit)?.position,
         latency: member.latency.getCurrent(now),
         hasExclusiveStatements: member === primary && isMechanismEnabled('reservedPrimary'),
         load: member.admission.countStatements(),
@@ -147,18 +152,14 @@
   }
 
   /** Returns the log that the read requires, or undefined if only the primary can serve it. */
-  function findRequiredLog({
-    route,
-    session,
-    arrivalStamp,
-  }: StatementRequest): RequiredPosition | undefined {
+  function findRequiredLog(request: StatementRequest): RequiredPosition | undefined {
+    const { route, arrivalStamp } = request;
     if (route.consistency === 'primary') return undefined;
     const maximumAge = route.maximumStaleness - STALENESS_MARGIN_MILLISECONDS;
     const floor = evidence.findFloor({ now: arrivalStamp.readings, maximumAge });
     if (!floor) return undefined;
-    const { lastCommit } = session;
-    const isOwnCommitRequired = route.consistency === 'readYourWrites' && lastCommit !== undefined;
-    if (isOwnCommitRequired && !isAtMost(lastCommit.position, floor.position)) return lastCommit;
+    const ownCommit = findOwnCommit(request);
+    if (ownCommit && !isAtMost(ownCommit.position, floor.position)) return ownCommit;
     return { position: floor.position, seenAt: floor.requestedAt.monotonic };
   }
 
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -2,6 +2,7 @@
 import { getHigherPosition } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
+import { waitForFirstTrue } from '../timing/waitForFirstTrue';
 import { createSequencedTime, describeLogEnds } from './groupContext';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
@@ -127,11 +128,3 @@
     },
   };
 }
-
-/** Resolves to true at the first true answer, or to false if all answers are false. */
-function waitForFirstTrue(answers: Promise<boolean>[]): Promise<boolean> {
-  return new Promise((resolve) => {
-    for (const answer of answers) void answer.then((isTrue) => isTrue && resolve(true));
-    void Promise.all(answers).then(() => resolve(false));
-  });
-}
--- a/packages/gateway/src/lib/groups/readRouter.ts
+++ b/packages/gateway/src/lib/groups/readRouter.ts
@@ -7,6 +7,7 @@
 import type { ReadAttempt, ReadCommandFactory } from './hedgedReads';
 import { backOffFromMember } from './member';
 import type { Member } from './member';
+import { handleMissingCommit } from './ownCommit';
 import { planPolls } from './primaryVerifier';
 import type { PrimaryVerifier } from './primaryVerifier';
 import { createReadAttemptLog } from './readAttemptLog';
@@ -220,9 +221,9 @@
   function shouldRefreshReadPosition(
     request: StatementRequest,
     { hasRefreshedReadPosition }: ReadSearch,
-    { member, isPrimary, after }: ReadCandidate,
+    { member, isPrimary }: ReadCandidate,
   ): boolean {
-    const isReadPositionMissing = canUseReplica(request) && after === undefined;
+    const isReadPositionMissing = canUseReplica(request) && !candidates.hasPosition(request);
     return (
       isReadPositionMissing && !hasRefreshedReadPosition && isPrimary && !member.admission.hasRoom()
     );
@@ -279,7 +280,7 @@
 
   function evaluateRefusal(
     request: StatementRequest,
-    { member, isPrimary }: ReadCandidate,
+    { member, isPrimary, after }: ReadCandidate,
     answer: UpstreamAnswer & { outcome: 'refused' },
   ): ReadVerdict {
     const now = clock.now();
@@ -290,7 +291,7 @@
       },
       lagging: () => {
         Object.assign(member, { avoidUntil: now + LAGGING_BACKOFF_MILLISECONDS });
-        if (isPrimary) dropDiscardedCommit(request, answer);
+        if (isPrimary) handleMissingCommit(context, request, { member, after, answer });
         return 'retry';
       },
       readOnly: () => {
@@ -302,15 +303,6 @@
     return handlers[answer.reason]?.() ?? 'final';
   }
 
-  /** Drops the required commit if the primary of a later term has discarded it. */
-  function dropDiscardedCommit(request: StatementRequest, answer: UpstreamAnswer): void {
-    const { session } = request;
-    const term = answer.position?.term ?? 0;
-    if (!session.lastCommit || session.lastCommit.position.term >= term) return;
-    logger.warn('ownCommitDiscarded', { group, requestId: request.id, commit: session.lastCommit });
-    session.lastCommit = undefined;
-  }
-
   return { run, listQueues: candidates.listQueues };
 }
 
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -1,12 +1,14 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import { attemptCommand, recordLatency, runWithDeadline } from './attemptCommand';
+import type { AttemptOutcome } from './attemptCommand';
 import { prepareConnection } from './connectionPreparation';
 import { createSequencedTime, logIfLeaving, observeAnswer } from './groupContext';
 import type { StatementRunner, OpenTransactionOptions, Transaction } from './statementRunner';
 import type { GroupContext } from './groupContext';
 import { releaseConnection } from './releaseConnection';
 import type { Member } from './member';
+import { findOwnCommit, handleMissingCommit } from './ownCommit';
 import { planPolls } from './primaryVerifier';
 import type { PrimaryVerifier } from './primaryVerifier';
 import type { ReadRouter } from './readRouter';
@@ -79,13 +81,18 @@
     { isReadOnly, beginStamp }: OpenTransactionOptions,
   ): Promise<OpenedTransaction | { refusal: UpstreamAnswer }> {
     const { deadlineAt } = request;
-    const command: UpstreamCommand = { type: 'begin', isReadOnly };
     let confirmedTerm = 0;
     const result = await writes.runOnPrimary(request, {
       isWrite: false,
-      run: (member) => {
+      run: async (member) => {
         confirmedTerm = context.primaryTracker.getConfirmedTerm(member.entry.memberId);
-        return attemptCommand(context, member, { request, command, deadlineAt });
+        const after = findOwnCommit(request)?.position;
+        const command: UpstreamCommand = { type: 'begin', isReadOnly, after };
+        const outcome = await attemptCommand(context, member, { request, command, deadlineAt });
+        if (isLagging(outcome)) {
+          handleMissingCommit(context, request, { member, after, answer: outcome.answer });
+        }
+        return outcome;
       },
     });
     if (result?.outcome.type !== 'answered') return { refusal: refuseBegin(request) };
@@ -308,6 +315,11 @@
   return outcome.answer.outcome === 'refused';
 }
 
+function isLagging(outcome: AttemptOutcome): outcome is AttemptOutcome & { type: 'answered' } {
+  if (outcome.type !== 'answered' || outcome.answer.outcome !== 'refused') return false;
+  return outcome.answer.reason === 'lagging';
+}
+
 function isBusy(outcome: StepOutcome): boolean {
   if (outcome.type !== 'answered' || outcome.answer.outcome !== 'refused') return false;
   return outcome.answer.reason === 'busy' && outcome.answer.transaction === 'open';
--- a/packages/gateway/src/lib/relay/relayService.ts
+++ b/packages/gateway/src/lib/relay/relayService.ts
@@ -52,7 +52,7 @@
 
 /** Runs relayed statements of a group. */
 export type RelayTarget = StatementRunner &
-  Pick<GroupRouter, 'isOutOfReach' | 'probePrimary'> &
+  Pick<GroupRouter, 'discover' | 'isOutOfReach' | 'probePrimary'> &
   Partial<Pick<GroupRouter, 'estimateRefusal'>>;
 
 type ResponseContent =
@@ -178,8 +178,9 @@
     if (!runner) throw new RelayMessageError(`unknown group: ${route.group}`);
     const request = decodeStatement(statement, { arrivalStamp: runner.createArrivalStamp() });
     const { isFirst, isReadOnly } = statement;
-    const beginsReadWriteTransaction = isFirst && !isReadOnly;
-    if (!hasBegun && runner.isOutOfReach({ request, beginsReadWriteTransaction })) {
+    const needs = { request, beginsReadWriteTransaction: isFirst && !isReadOnly };
+    if (!hasBegun && runner.isOutOfReach(needs)) await runner.discover(needs);
+    if (!hasBegun && runner.isOutOfReach(needs)) {
       transactions.delete(statement.transaction);
       return { answer: undefined, isOutOfReach: true };
     }
--- a/packages/gateway/src/lib/relay/relayedGroup.ts
+++ b/packages/gateway/src/lib/relay/relayedGroup.ts
@@ -186,6 +186,10 @@
     return holders.selectOtherLink(group, refusing);
   }
 
+  /** A holder may miss a change of the primary while other holders serve its callers. */
+  const mayMissTerm = (needs: StatementNeeds) =>
+    holders.isHolder(group) && local.isOutOfReach(needs);
+
   /** @returns a refusal if a newer configuration, known once the state is fresh, routes elsewhere. */
   async function prepareLocalRun(request: StatementRequest): Promise<UpstreamAnswer | undefined> {
     await waitForFreshState();
@@ -231,6 +235,7 @@
 
   /** Retries a read until its deadline if the answer is lost. */
   async function read(request: StatementRequest): Promise<UpstreamAnswer> {
+    if (mayMissTerm({ request })) await local.discover({ request });
     const refusing = new Set<PeerLink>();
     const attempts = { refusing };
     let isSent = false;
@@ -249,6 +254,7 @@
 
   /** Never resends a write that may have been sent. */
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
+    if (mayMissTerm({ request })) await local.discover({ request });
     const refusing = new Set<PeerLink>();
     const attempts = { refusing };
     let isSent = false;
@@ -273,6 +279,7 @@
     opening: OpenTransactionOptions,
   ): ReturnType<StatementRunner['openTransaction']> {
     const needs = { request, beginsReadWriteTransaction: !opening.isReadOnly };
+    if (mayMissTerm(needs)) await local.discover(needs);
     const link = selectLink(needs, { refusing: new Set() });
     if (!link) {
       const refusal = await prepareLocalRun(request);
--- a/packages/gateway/src/test/holderRefusals.test.ts
+++ b/packages/gateway/src/test/holderRefusals.test.ts
@@ -45,6 +45,7 @@
     openTransaction: async () => ({ transaction }),
     createArrivalStamp: () => createTestStamp(now.value),
     isOutOfReach: () => false,
+    discover: async () => undefined,
     probePrimary: async () => undefined,
     estimateRefusal: () => estimate,
   };
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -72,6 +72,7 @@
     openTransaction: async () => ({ transaction }),
     createArrivalStamp: () => createTestStamp(clock.now()),
     isOutOfReach: () => options.isOutOfReach,
+    discover: async () => undefined,
     probePrimary: async () => undefined,
   };
   const service = createRelayService({
--- /dev/null
+++ b/packages/gateway/src/test/ownCommit.test.ts
@@ -0,0 +1,187 @@
+import type { RelayStatement } from '@wisterialift/peer/relay';
+import { isAtMost } from '@wisterialift/schema';
+import type { Position } from '@wisterialift/schema';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import type { InstanceRegistry } from '../index';
+import { GROUP, noop } from './fixture';
+import { createDirectoryEntry, DATABASE, startTestGateway } from './testGateway';
+
+/** More instances than connections for each, so that a few of them hold the connections for all. */
+const INSTANCES = 12;
+
+const CONSISTENCY = { consistency: 'readYourWrites', maximumStaleness: 2_500 } as const;
+
+const OWN_COMMIT: Position = { term: 2, index: 5 };
+
+const registry: InstanceRegistry = {
+  registerInstance: (onChange) =>
+    onChange(
+      Array.from({ length: INSTANCES }, (_, index) => ({
+        instance: `instance-${index + 1}`,
+        dataCentre: 'zone-1',
+        address: `instance-${index + 1}:1`,
+        weight: 1,
+      })),
+      { mayOthersLag: false },
+    ),
+  reportUnreachable: noop,
+};
+
+/** A commit whose primary was lost with it. */
+const DISCARDED: Position = { term: 2, index: 90 };
+
+const settle = (milliseconds = 1) => vi.advanceTimersByTimeAsync(milliseconds);
+
+let positions: Record<string, Position>;
+let gateway: ReturnType<typeof startTestGateway>;
+
+beforeEach(() => {
+  vi.useFakeTimers({
+    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'],
+  });
+  positions = { 'db-1': { term: 1, index: 9 }, 'db-2': { term: 1, index: 9 } };
+  gateway = startTestGateway({
+    getPosition: (memberId) => positions[memberId]!,
+    changes: CONSISTENCY,
+    registry,
+    maximumConnections: 20,
+    holds: (position, end) => position.index !== DISCARDED.index && isAtMost(position, end),
+  });
+});
+
+afterEach(() => {
+  gateway.close();
+  vi.useRealTimers();
+});
+
+const FORMER_PRIMARY = createDirectoryEntry();
+const REPLICA = createDirectoryEntry({ memberId: 'db-2', address: 'db-2:1', isPrimary: false });
+
+/** Lists a primary and a replica, which both have answered of late. */
+async function listMembers(): Promise<void> {
+  gateway.updateMembers([FORMER_PRIMARY, REPLICA]);
+  await settle(100);
+}
+
+/** The first statement of a transaction whose session has written through another instance. */
+function createStatement(changes: Partial<RelayStatement> = {}): RelayStatement {
+  return {
+    action: 'run',
+    transaction: 1,
+    isFirst: true,
+    isReadOnly: false,
+    id: 'r1',
+    text: 'READ lamp-1',
+    prepared: undefined,
+    team: '',
+    values: {},
+    sessionVersion: 0,
+    lastCommit: { position: OWN_COMMIT, ageMilliseconds: 10 },
+    timeLeftMilliseconds: 1_000,
+    route: {
+      database: DATABASE,
+      version: 1,
+      group: GROUP,
+      consistency: CONSISTENCY.consistency,
+      maximumStalenessMilliseconds: CONSISTENCY.maximumStaleness,
+      timeoutMilliseconds: 1_000,
+      goalMilliseconds: 500,
+      priority: 1,
+    },
+    ...changes,
+  };
+}
+
+/** `isForPrimary` tells whether only the primary can run it; true if omitted. */
+const ACTIONS: Record<string, Partial<RelayStatement> & { isForPrimary?: boolean }> = {
+  'a plain transaction': {},
+  'a read-only transaction': { isReadOnly: true, isForPrimary: false },
+  'a read': { action: 'read', transaction: 0, isFirst: false, isForPrimary: false },
+  'a write': { action: 'write', transaction: 0, isFirst: false, text: 'WRITE lamp-1 v2' },
+};
+
+describe.each(Object.entries(ACTIONS))(
+  '%s of a session that has written elsewhere',
+  (_, { isForPrimary = true, ...action }) => {
+    it('goes to another instance if this one reaches no member of the term', async () => {
+      // Guards against a session that reads from a replaced primary what it has overwritten since.
+      await listMembers();
+      const relayed = gateway.relay(createStatement(action));
+      await settle(1_500);
+      expect(await relayed).toMatchObject({ isOutOfReach: true });
+      expect(gateway.forwarded).toEqual([]);
+    });
+
+    it('runs here once a member of the term has answered', async () => {
+      // Guards against refusing a session whose commit this instance has only not heard of yet.
+      await listMembers();
+      positions = { 'db-1': OWN_COMMIT, 'db-2': OWN_COMMIT };
+      gateway.updateMembers([
+        createDirectoryEntry({ isPrimary: false, revision: 2 }),
+        createDirectoryEntry({ memberId: 'db-2', address: 'db-2:1', revision: 2 }),
+      ]);
+      void gateway.relay(createStatement(action));
+      await settle(100);
+      expect(gateway.forwarded).toMatchObject([{ id: 'r1' }]);
+      if (isForPrimary) expect(gateway.getForwardedIds('db-2')).toEqual(['r1']);
+    });
+  },
+);
+
+describe('a read on a route that reads its own writes', () => {
+  it('requires the last commit of the primary if it accepts no staleness', async () => {
+    // Guards against a read that asks a presumed primary for nothing at all.
+    await listMembers();
+    const { route, ...statement } = createStatement(ACTIONS['a read']);
+    void gateway.relay({
+      ...statement,
+      route: { ...route!, maximumStalenessMilliseconds: 0 },
+      lastCommit: { position: positions['db-1'], ageMilliseconds: 10 },
+    });
+    await settle(100);
+    expect(gateway.forwarded).toMatchObject([{ memberId: 'db-1', after: positions['db-1'] }]);
+  });
+});
+
+describe('a transaction on a route that reads its own writes', () => {
+  it.each([true, false])('begins after the last commit (read-only: %s)', async (isReadOnly) => {
+    // Guards against a transaction that begins without the session's last commit.
+    await listMembers();
+    const session = gateway.openSession();
+    session.write('w1');
+    await settle();
+    gateway.forwarded[0]!.answer();
+    await settle(500);
+    expect(session.answers).toHaveLength(1);
+    session.begin(isReadOnly);
+    session.read('r1');
+    await settle();
+    expect(gateway.listBegun().map(({ after }) => after)).toEqual([positions['db-1']]);
+  });
+
+  it('asks a former primary once while the new one is out of reach', async () => {
+    // Guards against statements that are tried at a former primary until their time limit.
+    await listMembers();
+    positions = { ...positions, 'db-2': OWN_COMMIT, 'db-3': OWN_COMMIT };
+    gateway.holdConnections('db-3');
+    gateway.updateMembers([
+      FORMER_PRIMARY,
+      REPLICA,
+      createDirectoryEntry({ memberId: 'db-3', address: 'db-3:1', revision: 2 }),
+    ]);
+    void gateway.relay(createStatement());
+    await settle(1_000);
+    expect(gateway.listBegun()).toEqual([{ memberId: 'db-1', after: OWN_COMMIT }]);
+  });
+
+  it('begins without a commit that a promotion has discarded', async () => {
+    // Guards against a session that is refused for good once its last commit is lost.
+    positions = { 'db-1': { term: 3, index: 5 }, 'db-2': { term: 3, index: 5 } };
+    await listMembers();
+    const lastCommit = { position: DISCARDED, ageMilliseconds: 10 };
+    void gateway.relay(createStatement({ lastCommit }));
+    await settle(100);
+    expect(gateway.getForwardedIds('db-1')).toEqual(['r1']);
+    expect(gateway.findLines('ownCommitDiscarded')).toHaveLength(1);
+  });
+});
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -5,6 +5,8 @@
   UpstreamAnswer,
   UpstreamCommand,
 } from '@wisterialift/pooling';
+import type { RelayAcceptor, RelayResponse, RelayStatement } from '@wisterialift/peer/relay';
+import { isAtMost } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import { createGateway, createProcessClock, createTeamDirectory } from '../index';
 import type {
@@ -123,6 +125,7 @@
   clock = createProcessClock(),
   registry = { registerInstance: noop, reportUnreachable: noop },
   maximumConnections = 20,
+  holds = isAtMost,
 }: {
   getPosition?: (memberId: string) => Position;
   /** Fields of the route that differ. */
@@ -133,6 +136,8 @@
   clock?: Clock;
   registry?: InstanceRegistry;
   maximumConnections?: number;
+  /** Whether a log that ends at a position holds another one. */
+  holds?: (position: Position, end: Position) => boolean;
 } = {}) {
   const forwarded: ForwardedStatement[] = [];
   const executed: ExecutedStatement[] = [];
@@ -147,7 +152,8 @@
   const heldAnswers: Pick<ForwardedStatement, 'answer' | 'answerMalformed'>[] = [];
   const unreachedMembers = new Set<string>();
   const heldConnections: (() => void)[] = [];
-  const commands: { memberId: string; type: UpstreamCommand['type'] }[] = [];
+  const commands: { memberId: string; command: UpstreamCommand }[] = [];
+  let acceptRelay: RelayAcceptor | undefined;
   /** Members of the connections that were closed. */
   const closed: string[] = [];
   const reports = new WeakMap<UpstreamAnswer, string>();
@@ -176,8 +182,15 @@
     state: FakeConnection,
     command: UpstreamCommand,
   ): Promise<UpstreamAnswer> {
-    commands.push({ memberId, type: command.type });
+    commands.push({ memberId, command });
     return new Promise((resolve, reject) => {
+      const position = getPosition(memberId);
+      if ('after' in command && command.after && !holds(command.after, position)) {
+        const { transaction } = state;
+        const refusal = { outcome: 'refused', reason: 'lagging', detail: memberId } as const;
+        resolve({ ...refusal, transaction, position });
+        return;
+      }
       if (command.type === refusedCommandType) {
         refusedCommandType = undefined;
         const { transaction } = state;
@@ -224,6 +237,13 @@
       clock,
       loadControls: new Set(loadControls),
       registry,
+      transport: {
+        open: () => ({ send: noop, close: noop }),
+        listen: (accept) => {
+          acceptRelay = accept;
+        },
+        close: noop,
+      },
       ...(teams && { registry: createSoleInstanceRegistry() }),
       logger: createTestLogger((event, fields) => {
         events.push(event);
@@ -348,7 +368,26 @@
     };
   }
 
+  /** Sends a statement as another instance does that relays to this one. */
+  function relay(statement: RelayStatement): Promise<RelayResponse> {
+    return new Promise((resolve) => {
+      const { onRequest } = acceptRelay!((response) => {
+        if (response.number === 1) resolve(response);
+      });
+      onRequest({
+        number: 1,
+        statement,
+        rolledBackTransaction: 0,
+        wantsConfiguration: false,
+        configurationJson: '',
+        permits: undefined,
+        primaryProbe: undefined,
+      });
+    });
+  }
+
   return {
+    relay,
     listMemberFailures: () => gateway.listMemberFailures()[GROUP] ?? [],
     gateway,
     forwarded,
@@ -394,7 +433,12 @@
       closed.filter((member) => member === memberId).length,
     /** Counts the commands of this type that were sent to a member. */
     countCommands: (memberId: string, type: UpstreamCommand['type']) =>
-      commands.filter((sent) => sent.memberId === memberId && sent.type === type).length,
+      commands.filter((sent) => sent.memberId === memberId && sent.command.type === type).length,
+    /** Positions that the started transactions required, by member. */
+    listBegun: () =>
+      commands.flatMap(({ memberId, command }) =>
+        command.type === 'begin' ? [{ memberId, after: command.after }] : [],
+      ),
     /** Sends the answer that was delayed last. */
     releaseLastAnswer: () => heldAnswers.pop()!.answer(),
     /** Answers the command that was delayed first with something that the gateway cannot process. */
--- a/tools/world/src/lib/callers/operation.ts
+++ b/tools/world/src/lib/callers/operation.ts
@@ -18,6 +18,8 @@
   isWrite: boolean;
   /** Statements of a transaction; 0 for a single statement. */
   transactionLength: number;
+  /** Whether a transaction is begun as read-only. */
+  isReadOnly: boolean;
 }
 
 /** Answers after which nothing of the attempt is kept. */
@@ -40,11 +42,10 @@
 ): Operation {
   const { kind } = options;
   const isTransaction = random.chance(kind.transactionShare);
-  return {
-    ...options,
-    isWrite: random.chance(kind.writeShare),
-    transactionLength: isTransaction ? random.between(2, kind.longestTransaction) : 0,
-  };
+  const isWrite = random.chance(kind.writeShare);
+  const transactionLength = isTransaction ? random.between(2, kind.longestTransaction) : 0;
+  const isPlain = isWrite || (kind.plainReadShare > 0 && random.chance(kind.plainReadShare));
+  return { ...options, isWrite, transactionLength, isReadOnly: !isPlain };
 }
 
 /** Runs one attempt over a session; `pauses` counts the caller's own pauses, in milliseconds. @internal */
@@ -59,7 +60,7 @@
   onPause: (milliseconds: number) => void;
 }): Promise<AttemptEnd> {
   const { operation, attempt, connection, clock, random, oracle, deadlineAt, onPause } = options;
-  const { id, kind, group, isWrite, transactionLength } = operation;
+  const { id, kind, group, isWrite, isReadOnly, transactionLength } = operation;
   const attemptId = `${id}.${attempt}`;
   const session = connection;
   oracle.teams.noteAttempt(attemptId, operation.team);
@@ -97,7 +98,7 @@
 
   async function runTransaction(): Promise<AttemptEnd> {
     const began = oracle.now();
-    const begun = await run('begin', isWrite ? 'BEGIN' : 'BEGIN READ');
+    const begun = await run('begin', isReadOnly ? 'BEGIN READ' : 'BEGIN');
     if (begun?.outcome !== 'completed') return judge(begun, true);
     for (let step = 1; step <= transactionLength; step += 1) {
       const answer = isWrite && step === transactionLength ? await write() : await read(began);
--- a/tools/world/src/lib/databases/simulatedDatabase.ts
+++ b/tools/world/src/lib/databases/simulatedDatabase.ts
@@ -67,6 +67,8 @@
   setAnswerLoss: (share: number) => void;
   /** Which statements of callers fail; none if undefined. */
   setFailure: (failure: DatabaseFailure | undefined) => void;
+  /** Resets connections of these machines and refuses new ones. */
+  setRefusedClients: (names: readonly string[]) => void;
   /** Statements that failed so far because of it. */
   failedStatements: () => number;
   /** Falls silent, with its connections. */
@@ -80,6 +82,8 @@
 
 interface Connection {
   end: StreamEnd<DatabaseReply>;
+  /** Machine at the other end. */
+  clientName: string;
   client: string | undefined;
   transaction: TransactionState;
   isReadOnly: boolean;
@@ -118,10 +122,13 @@
   let answerLoss = 0;
   let failure: DatabaseFailure | undefined;
   let failedStatements = 0;
+  let refusedClients: readonly string[] = [];
 
-  const accept: SimulatedDatabase['accept'] = (streamEnd) => {
+  const accept: SimulatedDatabase['accept'] = (streamEnd, { name: clientName }) => {
+    if (refusedClients.includes(clientName)) return undefined;
     const connection: Connection = {
       end: streamEnd,
+      clientName,
       client: undefined,
       transaction: 'idle',
       isReadOnly: false,
@@ -229,11 +236,7 @@
         if (connection.transaction === 'open') Object.assign(connection, { transaction: 'failed' });
         reply(connection, command, refusal('failed', 'the database is faulty'));
       },
-      closed: () => {
-        Object.assign(connection, { isOpen: false });
-        connections.delete(connection);
-        connection.end.close();
-      },
+      closed: () => dropConnection(connection),
       silent: () => undefined,
     };
     handlers[manner]();
@@ -366,6 +369,12 @@
     return { isPrimary: state.role === 'primary', term: state.term, received };
   }
 
+  function dropConnection(connection: Connection): void {
+    Object.assign(connection, { isOpen: false });
+    connections.delete(connection);
+    connection.end.close();
+  }
+
   function endConnections(): void {
     connections.clear();
     slots.clear();
@@ -391,6 +400,12 @@
     setFailure: (next) => {
       failure = next;
     },
+    setRefusedClients: (names) => {
+      refusedClients = names;
+      for (const connection of [...connections]) {
+        if (names.includes(connection.clientName)) dropConnection(connection);
+      }
+    },
     failedStatements: () => failedStatements,
     losePower: () => {
       state.isUp = false;
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -25,6 +25,8 @@
   writeShare: share,
   transactionShare: share,
   longestTransaction: z.number().int().min(2).default(6),
+  /** Transactions that only read and still begin as those that write do. */
+  plainReadShare: share.default(0),
   /** Whether the caller goes on with its session, or opens one for each operation. */
   keepsSession: z.boolean().default(true),
 });
@@ -116,6 +118,8 @@
     isSplit: z.boolean().optional(),
     /** Whether the store does not hear the primary either, so that its entry lapses. */
     isUnlisted: z.boolean().optional(),
+    /** Whether connections over the cut are reset and new ones refused, instead of falling silent. */
+    isRefusing: z.boolean().optional(),
     groups: z.number().int().positive().optional(),
   }),
   z.strictObject({
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -146,8 +146,8 @@
   },
   cutPrimary: (fault, targets) => {
     const { seconds, instances: count, groups: groupCount } = fault;
-    const { isReplicating, isSplit, isUnlisted } = fault;
-    const { clock, instances, groups, network, platform } = targets;
+    const { isReplicating, isSplit, isUnlisted, isRefusing } = fault;
+    const { clock, instances, groups, databases, network, platform } = targets;
     const names = instances.map(({ host }) => host.name);
     for (const group of [...groups.values()].slice(0, groupCount)) {
       const memberId = primaryOf(group);
@@ -159,6 +159,10 @@
       const setLinks = (isCut: boolean) => {
         if (!isReplicating) group.setCutOff(memberId, isCut);
         if (isUnlisted) platform.setUnheard(memberId, isCut);
+        if (isRefusing) {
+          refuseOverCut(databases, isCut ? cutPairs : [], [memberId, ...replicaIds]);
+          return;
+        }
         for (const [instance, member] of cutPairs) {
           network.setFault(instance, member, isCut ? { isCut } : undefined);
           network.setFault(member, instance, isCut ? { isCut } : undefined);
@@ -225,6 +229,18 @@
   }
 }
 
+/** Has members refuse the instances that they are cut from. */
+function refuseOverCut(
+  databases: FaultTargets['databases'],
+  cutPairs: readonly (readonly [instance: string, memberId: string])[],
+  memberIds: readonly string[],
+): void {
+  for (const memberId of memberIds) {
+    const cut = cutPairs.filter(([, member]) => member === memberId);
+    databases.get(memberId)!.setRefusedClients(cut.map(([instance]) => instance));
+  }
+}
+
 function replicasOf({ members }: ReplicatedLog): string[] {
   return [...members.values()]
     .filter(({ role }) => role === 'replica')
--- a/tools/world/src/test/oracleClock.test.ts
+++ b/tools/world/src/test/oracleClock.test.ts
@@ -47,6 +47,7 @@
       team: undefined,
       isWrite: false,
       transactionLength: length,
+      isReadOnly: true,
     };
     await runAttempt({
       operation,
