Settle a replaced primary's commits once another member has the new log

Cause: a held commit was told to be discarded, or kept, as soon as the promotion record named the start of the next term. If no other member takes over the log of that term, the former primary is the furthest again and is promoted with the log that it had.

Change: the outcome waits until another member, registered like one that confirms a commit, follows the term with the log that it started from, and the recorded member is seen to lead it. The promoter prefers members with that log, so that a former primary with a longer one does not lead again beside them; this settles idle groups as well. A write that a later term left out is told to be discarded, where it was in doubt.

Nothing was added before the order of a promotion.

--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -6,7 +6,7 @@
   createReplicationTracker,
   MAXIMUM_CONNECTION_PART,
 } from '@wisterialift/pooling';
-import type { ClockReadings, TermOrigin, UpstreamAnswer } from '@wisterialift/pooling';
+import type { ClockReadings, UpstreamAnswer } from '@wisterialift/pooling';
 import type { Logger } from '@wisterialift/telemetry';
 import type { GroupLimits } from '../configuration/gatewayConfiguration';
 import type { IsLoadControlEnabled } from '../configuration/loadControls';
@@ -48,6 +48,7 @@
 import { createSoleMemberGuard } from './soleMemberGuard';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
+import { createSupersededCommits } from './supersededCommits';
 import { createTermDiscovery } from './termDiscovery';
 import type { TermDiscovery } from './termDiscovery';
 import { createTransactionOpener } from './transactionOpener';
@@ -243,7 +244,11 @@
   const writes = createWriteRouter(context, {
     primaryVerifier,
     soleMemberGuard,
-    readTermOrigin: (): Promise<TermOrigin | undefined> => promotion.readTermOrigin(),
+    supersededCommits: createSupersededCommits(context, {
+      poller: evidencePoller,
+      registrar,
+      readTermStart: promotion.readTermStart,
+    }),
   });
   const transactions = createTransactionOpener(context, {
     reads,
--- a/packages/gateway/src/lib/groups/writeRouter.ts
+++ b/packages/gateway/src/lib/groups/writeRouter.ts
@@ -1,11 +1,4 @@
-import { determineWriteOutcome } from '@wisterialift/pooling';
-import type {
-  FailureReason,
-  TermOrigin,
-  UpstreamAnswer,
-  WriteOutcome,
-} from '@wisterialift/pooling';
-import type { Position } from '@wisterialift/schema';
+import type { FailureReason, UpstreamAnswer } from '@wisterialift/pooling';
 import { attemptCommand } from './attemptCommand';
 import type { AttemptOutcome } from './attemptCommand';
 import type { GroupContext } from './groupContext';
@@ -15,6 +8,7 @@
 import type { PrimaryVerifier } from './primaryVerifier';
 import { refuseStatement, refuseUnroutable } from './refusals';
 import type { SoleMemberGuard } from './soleMemberGuard';
+import type { SupersededCommits } from './supersededCommits';
 import { toCommand } from './statementRequest';
 import type { StatementRequest } from './statementRequest';
 
@@ -67,11 +61,11 @@
   options: {
     primaryVerifier: PrimaryVerifier;
     soleMemberGuard: SoleMemberGuard;
-    readTermOrigin: () => Promise<TermOrigin | undefined>;
+    supersededCommits: SupersededCommits;
   },
 ): WriteRouter {
-  const { primaryTracker, clock, counters, group, leavingPolicy, logger } = context;
-  const { primaryVerifier, readTermOrigin, soleMemberGuard } = options;
+  const { primaryTracker, clock, counters, leavingPolicy } = context;
+  const { primaryVerifier, soleMemberGuard, supersededCommits } = options;
 
   async function write(request: StatementRequest): Promise<UpstreamAnswer> {
     const command = toCommand(request);
@@ -171,7 +165,7 @@
     });
     const outcome =
       replication === 'superseded'
-        ? await determineSupersededOutcome(request, position)
+        ? await supersededCommits.settle(request, { position, deadlineAt })
         : replication;
     if (outcome === 'replicated' || outcome === 'kept') {
       request.session.lastCommit = { position, seenAt: clock.now() };
@@ -191,22 +185,6 @@
     return refuseStatement(context, request, 'unknownOutcome', detail);
   }
 
-  async function determineSupersededOutcome(
-    request: StatementRequest,
-    position: Position,
-  ): Promise<WriteOutcome> {
-    const termOrigin = await readTermOrigin();
-    const outcome = determineWriteOutcome(position, termOrigin);
-    logger.info('heldWriteSettled', {
-      group,
-      requestId: request.id,
-      position,
-      termOrigin,
-      fate: outcome,
-    });
-    return outcome;
-  }
-
   return { write, runOnPrimary, confirmCommit };
 }
 
--- a/packages/gateway/src/lib/promotion/promotionClaims.ts
+++ b/packages/gateway/src/lib/promotion/promotionClaims.ts
@@ -1,4 +1,4 @@
-import type { ClockReadings, PromotionRecord, TermOrigin } from '@wisterialift/pooling';
+import type { ClockReadings, PromotionRecord, TermStart } from '@wisterialift/pooling';
 import type { GroupContext } from '../groups/groupContext';
 import type { Member } from '../groups/member';
 import type { PromotionStore, StoredPromotionRecord } from '../ports/platformPort';
@@ -27,9 +27,9 @@
     canClaim: (record: PromotionRecord) => Promise<boolean>;
   }) => Promise<Claim | undefined>;
   /** @param started - the promotion that was ordered, if one was. */
-  release: (claim: Claim, started?: PromotionRecord['started']) => Promise<void>;
-  /** Reads the log position at which the newest recorded term began; undefined on a store error. */
-  readTermOrigin: () => Promise<TermOrigin | undefined>;
+  release: (claim: Claim, started?: TermStart) => Promise<void>;
+  /** Reads the start of the newest recorded term; undefined if there is none or on a store error. */
+  readTermStart: () => Promise<TermStart | undefined>;
 }
 
 /** Time after which a promotion that has not taken effect may be repeated. */
@@ -74,11 +74,11 @@
         logger.warn('dutyNotReleased', { group, outcome: outcome.type });
       }
     },
-    readTermOrigin: async () => {
+    readTermStart: async () => {
       try {
         return (await store.read(group))?.record.started;
       } catch (error) {
-        logger.warn('termOriginNotRead', { group, error: error as Error });
+        logger.warn('termStartNotRead', { group, error: error as Error });
         return undefined;
       }
     },
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -3,7 +3,7 @@
   MemberReport,
   PromotionRecord,
   PausedReplica,
-  TermOrigin,
+  TermStart,
 } from '@wisterialift/pooling';
 import { comparePositions } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
@@ -29,8 +29,8 @@
   reportSuspicion: (cause: SuspicionCause, member: Member | undefined) => void;
   /** Starts a promotion check if the directory lists no primary or a replaceable leaving one. */
   checkDirectory: () => void;
-  /** Reads the log position at which the newest recorded term began; undefined on a store error. */
-  readTermOrigin: () => Promise<TermOrigin | undefined>;
+  /** Reads the start of the newest recorded term; undefined if there is none or on a store error. */
+  readTermStart: () => Promise<TermStart | undefined>;
   close: () => void;
 }
 
@@ -289,9 +289,10 @@
     if (fence.type === 'failed') return undefined;
     const pausedReplicas = await pauseReplicas(claim, primary);
     if (!pausedReplicas) return undefined;
+    const { started } = claim.record;
     return fence.type === 'fenced'
-      ? chooseFencedCandidate(pausedReplicas, fence)
-      : choosePromotionCandidate(pausedReplicas);
+      ? chooseFencedCandidate(pausedReplicas, { fence, started })
+      : choosePromotionCandidate(pausedReplicas, started);
   }
 
   /**
@@ -337,15 +338,16 @@
     }
     const answered = replicas.filter((_, index) => reports[index] !== undefined);
     if (!isRegisterKnown || !registrar.canPromoteFrom(answered)) return undefined;
-    return replicas.flatMap((member, index) => toPausedReplicas(member, reports[index]?.received));
+    return replicas.flatMap((member, index) => toPausedReplicas(member, reports[index]));
   }
 
-  function toPausedReplicas(member: Member, received: Position | undefined): PausedReplica[] {
-    if (!received) return [];
+  function toPausedReplicas(member: Member, report: MemberReport | undefined): PausedReplica[] {
+    if (!report) return [];
+    const { received, term } = report;
     const { memberId, isLeaving, dataCentre: memberDataCentre } = member.entry;
     const isRegistered = registrar.isRegistered(memberId);
     const isPreferred = memberDataCentre === dataCentre;
-    return [{ memberId, received, isLeaving, isRegistered, isPreferred }];
+    return [{ memberId, term, received, isLeaving, isRegistered, isPreferred }];
   }
 
   async function orderPromotion(plan: {
@@ -429,7 +431,7 @@
   return {
     reportSuspicion,
     checkDirectory,
-    readTermOrigin: claims.readTermOrigin,
+    readTermStart: claims.readTermStart,
     close: () => {
       isClosed = true;
     },
--- a/packages/gateway/src/lib/promotion/soleMemberFence.ts
+++ b/packages/gateway/src/lib/promotion/soleMemberFence.ts
@@ -1,5 +1,10 @@
 import { choosePromotionCandidate } from '@wisterialift/pooling';
-import type { MemberReport, PausedReplica, PromotionRecord } from '@wisterialift/pooling';
+import type {
+  MemberReport,
+  PausedReplica,
+  PromotionRecord,
+  TermStart,
+} from '@wisterialift/pooling';
 import { comparePositions } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import type { GroupContext } from '../groups/groupContext';
@@ -113,8 +118,9 @@
  */
 export function chooseFencedCandidate(
   replicas: PausedReplica[],
-  { memberId, received }: FenceOutcome & { type: 'fenced' },
+  { fence, started }: { fence: FenceOutcome & { type: 'fenced' }; started?: TermStart },
 ): { memberId: string; received: Position } {
+  const { memberId, received } = fence;
   const complete = replicas.filter((replica) => comparePositions(replica.received, received) >= 0);
-  return choosePromotionCandidate(complete) ?? { memberId, received };
+  return choosePromotionCandidate(complete, started) ?? { memberId, received };
 }
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -12,7 +12,10 @@
   type AgeLimit,
   type ConfirmationResult,
   type ConfirmationWait,
+  type HolderOptions,
+  type ObservationWait,
   type ReplicationWait,
+  type SettlementResult,
   type ReplicationTracker,
   type MemberObservation,
 } from './lib/replication/replicationTracker';
@@ -95,10 +98,11 @@
 } from './lib/membership/recentListings';
 export { choosePromotionCandidate, type PausedReplica } from './lib/promotion/promotionCandidate';
 export {
-  determineWriteOutcome,
-  type TermOrigin,
-  type WriteOutcome,
-} from './lib/promotion/writeOutcome';
+  determineCommitOutcome,
+  holdsTermStart,
+  type CommitOutcome,
+  type TermStart,
+} from './lib/promotion/termStart';
 export {
   CLAIM_TAKEOVER_MILLISECONDS,
   CLAIM_VALID_MILLISECONDS,
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -2,6 +2,8 @@
 import type { Position } from '@wisterialift/schema';
 import { computeAgeUpperBound } from '../timing/clockReadings';
 import type { ClockReadings } from '../timing/clockReadings';
+import { determineCommitOutcome, holdsTermStart } from '../promotion/termStart';
+import type { CommitOutcome, TermStart } from '../promotion/termStart';
 import { createPositionHistory } from './positionHistory';
 import type { PositionSample } from './positionHistory';
 
@@ -27,12 +29,30 @@
   /** A member was seen in a later term, so the awaited answer no longer confirms anything. */
   | { type: 'superseded'; term: number };
 
-/** A pending confirmation, resolved by the first observation that decides it. @public */
-export interface ConfirmationWait {
-  result: Promise<ConfirmationResult>;
+/** A pending question, resolved by the first observation that decides it. @public */
+export interface ObservationWait<Result> {
+  result: Promise<Result>;
   cancel: () => void;
 }
 
+/** A pending confirmation. @public */
+export type ConfirmationWait = ObservationWait<ConfirmationResult>;
+
+/** What becomes of a commit whose primary was replaced, as far as one later term decides it. @public */
+export type SettlementResult =
+  { type: CommitOutcome } | (ConfirmationResult & { type: 'superseded' });
+
+/** A member list and what is known of its members, to decide what survives a promotion. @public */
+export interface HolderOptions {
+  primaryId: string;
+  /** Current members of the group, including the primary. */
+  memberIds: () => string[];
+  /** Whether the member is known to be in the group's register; see `memberRegisterSchema`. */
+  isRegistered: (memberId: string) => boolean;
+  /** Whether `holderIds` and the primary are all members that an instance may know. */
+  isHeldByAll: (holderIds: string[]) => boolean;
+}
+
 /** A pending confirmation that a commit is replicated. @public */
 export interface ReplicationWait extends ConfirmationWait {
   /** Whether another member was seen to hold the commit, be it registered or not. */
@@ -54,16 +74,20 @@
    * received the position.
    * The second condition lets `waitForTermConfirmation` rely on one replica.
    */
-  waitForReplication: (options: {
-    position: Position;
-    primaryId: string;
-    /** Current members of the group, including the primary. */
-    memberIds: () => string[];
-    /** Whether the member is known to be in the group's register; see `memberRegisterSchema`. */
-    isRegistered: (memberId: string) => boolean;
-    /** Whether `holderIds` and the primary are all members that an instance may know. */
-    isHeldByAll: (holderIds: string[]) => boolean;
-  }) => ReplicationWait;
+  waitForReplication: (options: HolderOptions & { position: Position }) => ReplicationWait;
+  /**
+   * Waits until it is settled whether the log of a later term holds a commit of a replaced primary.
+   *
+   * That the term has started does not settle it: if no other member has taken over the log that it
+   * started from, the former primary may be promoted again, with the log that it has. Once a member
+   * besides the primary of the term has, every further promotion starts from that log or one that grew
+   * from it; see `choosePromotionCandidate`.
+   *
+   * @param options.position - must be decided by `started`; see `determineCommitOutcome`.
+   */
+  waitForSettlement: (
+    options: HolderOptions & { position: Position; started: TermStart },
+  ) => ObservationWait<SettlementResult>;
   /**
    * Waits until a replica answers in `term` to a request sent after `sequence`, which shows that
    * what the primary read is current.
@@ -125,11 +149,8 @@
   maximumAge: number;
 }
 
-interface PendingWait {
-  /** Returns the result if the observations so far decide it. */
-  evaluate: () => ConfirmationResult | undefined;
-  resolve: (result: ConfirmationResult) => void;
-}
+/** Resolves the wait if the observations so far decide it; returns whether they do. */
+type PendingWait = () => boolean;
 
 /**
  * Tracks the replication state of a group from the answers of its members.
@@ -150,28 +171,22 @@
   let ageUnknownThrough = 0;
   let highestTerm = 0;
 
-  const startWait = (evaluate: PendingWait['evaluate']): ConfirmationWait => {
-    let wait: PendingWait | undefined;
-    const result = new Promise<ConfirmationResult>((resolve) => {
-      const decided = evaluate();
-      if (decided) {
-        resolve(decided);
-        return;
-      }
-      wait = { evaluate, resolve };
-      waits.add(wait);
+  /** @param evaluate - returns the result if the observations so far decide it. */
+  const startWait = <Result>(evaluate: () => Result | undefined): ObservationWait<Result> => {
+    let tryResolve: PendingWait = () => true;
+    const result = new Promise<Result>((resolve) => {
+      tryResolve = () => {
+        const decided = evaluate();
+        if (decided !== undefined) resolve(decided);
+        return decided !== undefined;
+      };
     });
-    return { result, cancel: () => wait && waits.delete(wait) };
+    if (!tryResolve()) waits.add(tryResolve);
+    return { result, cancel: () => waits.delete(tryResolve) };
   };
 
   const resolveDecidedWaits = () => {
-    for (const wait of waits) {
-      const result = wait.evaluate();
-      if (result) {
-        waits.delete(wait);
-        wait.resolve(result);
-      }
-    }
+    for (const tryResolve of waits) if (tryResolve()) waits.delete(tryResolve);
   };
 
   /**
@@ -210,8 +225,48 @@
     return hasAppliedTerm(memberId, term) && known?.term === term && known.index >= index;
   };
 
-  const getSupersededResult = (term: number): ConfirmationResult | undefined =>
-    highestTerm > term ? { type: 'superseded', term: highestTerm } : undefined;
+  const getSupersededResult = (term: number) =>
+    highestTerm > term ? ({ type: 'superseded', term: highestTerm } as const) : undefined;
+
+  const listOthers = ({ memberIds, primaryId }: HolderOptions) =>
+    memberIds().filter((memberId) => memberId !== primaryId);
+
+  /** Whether all members besides the primary, except at most one, have applied an entry of the term. */
+  const isTermApplied = (term: number, options: HolderOptions) => {
+    const others = listOthers(options);
+    const inTerm = others.filter((memberId) => hasAppliedTerm(memberId, term));
+    return inTerm.length >= others.length - 1;
+  };
+
+  /** Whether a promotion by any list of members finds the log of the primary or of a holder. */
+  const isFoundByPromotions = (
+    holders: string[],
+    { primaryId, isRegistered, isHeldByAll }: HolderOptions,
+  ) => {
+    const isHeldByRegistered = isRegistered(primaryId) && holders.some(isRegistered);
+    return isHeldByRegistered || (holders.length > 0 && isHeldByAll(holders));
+  };
+
+  const isReplicated = (position: Position, options: HolderOptions) => {
+    if (!isTermApplied(position.term, options)) return false;
+    const holders = listOthers(options).filter((memberId) => hasReceived(memberId, position));
+    return isFoundByPromotions(holders, options);
+  };
+
+  const findSettlement = (
+    position: Position,
+    started: TermStart,
+    options: HolderOptions,
+  ): SettlementResult | undefined => {
+    const holders = listOthers(options).filter((memberId) => {
+      const seen = latestObservations.get(memberId);
+      return seen && !seen.isPrimary && holdsTermStart(seen, started);
+    });
+    if (!isFoundByPromotions(holders, options)) return undefined;
+    const outcome = determineCommitOutcome(position, started);
+    if (outcome === 'kept' && !isTermApplied(position.term, options)) return undefined;
+    return outcome && { type: outcome };
+  };
 
   return {
     takeNextSequenceNumber: () => {
@@ -231,26 +286,22 @@
       if (observation.isPrimary && isAgeKnown(observation)) positionHistory.add(observation);
       resolveDecidedWaits();
     },
-    waitForReplication: ({ position, primaryId, memberIds, isRegistered, isHeldByAll }) => {
-      const listOthers = () => memberIds().filter((memberId) => memberId !== primaryId);
-      const wait = startWait(() => {
-        const superseded = getSupersededResult(position.term);
-        if (superseded) return superseded;
-        const otherMembers = listOthers();
-        const membersInTerm = otherMembers.filter((memberId) =>
-          hasAppliedTerm(memberId, position.term),
-        );
-        if (membersInTerm.length < otherMembers.length - 1) return undefined;
-        const holders = membersInTerm.filter((memberId) => hasReceived(memberId, position));
-        const isHeldByRegistered = isRegistered(primaryId) && holders.some(isRegistered);
-        const isHeld = isHeldByRegistered || (holders.length > 0 && isHeldByAll(holders));
-        return isHeld ? { type: 'proved' } : undefined;
-      });
-      const isReceived = () => listOthers().some((memberId) => hasReceived(memberId, position));
+    waitForReplication: ({ position, ...options }) => {
+      const wait = startWait<ConfirmationResult>(
+        () =>
+          getSupersededResult(position.term) ??
+          (isReplicated(position, options) ? { type: 'proved' } : undefined),
+      );
+      const isReceived = () =>
+        listOthers(options).some((memberId) => hasReceived(memberId, position));
       return { ...wait, isReceived };
     },
+    waitForSettlement: ({ position, started, ...options }) =>
+      startWait<SettlementResult>(
+        () => getSupersededResult(started.term) ?? findSettlement(position, started, options),
+      ),
     waitForTermConfirmation: ({ term, sequence: readSequence, primaryId }) =>
-      startWait(() => {
+      startWait<ConfirmationResult>(() => {
         const superseded = getSupersededResult(term);
         if (superseded) return superseded;
         const isConfirmed = [...latestObservations.values()].some(
