Wait for unsent answers at a planned stop

Cause: a session ends once its last answer was handed to the socket, and the stop waited for sessions only; the process ended 2.3 s after SIGTERM with the rest still buffered. The MySQL form destroyed a connection one second after its end was asked for, whatever was left to send.

Change: a stop also waits until the connections of callers and the streams between instances have nothing left to send, within 95% of the grace period as before. A MySQL connection lingers from when the rest was sent, and is given up after 10 s without progress.

--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -17,7 +17,7 @@
 import { createTeamLimits } from './limits/teamLimits';
 import type { LimitCounters } from './limits/teamLimiter';
 import type { Mechanism, IsMechanismEnabled } from './mechanisms';
-import type { CallerAcceptor } from './ports/callerPort';
+import type { CallerAcceptor, CallerLink } from './ports/callerPort';
 import type { Clock } from './ports/clock';
 import type { InstanceRegistry, RelayTransport } from './ports/instancePort';
 import type {
@@ -143,6 +143,8 @@
   /** Relay statements to the holders of a group's connections. */
   const relayedGroups = new Map<string, StatementRunner>();
   const sessions = new Set<CallerSession>();
+  /** Connections of callers that are open, also after their sessions have ended. */
+  const links = new Set<CallerLink>();
   const configuration = createActiveConfiguration({
     clock,
     onAdopted: handleConfigurationChange,
@@ -402,7 +404,12 @@
       onAnswered: options.onAnswered,
     });
     sessions.add(session);
-    return session.events;
+    links.add(link);
+    const onDisconnect = () => {
+      links.delete(link);
+      session.events.onDisconnect();
+    };
+    return { ...session.events, onDisconnect };
   };
 
   function isReady(): boolean {
@@ -410,6 +417,11 @@
     return [...localGroups.values()].some((router) => router.isUsable());
   }
 
+  /** A session ends with its last answer, which its caller may still be reading. */
+  function hasUnsentData(): boolean {
+    return transport.hasUnsentData() || [...links].some((link) => link.hasUnsentData());
+  }
+
   async function drain(stopAccepting: () => void): Promise<void> {
     const startedAt = clock.now();
     const elapsed = () => clock.now() - startedAt;
@@ -417,7 +429,8 @@
     logger.info('drainStarted', { sessions: sessions.size, relayed: relay.countActiveWork() });
     relay.announceDrain();
     let isAccepting = true;
-    const hasWork = () => isAccepting || sessions.size > 0 || relay.countActiveWork() > 0;
+    const hasWork = () =>
+      isAccepting || sessions.size > 0 || relay.countActiveWork() > 0 || hasUnsentData();
     while (elapsed() < times.stopGracePeriodMilliseconds * DRAIN_END_GRACE_FRACTION && hasWork()) {
       if (elapsed() >= LOAD_BALANCER_DELAY_MILLISECONDS) {
         if (isAccepting) stopAccepting();
--- a/packages/gateway/src/lib/ports/callerPort.ts
+++ b/packages/gateway/src/lib/ports/callerPort.ts
@@ -13,6 +13,8 @@
   answer: (answer: CallerAnswer) => void;
   /** Closes the session once all answers have been sent. */
   close: () => void;
+  /** Whether parts of answers have not been handed to the network yet, because the caller reads slowly. */
+  hasUnsentData: () => boolean;
 }
 
 /** Protocol events of a session. @public */
--- a/packages/gateway/src/lib/ports/instancePort.ts
+++ b/packages/gateway/src/lib/ports/instancePort.ts
@@ -38,5 +38,7 @@
   open: (address: string, events: RelayStreamEvents) => RelayStream;
   /** Listens for streams of other instances; later calls have no effect. */
   listen: (accept: RelayAcceptor) => void;
+  /** Whether responses to other instances have not been handed to the network yet. */
+  hasUnsentData: () => boolean;
   close: () => void;
 }
--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -71,6 +71,7 @@
     transport: {
       open: () => ({ send: noop, close: noop }),
       listen: noop,
+      hasUnsentData: () => false,
       close: noop,
     },
     limitTolerance: { windowMilliseconds: 5_000, excess: 0.1, slack: 20 },
--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -92,6 +92,7 @@
       return { send: (request) => setImmediate(() => onRequest(request)), close: onEnd };
     },
     listen: noop,
+    hasUnsentData: () => false,
     close: noop,
   };
   const link = createPeerLink({
@@ -160,7 +161,13 @@
 function openSession(relay: StatementRunner) {
   const answers: CallerAnswer[] = [];
   const { events } = createCallerSession({
-    link: { accept: noop, refuse: noop, answer: (answer) => answers.push(answer), close: noop },
+    link: {
+      accept: noop,
+      refuse: noop,
+      answer: (answer) => answers.push(answer),
+      close: noop,
+      hasUnsentData: () => false,
+    },
     clock,
     logger,
     configuration: createConfiguration(),
--- a/packages/gateway/src/test/peerLink.test.ts
+++ b/packages/gateway/src/test/peerLink.test.ts
@@ -18,6 +18,7 @@
         };
       },
       listen: () => undefined,
+      hasUnsentData: () => false,
       close: () => undefined,
     },
     address: 'holder:1',
--- a/packages/gateway/src/test/primaryRoute.test.ts
+++ b/packages/gateway/src/test/primaryRoute.test.ts
@@ -384,6 +384,7 @@
           return { send: noop, close: noop };
         },
         listen: noop,
+        hasUnsentData: () => false,
         close: noop,
       },
       registry: { registerInstance: noop, reportUnreachable: noop },
--- a/packages/gateway/src/test/relayVersions.test.ts
+++ b/packages/gateway/src/test/relayVersions.test.ts
@@ -92,6 +92,7 @@
       return { send: (request) => setImmediate(() => onRequest(request)), close: onEnd };
     },
     listen: noop,
+    hasUnsentData: () => false,
     close: noop,
   };
   const options = {
--- a/packages/gateway/src/test/suspension.test.ts
+++ b/packages/gateway/src/test/suspension.test.ts
@@ -47,6 +47,7 @@
         listen: (acceptor) => {
           acceptStream = acceptor;
         },
+        hasUnsentData: () => false,
         close: noop,
       },
     });
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -157,6 +157,7 @@
   const heldConnections: (() => void)[] = [];
   const commands: { memberId: string; command: UpstreamCommand }[] = [];
   let acceptRelay: RelayAcceptor | undefined;
+  const unsent = new Set<'answers' | 'responses'>();
   /** Members of the connections that were closed. */
   const closed: string[] = [];
   const reports = new WeakMap<UpstreamAnswer, string>();
@@ -245,6 +246,7 @@
         listen: (accept) => {
           acceptRelay = accept;
         },
+        hasUnsentData: () => unsent.has('responses'),
         close: noop,
       },
       ...(teams && { registry: createSoleInstanceRegistry() }),
@@ -338,6 +340,7 @@
       refuse: noop,
       answer: (answer) => answers.push(answer),
       close: noop,
+      hasUnsentData: () => unsent.has('answers'),
     });
     caller.onStart(DATABASE, keyDigest);
     return {
@@ -391,6 +394,8 @@
 
   return {
     relay,
+    /** What the network has not taken yet: answers to callers, responses to other instances. */
+    unsent,
     listMemberFailures: () => gateway.listMemberFailures()[GROUP] ?? [],
     gateway,
     forwarded,
--- a/packages/gateway/src/test/unknownDatabase.test.ts
+++ b/packages/gateway/src/test/unknownDatabase.test.ts
@@ -27,6 +27,7 @@
       refuse: (reason) => replies.push(reason),
       answer: noop,
       close: noop,
+      hasUnsentData: () => false,
     },
     clock,
     logger: createTestLogger(),
@@ -85,6 +86,7 @@
       refuse: (reason: string) => replies.push(reason),
       answer: noop,
       close: noop,
+      hasUnsentData: () => false,
     };
     for (const database of ['history', 'history', 'never-existed']) {
       gateway.acceptCaller(link).onStart(database);
--- a/packages/mysql/src/lib/caller/callerConnection.ts
+++ b/packages/mysql/src/lib/caller/callerConnection.ts
@@ -72,9 +72,12 @@
 /** Frames up to this total size are concatenated, since a copy costs less than a write call. */
 const MAXIMUM_JOINED_BYTES = 16_384;
 
-/** Time for which received data is discarded after the last write; then the socket is destroyed. */
+/** Time for which received data is discarded once all was sent; then the socket is destroyed. */
 const LINGER_MILLISECONDS = 1_000;
 
+/** Time without progress after which a caller that does not read the rest is given up. */
+const STALL_MILLISECONDS = 10_000;
+
 /**
  * Creates a caller connection from a driver connection whose handshake is complete.
  *
@@ -177,8 +180,8 @@
 /**
  * Sends the error, if any, and closes the connection.
  *
- * Closing a socket with unread bytes resets it, and the error could be lost. Received data is
- * therefore read and discarded until the timeout.
+ * Closing a socket with unread bytes resets it, and what was sent last could be lost. Received data is
+ * therefore read and discarded for a while, which begins once a slow caller has been sent everything.
  *
  * @internal
  */
@@ -191,7 +194,19 @@
   if (socket.destroyed) return;
   Object.assign(driver, { handlePacket: () => {}, packetParser: { execute: () => {} } });
   if (error) socket.write(toFrames(encodeError(error), sequence));
-  socket.end();
+  socket.end(() => {
+    setTimeout(() => socket.destroy(), LINGER_MILLISECONDS).unref();
+  });
   socket.resume();
-  setTimeout(() => socket.destroy(), LINGER_MILLISECONDS).unref();
+  destroyWhenStalled(socket);
+}
+
+/** Destroys an ended socket whose peer takes no more of what is left to send. */
+function destroyWhenStalled(socket: DriverConnection['stream']): void {
+  let unsent = socket.writableLength;
+  const timer = setInterval(() => {
+    if (socket.writableLength === unsent) socket.destroy();
+    unsent = socket.writableLength;
+  }, STALL_MILLISECONDS).unref();
+  socket.once('close', () => clearInterval(timer));
 }
--- a/packages/peer/src/lib/relay/relayServer.ts
+++ b/packages/peer/src/lib/relay/relayServer.ts
@@ -16,6 +16,8 @@
 export interface RelayServer {
   /** @returns the listening port. @throws PeerError */
   start: () => Promise<number>;
+  /** Whether responses have not been handed to the network yet. */
+  hasUnsentData: () => boolean;
   /** Ends all streams immediately. */
   stop: () => void;
 }
@@ -23,11 +25,20 @@
 /** Creates the server for statements that other instances relay. @public */
 export function createRelayServer({ host, port, accept }: RelayServerOptions): RelayServer {
   const server = new Server();
+  let unsentResponses = 0;
+
+  /** Is also called, with an error, for a response whose stream has ended. */
+  function onSent(): void {
+    unsentResponses -= 1;
+  }
+
   const service: RelayServiceServer = {
     relay: (stream) => {
       let isEnded = false;
       const handlers = accept((response) => {
-        if (!isEnded) stream.write(response);
+        if (isEnded) return;
+        unsentResponses += 1;
+        stream.write(response, onSent);
       });
       const end = () => {
         if (isEnded) return;
@@ -53,6 +64,7 @@
           else resolve(boundPort);
         });
       }),
+    hasUnsentData: () => unsentResponses > 0,
     stop: () => server.forceShutdown(),
   };
 }
--- a/tools/world/src/lib/instances/simulatedInstance.ts
+++ b/tools/world/src/lib/instances/simulatedInstance.ts
@@ -137,6 +137,7 @@
     },
     answer: (answer) => end.send({ type: 'answer', answer }),
     close: end.close,
+    hasUnsentData: () => false,
   });
   return {
     onMessage: (message) => {
--- a/tools/world/src/lib/instances/simulatedTransport.ts
+++ b/tools/world/src/lib/instances/simulatedTransport.ts
@@ -40,6 +40,7 @@
       if (listeners.get(host.name)?.life === host.life()) return;
       listeners.set(host.name, { host, accept, life: host.life() });
     },
+    hasUnsentData: () => false,
     close: () => undefined,
   };
 }
