Answer transactions that may have been committed by a statement as unknown

What callers saw, in the MySQL form: COMMIT after a statement that had committed its transaction by itself was answered 9103, "nothing of it remains", and so was CALL whose answer was lost or late, although a procedure may commit. Callers would run the work again.

Cause: whatever ends a transaction before COMMIT was taken to roll it back.

Change: statements of unknown kinds, CALL among them, are known to be able to commit; if their answer is lost or late, the outcome is unknown, and COMMIT of a transaction that ended so is answered unknown too. Statements that cannot commit are discarded as before; DO, SAVEPOINT and RELEASE are named for that.

The test "that the database committed before COMMIT has an unknown outcome" asked for 9103 from COMMIT. That was wrong: the position in its answer shows that the database had committed. It asks for 9102 now, and that a further statement is refused.

--- a/packages/core/src/lib/session/classifyStatement.ts
+++ b/packages/core/src/lib/session/classifyStatement.ts
@@ -4,6 +4,7 @@
 import type { ClassifiedStatement, StatementClassification, VariableColumn } from './statement';
 
 const WRITE: StatementClassification = { type: 'write' };
+const UNKNOWN_STATEMENT: StatementClassification = { type: 'write', mayCommit: true };
 const READ: StatementClassification = { type: 'read' };
 const LOCKING_READ: StatementClassification = { type: 'lockingRead' };
 const DEFINITION: StatementClassification = { type: 'definition' };
@@ -70,6 +71,9 @@
   REPLACE: classifyWrite,
   UPDATE: classifyWrite,
   DELETE: classifyWrite,
+  DO: () => WRITE,
+  SAVEPOINT: () => WRITE,
+  RELEASE: () => WRITE,
   CREATE: (sql) =>
     /^\s*CREATE\s+TEMPORARY\b/i.test(sql) ? asUnsupported('a temporary table') : DEFINITION,
   ALTER: () => DEFINITION,
@@ -94,7 +98,7 @@
 
 /**
  * Classifies a statement. Unknown statements are writes, because the primary can run any statement
- * while a replica refuses writes.
+ * while a replica refuses writes, and may commit by themselves, as `CALL` may.
  *
  * @example
  * classifyStatement('SELECT 1').request // { type: 'read' }
@@ -102,7 +106,10 @@
  */
 export function classifyStatement(sql: string): ClassifiedStatement {
   const classify = classifiersByWord[readFirstWord(sql)];
-  return { request: classify ? classify(sql) : WRITE, options: parseStatementOptions(sql) };
+  return {
+    request: classify ? classify(sql) : UNKNOWN_STATEMENT,
+    options: parseStatementOptions(sql),
+  };
 }
 
 function tokenizeStatement(sql: string): SqlToken[] {
--- a/packages/core/src/lib/session/statement.ts
+++ b/packages/core/src/lib/session/statement.ts
@@ -20,7 +20,8 @@
 /** Classification of a statement. @public */
 export type StatementClassification =
   | { type: 'read' }
-  | { type: 'write' }
+  /** `mayCommit` if it may commit an open transaction by itself; a procedure can. */
+  | { type: 'write'; mayCommit?: true }
   /** A read that must run on the primary, for example because it takes locks. */
   | { type: 'lockingRead' }
   /** A schema change; it implicitly commits an open transaction. */
--- a/packages/proxy/src/lib/statements/caller/callerRequests.ts
+++ b/packages/proxy/src/lib/statements/caller/callerRequests.ts
@@ -247,10 +247,12 @@
       // This request does not pass through the engine; its access is reported only in metrics.
       const request = createRequest('transaction', received.statement, group);
       const { requestId, deadlineAt } = request;
+      const { request: classification } = received.statement;
       const statement = {
         requestId,
         transactionId: id,
         statement: received.toUpstream(),
+        mayCommit: classification.type === 'write' && classification.mayCommit === true,
         deadlineAt,
         caller: mailbox,
       };
--- a/packages/proxy/src/lib/statements/caller/callerTransaction.ts
+++ b/packages/proxy/src/lib/statements/caller/callerTransaction.ts
@@ -23,10 +23,11 @@
 
 interface Transaction extends TransactionReference {
   /**
-   * `discarded` once the transaction has ended without COMMIT or ROLLBACK of the caller. Further
-   * statements are refused until the caller ends it; otherwise each would be committed on its own.
+   * `discarded` or `unknown` once the transaction has ended without COMMIT or ROLLBACK of the caller;
+   * `unknown` if a statement may have committed it. Further statements are refused until the caller
+   * ends it; otherwise each would be committed on its own.
    */
-  status: 'open' | 'discarded';
+  status: 'open' | 'discarded' | 'unknown';
 }
 
 /** @internal */
@@ -41,6 +42,16 @@
 
 const ROLLED_BACK_ERROR = createOutcomeError({ status: 'discarded', retryAfterMilliseconds: 0 });
 
+/** What COMMIT of a transaction that has ended is answered. */
+const COMMIT_ERRORS = {
+  discarded: ROLLED_BACK_ERROR,
+  unknown: createOutcomeError({
+    status: 'unknown',
+    reason: 'connectionLost',
+    retryAfterMilliseconds: 0,
+  }),
+};
+
 const ALREADY_OPEN_ERROR = createCallerError(
   'inTransaction',
   'The statement would commit the open transaction by itself; send COMMIT or ROLLBACK first',
@@ -69,7 +80,7 @@
     if (transaction && hasEndedTransaction(finished)) {
       // Has no effect if the outcome is not `done`, since the group task has then ended the transaction.
       release(transaction, true);
-      transaction.status = 'discarded';
+      transaction.status = finished.outcome.status === 'unknown' ? 'unknown' : 'discarded';
     }
     requests.sendAnswer(finished);
   }
@@ -101,16 +112,16 @@
     },
     run: (received) => {
       if (!transaction) return;
-      if (transaction.status === 'discarded') answers.sendError(ROLLED_BACK_ERROR);
+      if (transaction.status !== 'open') answers.sendError(ROLLED_BACK_ERROR);
       else {
         requests.submitInTransaction({ received, transaction, onFinished: onStatementFinished });
       }
     },
     commit: (received) => {
       if (transaction?.status !== 'open') {
-        const wasDiscarded = transaction !== undefined;
+        const error = transaction && COMMIT_ERRORS[transaction.status];
         transaction = undefined;
-        if (wasDiscarded) answers.sendError(ROLLED_BACK_ERROR);
+        if (error) answers.sendError(error);
         else answers.sendOk();
         return;
       }
@@ -145,7 +156,9 @@
       });
     },
     onLost: (transactionId) => {
-      if (transaction?.id === transactionId) transaction.status = 'discarded';
+      if (transaction?.id === transactionId && transaction.status === 'open') {
+        transaction.status = 'discarded';
+      }
     },
     discard: () => end(false),
   };
--- a/packages/proxy/src/lib/statements/group/groupTask.ts
+++ b/packages/proxy/src/lib/statements/group/groupTask.ts
@@ -319,7 +319,7 @@
   }
 
   function runInTransaction(submitted: TransactionStatement): void {
-    const { requestId, transactionId, statement, caller, deadlineAt } = submitted;
+    const { requestId, transactionId, statement, mayCommit, caller, deadlineAt } = submitted;
     const transaction = transactions.get(transactionId);
     if (!transaction) {
       answerDiscarded(caller, requestId);
@@ -331,13 +331,15 @@
       caller,
       access: 'statement',
       transactionId,
+      mayCommit,
     });
     run.attempt = 1;
     run.timeLimit = startTimeLimit(deadlineAt - clock(), () => {
       if (runs.get(requestId) !== run) return;
       runs.delete(requestId);
       cancelAttempt(run);
-      answerDiscarded(caller, requestId);
+      const outcome = toTransactionOutcome(run, { kind: 'lost', answerStarted: false });
+      caller.post({ type: 'requestAnswered', requestId, outcome });
     });
     runs.set(requestId, run);
     transactions.setRunning(transactionId, true);
--- a/packages/proxy/src/lib/statements/group/statementResult.ts
+++ b/packages/proxy/src/lib/statements/group/statementResult.ts
@@ -49,7 +49,9 @@
 
 /** Converts the result of a statement in a transaction to its outcome. @internal */
 export function toTransactionOutcome(run: StatementRun, result: StatementResult): RequestOutcome {
-  return hasCommitted(run) ? IMPLICIT_COMMIT_OUTCOME : outcomeByResultKind[result.kind];
+  const isLostCommit = result.kind === 'lost' && run.mayCommit;
+  if (isLostCommit || hasCommitted(run)) return IMPLICIT_COMMIT_OUTCOME;
+  return outcomeByResultKind[result.kind];
 }
 
 /**
--- a/packages/proxy/src/lib/statements/group/statementRun.ts
+++ b/packages/proxy/src/lib/statements/group/statementRun.ts
@@ -13,6 +13,8 @@
   access: Access | 'statement';
   /** The transaction, if `access` is `commit` or `statement`. */
   transactionId: string | undefined;
+  /** Whether the statement may commit its transaction by itself. */
+  mayCommit: boolean;
   /** Number of the current attempt, or 0 if there is none. Messages of other attempts are ignored. */
   attempt: number;
   lease: Lease | undefined;
@@ -27,17 +29,19 @@
 export type StatementRunOptions = Pick<
   StatementRun,
   'requestId' | 'statement' | 'caller' | 'access' | 'transactionId'
->;
+> &
+  Partial<Pick<StatementRun, 'mayCommit'>>;
 
 /** @internal */
 export function createStatementRun(options: StatementRunOptions): StatementRun {
-  const { requestId, statement, caller, access, transactionId } = options;
+  const { requestId, statement, caller, access, transactionId, mayCommit = false } = options;
   return {
     requestId,
     statement,
     caller,
     access,
     transactionId,
+    mayCommit,
     attempt: 0,
     lease: undefined,
     hasAnswerStarted: false,
--- a/packages/proxy/src/lib/statements/groupMessages.ts
+++ b/packages/proxy/src/lib/statements/groupMessages.ts
@@ -49,6 +49,8 @@
   requestId: string;
   transactionId: string;
   statement: UpstreamStatement;
+  /** Whether the statement may commit the transaction by itself. */
+  mayCommit: boolean;
   /** When an unfinished statement is cancelled; in milliseconds of the group task's `clock`. */
   deadlineAt: number;
   caller: CallerMailbox;
--- a/packages/proxy/src/test/statementsFailures.test.ts
+++ b/packages/proxy/src/test/statementsFailures.test.ts
@@ -362,7 +362,38 @@
     const connection = await connect();
     await connection.beginTransaction();
     await expect(connection.query('UPDATE tests')).rejects.toMatchObject({ errno: 9102 });
-    await expect(connection.commit()).rejects.toMatchObject({ errno: 9103 });
+    await expect(connection.query('DELETE FROM tests')).rejects.toMatchObject({ errno: 9103 });
+    await expect(connection.commit()).rejects.toMatchObject({ errno: 9102 });
+  });
+
+  // A procedure may commit; told that nothing remains, its caller would run it again.
+  it.each([
+    ['CALL move_lamp(7)', 9102],
+    ['UPDATE tests', 9103],
+    ['SAVEPOINT before_it', 9103],
+  ])('that loses the answer to %s is answered %i, and so is its COMMIT', async (sql, errno) => {
+    const { port: scriptedPort } = await startScriptedDatabase(({ connection }, received) => {
+      if (received === sql) connection.destroy();
+      else connection.finishOk({});
+    });
+    const { connect } = await startStatementPath({ scriptedPort });
+    const connection = await connect();
+    await connection.beginTransaction();
+    await expect(connection.query(sql)).rejects.toMatchObject({ errno });
+    await expect(connection.commit()).rejects.toMatchObject({ errno });
+  });
+
+  it('that runs out of time in a procedure has an unknown outcome', async () => {
+    const { port: scriptedPort } = await startScriptedDatabase(({ connection }, sql) => {
+      if (!sql.includes('CALL')) connection.finishOk({});
+    });
+    const kinds = { short: { deadlineMilliseconds: 300 } };
+    const { connect } = await startStatementPath({ scriptedPort, kinds });
+    const connection = await connect();
+    await connection.beginTransaction();
+    const call = connection.query('/* wisterialift kind=short */ CALL move_lamp(7)');
+    await expect(call).rejects.toMatchObject({ errno: 9102 });
+    await expect(connection.commit()).rejects.toMatchObject({ errno: 9102 });
   });
 
   it('whose COMMIT lost its answer has an unknown outcome', async () => {
