Keep a session's commit that a promoted primary has yet to apply

What callers could see: a session could lose its last commit, and then read without it, if a member that had just been promoted refused a position that it had received and not applied.

Cause: took the refusal of any member that leads a later term for a proof that the commit was discarded.

Change: the commit is dropped if the member shows an entry of a later term, or leads a later term from a log that ends before the commit.

Evidence: ownCommit.test.ts, two new cases; each fails with its half of the condition replaced.

--- a/packages/gateway/src/lib/groups/ownCommit.ts
+++ b/packages/gateway/src/lib/groups/ownCommit.ts
@@ -30,28 +30,39 @@
 /**
  * Learns from a member that was taken for the primary and lacks the session's last commit.
  *
- * If it has led a later term, a promotion has discarded the commit, and the session goes on without it.
- * If it has led earlier terms only, it was replaced.
+ * If it has led a later term without it, a promotion has discarded the commit, and the session goes on.
+ * If it has led earlier terms only, it was replaced. A promoted member that has yet to apply the commit
+ * tells neither.
  *
  * @param refusal.after - position that the member was asked for.
  */
 export function handleMissingCommit(
-  { evidence, group, logger, primaryTracker }: GroupContext,
+  context: GroupContext,
   { id: requestId, session }: StatementRequest,
   refusal: { member: Member; after: Position | undefined; answer: UpstreamAnswer },
 ): void {
+  const { evidence, group, logger, primaryTracker } = context;
   const { member, after, answer } = refusal;
   const commit = session.lastCommit;
   if (!commit || !after || comparePositions(after, commit.position) !== 0) return;
   const { memberId } = member.entry;
-  const confirmedTerm = primaryTracker.getConfirmedTerm(memberId);
-  const ledTerm = Math.max(answer.position?.term ?? 0, confirmedTerm);
-  if (ledTerm > commit.position.term) {
+  const { term } = commit.position;
+  const appliedTerm = answer.position?.term ?? 0;
+  if (appliedTerm > term || hasLedWithout(context, member, commit.position)) {
     logger.warn('ownCommitDiscarded', { group, requestId, commit });
     Object.assign(session, { lastCommit: undefined });
-  } else if (ledTerm < commit.position.term) {
-    const seenTerm = evidence.getHighestTerm();
-    logger.info('ownCommitMissing', { group, requestId, memberId, commit, ledTerm, seenTerm });
-    primaryTracker.rejectPrimary(member, ledTerm);
+    return;
   }
+  const ledTerm = Math.max(appliedTerm, primaryTracker.getConfirmedTerm(memberId));
+  if (ledTerm >= term) return;
+  const seenTerm = evidence.getHighestTerm();
+  logger.info('ownCommitMissing', { group, requestId, memberId, commit, ledTerm, seenTerm });
+  primaryTracker.rejectPrimary(member, ledTerm);
+}
+
+/** Whether the member was seen to lead a later term from a log that ends before the commit. */
+function hasLedWithout({ evidence }: GroupContext, { entry }: Member, commit: Position): boolean {
+  const seen = evidence.getLatestObservation(entry.memberId);
+  if (!seen?.isPrimary || seen.term <= commit.term) return false;
+  return comparePositions(seen.position, commit) < 0;
 }
--- a/packages/gateway/src/test/ownCommit.test.ts
+++ b/packages/gateway/src/test/ownCommit.test.ts
@@ -27,21 +27,25 @@
   reportUnreachable: noop,
 };
 
-/** A commit whose primary was lost with it. */
+/** A commit that no member can show. */
 const DISCARDED: Position = { term: 2, index: 90 };
 
 const settle = (milliseconds = 1) => vi.advanceTimersByTimeAsync(milliseconds);
 
 let positions: Record<string, Position>;
+/** Term that all members lead or follow; that of its log end for each if undefined. */
+let term: number | undefined;
 let gateway: ReturnType<typeof startTestGateway>;
 
 beforeEach(() => {
   vi.useFakeTimers({
     toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'],
   });
+  term = undefined;
   positions = { 'db-1': { term: 1, index: 9 }, 'db-2': { term: 1, index: 9 } };
   gateway = startTestGateway({
     getPosition: (memberId) => positions[memberId]!,
+    getTerm: (memberId) => term ?? positions[memberId]!.term,
     changes: CONSISTENCY,
     registry,
     maximumConnections: 20,
@@ -174,9 +178,13 @@
     expect(gateway.listBegun()).toEqual([{ memberId: 'db-1', after: OWN_COMMIT }]);
   });
 
-  it('begins without a commit that a promotion has discarded', async () => {
+  it.each([
+    ['beyond the commit', { term: 3, index: 5 }],
+    ['before the commit, in a later term', { term: 2, index: 80 }],
+  ])('begins without a discarded commit at a primary whose log ends %s', async (_, end) => {
     // Guards against a session that is refused for good once its last commit is lost.
-    positions = { 'db-1': { term: 3, index: 5 }, 'db-2': { term: 3, index: 5 } };
+    term = 3;
+    positions = { 'db-1': end, 'db-2': end };
     await listMembers();
     const lastCommit = { position: DISCARDED, ageMilliseconds: 10 };
     void gateway.relay(createStatement({ lastCommit }));
@@ -184,4 +192,16 @@
     expect(gateway.getForwardedIds('db-1')).toEqual(['r1']);
     expect(gateway.findLines('ownCommitDiscarded')).toHaveLength(1);
   });
+
+  it('does not begin at a promoted primary that has yet to apply its last commit', async () => {
+    // Guards against taking a commit for discarded that the new primary has only received.
+    term = 3;
+    positions = { 'db-1': { term: 2, index: 95 }, 'db-2': { term: 2, index: 95 } };
+    await listMembers();
+    const lastCommit = { position: DISCARDED, ageMilliseconds: 10 };
+    void gateway.relay(createStatement({ lastCommit }));
+    await settle(500);
+    expect(gateway.forwarded).toEqual([]);
+    expect(gateway.findLines('ownCommitDiscarded')).toEqual([]);
+  });
 });
