Ask for a missed term once in half a second

What callers would see: beside a silent partition each statement of a session that is ahead of its holder waited up to 400 ms for members that do not answer, before it went to another holder.

Change: for 500 ms after a query that found no later term, statements go to another holder at once.

Evidence: a test of ownCommit.test.ts, which times out without the pause.

--- a/packages/gateway/src/lib/groups/termDiscovery.ts
+++ b/packages/gateway/src/lib/groups/termDiscovery.ts
@@ -8,7 +8,8 @@
 export interface TermDiscovery {
   /**
    * Queries the members if the statement's session has a commit of a term that none was seen in.
-   * Resolves once a member answers in a later term than before, or all have answered or timed out.
+   * Resolves once a member answers in a later term than before, or all have answered or timed out; at
+   * once for a while after that, as other holders can run the statement meanwhile.
    */
   discover: (needs: StatementNeeds) => Promise<void>;
 }
@@ -16,10 +17,14 @@
 /** Allows for a new connection and two round trips between distant data centres. */
 const QUERY_TIMEOUT_MILLISECONDS = 400;
 
+/** Pause after a query that found no later term. */
+const RETRY_DELAY_MILLISECONDS = 500;
+
 /** Creates a discovery in which one query serves all statements that wait for it. */
 export function createTermDiscovery(context: GroupContext): TermDiscovery {
-  const { evidence, group, logger, members } = context;
+  const { clock, evidence, group, logger, members } = context;
   let running: Promise<unknown> | undefined;
+  let retryAt = -Infinity;
 
   async function queryMembers(): Promise<void> {
     const seenTerm = evidence.getHighestTerm();
@@ -30,13 +35,14 @@
         return evidence.getHighestTerm() > seenTerm;
       }),
     );
+    if (!isFound) retryAt = clock.now() + RETRY_DELAY_MILLISECONDS;
     const term = evidence.getHighestTerm();
     logger.info('sessionAhead', { group, seenTerm, isFound, term });
   }
 
   return {
     discover: async (needs) => {
-      if (!isBehindSession(context, needs)) return;
+      if (!isBehindSession(context, needs) || clock.now() < retryAt) return;
       running ??= queryMembers().finally(() => {
         running = undefined;
       });
--- a/packages/gateway/src/test/ownCommit.test.ts
+++ b/packages/gateway/src/test/ownCommit.test.ts
@@ -132,6 +132,21 @@
   },
 );
 
+it('statements that follow each other ask the members of an outdated instance once', async () => {
+  // Guards against statements that each wait for members out of reach before they go elsewhere.
+  await listMembers();
+  gateway.silence('db-2');
+  const before = gateway.countCommands('db-1', 'status');
+  const first = gateway.relay(createStatement());
+  await settle(450);
+  expect(await first).toMatchObject({ isOutOfReach: true });
+  expect(gateway.findLines('sessionAhead')).toHaveLength(1);
+  const second = gateway.relay(createStatement({ transaction: 2 }));
+  await settle();
+  expect(await second).toMatchObject({ isOutOfReach: true });
+  expect(gateway.countCommands('db-1', 'status')).toBe(before + 1);
+});
+
 describe('a read on a route that reads its own writes', () => {
   it('requires the last commit of the primary if it accepts no staleness', async () => {
     // Guards against a read that asks a presumed primary for nothing at all.
