--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -1,3 +1,4 @@
+import type { RelayRequest, RelayRoute, RelayStatement } from '@wisterialift/peer/relay';
 import type { Logger } from '@wisterialift/telemetry';
 import { createProcessClock } from '../index';
 import type { GatewayOptions, Route } from '../index';
@@ -26,6 +27,53 @@
   return { sequence, at, readings: { monotonic: at, wall: at } };
 }
 
+/** Creates a request of another instance that asks for nothing; `content` overrides its fields. */
+export function createRelayRequest(content: Partial<RelayRequest> = {}): RelayRequest {
+  return {
+    number: 1,
+    statement: undefined,
+    rolledBackTransaction: 0,
+    wantsConfiguration: false,
+    configurationJson: '',
+    permits: undefined,
+    primaryProbe: undefined,
+    ...content,
+  };
+}
+
+/** The first statement of a relayed transaction; `changes` and `route` override its fields. */
+export function createRelayStatement(
+  changes: Partial<Omit<RelayStatement, 'route'>> = {},
+  route: Partial<RelayRoute> = {},
+): RelayStatement {
+  return {
+    action: 'run',
+    transaction: 1,
+    isFirst: true,
+    isReadOnly: false,
+    id: 'q1',
+    text: 'READ lamp-1',
+    prepared: undefined,
+    team: '',
+    values: {},
+    sessionVersion: 0,
+    lastCommit: undefined,
+    timeLeftMilliseconds: 1_000,
+    route: {
+      database: 'history',
+      version: 3,
+      group: GROUP,
+      consistency: 'primary',
+      maximumStalenessMilliseconds: 0,
+      timeoutMilliseconds: 1_000,
+      goalMilliseconds: 500,
+      priority: 1,
+      ...route,
+    },
+    ...changes,
+  };
+}
+
 /** Creates a logger that passes every line to `write`. */
 export function createTestLogger(
   write: (event: string, fields?: Record<string, unknown>) => void = noop,
--- a/packages/gateway/src/test/holderRefusals.test.ts
+++ b/packages/gateway/src/test/holderRefusals.test.ts
@@ -14,7 +14,14 @@
 import { createRelayedGroup } from '../lib/relay/relayedGroup';
 import { createRelayService } from '../lib/relay/relayService';
 import type { RelayTarget } from '../lib/relay/relayService';
-import { createTestLogger, createTestRoute, createTestStamp, GROUP, noop } from './fixture';
+import {
+  createRelayRequest,
+  createTestLogger,
+  createTestRoute,
+  createTestStamp,
+  GROUP,
+  noop,
+} from './fixture';
 
 const refusal: UpstreamAnswer = {
   outcome: 'refused',
@@ -83,16 +90,7 @@
         const response = await new Promise<RelayResponse>((resolve) => {
           number += 1;
           pending.set(number, resolve);
-          onRequest({
-            number,
-            statement: undefined,
-            rolledBackTransaction: 0,
-            wantsConfiguration: false,
-            configurationJson: '',
-            permits: undefined,
-            primaryProbe: undefined,
-            ...content,
-          });
+          onRequest(createRelayRequest({ number, ...content }));
         });
         return { type: 'answered', response };
       },
--- a/packages/gateway/src/test/ownCommit.test.ts
+++ b/packages/gateway/src/test/ownCommit.test.ts
@@ -3,7 +3,7 @@
 import type { Position } from '@wisterialift/schema';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import type { InstanceRegistry } from '../index';
-import { GROUP, noop } from './fixture';
+import { createRelayStatement, noop } from './fixture';
 import { createDirectoryEntry, DATABASE, startTestGateway } from './testGateway';
 
 /** More instances than connections for each, so that a few of them hold the connections for all. */
@@ -67,33 +67,21 @@
   await settle(100);
 }
 
-/** The first statement of a transaction whose session has written through another instance. */
-function createStatement(changes: Partial<RelayStatement> = {}): RelayStatement {
-  return {
-    action: 'run',
-    transaction: 1,
-    isFirst: true,
-    isReadOnly: false,
-    id: 'r1',
-    text: 'READ lamp-1',
-    prepared: undefined,
-    team: '',
-    values: {},
-    sessionVersion: 0,
-    lastCommit: { position: OWN_COMMIT, ageMilliseconds: 10 },
-    timeLeftMilliseconds: 1_000,
-    route: {
+/** A statement of a session that has written through another instance. */
+function createStatement(
+  changes: Parameters<typeof createRelayStatement>[0] = {},
+  maximumStaleness: number = CONSISTENCY.maximumStaleness,
+): RelayStatement {
+  const lastCommit = { position: OWN_COMMIT, ageMilliseconds: 10 };
+  return createRelayStatement(
+    { id: 'r1', lastCommit, ...changes },
+    {
       database: DATABASE,
       version: 1,
-      group: GROUP,
       consistency: CONSISTENCY.consistency,
-      maximumStalenessMilliseconds: CONSISTENCY.maximumStaleness,
-      timeoutMilliseconds: 1_000,
-      goalMilliseconds: 500,
-      priority: 1,
+      maximumStalenessMilliseconds: maximumStaleness,
     },
-    ...changes,
-  };
+  );
 }
 
 /** `isForPrimary` tells whether only the primary can run it; true if omitted. */
@@ -151,12 +139,8 @@
   it('requires the last commit of the primary if it accepts no staleness', async () => {
     // Guards against a read that asks a presumed primary for nothing at all.
     await listMembers();
-    const { route, ...statement } = createStatement(ACTIONS['a read']);
-    void gateway.relay({
-      ...statement,
-      route: { ...route!, maximumStalenessMilliseconds: 0 },
-      lastCommit: { position: positions['db-1'], ageMilliseconds: 10 },
-    });
+    const lastCommit = { position: positions['db-1'], ageMilliseconds: 10 };
+    void gateway.relay(createStatement({ ...ACTIONS['a read'], lastCommit }, 0));
     await settle(100);
     expect(gateway.forwarded).toMatchObject([{ memberId: 'db-1', after: positions['db-1'] }]);
   });
--- a/packages/gateway/src/test/primaryRoute.test.ts
+++ b/packages/gateway/src/test/primaryRoute.test.ts
@@ -15,7 +15,14 @@
 import { createRelayedGroup } from '../lib/relay/relayedGroup';
 import { createRelayService } from '../lib/relay/relayService';
 import { encodeAnswer, encodeStatement } from '../lib/relay/relayMessages';
-import { createTestLogger, createTestRoute, createTestStamp, GROUP, noop } from './fixture';
+import {
+  createRelayRequest,
+  createTestLogger,
+  createTestRoute,
+  createTestStamp,
+  GROUP,
+  noop,
+} from './fixture';
 
 const logger = createTestLogger();
 const answer: UpstreamAnswer = {
@@ -340,15 +347,7 @@
     const statement = encodeStatement(write('WRITE a'), { action: 'write', now: clock.now() });
     const response = await new Promise<{ load?: { primaryDataCentre: string } }>((resolve) => {
       const stream = service.accept((sent) => sent.number > 0 && resolve(sent));
-      stream.onRequest({
-        number: 1,
-        statement,
-        rolledBackTransaction: 0,
-        wantsConfiguration: false,
-        configurationJson: '',
-        permits: undefined,
-        primaryProbe: undefined,
-      });
+      stream.onRequest(createRelayRequest({ statement }));
     });
     expect(ran).toEqual(['WRITE a']);
     expect(response.load?.primaryDataCentre).toBe(expected);
--- a/packages/gateway/src/test/relayService.test.ts
+++ b/packages/gateway/src/test/relayService.test.ts
@@ -1,51 +1,20 @@
-import type { RelayRequest, RelayStatement } from '@wisterialift/peer/relay';
 import { describe, expect, it } from 'vitest';
 import { createActiveConfiguration } from '../lib/configuration/activeConfiguration';
 import type { Transaction } from '../lib/groups/statementRunner';
 import { createProcessClock } from '../lib/ports/clock';
 import { createRelayService } from '../lib/relay/relayService';
 import type { RelayTarget } from '../lib/relay/relayService';
-import { createTestLogger, createTestStamp, noop } from './fixture';
+import {
+  createRelayRequest,
+  createRelayStatement,
+  createTestLogger,
+  createTestStamp,
+  noop,
+} from './fixture';
 
 const logger = createTestLogger();
 
-const firstStatement: RelayStatement = {
-  action: 'run',
-  transaction: 1,
-  isFirst: true,
-  isReadOnly: false,
-  id: 'q1',
-  text: 'WRITE lamp-1 lost',
-  prepared: undefined,
-  team: '',
-  values: {},
-  sessionVersion: 0,
-  lastCommit: undefined,
-  timeLeftMilliseconds: 1_000,
-  route: {
-    database: 'writes',
-    version: 3,
-    group: 'group-1',
-    consistency: 'primary',
-    maximumStalenessMilliseconds: 0,
-    timeoutMilliseconds: 1_000,
-    goalMilliseconds: 500,
-    priority: 1,
-  },
-};
-
-function createRequest(content: Partial<RelayRequest>): RelayRequest {
-  return {
-    number: 1,
-    statement: undefined,
-    rolledBackTransaction: 0,
-    wantsConfiguration: false,
-    configurationJson: '',
-    permits: undefined,
-    primaryProbe: undefined,
-    ...content,
-  };
-}
+const firstStatement = createRelayStatement({ text: 'WRITE lamp-1 lost' });
 
 /** Creates a service with a fake group that counts open transactions. */
 function createService() {
@@ -97,8 +66,8 @@
     // while its first statement waits for the directory.
     const { service, countOpen } = createService();
     const { onRequest } = service.accept(noop);
-    onRequest(createRequest({ statement: firstStatement }));
-    onRequest(createRequest({ number: 0, rolledBackTransaction: 1 }));
+    onRequest(createRelayRequest({ statement: firstStatement }));
+    onRequest(createRelayRequest({ number: 0, rolledBackTransaction: 1 }));
     await settle();
     expect(countOpen()).toBe(0);
     expect(service.countActiveWork()).toBe(0);
@@ -107,7 +76,7 @@
   it('is rolled back if the stream ends', async () => {
     const { service, countOpen } = createService();
     const { onRequest, onEnd } = service.accept(noop);
-    onRequest(createRequest({ statement: firstStatement }));
+    onRequest(createRelayRequest({ statement: firstStatement }));
     await settle();
     expect(countOpen()).toBe(1);
     onEnd();
--- a/packages/gateway/src/test/suspension.test.ts
+++ b/packages/gateway/src/test/suspension.test.ts
@@ -2,7 +2,14 @@
 import { describe, expect, it } from 'vitest';
 import { createGateway, createProcessClock } from '../index';
 import type { InstanceEntry } from '../index';
-import { createTestOptions, createTestLogger, GROUP, noop } from './fixture';
+import {
+  createRelayRequest,
+  createRelayStatement,
+  createTestOptions,
+  createTestLogger,
+  GROUP,
+  noop,
+} from './fixture';
 
 const createInstanceEntry = (name: string): InstanceEntry => ({
   instance: name,
@@ -53,38 +60,10 @@
     });
     const gateway = createGateway(options);
     suspendedMilliseconds = 5_000;
-    acceptStream!(noop).onRequest({
-      number: 1,
-      rolledBackTransaction: 0,
-      wantsConfiguration: false,
-      configurationJson: '',
-      permits: undefined,
-      primaryProbe: undefined,
-      statement: {
-        action: 'read',
-        transaction: 0,
-        isFirst: false,
-        isReadOnly: false,
-        id: 'q1',
-        text: 'READ lamp-1',
-        prepared: undefined,
-        team: '',
-        values: {},
-        sessionVersion: 0,
-        lastCommit: undefined,
-        timeLeftMilliseconds: 0,
-        route: {
-          database: 'history',
-          version: 3,
-          group: GROUP,
-          consistency: 'boundedStaleness',
-          maximumStalenessMilliseconds: 1_500,
-          timeoutMilliseconds: 1_000,
-          goalMilliseconds: 500,
-          priority: 1,
-        },
-      },
-    });
+    const read = { action: 'read', transaction: 0, isFirst: false, timeLeftMilliseconds: 0 };
+    const route = { consistency: 'boundedStaleness', maximumStalenessMilliseconds: 1_500 };
+    const statement = createRelayStatement(read, route);
+    acceptStream!(noop).onRequest(createRelayRequest({ statement }));
     await Promise.resolve();
     await Promise.resolve();
     await Promise.resolve();
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -22,7 +22,7 @@
   StoredRecord,
   Team,
 } from '../index';
-import { createTestOptions, createTestLogger, GROUP, noop } from './fixture';
+import { createRelayRequest, createTestOptions, createTestLogger, GROUP, noop } from './fixture';
 
 /** Database of the test sessions; its consistency is `primary`. */
 export const DATABASE = 'ledger';
@@ -380,15 +380,7 @@
       const { onRequest } = acceptRelay!((response) => {
         if (response.number === 1) resolve(response);
       });
-      onRequest({
-        number: 1,
-        statement,
-        rolledBackTransaction: 0,
-        wantsConfiguration: false,
-        configurationJson: '',
-        permits: undefined,
-        primaryProbe: undefined,
-      });
+      onRequest(createRelayRequest({ statement }));
     });
   }
 
