Tell no roll-back of a transaction that a procedure may have committed

What callers saw, in the MySQL form: after CALL whose answer was lost, with the outcome rightly unknown, ROLLBACK was answered OK; and after a deadlock in CALL, COMMIT was answered "nothing of it remains". A procedure may have committed before either.

Change: ROLLBACK of a transaction in doubt is answered as COMMIT of it is, and a statement that may commit leaves its transaction in doubt whichever way it ends it. The question is asked at one place, `mayCommit`.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -81,6 +81,7 @@
   type GroupPosition,
 } from './lib/session/sessionToken';
 export {
+  mayCommit,
   type Assignment,
   type ClassifiedStatement,
   type StatementClassification,
--- a/packages/core/src/lib/session/statement.ts
+++ b/packages/core/src/lib/session/statement.ts
@@ -42,3 +42,8 @@
   request: StatementClassification;
   options: StatementOptions;
 }
+
+/** Whether the statement may commit an open transaction by itself. @public */
+export function mayCommit({ request }: ClassifiedStatement): boolean {
+  return request.type === 'write' && request.mayCommit === true;
+}
--- a/packages/proxy/src/lib/statements/caller/callerRequests.ts
+++ b/packages/proxy/src/lib/statements/caller/callerRequests.ts
@@ -1,3 +1,4 @@
+import { mayCommit } from '@wisterialift/core';
 import type { Access, EngineRequest, ClassifiedStatement } from '@wisterialift/core';
 import type { CallerConnection, CompletedAnswer, FinalPacket } from '@wisterialift/mysql';
 import { toFrames } from '@wisterialift/mysql';
@@ -247,12 +248,11 @@
       // This request does not pass through the engine; its access is reported only in metrics.
       const request = createRequest('transaction', received.statement, group);
       const { requestId, deadlineAt } = request;
-      const { request: classification } = received.statement;
       const statement = {
         requestId,
         transactionId: id,
         statement: received.toUpstream(),
-        mayCommit: classification.type === 'write' && classification.mayCommit === true,
+        mayCommit: mayCommit(received.statement),
         deadlineAt,
         caller: mailbox,
       };
--- a/packages/proxy/src/lib/statements/caller/callerTransaction.ts
+++ b/packages/proxy/src/lib/statements/caller/callerTransaction.ts
@@ -1,3 +1,4 @@
+import { mayCommit } from '@wisterialift/core';
 import type { RequestOutcome } from '@wisterialift/schema';
 import type { AnswerWriter } from './answerWriter';
 import { createCallerError, createOutcomeError } from './callerErrors';
@@ -42,7 +43,7 @@
 
 const ROLLED_BACK_ERROR = createOutcomeError({ status: 'discarded', retryAfterMilliseconds: 0 });
 
-/** What COMMIT of a transaction that has ended is answered. */
+/** What COMMIT of a transaction that has ended by itself is answered. */
 const COMMIT_ERRORS = {
   discarded: ROLLED_BACK_ERROR,
   unknown: createOutcomeError({
@@ -76,11 +77,12 @@
     services.mailbox.post({ type: 'transactionEnded', transactionId: id, isClean });
   }
 
-  function onStatementFinished(finished: FinishedRequest): void {
+  function onStatementFinished(received: ReceivedStatement, finished: FinishedRequest): void {
     if (transaction && hasEndedTransaction(finished)) {
       // Has no effect if the outcome is not `done`, since the group task has then ended the transaction.
       release(transaction, true);
-      transaction.status = finished.outcome.status === 'unknown' ? 'unknown' : 'discarded';
+      const isUnknown = finished.outcome.status === 'unknown' || mayCommit(received.statement);
+      transaction.status = isUnknown ? 'unknown' : 'discarded';
     }
     requests.sendAnswer(finished);
   }
@@ -114,7 +116,11 @@
       if (!transaction) return;
       if (transaction.status !== 'open') answers.sendError(ROLLED_BACK_ERROR);
       else {
-        requests.submitInTransaction({ received, transaction, onFinished: onStatementFinished });
+        requests.submitInTransaction({
+          received,
+          transaction,
+          onFinished: (finished) => onStatementFinished(received, finished),
+        });
       }
     },
     commit: (received) => {
@@ -139,8 +145,10 @@
     },
     rollback: (received) => {
       if (transaction?.status !== 'open') {
+        const isUnknown = transaction?.status === 'unknown';
         transaction = undefined;
-        answers.sendOk();
+        if (isUnknown) answers.sendError(COMMIT_ERRORS.unknown);
+        else answers.sendOk();
         return;
       }
       requests.submitInTransaction({
@@ -156,9 +164,7 @@
       });
     },
     onLost: (transactionId) => {
-      if (transaction?.id === transactionId && transaction.status === 'open') {
-        transaction.status = 'discarded';
-      }
+      if (transaction?.id === transactionId) transaction.status = 'discarded';
     },
     discard: () => end(false),
   };
--- a/packages/proxy/src/test/statementsFailures.test.ts
+++ b/packages/proxy/src/test/statementsFailures.test.ts
@@ -383,6 +383,36 @@
     await expect(connection.commit()).rejects.toMatchObject({ errno });
   });
 
+  // An OK would tell the caller that nothing remains.
+  it('that a procedure may have committed is not told to be rolled back', async () => {
+    const { port: scriptedPort } = await startScriptedDatabase(({ connection }, sql) => {
+      if (sql.startsWith('CALL')) connection.destroy();
+      else connection.finishOk({});
+    });
+    const { connect } = await startStatementPath({ scriptedPort });
+    const connection = await connect();
+    await connection.beginTransaction();
+    await expect(connection.query('CALL move_lamp(7)')).rejects.toMatchObject({ errno: 9102 });
+    await expect(connection.rollback()).rejects.toMatchObject({ errno: 9102 });
+    await connection.rollback();
+  });
+
+  it.each([
+    ['CALL move_lamp(7)', 9102],
+    ['UPDATE tests', 9103],
+  ])('that a deadlock in %s ended has a COMMIT that fails with %i', async (sql, errno) => {
+    const deadlock = { code: 1213, state: '40001', message: 'Deadlock found' };
+    const { port: scriptedPort } = await startScriptedDatabase(({ connection }, received) => {
+      if (received === sql) connection.finishError(deadlock);
+      else connection.finishOk({});
+    });
+    const { connect } = await startStatementPath({ scriptedPort });
+    const connection = await connect();
+    await connection.beginTransaction();
+    await expect(connection.query(sql)).rejects.toMatchObject({ errno: 1213 });
+    await expect(connection.commit()).rejects.toMatchObject({ errno });
+  });
+
   it('that runs out of time in a procedure has an unknown outcome', async () => {
     const { port: scriptedPort } = await startScriptedDatabase(({ connection }, sql) => {
       if (!sql.includes('CALL')) connection.finishOk({});
