Tell callers that a commit which was not sent left nothing behind

What callers saw: COMMIT that found no room at its member within its time limit was answered as in doubt, so that they could not repeat the transaction, although the commit had never been sent.

Cause: a statement that is not admitted in time ended its transaction as if its answer were lost.

Change: such a statement is told apart from one that was sent. Its connection is closed as before, so the member rolls the transaction back.

--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -29,9 +29,13 @@
 /** Pause before a statement that a busy member refused is retried. */
 const BUSY_RETRY_DELAY_MILLISECONDS = 20;
 
-/** Outcome of a statement in a transaction; only the first one can be `notSent`. */
+/** Outcome of a statement in a transaction. */
 type StepOutcome =
-  { type: 'answered'; answer: UpstreamAnswer } | { type: 'lost' } | { type: 'notSent' };
+  | { type: 'answered'; answer: UpstreamAnswer }
+  /** The transaction cannot go on: no answer came, or the statement could not be sent in time. */
+  | { type: 'lost'; cause: 'timeout' | 'broken' | 'unsent' }
+  /** The member takes no new transactions; the first statement only. */
+  | { type: 'notSent' };
 
 interface OpenedTransaction {
   member: Member;
@@ -163,8 +167,9 @@
         team: request.team,
       };
       const admissionResult = await member.admission.requestAdmission(admissionRequest);
-      // Without admission, the transaction ends as if the answer were lost.
-      if (admissionResult !== 'admitted') return { type: canRun() ? 'lost' : 'notSent' };
+      if (admissionResult !== 'admitted') {
+        return canRun() ? { type: 'lost', cause: 'unsent' } : { type: 'notSent' };
+      }
       if (!canRun()) {
         member.admission.release(admissionRequest);
         return { type: 'notSent' };
@@ -205,7 +210,7 @@
       const preparation = await prepareConnection(context, member, options);
       if (preparation.type === 'ready') return undefined;
       if (preparation.type === 'refused') return { type: 'answered', answer: preparation.answer };
-      return { type: 'lost' };
+      return { type: 'lost', cause: 'unsent' };
     }
 
     async function run(request: StatementRequest): Promise<UpstreamAnswer> {
@@ -248,6 +253,9 @@
       if (outcome.type === 'lost') {
         discard();
         context.suspectPrimary('silent', member);
+        if (outcome.cause === 'unsent') {
+          return refuseAborted(request, 'the commit could not be sent in time');
+        }
         if (!hasWritten) return refuseAborted(request, 'the member did not answer the commit');
         return refuseStatement(
           context,
