Share what runs once for all its callers, and the options of a commit's holders

Cause: read as a whole, the change kept its third and fourth copies of a promise that callers share while it runs, and a second copy of the options by which a commit's holders are judged; the settling of a replaced primary's commits asked for a member's role with a query of its own.

Change: shareRunning() in the gateway's timing directory, used by the configuration check, the read position, the missed term and the settling; createHolderOptions() for the verifier and the settling, which now probes through the group's primary probe as the verifier does. Two conditions that another one implied are gone. Behaviour stays.

--- a/packages/gateway/src/lib/configuration/configurationCheck.ts
+++ b/packages/gateway/src/lib/configuration/configurationCheck.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../ports/clock';
 import type { ConfigurationPort } from '../ports/platformPort';
 import { settleWithTimeout } from '../timing/promiseTimeout';
+import { shareRunning } from '../timing/shareRunning';
 import type { ActiveConfiguration } from './activeConfiguration';
 import type { CallerIdentity } from './callerAccess';
 import type { KeyRefusals } from './keyRefusals';
@@ -38,31 +39,10 @@
   const { port, configuration, keyRefusals, askOtherInstance, clock, logger } = options;
   let checkedAt = -Infinity;
   let failedAt = -Infinity;
-  let pendingCheck: Promise<void> | undefined;
 
   const isKeyRefused = (identity: CallerIdentity) =>
     configuration.findAccess(identity)?.type === 'refused';
 
-  async function checkFor(identity: CallerIdentity): Promise<void> {
-    const { keyDigest } = identity;
-    const access = configuration.findAccess(identity);
-    const isUnknownKey = access?.type === 'refused' && access.reason === 'unauthenticated';
-    if (isUnknownKey && keyDigest !== undefined && keyRefusals.has(keyDigest)) return;
-    await checkUnlessKnown();
-    if (isUnknownKey && keyDigest !== undefined && isKeyRefused(identity)) {
-      keyRefusals.add(keyDigest, checkedAt);
-    }
-  }
-
-  function checkUnlessKnown(): Promise<void> {
-    const isKnown = clock.now() - checkedAt < CHECK_VALIDITY_MILLISECONDS;
-    if (port.isFresh() || isKnown) return Promise.resolve();
-    pendingCheck ??= refresh().finally(() => {
-      pendingCheck = undefined;
-    });
-    return pendingCheck;
-  }
-
   async function refresh(): Promise<void> {
     if (clock.now() - failedAt < FAILURE_PAUSE_MILLISECONDS) return askOtherInstance();
     const startedAt = clock.now();
@@ -78,5 +58,24 @@
     return askOtherInstance();
   }
 
+  const refreshOnce = shareRunning(refresh);
+
+  function checkUnlessKnown(): Promise<void> {
+    const isKnown = clock.now() - checkedAt < CHECK_VALIDITY_MILLISECONDS;
+    if (port.isFresh() || isKnown) return Promise.resolve();
+    return refreshOnce();
+  }
+
+  async function checkFor(identity: CallerIdentity): Promise<void> {
+    const { keyDigest } = identity;
+    const access = configuration.findAccess(identity);
+    const isUnknownKey = access?.type === 'refused' && access.reason === 'unauthenticated';
+    if (isUnknownKey && keyDigest !== undefined && keyRefusals.has(keyDigest)) return;
+    await checkUnlessKnown();
+    if (isUnknownKey && keyDigest !== undefined && isKeyRefused(identity)) {
+      keyRefusals.add(keyDigest, checkedAt);
+    }
+  }
+
   return { checkFor };
 }
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -241,6 +241,7 @@
     soleMemberGuard,
     readPositions,
   });
+  const probePrimary = createPrimaryProbe(context);
   const writes = createWriteRouter(context, {
     primaryVerifier,
     soleMemberGuard,
@@ -248,6 +249,7 @@
       poller: evidencePoller,
       registrar,
       readTermStart: promotion.readTermStart,
+      probePrimary,
     }),
   });
   const transactions = createTransactionOpener(context, {
@@ -436,7 +438,7 @@
     isUsable: () => members.size > 0 && primaryTracker.find() !== undefined,
     isOutOfReach: (needs) => reachMonitor.isOutOfReach(needs) || isBehindSession(context, needs),
     discover: createTermDiscovery(context).discover,
-    probePrimary: createPrimaryProbe(context),
+    probePrimary,
     estimateRefusal: (request, access) => estimateRefusal(context, reads, { request, access }),
     discardAges: evidence.discardAges,
     findPrimaryDataCentre: () => primaryTracker.find()?.entry.dataCentre,
--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -6,6 +6,7 @@
 import type { EvidencePoller } from './evidencePoller';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
 import type { SequencedTime, GroupContext } from './groupContext';
+import { createHolderOptions } from './holderOptions';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
 import type { MemberRegistrar } from './memberRegistrar';
@@ -216,13 +217,8 @@
     waitForReplication: async ({ member, position, requestedAt, polls, deadlineAt }) => {
       const { term } = position;
       if (await soleMemberGuard.waitForPermit({ member, term, deadlineAt })) return 'replicated';
-      const wait = evidence.waitForReplication({
-        position,
-        primaryId: member.entry.memberId,
-        memberIds: () => [...members.keys()],
-        isRegistered: registrar.isRegistered,
-        isHeldByAll: (holderIds) => registrar.isHeldByAll([member.entry.memberId, ...holderIds]),
-      });
+      const holderOptions = createHolderOptions(context, registrar, member.entry.memberId);
+      const wait = evidence.waitForReplication({ position, ...holderOptions });
       const isLeading = wait.isReceived;
       const result = await waitForEvidence(wait, { member, isLeading, polls, deadlineAt });
       if (!result) return 'unknown';
--- a/packages/gateway/src/lib/groups/readPositionRefresher.ts
+++ b/packages/gateway/src/lib/groups/readPositionRefresher.ts
@@ -2,6 +2,7 @@
 import { getHigherPosition } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
+import { shareRunning } from '../timing/shareRunning';
 import { waitForFirstTrue } from '../timing/waitForFirstTrue';
 import { createSequencedTime, describeLogEnds } from './groupContext';
 import type { GroupContext } from './groupContext';
@@ -50,7 +51,6 @@
   { guard, registrar }: ReadPositionOptions,
 ): ReadPositionRefresher {
   const { primaryTracker, clock, counters, evidence, group, logger, members } = context;
-  let pendingRefresh: Promise<void> | undefined;
   let loggedResult: string | undefined;
 
   async function refreshOnce(): Promise<void> {
@@ -119,12 +119,5 @@
     logger.info(event, { group, ...fields, logEnds: describeLogEnds(context) });
   }
 
-  return {
-    refresh: () => {
-      pendingRefresh ??= refreshOnce().finally(() => {
-        pendingRefresh = undefined;
-      });
-      return pendingRefresh;
-    },
-  };
+  return { refresh: shareRunning(refreshOnce) };
 }
--- a/packages/gateway/src/lib/groups/supersededCommits.ts
+++ b/packages/gateway/src/lib/groups/supersededCommits.ts
@@ -2,12 +2,13 @@
 import type { CommitOutcome, SettlementResult, TermStart } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
+import { shareRunning } from '../timing/shareRunning';
 import type { EvidencePoller } from './evidencePoller';
 import type { GroupContext } from './groupContext';
-import type { Member } from './member';
+import { createHolderOptions } from './holderOptions';
 import type { MemberRegistrar } from './memberRegistrar';
+import type { ProbePrimary } from './primaryProbe';
 import { planPolls } from './primaryVerifier';
-import { sendMemberCommand } from './sendMemberCommand';
 import type { StatementRequest } from './statementRequest';
 
 /** `unknown` at the deadline, or if the recorded promotions cannot tell the outcome. */
@@ -27,42 +28,24 @@
   registrar: Pick<MemberRegistrar, 'isHeldByAll' | 'isRegistered'>;
   /** Reads the start of the newest recorded term; undefined if there is none or on a store error. */
   readTermStart: () => Promise<TermStart | undefined>;
+  /** Asks a member for its role, and others whether they follow it. */
+  probePrimary: ProbePrimary;
 }
 
 /** Pause before the promotion record is read again; each time costs a call to the store. */
 const RETRY_DELAY_MILLISECONDS = 250;
 
-const ROLE_QUERY_TIMEOUT_MILLISECONDS = 400;
-
 export function createSupersededCommits(
   context: GroupContext,
-  { poller, registrar, readTermStart }: SupersededCommitsOptions,
+  { poller, registrar, readTermStart, probePrimary }: SupersededCommitsOptions,
 ): SupersededCommits {
-  const { clock, evidence, group, logger, members, primaryTracker } = context;
-  let reading: Promise<TermStart | undefined> | undefined;
-  let queryingRole: Promise<unknown> | undefined;
-
-  /** Reads once for all commits that were superseded at the same time. */
-  function readSharedTermStart(): Promise<TermStart | undefined> {
-    reading ??= readTermStart().finally(() => {
-      reading = undefined;
-    });
-    return reading;
-  }
-
-  const queryRole = (member: Member) =>
-    sendMemberCommand(context, member, { type: 'status' }, ROLE_QUERY_TIMEOUT_MILLISECONDS);
+  const { clock, evidence, group, logger, primaryTracker } = context;
+  /** Many commits are superseded at the same time. */
+  const readTermStartOnce = shareRunning(readTermStart);
 
   /** Whether the recorded member leads the recorded term; an order may have had another effect. */
   async function isTermLed({ primaryId, term }: TermStart): Promise<boolean> {
-    const primary = members.get(primaryId);
-    if (!primary) return false;
-    if (!primaryTracker.isConfirmed(primaryId, term)) {
-      queryingRole ??= queryRole(primary).finally(() => {
-        queryingRole = undefined;
-      });
-      await queryingRole;
-    }
+    if (!primaryTracker.isConfirmed(primaryId, term)) await probePrimary(primaryId);
     return primaryTracker.isConfirmed(primaryId, term);
   }
 
@@ -71,15 +54,8 @@
     options: { position: Position; started: TermStart; deadlineAt: number },
   ): Promise<SettlementResult | undefined> {
     const { position, started, deadlineAt } = options;
-    const { primaryId } = started;
-    const wait = evidence.waitForSettlement({
-      position,
-      started,
-      primaryId,
-      memberIds: () => [...members.keys()],
-      isRegistered: registrar.isRegistered,
-      isHeldByAll: (holderIds) => registrar.isHeldByAll([primaryId, ...holderIds]),
-    });
+    const holderOptions = createHolderOptions(context, registrar, started.primaryId);
+    const wait = evidence.waitForSettlement({ position, started, ...holderOptions });
     const stopPolling = poller.startPolling({ ...planPolls(context, route), firstDelay: 0 });
     const result = await resolveWithTimeout(clock, wait.result, deadlineAt - clock.now());
     stopPolling();
@@ -94,7 +70,7 @@
     const { position, deadlineAt } = options;
     let started: TermStart | undefined;
     while (clock.now() < deadlineAt) {
-      started = await readSharedTermStart();
+      started = await readTermStartOnce();
       const isLaterTerm = started !== undefined && started.term > position.term;
       if (started && isLaterTerm && !determineCommitOutcome(position, started)) break;
       if (started && isLaterTerm && (await isTermLed(started))) {
--- a/packages/gateway/src/lib/groups/termDiscovery.ts
+++ b/packages/gateway/src/lib/groups/termDiscovery.ts
@@ -2,6 +2,7 @@
 import { isBehindSession } from './ownCommit';
 import type { StatementNeeds } from './reachMonitor';
 import { sendMemberCommand } from './sendMemberCommand';
+import { shareRunning } from '../timing/shareRunning';
 import { waitForFirstTrue } from '../timing/waitForFirstTrue';
 
 /** Finds out about terms that this instance has missed and a session has a commit of. */
@@ -23,7 +24,6 @@
 /** Creates a discovery in which one query serves all statements that wait for it. */
 export function createTermDiscovery(context: GroupContext): TermDiscovery {
   const { clock, evidence, group, logger, members } = context;
-  let running: Promise<unknown> | undefined;
   let retryAt = -Infinity;
 
   async function queryMembers(): Promise<void> {
@@ -40,13 +40,12 @@
     logger.info('sessionAhead', { group, seenTerm, isFound, term });
   }
 
+  const queryOnce = shareRunning(queryMembers);
+
   return {
     discover: async (needs) => {
       if (!isBehindSession(context, needs) || clock.now() < retryAt) return;
-      running ??= queryMembers().finally(() => {
-        running = undefined;
-      });
-      await running;
+      await queryOnce();
     },
   };
 }
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -260,7 +260,7 @@
   ): SettlementResult | undefined => {
     const holders = listOthers(options).filter((memberId) => {
       const seen = latestObservations.get(memberId);
-      return seen && !seen.isPrimary && holdsTermStart(seen, started);
+      return seen && holdsTermStart(seen, started);
     });
     if (!isFoundByPromotions(holders, options)) return undefined;
     const outcome = determineCommitOutcome(position, started);
