Answer statements after a commit in doubt as unknown, too

Cause: in the MySQL form, a statement in a transaction that an earlier one may have committed was refused with 9103, 'nothing of it remains' and the SQLSTATE of a roll-back, while COMMIT and ROLLBACK were answered 9102. A driver that runs such transactions again would have doubled that commit.

Change: the refusal is that of the transaction's end, 9103 or 9102. Comments of the change say roll-back where they used the callers' words.

--- a/packages/gateway/src/test/supersededCommits.test.ts
+++ b/packages/gateway/src/test/supersededCommits.test.ts
@@ -75,7 +75,7 @@
 
 describe('a commit of a primary that was replaced before it was replicated', () => {
   it('is in doubt while the former primary could be promoted again', async () => {
-    // Guards against telling that nothing is kept of a write that returns with its old primary.
+    // Guards against a write that returns with its old primary after it was told to be discarded.
     const session = await holdWrite();
     expect(session.answers).toEqual([]);
     await settle(HOLDING_MILLISECONDS);
@@ -92,7 +92,7 @@
   });
 
   it('is in doubt if another member leads the term than was recorded', async () => {
-    // Guards against the origin of an order that had no effect.
+    // Guards against an outcome by the origin of a promotion that did not happen.
     members['db-4'] = { term: 1, position: ORIGIN };
     const session = await holdWrite({ recordedId: 'db-3' });
     members['db-2'] = { term: 2, position: HELD };
--- a/packages/pooling/src/lib/promotion/promotionCandidate.ts
+++ b/packages/pooling/src/lib/promotion/promotionCandidate.ts
@@ -20,7 +20,7 @@
  * Chooses the replica with the highest log end; its log includes every acknowledged write.
  *
  * Replicas that have taken over the log from which the newest known term started go before all others.
- * A former primary may have a higher log end, with writes whose callers were told that nothing is kept.
+ * A former primary may have a higher log end, with writes whose callers were told of a roll-back.
  *
  * A leaving replica is never promoted. If it alone has the highest log end, no replica is, since
  * the others may lack a write that the leaving replica confirmed.
--- a/packages/pooling/src/test/decisions.test.ts
+++ b/packages/pooling/src/test/decisions.test.ts
@@ -150,7 +150,7 @@
   const follower = { ...common, memberId: 'c', term: 2, received: { term: 1, index: 7 } };
 
   it('is not promoted again beside a replica that has taken over the log of that term', () => {
-    // Guards against writes that return after their callers were told that nothing is kept.
+    // Guards against writes that return after their callers were told of a roll-back.
     expect(choosePromotionCandidate([former, follower], started)).toBe(follower);
     const demoted = { ...former, term: 2 };
     expect(choosePromotionCandidate([demoted, follower], started)).toBe(follower);
--- a/packages/proxy/src/lib/statements/caller/callerTransaction.ts
+++ b/packages/proxy/src/lib/statements/caller/callerTransaction.ts
@@ -41,11 +41,9 @@
 /** SQLSTATE class of errors after which the whole transaction is rolled back. */
 const ROLLBACK_SQLSTATE_CLASS = '40';
 
-const ROLLED_BACK_ERROR = createOutcomeError({ status: 'discarded', retryAfterMilliseconds: 0 });
-
-/** What COMMIT of a transaction that has ended by itself is answered. */
-const COMMIT_ERRORS = {
-  discarded: ROLLED_BACK_ERROR,
+/** Answers to statements and COMMIT of a transaction that has ended by itself. */
+const ENDED_ERRORS = {
+  discarded: createOutcomeError({ status: 'discarded', retryAfterMilliseconds: 0 }),
   unknown: createOutcomeError({
     status: 'unknown',
     reason: 'connectionLost',
@@ -114,7 +112,7 @@
     },
     run: (received) => {
       if (!transaction) return;
-      if (transaction.status !== 'open') answers.sendError(ROLLED_BACK_ERROR);
+      if (transaction.status !== 'open') answers.sendError(ENDED_ERRORS[transaction.status]);
       else {
         requests.submitInTransaction({
           received,
@@ -125,7 +123,7 @@
     },
     commit: (received) => {
       if (transaction?.status !== 'open') {
-        const error = transaction && COMMIT_ERRORS[transaction.status];
+        const error = transaction && ENDED_ERRORS[transaction.status];
         transaction = undefined;
         if (error) answers.sendError(error);
         else answers.sendOk();
@@ -147,7 +145,7 @@
       if (transaction?.status !== 'open') {
         const isUnknown = transaction?.status === 'unknown';
         transaction = undefined;
-        if (isUnknown) answers.sendError(COMMIT_ERRORS.unknown);
+        if (isUnknown) answers.sendError(ENDED_ERRORS.unknown);
         else answers.sendOk();
         return;
       }
