--- a/packages/gateway/src/test/otherHolders.test.ts
+++ b/packages/gateway/src/test/otherHolders.test.ts
@@ -106,20 +106,25 @@
   return { link, received, ran, values };
 }
 
-/** Creates an instance that relays to the first of the holders, then to the others. */
-function createRelay(links: PeerLink[]) {
+/**
+ * Creates an instance that relays to the first of the holders, then to the others.
+ *
+ * @param holder - what it runs itself if it is a holder, too; it then relays only if it is out of reach.
+ */
+function createRelay(links: PeerLink[], holder?: Partial<GroupRouter>) {
   const configuration = createConfiguration();
   const counters = { relayed: 0, refusals: 0 } as GroupRouter['counters'];
   const local = {
     counters,
     createArrivalStamp: () => createTestStamp(clock.now()),
     isOutOfReach: () => false,
+    ...holder,
   } as Partial<GroupRouter> as GroupRouter;
   return createRelayedGroup({
     group: GROUP,
     local,
     holders: {
-      selectLink: () => links.find((link) => link.isUsable()),
+      selectLink: () => (holder ? undefined : links.find((link) => link.isUsable())),
       selectOtherLink: (_, refusing) => links.find((link) => !refusing.has(link)),
       selectLinkIn: () => undefined,
       listOtherLinks: () => links,
@@ -127,7 +132,7 @@
       findLink: () => undefined,
       isInformed: () => false,
       hasOtherHolders: () => true,
-      isHolder: () => false,
+      isHolder: () => holder !== undefined,
       countConnectedInstances: () => 2,
       isReady: () => true,
       updateInstances: noop,
@@ -272,3 +277,34 @@
     expect(holders.flatMap(({ ran }) => ran)).toEqual([]);
   });
 });
+
+describe('a holder whose caller has a commit of a term that it has missed', () => {
+  it('asks its members before another holder runs a statement', async () => {
+    // Guards against statements that are all passed on although the new primary is in reach.
+    let isBehind = true;
+    const ran: string[] = [];
+    const run = async ({ id }: StatementRequest): Promise<UpstreamAnswer> => {
+      ran.push(id);
+      return { outcome: 'completed', rows: [], signature: 's', transaction: 'idle' };
+    };
+    const other = createHolder({ isOutOfReach: false });
+    const relay = createRelay([other.link], {
+      isOutOfReach: () => isBehind,
+      discover: async () => {
+        isBehind = false;
+      },
+      read: run,
+      write: run,
+      openTransaction: async () => ({ transaction: { run, commit: run, rollBack: noop } }),
+    });
+    await relay.read(createRequest('read'));
+    isBehind = true;
+    await relay.write(createRequest('write'));
+    isBehind = true;
+    const opening = { isReadOnly: false, beginStamp: createTestStamp(clock.now()) };
+    const opened = await relay.openTransaction(createRequest('begin'), opening);
+    if ('transaction' in opened) await opened.transaction.run(createRequest('run'));
+    expect(ran).toEqual(['read', 'write', 'run']);
+    expect(other.received).toEqual([]);
+  });
+});
--- a/packages/gateway/src/test/ownCommit.test.ts
+++ b/packages/gateway/src/test/ownCommit.test.ts
@@ -120,22 +120,82 @@
   },
 );
 
-it('statements that follow each other ask the members of an outdated instance once', async () => {
+it('statements at the same time or shortly after ask the members of an outdated instance once', async () => {
   // Guards against statements that each wait for members out of reach before they go elsewhere.
   await listMembers();
   gateway.silence('db-2');
   const before = gateway.countCommands('db-1', 'status');
-  const first = gateway.relay(createStatement());
+  const relayed = [1, 2].map((transaction) => gateway.relay(createStatement({ transaction })));
   await settle(450);
-  expect(await first).toMatchObject({ isOutOfReach: true });
   expect(gateway.findLines('sessionAhead')).toHaveLength(1);
-  const second = gateway.relay(createStatement({ transaction: 2 }));
+  relayed.push(gateway.relay(createStatement({ transaction: 3 })));
   await settle();
-  expect(await second).toMatchObject({ isOutOfReach: true });
+  expect(await Promise.all(relayed)).toMatchObject(Array(3).fill({ isOutOfReach: true }));
   expect(gateway.countCommands('db-1', 'status')).toBe(before + 1);
 });
 
+it('a member that has left the directory is not asked', async () => {
+  // Guards against statements that wait for machines which are gone.
+  await listMembers();
+  gateway.updateMembers([FORMER_PRIMARY]);
+  await settle(600);
+  const before = gateway.countCommands('db-2', 'status');
+  const relayed = gateway.relay(createStatement());
+  await settle();
+  expect(await relayed).toMatchObject({ isOutOfReach: true });
+  expect(gateway.countCommands('db-2', 'status')).toBe(before);
+});
+
+it('an instance that has not heard from a member yet runs the statement', async () => {
+  // Guards against instances that pass statements on to each other after they have all started.
+  positions = { 'db-1': OWN_COMMIT, 'db-2': OWN_COMMIT };
+  gateway.holdAnswers('status');
+  await listMembers();
+  void gateway.relay(createStatement());
+  await settle(100);
+  expect(gateway.forwarded).toMatchObject([{ id: 'r1', memberId: 'db-1' }]);
+});
+
+describe('a read with bounded staleness', () => {
+  it('runs here although its session has a commit of a later term', async () => {
+    // Guards against a promise that the route does not make and a query that it does not need.
+    gateway.updateRoute(2, { consistency: 'boundedStaleness' });
+    await listMembers();
+    const read = createStatement(ACTIONS['a read']);
+    const route = { ...read.route!, version: 2, consistency: 'boundedStaleness' };
+    void gateway.relay({ ...read, route });
+    await settle(100);
+    expect(gateway.forwarded).toMatchObject([{ id: 'r1' }]);
+  });
+});
+
 describe('a read on a route that reads its own writes', () => {
+  it('runs without a discarded commit', async () => {
+    // Guards against a session that is refused for good once its last commit is lost.
+    term = 3;
+    positions = { 'db-1': { term: 3, index: 5 }, 'db-2': { term: 3, index: 5 } };
+    await listMembers();
+    const lastCommit = { position: DISCARDED, ageMilliseconds: 10 };
+    void gateway.relay(createStatement({ ...ACTIONS['a read'], lastCommit }, 0));
+    await settle(100);
+    expect(gateway.findLines('ownCommitDiscarded')).toHaveLength(1);
+    expect(gateway.forwarded).toMatchObject([{ memberId: 'db-1', after: undefined }]);
+  });
+
+  it('keeps its commit if the primary lacks a later position that it must have', async () => {
+    // Guards against taking a commit for discarded because of what others have committed.
+    term = 3;
+    positions = { 'db-1': { term: 3, index: 9 }, 'db-2': { term: 3, index: 9 } };
+    await listMembers();
+    positions = { 'db-1': { term: 3, index: 5 }, 'db-2': { term: 3, index: 5 } };
+    const lastCommit = { position: OWN_COMMIT, ageMilliseconds: 10 };
+    void gateway.relay(createStatement({ ...ACTIONS['a read'], lastCommit }));
+    await settle(100);
+    expect(gateway.countCommands('db-1', 'forward')).toBeGreaterThan(0);
+    expect(gateway.forwarded).toEqual([]);
+    expect(gateway.findLines('ownCommitDiscarded')).toEqual([]);
+  });
+
   it('requires the last commit of the primary if it accepts no staleness', async () => {
     // Guards against a read that asks a presumed primary for nothing at all.
     await listMembers();
--- a/packages/gateway/src/test/soleMember.test.ts
+++ b/packages/gateway/src/test/soleMember.test.ts
@@ -1,5 +1,6 @@
 import type { PromotionRecord } from '@wisterialift/pooling';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { chooseFencedCandidate } from '../lib/promotion/soleMemberFence';
 import { createDirectoryEntry, startTestGateway } from './testGateway';
 
 type TestGateway = ReturnType<typeof startTestGateway>;
@@ -202,3 +203,22 @@
     expect(gateway.orders[0]).toBe('db-1');
   });
 });
+
+describe('the successor of a fenced sole member', () => {
+  const fence = { type: 'fenced', memberId: 'db-1', received: { term: 1, index: 7 } } as const;
+  const started = { term: 2, primaryId: 'db-1', origin: { term: 1, index: 7 } };
+  const common = { isLeaving: false, isRegistered: true, isPreferred: false };
+  const former = { ...common, memberId: 'db-2', term: 1, received: { term: 1, index: 9 } };
+  const follower = { ...common, memberId: 'db-3', term: 2, received: { term: 1, index: 7 } };
+
+  it('is a replica that has taken over its log, not a former primary with more writes', () => {
+    // Guards against writes that return with a former primary after they were told to be discarded.
+    expect(chooseFencedCandidate([former, follower], { fence, started })).toBe(follower);
+    expect(chooseFencedCandidate([former, follower], { fence })).toBe(former);
+  });
+
+  it('is itself while no replica has its whole log', () => {
+    const behind = { ...follower, received: { term: 1, index: 6 } };
+    expect(chooseFencedCandidate([behind], { fence, started })).toMatchObject({ memberId: 'db-1' });
+  });
+});
--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -359,6 +359,8 @@
     const tracker = createReplicationTracker();
     const wait = settle(tracker, position);
     observeOutsiders(tracker);
+    observe(tracker, { memberId: 'c', term: 1, position: started.origin });
+    expect(await getResult(wait)).toBe('pending');
     observe(tracker, { memberId: 'c', term: 2, position: { term: 1, index: 4 } });
     expect(await getResult(wait)).toBe('pending');
     observe(tracker, { memberId: 'c', term: 2, position: started.origin });
