Simulate partitions and synchronous replicas in the world

- The fault partition separates data centres and databases from others or from everything: replication, statements, streams between instances, the store and its orders.
What a partition separates from the platform lapses from the directory and is back as the process that it was.
- A member that reaches neither the new primary nor the platform does not learn of a promotion, so its pause goes on.
- synchronousReplicas holds the answer of a commit until so many replicas have received it.
- platformDataCentre says where the platform is.

--- a/tools/world/src/lib/databases/replicatedLog.ts
+++ b/tools/world/src/lib/databases/replicatedLog.ts
@@ -26,6 +26,14 @@
   isDeaf: boolean;
 }
 
+/** @internal */
+export interface MemberPartition {
+  /** Whether it lies between two members. */
+  isSeparated: (one: string, other: string) => boolean;
+  /** Whether it separates a member from the platform, which carries the orders. */
+  isOutOfPlatformReach: (memberId: string) => boolean;
+}
+
 /** A primary and replicas that follow it asynchronously. @internal */
 export interface ReplicatedLog {
   members: Map<string, LogState>;
@@ -35,7 +43,11 @@
   setPace: (memberId: string, pace: Partial<ReplicationPace> | undefined) => void;
   /** Cuts the member off from the others, which it then neither sends to nor hears. */
   setCutOff: (memberId: string, isCutOff: boolean) => void;
+  /** Begins a partition; undefined ends it. */
+  setPartition: (partition: MemberPartition | undefined) => void;
   commit: (member: LogState, writes: readonly string[]) => Position;
+  /** Whether so many replicas have received the commit as must have before it is answered. */
+  isSynchronized: (member: LogState, position: Position) => boolean;
   /** Whether the write was committed at a primary while another member led a later term. */
   isCommittedBehind: (write: string) => boolean;
   /** Orders a promotion; it takes effect later. False where the member does not run. */
@@ -63,16 +75,19 @@
   memberIds: string[];
   lag: number;
   promoteTime: number;
+  synchronousReplicas?: number;
   scheduler: Scheduler;
   random: Random;
 }): ReplicatedLog {
   const { memberIds, lag, promoteTime, scheduler, random } = options;
+  const { synchronousReplicas = 0 } = options;
   const listeners: (() => void)[] = [];
   const paces = new Map<string, ReplicationPace>();
   const lastApplyAt = new Map<string, number>();
   const freeSince = new Map<string, number>();
   const cutOff = new Set<string>();
   const committedBehind = new Set<string>();
+  let partition: MemberPartition | undefined;
   const history = createTermHistory();
   const first: LogEntry = { term: 1, index: 1, writes: [] };
   history.begin(first.term, INITIAL_POSITION);
@@ -95,7 +110,14 @@
   const paceOf = (memberId: string) => paces.get(memberId) ?? usualPace();
 
   const canTalk = (one: LogState, other: LogState) =>
-    !cutOff.has(one.memberId) && !cutOff.has(other.memberId);
+    !cutOff.has(one.memberId) &&
+    !cutOff.has(other.memberId) &&
+    !partition?.isSeparated(one.memberId, other.memberId) &&
+    !partition?.isSeparated(other.memberId, one.memberId);
+
+  /** A member that reaches neither the new primary nor the platform does not learn of a promotion. */
+  const learnsOfPromotion = (member: LogState, leader: LogState) =>
+    canTalk(member, leader) || !partition?.isOutOfPlatformReach(member.memberId);
 
   const canReceive = (member: LogState, primary: LogState) =>
     member !== primary &&
@@ -164,14 +186,20 @@
     Object.assign(member, { role: 'primary', term, stoppedFor: 0 });
     history.begin(term, endOf(member.log));
     Object.assign(member, { applied: member.log.length });
-    for (const other of members.values()) {
-      if (other !== member && other.role === 'replica') other.stoppedFor = 0;
-    }
+    resumeFollowers(member);
     replicate(member);
     announce();
     scheduler.after(STEP_DOWN_MILLISECONDS, () => stepDown(member));
   }
 
+  /** A promotion ends the stop of the replicas. */
+  function resumeFollowers(leader: LogState): void {
+    for (const member of members.values()) {
+      const isFollower = member !== leader && member.role === 'replica';
+      if (isFollower && learnsOfPromotion(member, leader)) member.stoppedFor = 0;
+    }
+  }
+
   function stepDown(leader: LogState): void {
     for (const member of members.values()) {
       const isFormer = member !== leader && member.role === 'primary' && member.isUp;
@@ -191,7 +219,10 @@
   function rejoin(): void {
     const leader = findPrimary();
     if (!leader) return;
-    for (const member of members.values()) receive(member, leader);
+    for (const member of members.values()) {
+      if (member.stoppedFor <= leader.term) member.stoppedFor = 0;
+      receive(member, leader);
+    }
     scheduler.after(STEP_DOWN_MILLISECONDS, () => stepDown(leader));
   }
 
@@ -219,6 +250,16 @@
       else cutOff.delete(memberId);
       if (!isCutOff) rejoin();
     },
+    setPartition: (next) => {
+      partition = next;
+      if (!next) rejoin();
+    },
+    isSynchronized: (member, { term, index }) => {
+      const receivers = [...members.values()].filter(
+        (other) => other !== member && other.log[index - 1]?.term === term,
+      );
+      return receivers.length >= synchronousReplicas;
+    },
     isCommittedBehind: (write) => committedBehind.has(write),
     commit: (member, writes) => {
       const isBehind = (findPrimary()?.term ?? 0) > member.term;
--- a/tools/world/src/lib/databases/simulatedDatabase.ts
+++ b/tools/world/src/lib/databases/simulatedDatabase.ts
@@ -80,6 +80,9 @@
 /** Time that a report occupies a slot. */
 const REPORT_MILLISECONDS = 0.5;
 
+/** Interval at which a primary looks whether its replicas have received a commit. */
+const SYNCHRONIZATION_CHECK_MILLISECONDS = 2;
+
 interface Connection {
   end: StreamEnd<DatabaseReply>;
   /** Machine at the other end. */
@@ -88,6 +91,8 @@
   transaction: TransactionState;
   isReadOnly: boolean;
   writes: string[];
+  /** Where the commit stands whose answer is held; undefined if none is. */
+  position: Position | undefined;
   /** Whether a statement of the open transaction has come. */
   hasBegun: boolean;
   work: DatabaseRequest[];
@@ -133,6 +138,7 @@
       transaction: 'idle',
       isReadOnly: false,
       writes: [],
+      position: undefined,
       hasBegun: false,
       work: [],
       isWorking: false,
@@ -262,7 +268,26 @@
       workOn(connection);
       return;
     }
-    reply(connection, command, effect);
+    replyOnceSynchronized(connection, command, effect);
+  }
+
+  /** Holds the answer until enough replicas have received what the log ends with, if it was written. */
+  function replyOnceSynchronized(
+    connection: Connection,
+    command: UpstreamCommand,
+    effect: Effect,
+  ): void {
+    const { position: written } = connection;
+    Object.assign(connection, { position: undefined });
+    const answer = () => {
+      if (!connection.isOpen) return;
+      const isKept = !written || state.log[written.index - 1]?.term === written.term;
+      if (!isKept) dropConnection(connection);
+      else if (!written || replication.isSynchronized(state, written)) {
+        reply(connection, command, effect);
+      } else scheduler.after(SYNCHRONIZATION_CHECK_MILLISECONDS, answer);
+    };
+    answer();
   }
 
   function timeOf(command: UpstreamCommand): number {
@@ -335,7 +360,7 @@
     const write = writeOf(text);
     if (write === undefined) return 'done';
     if (connection.transaction === 'open') connection.writes.push(write);
-    else replication.commit(state, [write]);
+    else Object.assign(connection, { position: replication.commit(state, [write]) });
     return 'done';
   }
 
@@ -345,7 +370,7 @@
     if (transaction !== 'open') return refusal('aborted', 'the transaction had failed');
     if (writes.length === 0) return 'done';
     if (state.role !== 'primary') return refusal('readOnly', memberId);
-    replication.commit(state, writes);
+    Object.assign(connection, { position: replication.commit(state, writes) });
     return 'done';
   }
 
--- a/tools/world/src/lib/experiment/buildWorld.ts
+++ b/tools/world/src/lib/experiment/buildWorld.ts
@@ -44,8 +44,14 @@
   const groups = createGroups(experiment, simulation);
   const workTime = createWorkTimes(experiment.kinds, simulation.random);
   const databases = createDatabases({ experiment, simulation, groups, places, workTime });
-  const { slots } = experiment.deployment;
-  const platform = createSimulatedPlatform({ simulation, databases, groups, slots });
+  const { slots, dataCentres, platformDataCentre = dataCentres[0]!.name } = experiment.deployment;
+  const platform = createSimulatedPlatform({
+    simulation,
+    databases,
+    groups,
+    slots,
+    dataCentre: platformDataCentre,
+  });
   for (const group of groups.values()) group.onRoleChange(platform.review);
   const teams = createWorldTeams(experiment);
   let version = 0;
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -122,6 +122,17 @@
     isRefusing: z.boolean().optional(),
     groups: z.number().int().positive().optional(),
   }),
+  z.strictObject({
+    kind: z.literal('partition'),
+    at: z.number(),
+    seconds: z.number(),
+    /**
+     * Data centres and databases that do not reach those on the right, or all others if there are none.
+     * A later partition takes the place of an earlier one.
+     */
+    left: z.array(z.string()).min(1),
+    right: z.array(z.string()).default([]),
+  }),
   z.strictObject({
     kind: z.literal('restartEmpty'),
     at: z.number(),
@@ -194,6 +205,8 @@
         }),
       )
       .min(1),
+    /** Data centre of the platform; the first one where left out. */
+    platformDataCentre: z.string().optional(),
     groups: z.number().int().positive(),
     members: z.number().int().min(1).default(3),
     slots: z.number().int().positive(),
@@ -202,6 +215,8 @@
     handshakeTime: time.default(12),
     lag: time,
     promoteTime: time,
+    /** Replicas that must have received a commit before the primary answers it. */
+    synchronousReplicas: z.number().int().nonnegative().default(0),
     /** Time from the start of an instance's process until it listens. */
     startTime: time,
     sameDataCentreDelay: time.default(0.2),
--- a/tools/world/src/lib/experiment/worldDatabases.ts
+++ b/tools/world/src/lib/experiment/worldDatabases.ts
@@ -12,12 +12,12 @@
   { deployment }: Experiment,
   { scheduler, random }: Simulation,
 ): Map<string, ReplicatedLog> {
-  const { groups, members, lag, promoteTime } = deployment;
+  const { groups, members, ...replication } = deployment;
   return new Map(
     Array.from({ length: groups }, (_, index) => {
       const name = `group-${index + 1}`;
       const memberIds = Array.from({ length: members }, (__, number) => `${name}-db-${number + 1}`);
-      return [name, createReplicatedLog({ memberIds, lag, promoteTime, scheduler, random })];
+      return [name, createReplicatedLog({ ...replication, memberIds, scheduler, random })];
     }),
   );
 }
--- a/tools/world/src/lib/faults/faultHandlers.ts
+++ b/tools/world/src/lib/faults/faultHandlers.ts
@@ -7,6 +7,7 @@
 import type { WorldTeams } from '../callers/teams';
 import type { SimulatedInstance } from '../instances/simulatedInstance';
 import type { SimulatedPlatform } from '../platform/simulatedPlatform';
+import { setPartition } from './partition';
 
 /** What faults act on. @internal */
 export interface FaultTargets {
@@ -172,6 +173,12 @@
       clock.runAfter(seconds * 1_000, () => setLinks(false));
     }
   },
+  partition: ({ seconds, left, right }, targets) => {
+    setPartition({ left, right }, { ...targets, isCut: true });
+    targets.clock.runAfter(seconds * 1_000, () =>
+      setPartition({ left, right }, { ...targets, isCut: false }),
+    );
+  },
   lateDirectory: ({ seconds, milliseconds, instances: count }, { clock, instances, platform }) => {
     const hosts = instances.slice(0, count).map(({ host }) => host);
     platform.delayChanges(hosts, milliseconds);
--- a/tools/world/src/lib/platform/simulatedPlatform.ts
+++ b/tools/world/src/lib/platform/simulatedPlatform.ts
@@ -33,6 +33,8 @@
 
 /** The platform's store, its directory and its orders. @internal */
 export interface SimulatedPlatform {
+  /** Where it is; partitions between data centres may separate it from instances and members. */
+  dataCentre: string;
   portsOf: (host: Host, own: InstanceEntry) => PlatformPorts;
   configure: (configuration: GatewayConfiguration) => void;
   /** The store answers nobody until it is up again. */
@@ -42,6 +44,8 @@
   setLeaving: (memberId: string, isLeaving: boolean) => void;
   /** The store hears nothing from the member, although it runs. */
   setUnheard: (memberId: string, isUnheard: boolean) => void;
+  /** Neither the store nor orders reach the members, although they run. */
+  setSeparated: (memberIds: readonly string[], isSeparated: boolean) => void;
   /** Takes the entry of a member off that has ended in order. */
   withdraw: (memberId: string) => void;
   /** When the store accepted that the member leaves; undefined while it stays. */
@@ -71,14 +75,16 @@
   databases: ReadonlyMap<string, SimulatedDatabase>;
   groups: ReadonlyMap<string, ReplicatedLog>;
   slots: number;
+  dataCentre: string;
 }): SimulatedPlatform {
-  const { simulation, databases, groups, slots } = options;
+  const { simulation, databases, groups, slots, dataCentre } = options;
   const { scheduler } = simulation;
   const promotionRecords = new Map<string, StoredRecord<PromotionRecord>>();
   const memberRegisters = new Map<string, StoredRecord<MemberRegister>>();
   const entries = new Map<string, DirectoryEntry>();
   const leaving = new Map<string, number>();
   const unheard = new Set<string>();
+  const separated = new Set<string>();
   const instances = new Map<string, InstanceEntry>();
   const watchers = new Set<() => void>();
   let configuration: GatewayConfiguration | undefined;
@@ -87,6 +93,8 @@
   const changeDelays = new Map<Host, number>();
   const cutOff = new Set<Host>();
 
+  const isOutOfTouch = ({ name }: Host) => unheard.has(name) || separated.has(name);
+
   const isAway = (host: Host) => isDown || cutOff.has(host);
 
   const nextRevision = () => {
@@ -104,7 +112,7 @@
     const { role, isUp } = state;
     const memberId = database.memberId();
     const known = entries.get(memberId);
-    if (!isUp || unheard.has(host.name)) {
+    if (!isUp || isOutOfTouch(host)) {
       scheduler.after(LAPSE_MILLISECONDS, () => removeSilent(database, memberId));
       return;
     }
@@ -143,7 +151,7 @@
 
   function removeSilent(database: SimulatedDatabase, memberId: string): void {
     const { host, state } = database;
-    const isSilent = !state.isUp || unheard.has(host.name);
+    const isSilent = !state.isUp || isOutOfTouch(host);
     if (!isSilent && database.memberId() === memberId) return;
     remove(memberId);
   }
@@ -246,7 +254,8 @@
       new Promise((resolve) => {
         scheduler.after(CALL_MILLISECONDS, () => {
           const member = [...databases.values()].find((other) => other.memberId() === memberId);
-          const isAccepted = groups.get(group)?.promote(member?.host.name ?? memberId);
+          const hostName = member?.host.name ?? memberId;
+          const isAccepted = !separated.has(hostName) && groups.get(group)?.promote(hostName);
           resolve(isAccepted ? 'accepted' : 'notRunning');
         });
       }),
@@ -265,6 +274,7 @@
   }
 
   return {
+    dataCentre,
     portsOf: (host, own) => ({
       directory: createDirectory(host),
       configuration: {
@@ -305,6 +315,13 @@
       else unheard.delete(memberId);
       review();
     },
+    setSeparated: (memberIds, isSeparated) => {
+      for (const memberId of memberIds) {
+        if (isSeparated) separated.add(memberId);
+        else separated.delete(memberId);
+      }
+      review();
+    },
     withdraw: (memberId) => remove(databases.get(memberId)!.memberId()),
     leavingAt: (memberId) => leaving.get(memberId),
     delayChanges: (hosts, milliseconds) => {
