Leave a member out of a promotion only once it confirms nothing more

Two regions lose each other, the entry of a replica that still runs lapses, and the primary is shut down by plan. Callers of the instance beside that replica had writes acknowledged that the next primary lacks.

Cause: an acknowledgement counted a member by a directory of up to 10 s, and a promotion took a departed member for covered once another replica held what it had confirmed by its departure. What it confirmed afterwards, while it was neither paused nor forgotten by all, was in nobody's proof.

Change: a promotion leaves a registered member out only if it is paused, has ended, or is counted by no instance any more, and a replica holds the primary's log end from then on. - Dropped members are asked by their last entry (formerMembers) and paused before the others; their logs count in the choice. - One that does not answer is awaited for 4.5 s after its entry was missed.

Why it holds: the two sides now name the same fact. Nothing depends on sync_replicas.

--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -20,6 +20,7 @@
   PromotionStore,
 } from '../ports/platformPort';
 import type { UpstreamDriver } from '../ports/upstreamPort';
+import { createFormerMembers } from '../promotion/formerMembers';
 import { createPromotionController } from '../promotion/promotionController';
 import { estimateRefusal } from './refusalEstimate';
 import type { RefusalEstimate } from './refusalEstimate';
@@ -222,8 +223,10 @@
   const registrar = createMemberRegistrar(context, options);
   onObservation = registrar.observe;
   const reachMonitor = createReachMonitor(context, options);
+  const formerMembers = createFormerMembers(context);
   const promotion = createPromotionController(context, {
     ...options,
+    formerMembers,
     soleMemberGuard,
     registrar,
     reachMonitor,
@@ -306,6 +309,7 @@
     if (known) restartMember(known, entry);
     else if (!isFirstDirectory && hasReplica()) ignoreDuringPromotions(entry);
     logger.info('memberAdded', describeEntry(entry));
+    formerMembers.remove(entry);
     members.set(entry.memberId, openMember(entry));
   }
 
@@ -409,6 +413,7 @@
       if (missing !== undefined && clock.now() - missing > missingMemberRetentionMilliseconds) {
         logger.warn('memberGone', { group, memberId, logEnds: describeLogEnds(context) });
         members.delete(memberId);
+        formerMembers.add(member.entry);
         evidence.removeMember(memberId);
         failureEjection.removeMember(memberId);
         member.pool.close();
--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -5,11 +5,18 @@
   createRecentListings,
   isDirectoryValid,
   isMemberListComplete,
+  isSameLife,
   isSameListing,
   REGISTRATION_DELAY_MILLISECONDS,
   subtractMembers,
 } from '@wisterialift/pooling';
-import type { ClockReadings, MemberObservation, RegisteredMember } from '@wisterialift/pooling';
+import type {
+  ClockReadings,
+  MemberObservation,
+  PromotionCoverage,
+  PromotionCoverageOptions,
+  RegisteredMember,
+} from '@wisterialift/pooling';
 import type { MemberRegisterStore } from '../ports/platformPort';
 import { resolveWithTimeout } from '../timing/promiseTimeout';
 import { createDepartureProbe } from './departureProbe';
@@ -39,12 +46,12 @@
    * undefined if unknown, because the register cannot be read or the directory is too old.
    */
   findRequired: () => Promise<RegisteredMember[] | undefined>;
-  /**
-   * Whether the logs of `answered`, taken together, hold every acknowledged commit, so that one of them
-   * can be promoted. Commits that only departed members hold are given up once they have been away for
-   * `DEPARTURE_SETTLING_MILLISECONDS`.
-   */
-  canPromoteFrom: (answered: readonly Member[]) => boolean;
+  /** Decides by the register whether one of the members that were paused can be promoted. */
+  assessPromotion: (
+    options: Pick<PromotionCoverageOptions, 'paused' | 'isPrimaryResponsive'>,
+  ) => PromotionCoverage;
+  /** Whether a promotion waits for the departed member. */
+  isAwaited: (member: RegisteredMember) => boolean;
   /** Reads the register again; false if the store does not answer. */
   refresh: () => Promise<boolean>;
 }
@@ -180,23 +187,17 @@
     return recentListings.isCounted(toListedMember(member), { register, now });
   }
 
-  function canPromoteFrom(answered: readonly Member[]): boolean {
-    const coverage = assessPromotionCoverage({
+  const assessPromotion: MemberRegistrar['assessPromotion'] = (pausedMembers) =>
+    assessPromotionCoverage({
+      ...pausedMembers,
       registered: listRegistered(),
-      answered: answered.map(toRegisteredMember),
       departures,
       now: clock.now(),
     });
-    if (coverage.type === 'covered') return true;
-    const { memberIds } = coverage;
-    if (coverage.type === 'givenUp') {
-      logger.error('departedMembersGivenUp', { group, memberIds });
-      return true;
-    }
-    const reason = 'members that may alone hold acknowledged commits are missing';
-    logger.warn('promotionDeferred', { group, reason, memberIds });
-    return false;
-  }
+
+  const isAwaited = (member: RegisteredMember) =>
+    listRegistered().some((other) => isSameLife(other, member)) &&
+    !departures.isTimedOut(member, clock.now());
 
   function observe(observation: MemberObservation): void {
     const { memberId } = observation;
@@ -210,5 +211,14 @@
     });
   }
 
-  return { isRegistered, isHeldByAll, check, observe, findRequired, refresh, canPromoteFrom };
+  return {
+    isRegistered,
+    isHeldByAll,
+    check,
+    observe,
+    findRequired,
+    refresh,
+    assessPromotion,
+    isAwaited,
+  };
 }
--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -1,6 +1,7 @@
 import { choosePromotionCandidate, isClaimValid } from '@wisterialift/pooling';
 import type {
   MemberReport,
+  PromotionCoverage,
   PromotionRecord,
   PausedReplica,
   TermStart,
@@ -13,8 +14,10 @@
 import { isLogEndReceived } from '../groups/primaryProbe';
 import type { ProbeIndirectly } from '../groups/primaryProbe';
 import type { ReachMonitor } from '../groups/reachMonitor';
+import { toRegisteredMember, toStoredMember } from '../groups/registeredMember';
 import { sendMemberCommand } from '../groups/sendMemberCommand';
 import type { SoleMemberGuard } from '../groups/soleMemberGuard';
+import type { FormerMemberReport, FormerMembers } from './formerMembers';
 import { createPromotionClaims, PROMOTION_TIMEOUT_MILLISECONDS } from './promotionClaims';
 import type { Claim } from './promotionClaims';
 import { chooseFencedCandidate, createSoleMemberFence } from './soleMemberFence';
@@ -48,7 +51,8 @@
   /** Reads the directory again. @throws Error if the store does not answer. */
   refreshDirectory: () => Promise<void>;
   soleMemberGuard: Pick<SoleMemberGuard, 'isReplicationProven'>;
-  registrar: Pick<MemberRegistrar, 'canPromoteFrom' | 'isRegistered' | 'refresh'>;
+  registrar: Pick<MemberRegistrar, 'assessPromotion' | 'isAwaited' | 'isRegistered' | 'refresh'>;
+  formerMembers: Pick<FormerMembers, 'request'>;
   probeIndirectly: ProbeIndirectly;
   reachMonitor: Pick<ReachMonitor, 'reportSilentReplicas' | 'reportUnreachablePrimary'>;
 }
@@ -95,6 +99,8 @@
   const isSilent = (member: Member) =>
     clock.now() - member.answeredAt > PRIMARY_SILENCE_THRESHOLD_MILLISECONDS;
 
+  const isResponsive = (primary: Member | undefined) => primary !== undefined && !isSilent(primary);
+
   const isMissing = (member: Member) => member.missingSince !== undefined;
 
   function reportSuspicion(cause: SuspicionCause, member: Member | undefined): void {
@@ -239,10 +245,7 @@
       return;
     }
     // Checked before the claim as well: while members are awaited, no replica need be paused.
-    const listed = [...members.values()].filter(
-      (member) => member !== primary && !isMissing(member),
-    );
-    if (!registrar.canPromoteFrom(listed)) return;
+    if (!(await canCoverPromotion(primary))) return;
     const canClaim = (record: PromotionRecord) => canReplaceSoleMember(cause, record);
     const claim = await claims.claim({ primary, canClaim });
     if (!claim) return;
@@ -255,6 +258,62 @@
     await orderPromotion({ cause, primary, claim, candidate });
   }
 
+  /** Whether the logs that a promotion can read hold every acknowledged commit. */
+  async function canCoverPromotion(primary: Member | undefined): Promise<boolean> {
+    const replicas = [...members.values()].filter((member) => member !== primary);
+    const listed = replicas.filter((member) => !isMissing(member));
+    if (assessCoverage(primary, { replicas: listed }).type === 'covered') return true;
+    const missing = replicas.filter(isMissing);
+    const [former, ...reports] = await Promise.all([
+      requestFormerMembers({ type: 'status' }),
+      ...missing.map((member) =>
+        sendMemberCommand(context, member, { type: 'status' }, MEMBER_REQUEST_TIMEOUT_MILLISECONDS),
+      ),
+    ]);
+    const answered = missing.filter((_, index) => reports[index] !== undefined);
+    return allowsPromotion(assessCoverage(primary, { replicas: [...listed, ...answered], former }));
+  }
+
+  /**
+   * @param paused.replicas - members that answered, or will before the order.
+   * @param paused.former - dropped members that did.
+   */
+  function assessCoverage(
+    primary: Member | undefined,
+    { replicas, former = [] }: { replicas: Member[]; former?: FormerMemberReport[] },
+  ): PromotionCoverage {
+    const formerReplicas = former.filter(({ report }) => !report.isPrimary);
+    return registrar.assessPromotion({
+      paused: [
+        ...replicas.map(toRegisteredMember),
+        ...formerReplicas.map(({ entry }) => toStoredMember(entry)),
+      ],
+      isPrimaryResponsive: isResponsive(primary) || formerReplicas.length < former.length,
+    });
+  }
+
+  function allowsPromotion(coverage: PromotionCoverage): boolean {
+    if (coverage.type === 'covered') return true;
+    const { memberIds } = coverage;
+    if (coverage.type === 'givenUp') {
+      logger.error('departedMembersGivenUp', { group, memberIds });
+      return true;
+    }
+    const reason = 'members that may alone hold acknowledged commits are missing';
+    logger.warn('promotionDeferred', { group, reason, memberIds });
+    return false;
+  }
+
+  /** Sends a command to dropped members that a promotion waits for. */
+  function requestFormerMembers(
+    command: Parameters<FormerMembers['request']>[0],
+  ): Promise<FormerMemberReport[]> {
+    return options.formerMembers.request(command, {
+      isWanted: (entry) => registrar.isAwaited(toStoredMember(entry)),
+      timeoutMilliseconds: MEMBER_REQUEST_TIMEOUT_MILLISECONDS,
+    });
+  }
+
   /**
    * Whether the directory may still lack running members, whose entries can lapse while the store is
    * down. One of them may alone hold a write that was acknowledged.
@@ -312,17 +371,20 @@
 
   /**
    * Pauses every replica and reads its log end, so that none can confirm further writes of the old
-   * primary. Returns undefined if a listed replica does not answer: it may hold acknowledged writes
-   * that no other replica has.
+   * primary. Returns undefined if a listed replica does not answer, or a departed one that is awaited: it
+   * may hold acknowledged writes that no other replica has.
    */
   async function pauseReplicas(
     { term }: Claim,
     primary: Member | undefined,
   ): Promise<PausedReplica[] | undefined> {
-    const replicas = [...members.values()].filter((member) => member !== primary);
     const command = { type: 'pause' as const, term };
+    const replicas = [...members.values()].filter((member) => member !== primary);
+    const pendingRegister = registrar.refresh();
+    // Paused first: a departed replica that is ahead of the others can't be promoted.
+    const former = await pauseFormerMembers(term, primary);
     const [isRegisterKnown, ...reports] = await Promise.all([
-      registrar.refresh(),
+      pendingRegister,
       ...replicas.map((member) =>
         sendMemberCommand(context, member, command, MEMBER_REQUEST_TIMEOUT_MILLISECONDS),
       ),
@@ -336,9 +398,25 @@
       logger.warn('replicasNotStopped', { group, isReplaced, memberIds });
       return undefined;
     }
-    const answered = replicas.filter((_, index) => reports[index] !== undefined);
-    if (!isRegisterKnown || !registrar.canPromoteFrom(answered)) return undefined;
-    return replicas.flatMap((member, index) => toPausedReplicas(member, reports[index]));
+    const paused = replicas.filter((_, index) => reports[index] !== undefined);
+    const coverage = assessCoverage(primary, { replicas: paused, former });
+    if (!isRegisterKnown || !allowsPromotion(coverage)) return undefined;
+    return [
+      ...replicas.flatMap((member, index) => toPausedReplicas(member, reports[index])),
+      ...former.filter(({ report }) => !report.isPrimary).map(toPausedFormerReplica),
+    ];
+  }
+
+  /** Pauses dropped members unless the listed replicas are enough. */
+  async function pauseFormerMembers(
+    term: number,
+    primary: Member | undefined,
+  ): Promise<FormerMemberReport[]> {
+    const listed = [...members.values()].filter(
+      (member) => member !== primary && !isMissing(member),
+    );
+    if (assessCoverage(primary, { replicas: listed }).type === 'covered') return [];
+    return requestFormerMembers({ type: 'pause', term });
   }
 
   function toPausedReplicas(member: Member, report: MemberReport | undefined): PausedReplica[] {
@@ -350,6 +428,20 @@
     return [{ memberId, term, received, isLeaving, isRegistered, isPreferred }];
   }
 
+  /** A member off the directory is no more promoted than a leaving one. */
+  function toPausedFormerReplica({ entry, report }: FormerMemberReport): PausedReplica {
+    const { received, term } = report;
+    const { memberId } = entry;
+    return {
+      memberId,
+      term,
+      received,
+      isLeaving: true,
+      isRegistered: false,
+      isPreferred: false,
+    };
+  }
+
   async function orderPromotion(plan: {
     cause: SuspicionCause;
     primary: Member | undefined;
@@ -384,8 +476,9 @@
   async function abandonPromotion(claim: Claim, primary: Member | undefined): Promise<void> {
     const replicas = [...members.values()].filter((member) => member !== primary);
     if (isClaimValid(claim.claimedAt, clock.readClocks())) {
-      await Promise.all(
-        replicas.map((member) =>
+      await Promise.all([
+        requestFormerMembers({ type: 'resume' }),
+        ...replicas.map((member) =>
           sendMemberCommand(
             context,
             member,
@@ -393,7 +486,7 @@
             MEMBER_REQUEST_TIMEOUT_MILLISECONDS,
           ),
         ),
-      );
+      ]);
     }
     await claims.release(claim);
   }
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -12,7 +12,10 @@
 const SETTLING_MILLISECONDS = 11_500;
 
 /** Time after which no instance counts the word of a member that is not listed. */
-const DEPARTURE_SETTLING_MILLISECONDS = 13_500;
+const DEPARTURE_SETTLING_MILLISECONDS = 4_500;
+
+/** Time after which a departed member that may alone hold commits is given up. */
+const DEPARTURE_TIMEOUT_MILLISECONDS = 13_500;
 
 const createEntry = (number: number, changes: Partial<DirectoryEntry> = {}) =>
   createDirectoryEntry({
@@ -244,7 +247,7 @@
 });
 
 describe('a missing member at an instance that is suspended', () => {
-  /** Replicates a write and lists `remaining` until the directory of before is more than 13.5 s old. */
+  /** Replicates a write and lists `remaining` until others no longer wait for the missing member. */
   async function missWhileSuspended(
     remaining: DirectoryEntry[],
     { lateness, suspension }: { lateness: number; suspension: number },
@@ -261,12 +264,13 @@
   const cases = [
     { lateness: 8_000, suspension: 950 },
     { lateness: 6_000, suspension: 1_200 },
+    { lateness: 500, suspension: 600 },
   ];
 
   it.each(cases)(
     'counts no longer than other instances wait for, $suspension ms',
     async (times) => {
-      // Guards against a retention by a clock that stands still: others gave the member up after 13.5 s.
+      // Guards against a retention by a clock that stands still: others have given the member up.
       await listFor(1_000, [primary!, copy!, lagging!]);
       await missWhileSuspended([primary!, lagging!], times);
       gateway.memberRegisters.current = {
@@ -279,7 +283,7 @@
   );
 
   it.each(cases)('is not all that others wait for, $suspension ms', async (times) => {
-    // Guards against a commit held by all known members, one of which others gave up after 13.5 s.
+    // Guards against a commit held by all known members, one of which others have given up.
     await listFor(1_000, [primary!, copy!]);
     await missWhileSuspended([primary!], times);
     expect((await write()).answers).toEqual([]);
@@ -312,7 +316,7 @@
   it('stays registered while no other member holds what it confirmed', async () => {
     // Guards against forgetting the commits that it alone held.
     await listFor(1_000, [primary!, copy!, lagging!]);
-    await listFor(DEPARTURE_SETTLING_MILLISECONDS + 4_000, [primary!, lagging!]);
+    await listFor(DEPARTURE_TIMEOUT_MILLISECONDS + 4_000, [primary!, lagging!]);
     expect(getRegisteredIds()).toEqual(['db-1', 'db-2', 'db-3']);
   });
 
@@ -374,7 +378,7 @@
     // Guards against a group that waits for good for a member that does not come back.
     await listFor(1_000, [primary!, copy!, lagging!]);
     gateway.silence('db-1');
-    await listFor(DEPARTURE_SETTLING_MILLISECONDS, [lagging!]);
+    await listFor(DEPARTURE_TIMEOUT_MILLISECONDS, [lagging!]);
     expect(gateway.orders).toEqual([]);
     await listFor(4_000, [lagging!]);
     expect(gateway.orders).toEqual(['db-3']);
@@ -382,6 +386,85 @@
   });
 });
 
+describe('a departed member that may still run', () => {
+  const leaving = createEntry(1, { isLeaving: true, revision: 9 });
+
+  /** Lists all members, then all but one, which is dropped; the others hold what it confirmed. */
+  async function dropCopy(): Promise<void> {
+    indexes['db-3'] = 23;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    await listFor(3_100, [primary!, lagging!]);
+    expect(gateway.events).toContain('memberGone');
+  }
+
+  it('is paused before another replica is promoted', async () => {
+    // Guards against commits that it confirms for an instance which still lists it.
+    await dropCopy();
+    gateway.onOrdered(() => expect(gateway.countCommands('db-2', 'pause')).toBe(1));
+    await listFor(1_000, [leaving, lagging!]);
+    expect(gateway.orders).toEqual(['db-3']);
+  });
+
+  it('is awaited out of reach while an instance may count its word, and no longer', async () => {
+    // Guards against such commits, and against a leaving primary that ends without a successor.
+    await dropCopy();
+    gateway.silence('db-2');
+    await listFor(1_300, [leaving, lagging!]);
+    expect(gateway.events).toContain('promotionDeferred');
+    expect(gateway.orders).toEqual([]);
+    await listFor(2_500, [leaving, lagging!]);
+    expect(gateway.orders).toEqual(['db-3']);
+  });
+
+  it('is paused when it is listed again before the order', async () => {
+    // Guards against commits that it confirms by its former entry while the order is pending.
+    indexes['db-3'] = 23;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    gateway.silence('db-2');
+    await listFor(1_000, [primary!, lagging!]);
+    await listFor(1_000, [leaving, lagging!]);
+    expect(gateway.orders).toEqual([]);
+    gateway.wake('db-2');
+    await listFor(1_500, [leaving, createEntry(2, { createdRevision: 12 }), lagging!]);
+    expect(gateway.countCommands('db-2', 'pause')).toBe(1);
+    expect(gateway.orders).toHaveLength(1);
+  });
+
+  it('has its log compared with that of the others', async () => {
+    // Guards against a promotion without commits that only it and the primary hold.
+    await dropCopy();
+    indexes['db-2'] = 24;
+    await listFor(1_000, [leaving, lagging!]);
+    expect(gateway.orders).toEqual([]);
+    const pauses = gateway.countCommands('db-2', 'pause');
+    expect(pauses).toBeGreaterThan(0);
+    expect(gateway.countCommands('db-2', 'resume')).toBe(pauses);
+  });
+
+  it('is not awaited for longer than others count it if the primary is lost', async () => {
+    // Guards against a group that stays without a primary because a lost replica does not come back.
+    await dropCopy();
+    gateway.silence('db-2');
+    gateway.silence('db-1');
+    await listFor(1_300, [leaving, lagging!]);
+    expect(gateway.events).toContain('promotionDeferred');
+    expect(gateway.orders).toEqual([]);
+    await listFor(3_000, [leaving, lagging!]);
+    expect(gateway.orders).toEqual(['db-3']);
+  });
+
+  it('is not asked again once it is given up', async () => {
+    // Guards against connections to machines that are gone, for good.
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    gateway.silence('db-2');
+    await listFor(DEPARTURE_TIMEOUT_MILLISECONDS + 500, [primary!, lagging!]);
+    const before = gateway.countCommands('db-2', 'status');
+    await listFor(3_000, [leaving, lagging!]);
+    expect(gateway.orders).toEqual(['db-3']);
+    expect(gateway.countCommands('db-2', 'status')).toBe(before);
+  });
+});
+
 describe('members that were all replaced in turn', () => {
   it('do not defer the promotion of one of their successors', async () => {
     // Guards against a group without a primary until its new members are registered.
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -168,6 +168,7 @@
   const silent = new Set<string>();
   let entriesAtRefresh: DirectoryEntry[] | undefined;
   let handleDemoted: () => void = noop;
+  let handleOrdered: () => void = noop;
 
   const createCompletedAnswer = (memberId: string, transaction: UpstreamAnswer['transaction']) => {
     const answer: UpstreamAnswer = {
@@ -296,6 +297,7 @@
       memberRegisters,
       orders: {
         promote: async ({ memberId }) => {
+          handleOrdered();
           orders.push(memberId);
           return 'accepted';
         },
@@ -411,8 +413,14 @@
     onDemoted: (listener: () => void) => {
       handleDemoted = listener;
     },
+    /** Sets what happens before a promotion is ordered. */
+    onOrdered: (listener: () => void) => {
+      handleOrdered = listener;
+    },
     /** The member answers no further commands. */
     silence: (memberId: string) => silent.add(memberId),
+    /** The member answers further commands again. */
+    wake: (memberId: string) => silent.delete(memberId),
     getForwardedIds: (memberId: string) =>
       forwarded.filter((statement) => statement.memberId === memberId).map(({ id }) => id),
     /** Delays answers to commands of this type until `releaseAnswers` is called. */
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -71,14 +71,18 @@
 } from './lib/routing/limitAllocators';
 export { orderMembersForRead, type MemberLoad } from './lib/routing/orderMembersForRead';
 export {
-  DEPARTURE_SETTLING_MILLISECONDS,
+  DEPARTURE_TIMEOUT_MILLISECONDS,
   isDirectoryValid,
   isMemberListComplete,
   MEMBER_SETTLING_MILLISECONDS,
   REGISTRATION_DELAY_MILLISECONDS,
 } from './lib/membership/directoryValidity';
 export { createKnownMembers, type KnownMembers } from './lib/membership/knownMembers';
-export { assessPromotionCoverage } from './lib/membership/promotionCoverage';
+export {
+  assessPromotionCoverage,
+  type PromotionCoverage,
+  type PromotionCoverageOptions,
+} from './lib/membership/promotionCoverage';
 export { planRegisterUpdate } from './lib/membership/registerUpdate';
 export { createDepartedMembers, type DepartedMembers } from './lib/membership/departedMembers';
 export {
--- a/packages/pooling/src/lib/membership/departedMembers.ts
+++ b/packages/pooling/src/lib/membership/departedMembers.ts
@@ -16,16 +16,23 @@
   observe: (observation: MemberObservation, options: ObservationOptions) => void;
   /**
    * Whether registered members, or one of `present`, hold every commit that the member can have
-   * confirmed by its departure. Others may depart and be missed by nobody. More may have been confirmed
-   * if the member still runs, for an instance that does not know of the departure.
+   * confirmed by its departure. Others may depart and be missed by nobody. A member that still runs may
+   * confirm more, for instances that have not learned of the departure.
    */
   isCovered: (member: RegisteredMember, present: readonly RegisteredMember[]) => boolean;
+  /**
+   * Whether they hold every commit that the member can ever confirm: its process has ended, or no
+   * instance counts its word any more.
+   */
+  isCoveredForGood: (member: RegisteredMember, present: readonly RegisteredMember[]) => boolean;
   /** Whether listed members hold everything that it confirmed, and no instance counts its word. */
   isSettled: (member: RegisteredMember) => boolean;
   /** Whether registered members do, so that it can be taken off the register. */
   isRemovable: (member: RegisteredMember) => boolean;
-  /** Whether the member departed so long ago that no instance counts its word any more. */
+  /** Whether no instance counts what the member may still confirm. */
   isUncounted: (member: RegisteredMember, now: number) => boolean;
+  /** Whether the member departed so long ago that it is awaited no longer. */
+  isTimedOut: (member: RegisteredMember, now: number) => boolean;
   list: () => RegisteredMember[];
 }
 
@@ -52,6 +59,7 @@
 
 interface Departure {
   member: RegisteredMember;
+  departedAt: number;
   /** Counted from the time at which its process was known to have ended. */
   afterEnd?: CoverageChecks;
   /** Counted from the departure. */
@@ -70,14 +78,30 @@
 /**
  * @param options.settlingTime - milliseconds after which no instance counts the word of a member that
  *   the directory does not list.
+ * @param options.timeout - milliseconds after which a member is awaited no longer.
  * @public
  */
-export function createDepartedMembers({ settlingTime }: { settlingTime: number }): DepartedMembers {
+export function createDepartedMembers({
+  settlingTime,
+  timeout,
+}: {
+  settlingTime: number;
+  timeout: number;
+}): DepartedMembers {
   let departures: Departure[] = [];
 
   const find = (member: RegisteredMember) =>
     departures.find((departure) => isListedNoLater(member, departure.member));
 
+  const isHeldBy = (
+    { byListed, byRegistered }: CoverageChecks,
+    present: readonly RegisteredMember[],
+  ): boolean => {
+    const isPresent = (holder: RegisteredMember) =>
+      present.some((other) => isSameLife(holder, other));
+    return hasHolder(byRegistered) || byListed.holders.some(isPresent);
+  };
+
   const hasSettled = (departure: Departure | undefined, holders: keyof CoverageChecks) => {
     if (!departure) return false;
     const { afterEnd, afterSettling } = departure;
@@ -89,6 +113,7 @@
       if (find(member)) return;
       departures.push({
         member,
+        departedAt: now,
         atDeparture: createChecks(now),
         afterSettling: createChecks(now + settlingTime),
       });
@@ -109,18 +134,25 @@
       }
     },
     isCovered: (member, present) => {
+      const departure = find(member);
+      return departure !== undefined && isHeldBy(departure.atDeparture, present);
+    },
+    isCoveredForGood: (member, present) => {
       const departure = find(member);
       if (!departure) return false;
-      const { byListed, byRegistered } = departure.atDeparture;
-      const isPresent = (holder: RegisteredMember) =>
-        present.some((other) => isSameLife(holder, other));
-      return hasHolder(byRegistered) || byListed.holders.some(isPresent);
+      const { afterEnd, afterSettling } = departure;
+      return [afterEnd, afterSettling].some((checks) => checks && isHeldBy(checks, present));
     },
     isSettled: (member) => hasSettled(find(member), 'byListed'),
     isRemovable: (member) => hasSettled(find(member), 'byRegistered'),
     isUncounted: (member, now) => {
       const departure = find(member);
-      return departure !== undefined && now >= departure.afterSettling.byListed.validFrom;
+      if (!departure) return false;
+      return departure.afterEnd !== undefined || now >= departure.departedAt + settlingTime;
+    },
+    isTimedOut: (member, now) => {
+      const departure = find(member);
+      return departure !== undefined && now >= departure.departedAt + timeout;
     },
     list: () => departures.map(({ member }) => member),
   };
--- a/packages/pooling/src/lib/membership/directoryValidity.ts
+++ b/packages/pooling/src/lib/membership/directoryValidity.ts
@@ -2,11 +2,18 @@
 import type { ClockReadings } from '../timing/clockReadings';
 
 /**
- * Longest time for which an instance relies on a directory snapshot to count a member's word, or that of a
- * group's only member. Covers most outages of the store.
+ * Longest time for which an instance relies on a directory snapshot for the word of a group's only
+ * member. Covers most outages of the store.
  */
 const DIRECTORY_VALIDITY_MILLISECONDS = 10_000;
 
+/**
+ * Longest time for which an instance counts a member's word by a directory snapshot that lists it.
+ * A promotion that cannot pause a departed member waits for this long, so it is shorter than the time
+ * for which a leaving primary serves. An instance in touch with the directory has a younger one.
+ */
+const LISTING_VALIDITY_MILLISECONDS = 4_000;
+
 /**
  * Time after which every instance that still relies on its directory snapshot knows a member that
  * joined. The margin covers a watch that misses the changes of its last second.
@@ -30,12 +37,20 @@
 export const REGISTRATION_DELAY_MILLISECONDS = MEMBER_LIST_VALIDITY_MILLISECONDS + 1_500;
 
 /**
- * Time after which no instance counts the word of a member that the directory no longer lists: an
- * instance relies on a snapshot for its validity and keeps a missing member for up to 2.5 s.
+ * Time after which no instance counts the word of a member that the directory no longer lists. The
+ * margin covers clocks that drift.
+ *
+ * @public
+ */
+export const DEPARTURE_SETTLING_MILLISECONDS = LISTING_VALIDITY_MILLISECONDS + 500;
+
+/**
+ * Time after which departed members that may alone hold acknowledged commits are given up. Covers the
+ * return of a member that was out of reach for some seconds.
  *
  * @public
  */
-export const DEPARTURE_SETTLING_MILLISECONDS = DIRECTORY_VALIDITY_MILLISECONDS + 3_500;
+export const DEPARTURE_TIMEOUT_MILLISECONDS = 13_500;
 
 /**
  * Whether a directory snapshot that includes all changes before `completeAt` can be relied on to
@@ -50,6 +65,16 @@
   return isYoungerThan(DIRECTORY_VALIDITY_MILLISECONDS, completeAt, now);
 }
 
+/**
+ * Whether a member's word can count by its entry in a directory snapshot that includes all changes before
+ * `completeAt`.
+ *
+ * @public
+ */
+export function isListingValid(completeAt: ClockReadings | undefined, now: ClockReadings): boolean {
+  return isYoungerThan(LISTING_VALIDITY_MILLISECONDS, completeAt, now);
+}
+
 /**
  * Whether a directory snapshot that includes all changes before `completeAt` lists every member whose word
  * may have counted by now.
--- a/packages/pooling/src/lib/membership/knownMembers.ts
+++ b/packages/pooling/src/lib/membership/knownMembers.ts
@@ -1,4 +1,7 @@
-import { DEPARTURE_SETTLING_MILLISECONDS } from './directoryValidity';
+import {
+  DEPARTURE_SETTLING_MILLISECONDS,
+  DEPARTURE_TIMEOUT_MILLISECONDS,
+} from './directoryValidity';
 import { createDepartedMembers } from './departedMembers';
 import type { DepartedMembers } from './departedMembers';
 import { isSameLife, isSameListing, renewListing, subtractMembers } from './memberRegister';
@@ -26,7 +29,10 @@
 
 /** @public */
 export function createKnownMembers(): KnownMembers {
-  const departures = createDepartedMembers({ settlingTime: DEPARTURE_SETTLING_MILLISECONDS });
+  const departures = createDepartedMembers({
+    settlingTime: DEPARTURE_SETTLING_MILLISECONDS,
+    timeout: DEPARTURE_TIMEOUT_MILLISECONDS,
+  });
   /** Members listed since this instance started, which others may have registered. */
   let lives: ListedMember[] = [];
   let registered: readonly RegisteredMember[] = [];
--- a/packages/pooling/src/lib/membership/recentListings.ts
+++ b/packages/pooling/src/lib/membership/recentListings.ts
@@ -1,5 +1,5 @@
 import type { ClockReadings } from '../timing/clockReadings';
-import { isDirectoryValid } from './directoryValidity';
+import { isListingValid } from './directoryValidity';
 import { isSameLife, isSameListing } from './memberRegister';
 import type { MemberRegister, RegisteredMember } from './memberRegister';
 
@@ -57,14 +57,14 @@
     },
     isRecent: (member, now) =>
       listings.some(
-        (listing) => isSameEntry(listing.member, member) && isDirectoryValid(listing.listedAt, now),
+        (listing) => isSameEntry(listing.member, member) && isListingValid(listing.listedAt, now),
       ),
     isCounted: (member, { register, now }) =>
       listings.some(
         (listing) =>
           isSameLife(listing.member, member) &&
           listing.member.address === member.address &&
-          isDirectoryValid(listing.listedAt, now) &&
+          isListingValid(listing.listedAt, now) &&
           register.members.some((other) => isSameListing(other, listing.member)),
       ),
   };
--- a/packages/pooling/src/test/countedMembers.test.ts
+++ b/packages/pooling/src/test/countedMembers.test.ts
@@ -24,7 +24,7 @@
   const isCounted = (
     listed: ListedMember,
     member: ListedMember,
-    { names = copy, monotonic = 9_999, wall = 9_999 } = {},
+    { names = copy, monotonic = 3_999, wall = 3_999 } = {},
   ) => {
     const listings = createRecentListings();
     listings.record([listed], listedAt);
@@ -35,8 +35,8 @@
     ['the register names its entry', copy, copy, {}, true],
     ['the named entry was listed before its present one', copy, listedAgain, {}, true],
     ['the register names a former entry', listedAgain, listedAgain, {}, false],
-    ['the entry was listed too long ago', copy, copy, { monotonic: 10_000 }, false],
-    ['the machine was suspended since', copy, copy, { wall: 10_000 }, false],
+    ['the entry was listed too long ago', copy, copy, { monotonic: 4_000 }, false],
+    ['the machine was suspended since', copy, copy, { wall: 4_000 }, false],
     ['its process has started again', copy, createMember({ startedAt: 2 }), {}, false],
     [
       'its process has moved and tells no start time',
@@ -146,22 +146,51 @@
   });
 });
 
-describe('a promotion from the members that answered', () => {
-  const others = ['b', 'c'].map((memberId) => createMember({ memberId }));
+describe('a promotion from the members that were paused', () => {
+  const paused = ['b', 'c'].map((memberId) => createMember({ memberId }));
+  const three = [copy, primary, ...paused];
 
-  it.each([
-    ['one is missing', [copy, ...others], [] as string[], [] as string[], 'covered'],
-    ['two are missing', [copy, primary, ...others], [], [], 'deferred'],
-    ['one of two is covered', [copy, primary, ...others], ['copy'], [], 'covered'],
-    ['one of two has been away for long', [copy, primary, ...others], [], ['copy'], 'givenUp'],
-  ])('is decided: %s', (_, registered, covered, uncounted, type) => {
-    // Guards against losing commits that only missing members hold, and against waiting for good.
+  /** What is known of the departure of `copy`. */
+  type Departure = 'isCovered' | 'isCoveredForGood' | 'isUncounted' | 'isTimedOut';
+
+  it.each<[string, ListedMember[], Departure[], boolean, string]>([
+    ['one is missing', [copy, ...paused], [], true, 'covered'],
+    ['two are missing', three, [], false, 'deferred'],
+    ['one of two is covered, and may confirm more', three, ['isCovered'], false, 'deferred'],
+    ['one of two is covered for good', three, ['isCoveredForGood'], true, 'covered'],
+    ['one of two confirms nothing more', three, ['isUncounted'], false, 'deferred'],
+    [
+      'one of two confirms nothing more and was covered, and the primary is lost',
+      three,
+      ['isCovered', 'isUncounted'],
+      false,
+      'givenUp',
+    ],
+    [
+      'one of two confirms nothing more and was covered, and the primary answers',
+      three,
+      ['isCovered', 'isUncounted'],
+      true,
+      'deferred',
+    ],
+    ['one of two has timed out', three, ['isUncounted', 'isTimedOut'], true, 'givenUp'],
+  ])('is decided: %s', (_, registered, known, isPrimaryResponsive, type) => {
+    // Guards against losing commits that a missing member confirms, and against waiting for good.
+    const isKnown = (name: Departure) => (member: { memberId: string }) =>
+      member.memberId === copy.memberId && known.includes(name);
     const departures = {
-      isCovered: ({ memberId }: { memberId: string }) => covered.includes(memberId),
-      isUncounted: ({ memberId }: { memberId: string }) => uncounted.includes(memberId),
+      isCovered: isKnown('isCovered'),
+      isCoveredForGood: isKnown('isCoveredForGood'),
+      isUncounted: isKnown('isUncounted'),
+      isTimedOut: isKnown('isTimedOut'),
     };
-    expect(assessPromotionCoverage({ registered, answered: others, departures, now: 0 }).type).toBe(
-      type,
-    );
+    const coverage = assessPromotionCoverage({
+      registered,
+      paused,
+      isPrimaryResponsive,
+      departures,
+      now: 0,
+    });
+    expect(coverage.type).toBe(type);
   });
 });
--- a/packages/pooling/src/test/memberRegister.test.ts
+++ b/packages/pooling/src/test/memberRegister.test.ts
@@ -2,7 +2,8 @@
 import { createDepartedMembers, isEveryCommitHeld } from '../index';
 import type { MemberObservation } from '../index';
 
-const SETTLING_MILLISECONDS = 13_500;
+const SETTLING_MILLISECONDS = 4_500;
+const TIMEOUT_MILLISECONDS = 13_500;
 
 const departed = { memberId: 'copy', startedAt: 1 };
 
@@ -36,7 +37,10 @@
     })[],
     isRegistered = true,
   ) {
-    const members = createDepartedMembers({ settlingTime: SETTLING_MILLISECONDS });
+    const members = createDepartedMembers({
+      settlingTime: SETTLING_MILLISECONDS,
+      timeout: TIMEOUT_MILLISECONDS,
+    });
     let sequence = 0;
     const takeNextSequenceNumber = () => {
       sequence += 1;
@@ -97,9 +101,37 @@
     // Guards against a commit that an instance with an old directory lets it confirm afterwards.
     const early = observeAnswers([primaryAnswer, replicaAnswer]);
     expect(early.isSettled(departed)).toBe(false);
+    expect(early.isCoveredForGood(departed, [])).toBe(false);
     const requestedAt = 100 + SETTLING_MILLISECONDS;
     const answers = [primaryAnswer, replicaAnswer].map((answer) => ({ ...answer, requestedAt }));
     expect(observeAnswers(answers).isSettled(departed)).toBe(true);
+    expect(observeAnswers(answers).isCoveredForGood(departed, [])).toBe(true);
+  });
+
+  it('is covered for good by a member that is not registered only while that is present', () => {
+    // Guards against a promotion without the commits that both held, since nobody misses the other.
+    const requestedAt = 100 + SETTLING_MILLISECONDS;
+    const answers = [primaryAnswer, replicaAnswer].map((answer) => ({ ...answer, requestedAt }));
+    const members = observeAnswers(answers, false);
+    expect(members.isCoveredForGood(departed, [{ memberId: 'lagging' }])).toBe(true);
+    expect(members.isCoveredForGood(departed, [{ memberId: 'other' }])).toBe(false);
+  });
+
+  it('is counted by nobody after a while, and awaited for longer', () => {
+    const members = observeAnswers([]);
+    const isUncounted = (now: number) => members.isUncounted(departed, now);
+    const isTimedOut = (now: number) => members.isTimedOut(departed, now);
+    expect([isUncounted, isTimedOut].map((is) => is(99 + SETTLING_MILLISECONDS))).toEqual([
+      false,
+      false,
+    ]);
+    expect([isUncounted, isTimedOut].map((is) => is(100 + SETTLING_MILLISECONDS))).toEqual([
+      true,
+      false,
+    ]);
+    expect(isTimedOut(100 + TIMEOUT_MILLISECONDS)).toBe(true);
+    members.recordEnd(departed, 101);
+    expect(isUncounted(102)).toBe(true);
   });
 
   it('is settled by a coverage that was requested once its process had ended', () => {
