Test that a dropped primary that still leads is not taken for paused or lost

Without either of the two guards of assessCoverage no test failed; with one taken out this one does. The test gateway reports the role of a member by the last entry that listed it.

--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -453,6 +453,17 @@
     expect(gateway.orders).toEqual(['db-3']);
   });
 
+  it('is awaited although the primary, which was dropped as well, answers', async () => {
+    // Guards against taking a primary that still leads for one that is paused or lost.
+    indexes['db-3'] = 23;
+    await listFor(1_000, [primary!, copy!, lagging!]);
+    gateway.silence('db-2');
+    await listFor(2_000, [primary!, lagging!]);
+    await listFor(7_000, [lagging!]);
+    expect(gateway.events).toContain('promotionDeferred');
+    expect(gateway.orders).toEqual([]);
+  });
+
   it('is not asked again once it is given up', async () => {
     // Guards against connections to machines that are gone, for good.
     await listFor(1_000, [primary!, copy!, lagging!]);
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -149,7 +149,8 @@
   let updateDirectory:
     ((entries: DirectoryEntry[], freshness: DirectoryFreshness) => void) | undefined;
   let adoptConfiguration: ((configuration: GatewayConfiguration) => void) | undefined;
-  let currentEntries: DirectoryEntry[] = [];
+  /** Entry of each member by the last directory that listed it. */
+  const lastEntries = new Map<string, DirectoryEntry>();
   let heldCommandType: UpstreamCommand['type'] | undefined;
   let refusedCommandType: UpstreamCommand['type'] | undefined;
   const heldAnswers: Pick<ForwardedStatement, 'answer' | 'answerMalformed'>[] = [];
@@ -279,7 +280,7 @@
         },
         readReport: (answer) => {
           const memberId = reports.get(answer)!;
-          const entry = currentEntries.find((listed) => listed.memberId === memberId);
+          const entry = lastEntries.get(memberId);
           const isPrimary = entry !== undefined && entry.isPrimary && !demoted.has(memberId);
           const received = getPosition(memberId);
           return { isPrimary, term: getTerm(memberId), received };
@@ -329,7 +330,7 @@
     entries: DirectoryEntry[],
     changedAfter?: DirectoryFreshness['changedAfter'],
   ): void {
-    currentEntries = entries;
+    for (const entry of entries) lastEntries.set(entry.memberId, entry);
     const completeAt = clock.readClocks();
     updateDirectory!(entries, { isFresh: true, changedAfter, completeAt });
   }
