Take two members for all only by a recent directory

What callers saw: a replica lapses and is taken off the register. Two regions lose each other: an instance is left with the primary and one replica, by a directory that lists no other. The first replica comes back, and the primary leaves. The others do not reach the second replica, wait until its entry is too old to count, and promote the one that came back. The instance out of touch goes on to acknowledge what the primary and the second replica hold, since these are all members that it lists, by a directory of any age.

Change: with a directory older than 4 s, a commit is held by all members only if these are the primary and two replicas at least. Of three such members a promotion has to pause one, since it can leave out the primary and departed members only.

Price: writes of a group of two end as unknown, then are refused, at instances that the store does not reach for more than 4 s.

Both tests fail with the bound of two in place of three.

--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -4,6 +4,7 @@
   createKnownMembers,
   createRecentListings,
   isDirectoryValid,
+  isListingValid,
   isMemberListComplete,
   isSameLife,
   isSameListing,
@@ -68,6 +69,9 @@
 /** Pause after the store did not answer. */
 const RETRY_DELAY_MILLISECONDS = 500;
 
+/** Holders of a commit that are taken for all by a directory of any age: the primary and two replicas. */
+const MINIMUM_HOLDERS_BY_OLD_DIRECTORY = 3;
+
 /** Limit of the wait for a directory that is too old; reads wait for it. */
 const REFRESH_TIMEOUT_MILLISECONDS = 300;
 
@@ -169,11 +173,20 @@
     member.missingSince === undefined ||
     recentListings.isRecent(toListedMember(member), clock.readClocks());
 
+  /**
+   * Members that joined since an old directory are unknown. If the primary and one replica are all that it
+   * lists, a promotion may leave both out and start from the log of such a member.
+   */
+  const canBeAll = (holders: readonly Member[]) =>
+    holders.length >= MINIMUM_HOLDERS_BY_OLD_DIRECTORY ||
+    isListingValid(getDirectoryCompleteAt(), clock.readClocks());
+
   function isHeldByAll(memberIds: readonly string[]): boolean {
     const retained = [...members.values()];
     const holders = retained
       .filter(({ entry }) => memberIds.includes(entry.memberId))
       .filter(isListedRecently);
+    if (!canBeAll(holders)) return false;
     const lives = retained.map(toRegisteredMember);
     const all = [...lives, ...subtractMembers(known.listRequired(), lives)];
     return subtractMembers(all, holders.map(toRegisteredMember)).length === 0;
--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -476,6 +476,23 @@
   });
 });
 
+describe('an instance that does not hear of changes of the directory', () => {
+  it.each([
+    { name: 'the only other member', listed: [primary!, copy!], expected: [] },
+    {
+      name: 'two others',
+      listed: [primary!, copy!, lagging!],
+      expected: [{ outcome: 'completed' }],
+    },
+  ])('takes $name for all others or not', async ({ listed, expected }) => {
+    // Guards against a commit on two members while others promote one that joined since.
+    indexes['db-3'] = 23;
+    await listFor(1_000, listed);
+    await settle(5_000);
+    expect((await write()).answers).toMatchObject(expected);
+  });
+});
+
 describe('members that were all replaced in turn', () => {
   it('do not defer the promotion of one of their successors', async () => {
     // Guards against a group without a primary until its new members are registered.
--- a/tools/world/src/test/departedAnyMoment.test.ts
+++ b/tools/world/src/test/departedAnyMoment.test.ts
@@ -98,6 +98,18 @@
   });
 });
 
+describe('a primary that leaves after a replica was away', () => {
+  it('has that one as a successor with all commits of an instance that does not know of its return', async () => {
+    // Guards against commits held by all members that an old directory lists.
+    const faults = (at: number): PlannedFault[] => [
+      { kind: 'lapse', at: 1, seconds: 14, role: 'replica' },
+      { ...REGIONS_APART, at: 12, seconds: 18, left: ['sesto', 'mestre-1'] },
+      leaveAt(at),
+    ];
+    expect(await playInstants({ from: 17, to: 23 }, faults)).toEqual([]);
+  });
+});
+
 /** Faults of a time in seconds that change what instances list, or whom they reach. */
 const DRAWS: ((at: number, random: Random) => PlannedFault)[] = [
   (at, random) => ({
