--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -42,7 +42,10 @@
    * the member's answer in a later term.
    */
   isKnownToOthers: (memberId: string) => boolean;
-  /** Whether these are all members that this instance knows, departed ones that are not settled included. */
+  /**
+   * Whether these are all members that any instance may know: all that this one does, departed ones that
+   * are not settled included, by a recent directory or with two replicas at least.
+   */
   isHeldByAll: (memberIds: readonly string[]) => boolean;
   /** Brings the register up to date; to be called regularly and after changes of the directory. */
   check: () => void;
--- a/packages/pooling/src/lib/promotion/promotionCandidate.ts
+++ b/packages/pooling/src/lib/promotion/promotionCandidate.ts
@@ -9,6 +9,7 @@
   /** Term that it follows. */
   term: number;
   received: Position;
+  /** Whether it leaves or the directory does not list it, so that it is not promoted. */
   isLeaving: boolean;
   /** Whether its word counts alone; a primary that is not registered waits for all others. */
   isRegistered: boolean;
