--- a/packages/pooling/src/test/decisions.test.ts
+++ b/packages/pooling/src/test/decisions.test.ts
@@ -161,6 +161,7 @@
   it('is promoted again while no replica has, since it may alone hold acknowledged writes', () => {
     const behind = { ...follower, received: { term: 1, index: 6 } };
     expect(choosePromotionCandidate([former, behind], started)).toBe(former);
+    expect(choosePromotionCandidate([former, { ...behind, term: 1 }], started)).toBe(former);
     expect(choosePromotionCandidate([former, { ...follower, term: 1 }], started)).toBe(former);
     expect(choosePromotionCandidate([former, follower])).toBe(former);
   });
