--- a/packages/gateway/src/lib/promotion/promotionController.ts
+++ b/packages/gateway/src/lib/promotion/promotionController.ts
@@ -1,7 +1,6 @@
 import { choosePromotionCandidate, isClaimValid } from '@wisterialift/pooling';
 import type {
   MemberReport,
-  PromotionCoverage,
   PromotionRecord,
   PausedReplica,
   TermStart,
@@ -14,10 +13,10 @@
 import { isLogEndReceived } from '../groups/primaryProbe';
 import type { ProbeIndirectly } from '../groups/primaryProbe';
 import type { ReachMonitor } from '../groups/reachMonitor';
-import { toRegisteredMember, toStoredMember } from '../groups/registeredMember';
 import { sendMemberCommand } from '../groups/sendMemberCommand';
 import type { SoleMemberGuard } from '../groups/soleMemberGuard';
-import type { FormerMemberReport, FormerMembers } from './formerMembers';
+import { createCoverageCheck, toPausedFormerReplicas } from './coverageCheck';
+import type { FormerMembers } from './formerMembers';
 import { createPromotionClaims, PROMOTION_TIMEOUT_MILLISECONDS } from './promotionClaims';
 import type { Claim } from './promotionClaims';
 import { chooseFencedCandidate, createSoleMemberFence } from './soleMemberFence';
@@ -99,7 +98,11 @@
   const isSilent = (member: Member) =>
     clock.now() - member.answeredAt > PRIMARY_SILENCE_THRESHOLD_MILLISECONDS;
 
-  const isResponsive = (primary: Member | undefined) => primary !== undefined && !isSilent(primary);
+  const coverageCheck = createCoverageCheck(context, {
+    ...options,
+    isSilent,
+    timeoutMilliseconds: MEMBER_REQUEST_TIMEOUT_MILLISECONDS,
+  });
 
   const isMissing = (member: Member) => member.missingSince !== undefined;
 
@@ -245,7 +248,7 @@
       return;
     }
     // Checked before the claim as well: while members are awaited, no replica need be paused.
-    if (!(await canCoverPromotion(primary))) return;
+    if (!(await coverageCheck.canCover(primary))) return;
     const canClaim = (record: PromotionRecord) => canReplaceSoleMember(cause, record);
     const claim = await claims.claim({ primary, canClaim });
     if (!claim) return;
@@ -258,62 +261,6 @@
     await orderPromotion({ cause, primary, claim, candidate });
   }
 
-  /** Whether the logs that a promotion can read hold every acknowledged commit. */
-  async function canCoverPromotion(primary: Member | undefined): Promise<boolean> {
-    const replicas = [...members.values()].filter((member) => member !== primary);
-    const listed = replicas.filter((member) => !isMissing(member));
-    if (assessCoverage(primary, { replicas: listed }).type === 'covered') return true;
-    const missing = replicas.filter(isMissing);
-    const [former, ...reports] = await Promise.all([
-      requestFormerMembers({ type: 'status' }),
-      ...missing.map((member) =>
-        sendMemberCommand(context, member, { type: 'status' }, MEMBER_REQUEST_TIMEOUT_MILLISECONDS),
-      ),
-    ]);
-    const answered = missing.filter((_, index) => reports[index] !== undefined);
-    return allowsPromotion(assessCoverage(primary, { replicas: [...listed, ...answered], former }));
-  }
-
-  /**
-   * @param paused.replicas - members that answered, or will before the order.
-   * @param paused.former - dropped members that did.
-   */
-  function assessCoverage(
-    primary: Member | undefined,
-    { replicas, former = [] }: { replicas: Member[]; former?: FormerMemberReport[] },
-  ): PromotionCoverage {
-    const formerReplicas = former.filter(({ report }) => !report.isPrimary);
-    return registrar.assessPromotion({
-      paused: [
-        ...replicas.map(toRegisteredMember),
-        ...formerReplicas.map(({ entry }) => toStoredMember(entry)),
-      ],
-      isPrimaryResponsive: isResponsive(primary) || formerReplicas.length < former.length,
-    });
-  }
-
-  function allowsPromotion(coverage: PromotionCoverage): boolean {
-    if (coverage.type === 'covered') return true;
-    const { memberIds } = coverage;
-    if (coverage.type === 'givenUp') {
-      logger.error('departedMembersGivenUp', { group, memberIds });
-      return true;
-    }
-    const reason = 'members that may alone hold acknowledged commits are missing';
-    logger.warn('promotionDeferred', { group, reason, memberIds });
-    return false;
-  }
-
-  /** Sends a command to dropped members that a promotion waits for. */
-  function requestFormerMembers(
-    command: Parameters<FormerMembers['request']>[0],
-  ): Promise<FormerMemberReport[]> {
-    return options.formerMembers.request(command, {
-      isWanted: (entry) => registrar.isAwaited(toStoredMember(entry)),
-      timeoutMilliseconds: MEMBER_REQUEST_TIMEOUT_MILLISECONDS,
-    });
-  }
-
   /**
    * Whether the directory may still lack running members, whose entries can lapse while the store is
    * down. One of them may alone hold a write that was acknowledged.
@@ -382,7 +329,7 @@
     const replicas = [...members.values()].filter((member) => member !== primary);
     const pendingRegister = registrar.refresh();
     // Paused first: a departed replica that is ahead of the others can't be promoted.
-    const former = await pauseFormerMembers(term, primary);
+    const former = await coverageCheck.pauseFormerMembers(term, primary);
     const [isRegisterKnown, ...reports] = await Promise.all([
       pendingRegister,
       ...replicas.map((member) =>
@@ -399,26 +346,15 @@
       return undefined;
     }
     const paused = replicas.filter((_, index) => reports[index] !== undefined);
-    const coverage = assessCoverage(primary, { replicas: paused, former });
-    if (!isRegisterKnown || !allowsPromotion(coverage)) return undefined;
+    const isCovered =
+      isRegisterKnown && coverageCheck.allowsPromotion(primary, { replicas: paused, former });
+    if (!isCovered) return undefined;
     return [
       ...replicas.flatMap((member, index) => toPausedReplicas(member, reports[index])),
-      ...former.filter(({ report }) => !report.isPrimary).map(toPausedFormerReplica),
+      ...former.flatMap(toPausedFormerReplicas),
     ];
   }
 
-  /** Pauses dropped members unless the listed replicas are enough. */
-  async function pauseFormerMembers(
-    term: number,
-    primary: Member | undefined,
-  ): Promise<FormerMemberReport[]> {
-    const listed = [...members.values()].filter(
-      (member) => member !== primary && !isMissing(member),
-    );
-    if (assessCoverage(primary, { replicas: listed }).type === 'covered') return [];
-    return requestFormerMembers({ type: 'pause', term });
-  }
-
   function toPausedReplicas(member: Member, report: MemberReport | undefined): PausedReplica[] {
     if (!report) return [];
     const { received, term } = report;
@@ -428,20 +364,6 @@
     return [{ memberId, term, received, isLeaving, isRegistered, isPreferred }];
   }
 
-  /** A member off the directory is no more promoted than a leaving one. */
-  function toPausedFormerReplica({ entry, report }: FormerMemberReport): PausedReplica {
-    const { received, term } = report;
-    const { memberId } = entry;
-    return {
-      memberId,
-      term,
-      received,
-      isLeaving: true,
-      isRegistered: false,
-      isPreferred: false,
-    };
-  }
-
   async function orderPromotion(plan: {
     cause: SuspicionCause;
     primary: Member | undefined;
@@ -477,7 +399,7 @@
     const replicas = [...members.values()].filter((member) => member !== primary);
     if (isClaimValid(claim.claimedAt, clock.readClocks())) {
       await Promise.all([
-        requestFormerMembers({ type: 'resume' }),
+        coverageCheck.resumeFormerMembers(),
         ...replicas.map((member) =>
           sendMemberCommand(
             context,
