Confirm a read of the primary by a registered member

Change: whoever acknowledges the first commit of a term waits for members that departed in the last 4.5 s as well, not only for those that it keeps for 2.5 s. So a registered member's word, by a listing of 4 s, is enough for a read as it is for a commit, and the second bound is gone.

--- a/packages/gateway/src/lib/groups/memberRegistrar.ts
+++ b/packages/gateway/src/lib/groups/memberRegistrar.ts
@@ -4,7 +4,6 @@
   createKnownMembers,
   createRecentListings,
   isDirectoryValid,
-  isListingCommonlyKnown,
   isListingValid,
   isMemberListComplete,
   isSameLife,
@@ -35,13 +34,13 @@
  * instance counts its word and others are seen to hold what it confirmed.
  */
 export interface MemberRegistrar {
-  /** Whether the member is known to be registered with a recent entry, so that its word counts. */
-  isRegistered: (memberId: string) => boolean;
   /**
-   * Whether every other instance still knows the member, at least as a missing one, so that it waits for
-   * the member's answer in a later term.
+   * Whether the member is known to be registered with a recent entry, so that its word counts: instances
+   * that do not list it any more wait for it since its departure.
    */
-  isKnownToOthers: (memberId: string) => boolean;
+  isRegistered: (memberId: string) => boolean;
+  /** Returns the ids of members that departed so recently that other instances may count their word. */
+  listRecentlyDepartedIds: () => string[];
   /**
    * Whether these are all members that any instance may know: all that this one does, departed ones that
    * are not settled included, by a recent directory or with two replicas at least.
@@ -209,11 +208,11 @@
     return recentListings.isCounted(toListedMember(member), { register, now });
   }
 
-  function isKnownToOthers(memberId: string): boolean {
-    const member = members.get(memberId);
-    if (!member || member.missingSince !== undefined) return false;
-    return isListingCommonlyKnown(getDirectoryCompleteAt(), clock.readClocks());
-  }
+  const listRecentlyDepartedIds = () =>
+    departures
+      .list()
+      .filter((member) => !departures.isUncounted(member, clock.now()))
+      .map(({ memberId }) => memberId);
 
   const assessPromotion: MemberRegistrar['assessPromotion'] = (pausedMembers) =>
     assessPromotionCoverage({
@@ -241,7 +240,7 @@
 
   return {
     isRegistered,
-    isKnownToOthers,
+    listRecentlyDepartedIds,
     isHeldByAll,
     check,
     observe,
--- a/packages/gateway/src/lib/groups/primaryVerifier.ts
+++ b/packages/gateway/src/lib/groups/primaryVerifier.ts
@@ -7,9 +7,9 @@
 import { resolveWithTimeout } from '../timing/promiseTimeout';
 import type { SequencedTime, GroupContext } from './groupContext';
 import { createHolderOptions } from './holderOptions';
+import type { HolderRegistrar } from './holderOptions';
 import type { Member } from './member';
 import { sendMemberCommand } from './sendMemberCommand';
-import type { MemberRegistrar } from './memberRegistrar';
 import type { SoleMemberGuard } from './soleMemberGuard';
 
 /** Verifies that answers of the primary are current and its commits replicated. */
@@ -111,7 +111,7 @@
   }: {
     poller: EvidencePoller;
     soleMemberGuard: SoleMemberGuard;
-    registrar: Pick<MemberRegistrar, 'isHeldByAll' | 'isKnownToOthers' | 'isRegistered'>;
+    registrar: HolderRegistrar;
   },
 ): PrimaryVerifier {
   const { primaryTracker, clock, evidence, members } = context;
@@ -156,8 +156,8 @@
       const seen = evidence.getLatestObservation(memberId);
       return seen !== undefined && seen.term === term && evidence.isRecent(seen, limit);
     });
-    const { isHeldByAll, isKnownToOthers } = registrar;
-    return confirmers.some(isKnownToOthers) || isHeldByAll([primaryId, ...confirmers]);
+    const { isHeldByAll, isRegistered } = registrar;
+    return confirmers.some(isRegistered) || isHeldByAll([primaryId, ...confirmers]);
   }
 
   async function waitForEvidence(wait: ConfirmationWait, options: EvidenceOptions) {
@@ -203,7 +203,6 @@
       if (maximumStaleness > 0 && hasRecentReply(member, term, limit)) return true;
       const wait = evidence.waitForTermConfirmation({
         ...createHolderOptions(context, registrar, member.entry.memberId),
-        isKnownToOthers: registrar.isKnownToOthers,
         term,
         sequence: eventStamp.sequence,
       });
--- a/packages/gateway/src/lib/groups/supersededCommits.ts
+++ b/packages/gateway/src/lib/groups/supersededCommits.ts
@@ -6,7 +6,7 @@
 import type { EvidencePoller } from './evidencePoller';
 import type { GroupContext } from './groupContext';
 import { createHolderOptions } from './holderOptions';
-import type { MemberRegistrar } from './memberRegistrar';
+import type { HolderRegistrar } from './holderOptions';
 import type { ProbePrimary } from './primaryProbe';
 import { planPolls } from './primaryVerifier';
 import type { StatementRequest } from './statementRequest';
@@ -25,7 +25,7 @@
 
 export interface SupersededCommitsOptions {
   poller: EvidencePoller;
-  registrar: Pick<MemberRegistrar, 'isHeldByAll' | 'isRegistered'>;
+  registrar: HolderRegistrar;
   /** Reads the start of the newest recorded term; undefined if there is none or on a store error. */
   readTermStart: () => Promise<TermStart | undefined>;
   /** Asks a member for its role, and others whether they follow it. */
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -73,7 +73,6 @@
 export {
   DEPARTURE_TIMEOUT_MILLISECONDS,
   isDirectoryValid,
-  isListingCommonlyKnown,
   isListingValid,
   isMemberListComplete,
   MEMBER_SETTLING_MILLISECONDS,
--- a/packages/pooling/src/lib/membership/directoryValidity.ts
+++ b/packages/pooling/src/lib/membership/directoryValidity.ts
@@ -22,12 +22,6 @@
  */
 export const MEMBER_SETTLING_MILLISECONDS = DIRECTORY_VALIDITY_MILLISECONDS + 1_500;
 
-/**
- * Longest age of a directory snapshot by which an instance takes its members for known to all others,
- * which drop a missing one after 2.5 s. In touch with the directory it is usually younger.
- */
-const COMMON_KNOWLEDGE_VALIDITY_MILLISECONDS = 2_500;
-
 /**
  * Longest age of a directory snapshot by which a log position is learned without the primary. An instance
  * in touch with the directory learns of changes sooner.
@@ -81,19 +75,6 @@
   return isYoungerThan(LISTING_VALIDITY_MILLISECONDS, completeAt, now);
 }
 
-/**
- * Whether every instance still knows the members of a directory snapshot that includes all changes before
- * `completeAt`, be it as missing ones.
- *
- * @public
- */
-export function isListingCommonlyKnown(
-  completeAt: ClockReadings | undefined,
-  now: ClockReadings,
-): boolean {
-  return isYoungerThan(COMMON_KNOWLEDGE_VALIDITY_MILLISECONDS, completeAt, now);
-}
-
 /**
  * Whether a directory snapshot that includes all changes before `completeAt` lists every member whose word
  * may have counted by now.
--- a/packages/pooling/src/lib/replication/replicationTracker.ts
+++ b/packages/pooling/src/lib/replication/replicationTracker.ts
@@ -47,6 +47,8 @@
   primaryId: string;
   /** Current members of the group, including the primary. */
   memberIds: () => string[];
+  /** Members that departed so recently that other instances may count their word. */
+  departedIds: () => string[];
   /** Whether the member is known to be in the group's register; see `memberRegisterSchema`. */
   isRegistered: (memberId: string) => boolean;
   /** Whether these and the primary are all members that an instance may know. */
@@ -98,15 +100,13 @@
    * others: a replica that has only received an entry of the later term still answers in the earlier
    * one, and a read would miss a commit that was acknowledged on that entry.
    *
-   * This holds while the acknowledging instance cannot have dropped the replica; otherwise all others
-   * have to answer.
+   * The acknowledging instance waits for a registered replica, be it as a departed one. If none answers,
+   * all others have to.
    */
   waitForTermConfirmation: (
-    options: Pick<HolderOptions, 'primaryId' | 'isHeldByAll'> & {
+    options: Pick<HolderOptions, 'primaryId' | 'isRegistered' | 'isHeldByAll'> & {
       term: number;
       sequence: number;
-      /** Whether every instance still knows the member. */
-      isKnownToOthers: (memberId: string) => boolean;
     },
   ) => ConfirmationWait;
   /**
@@ -237,9 +237,14 @@
   const listOthers = ({ memberIds, primaryId }: HolderOptions) =>
     memberIds().filter((memberId) => memberId !== primaryId);
 
-  /** Whether all members besides the primary, except at most one, have applied an entry of the term. */
+  /**
+   * Whether all members besides the primary, except at most one, have applied an entry of the term. A
+   * departed one may confirm reads of a former primary elsewhere.
+   */
   const isTermApplied = (term: number, options: HolderOptions) => {
-    const others = listOthers(options);
+    const { departedIds, primaryId } = options;
+    const departed = departedIds().filter((memberId) => memberId !== primaryId);
+    const others = [...new Set([...listOthers(options), ...departed])];
     const inTerm = others.filter((memberId) => hasAppliedTerm(memberId, term));
     return inTerm.length >= others.length - 1;
   };
@@ -320,7 +325,7 @@
           )
           .map(({ memberId }) => memberId);
         const isConfirmed =
-          confirmers.some(options.isKnownToOthers) || options.isHeldByAll(confirmers);
+          confirmers.some(options.isRegistered) || options.isHeldByAll(confirmers);
         return isConfirmed ? { type: 'proved' } : undefined;
       }),
     findFloor: ({ now, maximumAge }) =>
--- a/packages/pooling/src/test/replicationTracker.test.ts
+++ b/packages/pooling/src/test/replicationTracker.test.ts
@@ -41,11 +41,13 @@
   tracker: ReplicationTracker,
   position: Position,
   members = MEMBERS,
+  departed: string[] = [],
 ): ConfirmationWait {
   return tracker.waitForReplication({
     position,
     primaryId: 'a',
     memberIds: () => members,
+    departedIds: () => departed,
     isRegistered: () => true,
     isHeldByAll: () => false,
   });
@@ -117,6 +119,16 @@
     expect(await getResult(wait)).toEqual({ type: 'proved' });
   });
 
+  it('waits for the term of one of two members that departed recently', async () => {
+    // Guards against reads of a former primary that a departed replica confirms elsewhere.
+    const tracker = createReplicationTracker();
+    observe(tracker, { memberId: 'b', term: 2, position });
+    const wait = waitForReplication(tracker, position, ['a', 'b'], ['c', 'd']);
+    expect(await getResult(wait)).toBe('pending');
+    const other = waitForReplication(tracker, position, ['a', 'b'], ['a', 'c']);
+    expect(await getResult(other)).toEqual({ type: 'proved' });
+  });
+
   it('does not count a removed member', async () => {
     const tracker = createReplicationTracker();
     observe(tracker, { memberId: 'b', term: 2, position });
@@ -128,18 +140,18 @@
 describe('confirming a read', () => {
   const confirmedByOne = {
     primaryId: 'a',
-    isKnownToOthers: () => true,
+    isRegistered: () => true,
     isHeldByAll: () => false,
   };
 
-  it('needs all others where other instances may have dropped the replica', async () => {
+  it('needs all others where no registered replica answers', async () => {
     // Guards against a read without a commit that was acknowledged without asking the replica.
     const tracker = createReplicationTracker();
     const wait = tracker.waitForTermConfirmation({
       term: 1,
       sequence: 0,
       primaryId: 'a',
-      isKnownToOthers: () => false,
+      isRegistered: () => false,
       isHeldByAll: (memberIds) => memberIds.length === 2,
     });
     observe(tracker, { memberId: 'b' });
@@ -348,6 +360,7 @@
       started,
       primaryId: 'a',
       memberIds: () => known.members ?? MEMBERS,
+      departedIds: () => [],
       isRegistered: known.isRegistered ?? (() => true),
       isHeldByAll: known.isHeldByAll ?? (() => false),
     });
