--- a/packages/gateway/src/test/memberRegistrar.test.ts
+++ b/packages/gateway/src/test/memberRegistrar.test.ts
@@ -405,6 +405,14 @@
     expect(gateway.orders).toEqual(['db-3']);
   });
 
+  it('is paused before the listed replicas', async () => {
+    // Guards against a promotion that fails because the departed member received more in between.
+    await dropCopy();
+    gateway.holdAnswers('pause');
+    await listFor(300, [leaving, lagging!]);
+    expect(['db-2', 'db-3'].map((id) => gateway.countCommands(id, 'pause'))).toEqual([1, 0]);
+  });
+
   it('is awaited out of reach while an instance may count its word, and no longer', async () => {
     // Guards against such commits, and against a leaving primary that ends without a successor.
     await dropCopy();
