--- a/packages/gateway/src/lib/groups/connectionPreparation.ts
+++ b/packages/gateway/src/lib/groups/connectionPreparation.ts
@@ -19,12 +19,13 @@
  * Send the statement only if it is ready; otherwise another session's values may be visible to it.
  */
 export async function prepareConnection(
-  { clock, group, logger }: GroupContext,
+  context: GroupContext,
   { entry }: Member,
   options: { connection: PooledConnection; request: StatementRequest; deadlineAt: number },
 ): Promise<Preparation> {
+  const { clock, group, logger } = context;
   const { connection, request, deadlineAt } = options;
-  const restoring = restoreState(connection, request);
+  const restoring = restoreState(context, connection, request);
   const prepared = await settleWithTimeout(clock, restoring, deadlineAt - clock.now());
   if (prepared.type === 'value' && !prepared.value) return { type: 'ready' };
   const { memberId } = entry;
@@ -37,6 +38,7 @@
 
 /** @returns the first refusal, or undefined if the connection is ready. */
 async function restoreState(
+  { counters }: GroupContext,
   connection: PooledConnection,
   { sessionState, prepared }: StatementRequest,
 ): Promise<UpstreamAnswer | undefined> {
@@ -47,6 +49,8 @@
   });
   Object.assign(connection, { preparedVersion: sessionState.version });
   if (commands.length === 0) return undefined;
+  const preparations = commands.filter(({ type }) => type === 'prepare').length;
+  Object.assign(counters, { preparations: counters.preparations + preparations });
   const answers = await Promise.all(commands.map((command) => connection.upstream.run(command)));
   commands.forEach((command, index) => {
     // Each command has its effect even if the member refused another one.
--- a/packages/gateway/src/lib/groups/groupContext.ts
+++ b/packages/gateway/src/lib/groups/groupContext.ts
@@ -47,6 +47,8 @@
 
 export interface GroupCounters {
   probes: number;
+  /** Statements prepared on connections to members. */
+  preparations: number;
   retries: number;
   refusals: number;
   promotions: number;
--- a/packages/gateway/src/lib/groups/groupRouter.ts
+++ b/packages/gateway/src/lib/groups/groupRouter.ts
@@ -174,6 +174,7 @@
   const failureEjection = createFailureEjection({ ...options, members, primaryTracker });
   const counters: GroupCounters = {
     probes: 0,
+    preparations: 0,
     retries: 0,
     refusals: 0,
     promotions: 0,
--- a/packages/gateway/src/lib/metrics/gatewayMetrics.ts
+++ b/packages/gateway/src/lib/metrics/gatewayMetrics.ts
@@ -16,6 +16,7 @@
 /** Help texts of the counters of a group. */
 const GROUP_COUNTERS = {
   probes: 'questions to members that no caller asked for',
+  preparations: 'statements prepared on connections to members',
   retries: 'tries of statements after the first',
   refusals: 'statements refused by this instance',
   promotions: 'orders to promote a member',
