--- a/packages/gateway/src/lib/groups/statementRequest.ts
+++ b/packages/gateway/src/lib/groups/statementRequest.ts
@@ -1,5 +1,4 @@
 import type { PreparedStatement, SessionState, UpstreamCommand } from '@wisterialift/pooling';
-import { getSharedStatementName } from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import type { Route } from '../configuration/gatewayConfiguration';
 import type { SequencedTime } from './groupContext';
@@ -44,6 +43,5 @@
   after?: Position,
 ): UpstreamCommand {
   if (!prepared) return { type: 'forward', id, text, after };
-  const { statement, argumentsText } = prepared;
-  return { type: 'execute', id, name: getSharedStatementName(statement), argumentsText, after };
+  return { type: 'execute', id, ...prepared, after };
 }
--- a/packages/gateway/src/test/hedgedReads.test.ts
+++ b/packages/gateway/src/test/hedgedReads.test.ts
@@ -169,8 +169,8 @@
     await settle();
     waits.connection.end();
     await settle();
-    const executed = gateway.executed.map(({ memberId, name }) => `${memberId} ${name}`);
-    expect(executed).toEqual(['db-2 r_shape-1', 'db-2 r_shape-2', 'db-1 r_shape-1']);
+    const executed = gateway.executed.map(({ memberId, shape }) => `${memberId} ${shape}`);
+    expect(executed).toEqual(['db-2 shape-1', 'db-2 shape-2', 'db-1 shape-1']);
     expect(gateway.executed.every(({ isPrepared }) => isPrepared)).toBe(true);
   });
 
--- a/packages/gateway/src/test/testGateway.ts
+++ b/packages/gateway/src/test/testGateway.ts
@@ -1,4 +1,5 @@
 import type {
+  PreparedStatement,
   FailureReason,
   MemberRegister,
   PromotionRecord,
@@ -76,7 +77,7 @@
 interface FakeConnection {
   transaction: UpstreamAnswer['transaction'];
   values: Map<string, string>;
-  preparedNames: Set<string>;
+  prepared: PreparedStatement[];
   /** Fails the commands that are never answered, as the end of the connection does. */
   loseCommands: (() => void)[];
 }
@@ -84,7 +85,7 @@
 /** A prepared statement that a member ran, with the session values of its connection. */
 interface ExecutedStatement {
   memberId: string;
-  name: string;
+  shape: string;
   isPrepared: boolean;
   values: Record<string, string>;
 }
@@ -205,10 +206,10 @@
       }
       if (command.type === 'reset') {
         state.values.clear();
-        state.preparedNames.clear();
+        state.prepared.splice(0);
       }
       if (command.type === 'set') state.values.set(command.name, command.value);
-      if (command.type === 'prepare') state.preparedNames.add(command.name);
+      if (command.type === 'prepare') state.prepared.push(command.statement);
       const answer = () => resolve(createCompletedAnswer(memberId, state.transaction));
       const answerMalformed = () => resolve(undefined as unknown as UpstreamAnswer);
       if (command.type === 'begin') Object.assign(state, { transaction: 'open' });
@@ -224,8 +225,11 @@
       const values = Object.fromEntries(state.values);
       const { transaction } = state;
       if (command.type === 'execute') {
-        const { name } = command;
-        executed.push({ memberId, name, isPrepared: state.preparedNames.has(name), values });
+        const { statement } = command;
+        const isPrepared = state.prepared.some(
+          ({ access, shape }) => access === statement.access && shape === statement.shape,
+        );
+        executed.push({ memberId, shape: statement.shape, isPrepared, values });
       }
       if (command.type === 'forward') {
         const { id, after } = command;
@@ -261,7 +265,7 @@
           const state: FakeConnection = {
             transaction: 'idle',
             values: new Map(),
-            preparedNames: new Set(),
+            prepared: [],
             loseCommands: [],
           };
           if (unreachedMembers.has(memberId)) {
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -1,4 +1,5 @@
 export { type CallerStatement, type StatementAccess } from './lib/statements/callerStatement';
+export { type PreparedStatement } from './lib/statements/preparedStatement';
 export {
   type FailureReason,
   type MemberReport,
@@ -25,10 +26,10 @@
   createConnectionState,
   createSessionState,
   planStateRestore,
-  getSharedStatementName,
+  forgetPreparedStatements,
+  isPrepared,
   setSessionValue,
   type ConnectionState,
-  type PreparedStatement,
   type SessionState,
 } from './lib/session/sessionState';
 export {
--- a/packages/pooling/src/lib/session/sessionState.ts
+++ b/packages/pooling/src/lib/session/sessionState.ts
@@ -1,13 +1,6 @@
-import type { StatementAccess } from '../statements/callerStatement';
+import type { PreparedStatement } from '../statements/preparedStatement';
 import type { UpstreamCommand } from '../statements/upstreamCommand';
 
-/** A statement that a caller prepared. @public */
-export interface PreparedStatement {
-  access: StatementAccess;
-  /** Identifies the statement; sessions with the same shape and access share it on a connection. */
-  shape: string;
-}
-
 /**
  * Variables of a caller's session, whichever connection serves it.
  *
@@ -24,8 +17,8 @@
 /** Variables and prepared statements that are set on one connection. @public */
 export interface ConnectionState {
   values: Map<string, string>;
-  /** Names of the statements prepared on the connection. */
-  preparedNames: Set<string>;
+  /** Keys of the statements prepared on the connection. */
+  preparedKeys: Set<string>;
 }
 
 /** A connection with more prepared statements is reset, to bound the memory of the database. */
@@ -47,12 +40,22 @@
 
 /** @public */
 export function createConnectionState(): ConnectionState {
-  return { values: new Map(), preparedNames: new Set() };
+  return { values: new Map(), preparedKeys: new Set() };
+}
+
+/** Key of a statement among the prepared ones; an access is one word, so no two statements share a key. */
+function getStatementKey({ access, shape }: PreparedStatement): string {
+  return `${access} ${shape}`;
+}
+
+/** Whether a statement is prepared on a connection. @public */
+export function isPrepared(connection: ConnectionState, statement: PreparedStatement): boolean {
+  return connection.preparedKeys.has(getStatementKey(statement));
 }
 
-/** Name of a prepared statement on a connection; shared by all sessions that use it. @public */
-export function getSharedStatementName({ access, shape }: PreparedStatement): string {
-  return `${access === 'read' ? 'r' : 'w'}_${shape}`;
+/** Records that a connection may lack any prepared statement, so that each is prepared anew. @public */
+export function forgetPreparedStatements(connection: ConnectionState): void {
+  connection.preparedKeys.clear();
 }
 
 /**
@@ -70,14 +73,14 @@
   const { session, connection, statement } = options;
   const isResetRequired =
     hasExtraVariable(session, connection) ||
-    connection.preparedNames.size > MAXIMUM_PREPARED_STATEMENTS;
+    connection.preparedKeys.size > MAXIMUM_PREPARED_STATEMENTS;
   const startingState = isResetRequired ? createConnectionState() : connection;
   const commands: UpstreamCommand[] = isResetRequired ? [{ type: 'reset' }] : [];
   for (const [name, value] of session.values) {
     if (startingState.values.get(name) !== value) commands.push({ type: 'set', name, value });
   }
-  if (statement && !startingState.preparedNames.has(getSharedStatementName(statement))) {
-    commands.push({ type: 'prepare', name: getSharedStatementName(statement), ...statement });
+  if (statement && !isPrepared(startingState, statement)) {
+    commands.push({ type: 'prepare', statement });
   }
   return commands;
 }
@@ -86,10 +89,10 @@
 export function applyStateCommand(connection: ConnectionState, command: UpstreamCommand): void {
   if (command.type === 'reset') {
     connection.values.clear();
-    connection.preparedNames.clear();
+    connection.preparedKeys.clear();
   }
   if (command.type === 'set') connection.values.set(command.name, command.value);
-  if (command.type === 'prepare') connection.preparedNames.add(command.name);
+  if (command.type === 'prepare') connection.preparedKeys.add(getStatementKey(command.statement));
 }
 
 /**
--- a/packages/pooling/src/lib/statements/upstreamCommand.ts
+++ b/packages/pooling/src/lib/statements/upstreamCommand.ts
@@ -1,17 +1,22 @@
 import type { Position } from '@wisterialift/schema';
-import type { StatementAccess } from './callerStatement';
+import type { PreparedStatement } from './preparedStatement';
 
 /** A command sent to a member of a group over one connection. @public */
 export type UpstreamCommand =
   /** A caller's statement; with `after`, it runs only if the member has applied the position. */
   | { type: 'forward'; id: string; text: string; after?: Position }
-  /** Executes a prepared statement by its name on this connection. */
-  | { type: 'execute'; id: string; name: string; argumentsText: string; after?: Position }
+  /** Executes a statement that is prepared on this connection. */
+  | {
+      type: 'execute';
+      id: string;
+      statement: PreparedStatement;
+      argumentsText: string;
+      after?: Position;
+    }
   | { type: 'begin'; isReadOnly: boolean; after?: Position }
   | { type: 'rollback' }
   | { type: 'set'; name: string; value: string }
-  /** `shape` is that of `PreparedStatement`. */
-  | { type: 'prepare'; name: string; access: StatementAccess; shape: string }
+  | { type: 'prepare'; statement: PreparedStatement }
   /** Clears the variables and the prepared statements of the connection. */
   | { type: 'reset' }
   | { type: 'status' }
--- a/packages/pooling/src/test/decisions.test.ts
+++ b/packages/pooling/src/test/decisions.test.ts
@@ -24,7 +24,10 @@
     const session = { version: 0, values: new Map(Object.entries(sessionVariables)) };
     const connection = createConnectionState();
     Object.entries(connectionVariables).forEach((entry) => connection.values.set(...entry));
-    connection.preparedNames.add('r_q1');
+    applyStateCommand(connection, {
+      type: 'prepare',
+      statement: { access: 'read', shape: 'q1' },
+    });
     return planStateRestore({ session, connection, statement });
   }
 
