--- a/packages/gateway/src/lib/createGateway.ts
+++ b/packages/gateway/src/lib/createGateway.ts
@@ -232,13 +232,27 @@
   options.directory.subscribe({
     onChange: (entries, freshness) => {
       cache.update(entries, freshness);
-      for (const [group, router] of localGroups) router.updateMembers(cache.getEntries(group));
+      updateGroups();
     },
     onUnchanged: cache.confirm,
     onLost: cache.recordLoss,
     isPrompt: needsPromptChanges,
   });
 
+  /** Updates every group, then throws if one of them could not be updated. */
+  function updateGroups(): void {
+    const errors: Error[] = [];
+    for (const [group, router] of localGroups) {
+      try {
+        router.updateMembers(cache.getEntries(group));
+      } catch (error) {
+        logger.error('membersNotUpdated', { group, error: error as Error });
+        errors.push(error as Error);
+      }
+    }
+    if (errors[0]) throw errors[0];
+  }
+
   /**
    * Whether this instance sends statements to members. One that only relays them can learn of changes
    * later: the holders of the connections check the directory and the configuration version.
