Recover from damaged promotion records and registers of members

What callers saw: after another writer had replaced the promotion record or the register of a group by something else (a token of 1e308, a holder of another type, members that are no list), no primary of the group was replaced any more.

Cause: a record that can't be decoded was an error of each read, and only a decoded record was ever replaced.

Change: of a promotion record, the valid fields are kept. Its token becomes at least the revision of the record, which no earlier claim exceeds since each claim is a change of the store, and the record counts as claimed until a claim must have expired. A damaged register is not believed in part: an instance goes on with the one that it read before, takes part in no promotion, and replaces it by all members that it knows, departed ones included, as it does where none is stored.

What remains: an instance that starts while the register is damaged knows no member that departed before, as where the first instance of a group starts.

--- a/packages/gateway/src/lib/groups/registerSynchronizer.ts
+++ b/packages/gateway/src/lib/groups/registerSynchronizer.ts
@@ -13,7 +13,7 @@
   recordGap: () => void;
   /** Updates the register if that is needed; concurrent calls share one update. */
   synchronize: () => Promise<void>;
-  /** Reads the register again; false if the store does not answer. */
+  /** Reads the register again; false if the store does not answer or the register is damaged. */
   refresh: () => Promise<boolean>;
 }
 
@@ -30,6 +30,8 @@
   onRead: () => void;
 }
 
+type StoredRegister = StoredRecord<MemberRegister | undefined>;
+
 /** Random delay, so that one instance registers a member and the others find it done. */
 const MAXIMUM_JITTER_MILLISECONDS = 200;
 
@@ -55,11 +57,13 @@
 
   const needsUpdate = () => isDirectoryRecent() && (isOutdated() || options.needsUpdate());
 
-  async function readStored(): Promise<StoredRecord<MemberRegister> | undefined> {
+  async function readStored(): Promise<StoredRegister | undefined> {
     const gaps = gapCount;
     const stored = await memberRegisters.read(group);
     coveredGapCount = gaps;
-    if (stored) adopt(stored);
+    if (stored?.record) adopt({ ...stored, record: stored.record });
+    // A damaged register may have named members that this instance never listed.
+    else if (stored) gapCount += 1;
     return stored;
   }
 
@@ -71,13 +75,11 @@
   }
 
   /** @returns whether another instance replaced the register in the meantime. */
-  async function replaceIfOutdated(
-    stored: StoredRecord<MemberRegister> | undefined,
-  ): Promise<boolean> {
+  async function replaceIfOutdated(stored: StoredRegister | undefined): Promise<boolean> {
     const plan = () =>
       planRegisterUpdate({
-        registered: stored?.record.members ?? [],
-        addable: listAddable(stored !== undefined),
+        registered: stored?.record?.members ?? [],
+        addable: listAddable(stored?.record !== undefined),
         isRemovable,
       });
     // Without the refresh, a member could be registered after its departure was tracked elsewhere, or
@@ -98,7 +100,7 @@
 
   async function update(): Promise<void> {
     // An instance that starts reads at once: its first reads may need the register.
-    const isKnown = !isOutdated() || (await readStored()) !== undefined;
+    const isKnown = !isOutdated() || (await readStored())?.record !== undefined;
     if (isKnown && !needsUpdate()) return;
     await clock.sleep(random() * MAXIMUM_JITTER_MILLISECONDS);
     for (let attempt = 0; attempt < MAXIMUM_REPLACEMENTS; attempt += 1) {
@@ -127,8 +129,8 @@
     },
     refresh: async () => {
       try {
-        await readStored();
-        return true;
+        const stored = await readStored();
+        return !stored || stored.record !== undefined;
       } catch (error) {
         logger.warn('memberRegisterNotRead', { group, error: error as Error });
         return false;
--- a/packages/gateway/src/lib/ports/platformPort.ts
+++ b/packages/gateway/src/lib/ports/platformPort.ts
@@ -99,9 +99,9 @@
   | { type: 'unknown' };
 
 /** Stores one record per group, with conditional updates. @public */
-export interface RecordStore<Content> {
+export interface RecordStore<Content, Readable = Content> {
   /** @throws Error if the store does not answer. */
-  read: (group: string) => Promise<StoredRecord<Content> | undefined>;
+  read: (group: string) => Promise<StoredRecord<Readable> | undefined>;
   /** Replaces the record if its revision matches; without a revision, creates it if none exists. */
   replace: (options: {
     group: string;
@@ -113,8 +113,8 @@
 /** Stores the promotion records. @public */
 export type PromotionStore = RecordStore<PromotionRecord>;
 
-/** Stores the registers of the groups' members. @public */
-export type MemberRegisterStore = RecordStore<MemberRegister>;
+/** Stores the registers of the groups' members; a damaged one is read as undefined. @public */
+export type MemberRegisterStore = RecordStore<MemberRegister, MemberRegister | undefined>;
 
 /** Outcome of a promotion order. @public */
 export type PromotionOrderOutcome = 'accepted' | 'notRunning' | 'refused' | 'unknown';
--- a/packages/pooling/src/index.ts
+++ b/packages/pooling/src/index.ts
@@ -114,5 +114,6 @@
   CLAIM_VALID_MILLISECONDS,
   isClaimValid,
   promotionRecordSchema,
+  repairPromotionRecord,
   type PromotionRecord,
 } from './lib/promotion/promotionClaim';
--- a/packages/pooling/src/lib/promotion/promotionClaim.ts
+++ b/packages/pooling/src/lib/promotion/promotionClaim.ts
@@ -6,7 +6,7 @@
   /** Instance that made the last claim. */
   holder: z.string(),
   /** Fencing token, incremented by each claim. */
-  token: z.number().int().nonnegative(),
+  token: z.number().int().nonnegative().lt(Number.MAX_SAFE_INTEGER),
   /** Whether the holder may still send commands with the token. */
   isClaimed: z.boolean(),
   /**
@@ -30,6 +30,28 @@
 /** @public */
 export type PromotionRecord = z.infer<typeof promotionRecordSchema>;
 
+/**
+ * Completes a stored record of which another writer left out or damaged fields.
+ *
+ * The token is at least the revision of the record: each claim is a change of the store, so no instance
+ * has made a claim with a higher one. The record counts as claimed, since its last holder may still send
+ * commands.
+ *
+ * @param revision - store revision of the record.
+ * @public
+ */
+export function repairPromotionRecord(stored: unknown, revision: number): PromotionRecord {
+  const { holder, token, isClaimed, soleMemberId, started } = promotionRecordSchema.shape;
+  const repairingSchema = z.object({
+    holder: holder.catch(''),
+    token: token.catch(0).transform((claimed) => Math.max(claimed, revision)),
+    isClaimed: isClaimed.catch(true),
+    soleMemberId: soleMemberId.catch(undefined),
+    started: started.catch(undefined),
+  });
+  return repairingSchema.catch(repairingSchema.parse({})).parse(stored);
+}
+
 /**
  * Validity of a claim, counted from just before the request for it was sent. Covers pausing two
  * replicas and promoting one: four round trips of 100 ms, with retransmissions.
