--- a/stand-ins/line-platform/src/lib/objectStoreServer.ts
+++ b/stand-ins/line-platform/src/lib/objectStoreServer.ts
@@ -29,6 +29,8 @@
   isSilent: boolean;
   /** Changes that are made and not answered. */
   lostAnswers: number;
+  /** JSON that answers contain in place of texts, for values that no object of the store can hold. */
+  rawValues: Map<string, string>;
 }
 
 /** An object store with revisions, conditional changes and watches. */
@@ -47,7 +49,12 @@
 
 export async function startObjectStore(): Promise<ObjectStoreServer> {
   const kinds = new Map<string, Map<string, StoredObject>>();
-  const faults: StoreFaults = { isDown: false, isSilent: false, lostAnswers: 0 };
+  const faults: StoreFaults = {
+    isDown: false,
+    isSilent: false,
+    lostAnswers: 0,
+    rawValues: new Map(),
+  };
   const calls: string[] = [];
   const watchers = new Set<() => void>();
   let events: StoredEvent[] = [];
@@ -82,9 +89,16 @@
     for (const wake of [...watchers]) wake();
   }
 
+  function insertRawValues(text: string): string {
+    return [...faults.rawValues].reduce(
+      (inserted, [name, json]) => inserted.replaceAll(JSON.stringify(name), json),
+      text,
+    );
+  }
+
   function answer(response: ServerResponse, code: number, body?: unknown): void {
     response.writeHead(code, { 'content-type': 'application/json' });
-    response.end(body === undefined ? '' : JSON.stringify(body));
+    response.end(body === undefined ? '' : insertRawValues(JSON.stringify(body)));
   }
 
   function change(response: ServerResponse, object: StoredObject): void {
