Send prepared statements to databases as the bytes that callers sent

Callers saw: a prepared statement whose text is not valid UTF-8 (text in latin1, or bytes after _binary) ran with other bytes in place of its own. Two such statements that differ only in those bytes ran as one: the second was answered by the statement that the first had prepared.

Cause: the text of a prepare command was decoded as UTF-8 and encoded again on the way to the database, where each invalid byte had become U+FFFD. The decoded text was also the key of the connection's statement cache and of the cache of descriptions. Queries sent as text were not affected: their packet is passed on as it is.

Change: the bytes are carried beside the decoded text, which is used for classification only. They are what is sent and the key of both caches.

--- a/packages/mysql/src/index.ts
+++ b/packages/mysql/src/index.ts
@@ -25,6 +25,7 @@
 export { toFrames } from './lib/protocol/frames';
 export { EMPTY_OK, hasFlag, withFlag, type OkPacket } from './lib/protocol/okPacket';
 export { type TextResult } from './lib/protocol/textResult';
+export { type SqlBytes } from './lib/protocol/sqlBytes';
 export { ProtocolError } from './lib/upstream/responseReader';
 export {
   createUpstreamConnection,
--- a/packages/mysql/src/lib/caller/callerCommand.ts
+++ b/packages/mysql/src/lib/caller/callerCommand.ts
@@ -1,11 +1,12 @@
 import { commandCode } from '../protocol/constants';
+import { readSqlBytes, type SqlBytes } from '../protocol/sqlBytes';
 
 /** A command received from a caller. @public */
 export type CallerCommand =
   | { type: 'query'; sql: string; payload: Buffer }
   | { type: 'useGroup'; group: string }
   | { type: 'ping' }
-  | { type: 'prepare'; sql: string }
+  | { type: 'prepare'; sql: string; sqlBytes: SqlBytes }
   /** `payload` is the whole command, including the command code and the statement id. */
   | { type: 'execute'; statementId: number; payload: Buffer }
   | { type: 'sendLongData'; statementId: number; payload: Buffer }
@@ -27,7 +28,11 @@
   [commandCode.initDatabase]: (payload) => ({ type: 'useGroup', group: readText(payload) }),
   [commandCode.query]: (payload) => ({ type: 'query', sql: readText(payload), payload }),
   [commandCode.ping]: () => ({ type: 'ping' }),
-  [commandCode.prepare]: (payload) => ({ type: 'prepare', sql: readText(payload) }),
+  [commandCode.prepare]: (payload) => ({
+    type: 'prepare',
+    sql: readText(payload),
+    sqlBytes: readSqlBytes(payload),
+  }),
   [commandCode.execute]: (payload) => ({
     type: 'execute',
     statementId: readStatementId(payload),
--- a/packages/mysql/src/lib/upstream/preparedStatementCache.ts
+++ b/packages/mysql/src/lib/upstream/preparedStatementCache.ts
@@ -1,14 +1,16 @@
+import type { SqlBytes } from '../protocol/sqlBytes';
+
 /** LRU cache of the statement ids of one connection, by SQL text. @internal */
 export interface PreparedStatementCache {
-  get: (sql: string) => number | undefined;
+  get: (sql: SqlBytes) => number | undefined;
   /** @returns the ids of evicted statements, which the connection must close. */
-  add: (sql: string, statementId: number) => number[];
+  add: (sql: SqlBytes, statementId: number) => number[];
   clear: () => void;
 }
 
 /** Creates a cache of at most `maximumStatements` statements. @internal */
 export function createPreparedStatementCache(maximumStatements: number): PreparedStatementCache {
-  const idsBySql = new Map<string, number>();
+  const idsBySql = new Map<SqlBytes, number>();
 
   const evictExcess = (): number[] => {
     const evictedIds: number[] = [];
--- a/packages/mysql/src/lib/upstream/upstreamConnection.ts
+++ b/packages/mysql/src/lib/upstream/upstreamConnection.ts
@@ -9,6 +9,7 @@
 import { toFrames } from '../protocol/frames';
 import { encodeQuery } from '../protocol/query';
 import { readSingleValue } from '../protocol/singleValue';
+import { encodeSqlCommand, type SqlBytes } from '../protocol/sqlBytes';
 import {
   createResponseReader,
   createPrepareResponseReader,
@@ -193,8 +194,8 @@
     finishedReceiver?.onAnswered(response);
   };
 
-  const prepare = (sql: string, onPrepared: (response: CompletedAnswer) => void): void => {
-    const payload = Buffer.concat([Buffer.from([commandCode.prepare]), Buffer.from(sql)]);
+  const prepare = (sql: SqlBytes, onPrepared: (response: CompletedAnswer) => void): void => {
+    const payload = encodeSqlCommand(commandCode.prepare, sql);
     send(
       [toFrames(payload, COMMAND_SEQUENCE)],
       createPrepareResponseReader(),
@@ -206,7 +207,7 @@
     );
   };
 
-  function cacheStatementId(sql: string, { header }: PreparedDescription): void {
+  function cacheStatementId(sql: SqlBytes, { header }: PreparedDescription): void {
     const evictedIds = statementCache.add(sql, header.readUInt32LE(STATEMENT_ID_OFFSET));
     evictedIds.forEach((statementId) => stream.write(encodeCloseStatement(statementId)));
   }
@@ -222,14 +223,14 @@
     query: ({ payload }) => {
       send([toFrames(payload, COMMAND_SEQUENCE)], createResponseReader(), true, finish);
     },
-    prepare: ({ sql }) => prepare(sql, finish),
+    prepare: ({ sqlBytes }) => prepare(sqlBytes, finish),
     execute: (statement) => {
-      const cachedId = statementCache.get(statement.sql);
+      const cachedId = statementCache.get(statement.sqlBytes);
       if (cachedId !== undefined) {
         execute(cachedId, statement);
         return;
       }
-      prepare(statement.sql, (result) => {
+      prepare(statement.sqlBytes, (result) => {
         if (result.final.type !== 'prepared') finish(result);
         else execute(result.final.description.header.readUInt32LE(STATEMENT_ID_OFFSET), statement);
       });
--- a/packages/mysql/src/lib/upstream/upstreamStatement.ts
+++ b/packages/mysql/src/lib/upstream/upstreamStatement.ts
@@ -1,13 +1,14 @@
 import type { OkPacket } from '../protocol/okPacket';
 import type { SqlError } from '../protocol/errorPacket';
+import type { SqlBytes } from '../protocol/sqlBytes';
 
 /** A statement to run on a database connection. @public */
 export type UpstreamStatement =
   /** `payload` is the whole command, including the command code. */
   | { type: 'query'; payload: Buffer }
-  | { type: 'prepare'; sql: string }
+  | { type: 'prepare'; sqlBytes: SqlBytes }
   /** The statement id in `payload` is replaced by the id on the connection. */
-  | { type: 'execute'; sql: string; payload: Buffer; longData: Buffer[] };
+  | { type: 'execute'; sqlBytes: SqlBytes; payload: Buffer; longData: Buffer[] };
 
 /** The final packet of a response, with the statement's outcome. @public */
 export type FinalPacket =
--- a/packages/proxy/src/lib/statements/caller/callerPreparedStatements.ts
+++ b/packages/proxy/src/lib/statements/caller/callerPreparedStatements.ts
@@ -1,14 +1,17 @@
-import { classifyStatement } from '@wisterialift/core';
 import { toFrames, type CallerConnection, type PreparedDescription } from '@wisterialift/mysql';
 import { FIRST_ANSWER_SEQUENCE, type AnswerWriter } from './answerWriter';
 import { createCallerError } from './callerErrors';
 import type { CallerRequests } from './callerRequests';
 import type { GroupServices, ReceivedStatement } from './callerTypes';
-import { createPreparedStatements, toUpstreamExecute } from './preparedStatements';
+import {
+  createPreparedStatements,
+  toUpstreamExecute,
+  type PreparableStatement,
+} from './preparedStatements';
 
 /** The prepared statements of a caller connection. @internal */
 export interface CallerPreparedStatements {
-  prepare: (sql: string) => void;
+  prepare: (preparable: PreparableStatement) => void;
   /** Finds the statement of an execute command; if unknown, sends the error and returns undefined. */
   findStatement: (statementId: number, payload: Buffer) => ReceivedStatement | undefined;
   addLongData: (statementId: number, payload: Buffer) => void;
@@ -55,18 +58,26 @@
    * Sends a statement id of the proxy. Each upstream connection prepares the statement when it first
    * runs there, since consecutive executes may use different connections.
    */
-  function answerPrepare(sql: string, { header, definitions }: PreparedDescription): void {
-    const { id } = statements.add(sql, header.readUInt16LE(PARAMETER_COUNT_OFFSET_BYTES));
+  function answerPrepare(
+    preparable: PreparableStatement,
+    { header, definitions }: PreparedDescription,
+  ): void {
+    const { id } = statements.add(preparable, header.readUInt16LE(PARAMETER_COUNT_OFFSET_BYTES));
     const payload = Buffer.from(header);
     payload.writeUInt32LE(id, STATEMENT_ID_OFFSET_BYTES);
     answers.sendFrames([toFrames(payload, FIRST_ANSWER_SEQUENCE), definitions]);
   }
 
-  function requestDescription(received: ReceivedStatement, sql: string): void {
+  function requestDescription(preparable: PreparableStatement): void {
+    const { sqlBytes, statement } = preparable;
     const descriptions = findGroup()?.descriptions;
     requests.submit({
       access: 'read',
-      received,
+      received: {
+        statement,
+        toUpstream: () => ({ type: 'prepare', sqlBytes }),
+        isBinary: false,
+      },
       onFinished: (finished) => {
         const final = finished.answer?.final;
         if (final?.type !== 'prepared') {
@@ -74,26 +85,21 @@
           return;
         }
         requests.observe('done');
-        descriptions?.add(sql, final.description);
-        answerPrepare(sql, final.description);
+        descriptions?.add(sqlBytes, final.description);
+        answerPrepare(preparable, final.description);
       },
     });
   }
 
   return {
-    prepare: (sql) => {
-      const statement = classifyStatement(sql);
-      const { request } = statement;
-      const cached = findGroup()?.descriptions.get(sql);
+    prepare: (preparable) => {
+      const { request } = preparable.statement;
+      const cached = findGroup()?.descriptions.get(preparable.sqlBytes);
       if (request.type === 'unsupported') answers.sendError(unsupportedError(request.feature));
-      else if (!typesDescribedByDatabase.has(request.type)) answerPrepare(sql, EMPTY_DESCRIPTION);
-      else if (cached) answerPrepare(sql, cached);
-      else {
-        requestDescription(
-          { statement, toUpstream: () => ({ type: 'prepare', sql }), isBinary: false },
-          sql,
-        );
-      }
+      else if (!typesDescribedByDatabase.has(request.type)) {
+        answerPrepare(preparable, EMPTY_DESCRIPTION);
+      } else if (cached) answerPrepare(preparable, cached);
+      else requestDescription(preparable);
     },
     findStatement: (statementId, payload) => {
       const prepared = statements.get(statementId);
--- a/packages/proxy/src/lib/statements/caller/callerTask.ts
+++ b/packages/proxy/src/lib/statements/caller/callerTask.ts
@@ -128,7 +128,9 @@
     },
     useGroup: ({ group }) => useGroup(group),
     ping: () => answers.sendOk(),
-    prepare: ({ sql }) => prepared.prepare(sql),
+    prepare: ({ sql, sqlBytes }) => {
+      prepared.prepare({ sqlBytes, statement: classifyStatement(sql) });
+    },
     execute: ({ statementId, payload }) => {
       const received = prepared.findStatement(statementId, payload);
       if (received) run(received);
--- a/packages/proxy/src/lib/statements/caller/preparedDescriptionCache.ts
+++ b/packages/proxy/src/lib/statements/caller/preparedDescriptionCache.ts
@@ -1,9 +1,9 @@
-import type { PreparedDescription } from '@wisterialift/mysql';
+import type { PreparedDescription, SqlBytes } from '@wisterialift/mysql';
 
 /** Cache of the parameter and column definitions of prepared statements, by SQL text. @internal */
 export interface PreparedDescriptionCache {
-  get: (sql: string) => PreparedDescription | undefined;
-  add: (sql: string, description: PreparedDescription) => void;
+  get: (sql: SqlBytes) => PreparedDescription | undefined;
+  add: (sql: SqlBytes, description: PreparedDescription) => void;
   /** Called when a statement that may change the schema is submitted. */
   clear: () => void;
 }
@@ -17,7 +17,7 @@
  * @internal
  */
 export function createPreparedDescriptionCache(): PreparedDescriptionCache {
-  const descriptions = new Map<string, PreparedDescription>();
+  const descriptions = new Map<SqlBytes, PreparedDescription>();
   return {
     get: (sql) => descriptions.get(sql),
     add: (sql, description) => {
--- a/packages/proxy/src/lib/statements/caller/preparedStatements.ts
+++ b/packages/proxy/src/lib/statements/caller/preparedStatements.ts
@@ -1,11 +1,15 @@
-import { classifyStatement, type ClassifiedStatement } from '@wisterialift/core';
-import type { UpstreamStatement } from '@wisterialift/mysql';
+import type { ClassifiedStatement } from '@wisterialift/core';
+import type { SqlBytes, UpstreamStatement } from '@wisterialift/mysql';
+
+/** A statement to prepare. @internal */
+export interface PreparableStatement {
+  sqlBytes: SqlBytes;
+  statement: ClassifiedStatement;
+}
 
 /** A statement that a caller has prepared. @internal */
-export interface PreparedStatement {
+export interface PreparedStatement extends PreparableStatement {
   id: number;
-  sql: string;
-  statement: ClassifiedStatement;
   parameterCount: number;
   /** Parameter types as last sent by the caller. */
   types: Buffer | undefined;
@@ -16,7 +20,7 @@
 
 /** The prepared statements of one caller connection, by an id that is unique within it. @internal */
 export interface PreparedStatements {
-  add: (sql: string, parameterCount: number) => PreparedStatement;
+  add: (preparable: PreparableStatement, parameterCount: number) => PreparedStatement;
   get: (id: number) => PreparedStatement | undefined;
   close: (id: number) => void;
   clear: () => void;
@@ -27,12 +31,12 @@
   const statements = new Map<number, PreparedStatement>();
   let lastId = 0;
   return {
-    add: (sql, parameterCount) => {
+    add: ({ sqlBytes, statement }, parameterCount) => {
       lastId += 1;
       const prepared: PreparedStatement = {
         id: lastId,
-        sql,
-        statement: classifyStatement(sql),
+        sqlBytes,
+        statement,
         parameterCount,
         types: undefined,
         longData: [],
@@ -72,10 +76,10 @@
   prepared: PreparedStatement,
   payload: Buffer,
 ): Extract<UpstreamStatement, { type: 'execute' }> {
-  const { sql, longData } = prepared;
+  const { sqlBytes, longData } = prepared;
   const completePayload = insertParameterTypes(prepared, payload);
   Object.assign(prepared, { longData: [], longDataBytes: 0 });
-  return { type: 'execute', sql, payload: completePayload, longData };
+  return { type: 'execute', sqlBytes, payload: completePayload, longData };
 }
 
 function insertParameterTypes(prepared: PreparedStatement, payload: Buffer): Buffer {
--- a/packages/proxy/src/test/statementsPrepared.test.ts
+++ b/packages/proxy/src/test/statementsPrepared.test.ts
@@ -1,3 +1,4 @@
+import { classifyStatement } from '@wisterialift/core';
 import { describe, expect, it } from 'vitest';
 import {
   TruncatedExecuteError,
@@ -5,6 +6,9 @@
   toUpstreamExecute,
 } from '../lib/statements/caller/preparedStatements';
 
+const SQL = 'SELECT ?, ?';
+const PREPARABLE = { sqlBytes: SQL, statement: classifyStatement(SQL) };
+
 const LONG = [8, 0];
 const STRING = [0xfd, 0];
 
@@ -18,7 +22,7 @@
   // Drivers send parameter types only with the first execute. Without them, another connection would
   // misread the values of the second one.
   it('always includes the parameter types', () => {
-    const prepared = createPreparedStatements().add('SELECT ?, ?', 2);
+    const prepared = createPreparedStatements().add(PREPARABLE, 2);
     const first = createExecuteCommand([...LONG, ...STRING], [1]);
     expect(toUpstreamExecute(prepared, first).payload).toEqual(first);
     const second = toUpstreamExecute(prepared, createExecuteCommand([], [2])).payload;
@@ -26,7 +30,7 @@
   });
 
   it('is rejected if it is too short for its parameters', () => {
-    const prepared = createPreparedStatements().add('SELECT ?, ?', 2);
+    const prepared = createPreparedStatements().add(PREPARABLE, 2);
     const complete = createExecuteCommand([...LONG, ...STRING], []);
     for (let length = 5; length < complete.length; length += 1) {
       expect(() => toUpstreamExecute(prepared, complete.subarray(0, length))).toThrow(
@@ -39,7 +43,7 @@
   });
 
   it('includes long values only once', () => {
-    const prepared = createPreparedStatements().add('SELECT ?, ?', 2);
+    const prepared = createPreparedStatements().add(PREPARABLE, 2);
     const command = createExecuteCommand([...LONG, ...STRING], [1]);
     prepared.longData.push(Buffer.from('long'));
     expect(toUpstreamExecute(prepared, command).longData).toEqual([Buffer.from('long')]);
