Relay session values of any name

A caller that had SET a variable named __proto__ was told of the success, and its statements ran without the value wherever another instance held the connections.

Cause: the relayed message kept the values in a protobuf map, which the generated code decodes into an object; an assignment to the key __proto__ sets no property.

They are a list of names and values now, which has the same encoding on the wire as the map, so instances of either version understand each other.

--- a/packages/gateway/src/test/fixture.ts
+++ b/packages/gateway/src/test/fixture.ts
@@ -55,7 +55,7 @@
     text: 'READ lamp-1',
     prepared: undefined,
     team: '',
-    values: {},
+    values: [],
     sessionVersion: 0,
     lastCommit: undefined,
     timeLeftMilliseconds: 1_000,
