Relay statements and answers of any size

Callers saw: a read of more than 4 MiB of rows through a holder of connections never succeeded. Each of its attempts, until its deadline, ended the stream between the two instances: writes of other callers on it were reported as unknown, and their transactions were rolled back. So did a statement of about 1 MiB of text outside ASCII with arguments as large.

Cause: gRPC limits received messages to 4 MiB unless told otherwise, and a message beyond that ends its stream with RESOURCE_EXHAUSTED.

Evidence: the test sends 10 MB in both directions and a small message after it. Before, the stream was lost with 'Received message larger than max'.

Change: no limit. Instances trust each other, and lines from callers and databases are bounded where they are read.

--- a/packages/peer/src/lib/relay/relayClient.ts
+++ b/packages/peer/src/lib/relay/relayClient.ts
@@ -1,5 +1,6 @@
 import { credentials } from '@grpc/grpc-js';
 import { RelayServiceClient } from '../../generated/wisterialift/peer/v1/relay';
+import { UNLIMITED_MESSAGE_SIZE } from './messageSize';
 import type { RelayStream, RelayStreamEvents } from './relayStream';
 
 /** Opens streams to other instances. @public */
@@ -12,6 +13,7 @@
 const CHANNEL_OPTIONS = {
   'grpc.use_local_subchannel_pool': 1,
   'grpc.enable_retries': 0,
+  ...UNLIMITED_MESSAGE_SIZE,
 };
 
 /** @public */
--- a/packages/peer/src/lib/relay/relayServer.ts
+++ b/packages/peer/src/lib/relay/relayServer.ts
@@ -2,6 +2,7 @@
 import { RelayServiceService } from '../../generated/wisterialift/peer/v1/relay';
 import type { RelayServiceServer } from '../../generated/wisterialift/peer/v1/relay';
 import { PeerError } from '../errors/peerError';
+import { UNLIMITED_MESSAGE_SIZE } from './messageSize';
 import type { RelayAcceptor } from './relayStream';
 
 /** @public */
@@ -24,7 +25,7 @@
 
 /** Creates the server for statements that other instances relay. @public */
 export function createRelayServer({ host, port, accept }: RelayServerOptions): RelayServer {
-  const server = new Server();
+  const server = new Server(UNLIMITED_MESSAGE_SIZE);
   let unsentResponses = 0;
 
   /** Is also called, with an error, for a response whose stream has ended. */
--- a/packages/peer/src/test/relayServer.test.ts
+++ b/packages/peer/src/test/relayServer.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, expect, it, vi } from 'vitest';
 import { createRelayClient, createRelayServer } from '../relay';
-import type { RelayResponse, RelayServer } from '../relay';
+import type { RelayRequest, RelayResponse, RelayServer } from '../relay';
 
 const WAIT_OPTIONS = { timeout: 20_000 };
 
@@ -20,10 +20,42 @@
   isConfigurationCurrent: false,
 };
 
+const createRequest = (configurationJson: string): RelayRequest => ({
+  number: 1,
+  statement: undefined,
+  rolledBackTransaction: 0,
+  wantsConfiguration: false,
+  configurationJson,
+  permits: undefined,
+  primaryProbe: undefined,
+});
+
 let server: RelayServer;
 
 afterEach(() => server.stop());
 
+it('messages of any size arrive, and their stream stays open', async () => {
+  // Guards against an answer with many rows that ends all statements and transactions of its stream.
+  const sizes: number[] = [];
+  const onLost = vi.fn();
+  server = createRelayServer({
+    host: '127.0.0.1',
+    port: 0,
+    accept: (respond) => ({
+      onRequest: ({ configurationJson }) => respond({ ...RESPONSE, configurationJson }),
+      onEnd: () => undefined,
+    }),
+  });
+  const stream = createRelayClient().open(`127.0.0.1:${await server.start()}`, {
+    onResponse: ({ configurationJson }) => sizes.push(configurationJson.length),
+    onLost,
+  });
+  for (const size of [10_000_000, 1]) stream.send(createRequest('x'.repeat(size)));
+  await vi.waitUntil(() => sizes.length === 2 || onLost.mock.calls.length > 0, WAIT_OPTIONS);
+  expect({ sizes, losses: onLost.mock.calls }).toEqual({ sizes: [10_000_000, 1], losses: [] });
+  stream.close();
+});
+
 /** Starts a server that responds to the first request of a stream, and sends that request. */
 async function respondOnce() {
   let respond: ((response: RelayResponse) => void) | undefined;
