Send only numbers that a relayed statement's message can hold

Callers saw: where a route has a time beyond 49 days or a priority that is not whole, each statement that was relayed for it ended the stream to the holder. Writes of all other callers on the stream were reported as unknown.

Cause: these fields are of 32 bits without a sign. Times were rounded but not limited, the priority neither, and the encoder throws for other numbers; gRPC ends a stream whose message cannot be encoded.

Change: one function rounds and limits each of them. A stated age of 49 days instead of a longer one is stricter, not wrong.

--- a/packages/gateway/src/lib/relay/relayMessages.ts
+++ b/packages/gateway/src/lib/relay/relayMessages.ts
@@ -29,6 +29,8 @@
   'failed',
 ]);
 
+const MAXIMUM_UINT32 = 2 ** 32 - 1;
+
 /** Transaction of a relayed statement; its number is unique per stream. */
 export interface RelayedTransaction {
   number: number;
@@ -56,7 +58,7 @@
     sessionVersion: sessionState.version,
     lastCommit: encodeCommit(session.lastCommit, now),
     route: encodeRoute(route, configurationVersion),
-    timeLeftMilliseconds: Math.max(0, Math.round(deadlineAt - now)),
+    timeLeftMilliseconds: toUint32(deadlineAt - now),
     team: request.team ?? '',
   };
 }
@@ -114,10 +116,10 @@
     version,
     group,
     consistency,
-    maximumStalenessMilliseconds: Math.round(maximumStaleness),
-    timeoutMilliseconds: Math.round(timeout),
-    goalMilliseconds: Math.round(goal),
-    priority,
+    maximumStalenessMilliseconds: toUint32(maximumStaleness),
+    timeoutMilliseconds: toUint32(timeout),
+    goalMilliseconds: toUint32(goal),
+    priority: toUint32(priority),
   };
 }
 
@@ -179,9 +181,14 @@
 function encodeCommit(commit: GroupSession['lastCommit'], now: number): RelayCommit | undefined {
   if (!commit) return undefined;
   const { position, seenAt } = commit;
-  return { position, ageMilliseconds: Math.max(0, Math.round(now - seenAt)) };
+  return { position, ageMilliseconds: toUint32(now - seenAt) };
 }
 
 function decodePosition(sent: RelayPosition | undefined): Position | undefined {
   return sent && { term: sent.term, index: sent.index };
 }
+
+/** Rounds a number to the nearest that a field can hold; any other would end the stream. */
+function toUint32(value: number): number {
+  return Math.min(MAXIMUM_UINT32, Math.max(0, Math.round(value)));
+}
