Check the words of a relayed statement and its answer

Callers would have seen, from an instance of another version: an error without a code, where the reason of a refusal is not known here, and a prepared write that ran on a replica's path, since each access other than 'write' was taken for a read. No such case was reported.

Cause: the reason was cast to its type, and the access compared with one value. Action, consistency and transaction state were checked already.

Evidence: the test decodes four unknown words in each place. Before, all were accepted.

Change: one function decodes all five. An answer that cannot be read makes the outcome unknown, as before for its transaction state; a statement that cannot be read is refused before it runs.

--- a/packages/gateway/src/lib/relay/relayMessages.ts
+++ b/packages/gateway/src/lib/relay/relayMessages.ts
@@ -5,7 +5,12 @@
   RelayRoute,
   RelayStatement,
 } from '@wisterialift/peer/relay';
-import type { FailureReason, TransactionState, UpstreamAnswer } from '@wisterialift/pooling';
+import type {
+  FailureReason,
+  StatementAccess,
+  TransactionState,
+  UpstreamAnswer,
+} from '@wisterialift/pooling';
 import type { Position } from '@wisterialift/schema';
 import type { Consistency, Route } from '../configuration/gatewayConfiguration';
 import type { SequencedTime } from '../groups/groupContext';
@@ -15,19 +20,32 @@
 /** Operation of a relayed statement; `run` and `commit` belong to a transaction. */
 export type RelayAction = 'read' | 'write' | 'run' | 'commit';
 
-const ACTIONS: ReadonlySet<string> = new Set<RelayAction>(['read', 'write', 'run', 'commit']);
+const ACTIONS = new Set<RelayAction>(['read', 'write', 'run', 'commit']);
+
+const LEVELS = new Set<Consistency>(['primary', 'boundedStaleness', 'readYourWrites']);
+
+const ACCESSES = new Set<StatementAccess>(['read', 'write']);
 
-const LEVELS: ReadonlySet<string> = new Set<Consistency>([
-  'primary',
-  'boundedStaleness',
-  'readYourWrites',
-]);
+const TRANSACTION_STATES = new Set<TransactionState>(['idle', 'open', 'failed']);
 
-const TRANSACTION_STATES: ReadonlySet<string> = new Set<TransactionState>([
-  'idle',
-  'open',
-  'failed',
-]);
+/** An object, so that the compiler finds a reason that is missing. */
+const REASON_NAMES: Record<FailureReason, true> = {
+  busy: true,
+  lagging: true,
+  readOnly: true,
+  wrongMember: true,
+  tooManyConnections: true,
+  unknownStatement: true,
+  aborted: true,
+  failed: true,
+  timeout: true,
+  unknownOutcome: true,
+  malformed: true,
+  unknownDatabase: true,
+  unauthenticated: true,
+};
+
+const REASONS = new Set(Object.keys(REASON_NAMES) as FailureReason[]);
 
 const MAXIMUM_UINT32 = 2 ** 32 - 1;
 
@@ -65,8 +83,7 @@
 
 /** @throws RelayMessageError */
 export function decodeAction({ action }: RelayStatement): RelayAction {
-  if (!ACTIONS.has(action)) throw new RelayMessageError(`unknown relay action: ${action}`);
-  return action as RelayAction;
+  return decodeOneOf(ACTIONS, action, 'relay action');
 }
 
 /**
@@ -91,7 +108,7 @@
     text,
     prepared: prepared && {
       statement: {
-        access: prepared.access === 'write' ? 'write' : 'read',
+        access: decodeOneOf(ACCESSES, prepared.access, 'access'),
         shape: prepared.shape,
       },
       argumentsText: prepared.argumentsText,
@@ -127,11 +144,10 @@
 export function decodeRoute({ route: sent }: RelayStatement): { route: Route; version: number } {
   if (!sent) throw new RelayMessageError('relayed statement has no route');
   const { database, version, group, consistency, priority } = sent;
-  if (!LEVELS.has(consistency)) throw new RelayMessageError(`unknown consistency: ${consistency}`);
   const route: Route = {
     database,
     group,
-    consistency: consistency as Consistency,
+    consistency: decodeOneOf(LEVELS, consistency, 'consistency'),
     maximumStaleness: sent.maximumStalenessMilliseconds,
     timeout: sent.timeoutMilliseconds,
     goal: sent.goalMilliseconds,
@@ -160,14 +176,12 @@
 
 /** @throws RelayMessageError */
 export function decodeAnswer(sent: RelayAnswer): UpstreamAnswer {
-  const { transactionState, rows, signature, reason, detail } = sent;
-  if (!TRANSACTION_STATES.has(transactionState)) {
-    throw new RelayMessageError(`unknown transaction state: ${transactionState}`);
-  }
-  const transaction = transactionState as TransactionState;
+  const { rows, signature, detail } = sent;
+  const transaction = decodeOneOf(TRANSACTION_STATES, sent.transactionState, 'transaction state');
   const position = decodePosition(sent.position);
   if (sent.isCompleted) return { outcome: 'completed', rows, signature, transaction, position };
-  return { outcome: 'refused', reason: reason as FailureReason, detail, transaction, position };
+  const reason = decodeOneOf(REASONS, sent.reason, 'failure reason');
+  return { outcome: 'refused', reason, detail, transaction, position };
 }
 
 export function decodeCommit(
@@ -192,3 +206,13 @@
 function toUint32(value: number): number {
   return Math.min(MAXIMUM_UINT32, Math.max(0, Math.round(value)));
 }
+
+function decodeOneOf<Value extends string>(
+  values: ReadonlySet<Value>,
+  text: string,
+  field: string,
+): Value {
+  const isKnown = (value: string): value is Value => (values as ReadonlySet<string>).has(value);
+  if (!isKnown(text)) throw new RelayMessageError(`unknown ${field}: ${text}`);
+  return text;
+}
--- a/packages/gateway/src/test/relayMessages.test.ts
+++ b/packages/gateway/src/test/relayMessages.test.ts
@@ -2,7 +2,12 @@
 import type { RelayStatement } from '@wisterialift/peer/relay';
 import { expect, it, onTestFinished } from 'vitest';
 import type { StatementRequest } from '../lib/groups/statementRequest';
-import { decodeStatement, encodeStatement } from '../lib/relay/relayMessages';
+import {
+  decodeAnswer,
+  decodeStatement,
+  encodeAnswer,
+  encodeStatement,
+} from '../lib/relay/relayMessages';
 import { createRelayRequest, createTestRoute, createTestStamp, noop } from './fixture';
 
 const STAMP = createTestStamp(0);
@@ -77,3 +82,22 @@
     deadlineAt: longest,
   });
 });
+
+it.each(['', 'overloaded', 'constructor', '__proto__'])(
+  'an answer with the unknown reason "%s" is not read, nor a statement with it as its access',
+  (unknown) => {
+    // Guards against a refusal that its caller cannot read, and a write that is taken for a read.
+    const refusal = {
+      outcome: 'refused',
+      reason: 'busy',
+      detail: '',
+      transaction: 'idle',
+    } as const;
+    const answer = encodeAnswer(refusal, { lastCommit: undefined, now: 0 });
+    expect(decodeAnswer(answer)).toEqual({ ...refusal, position: undefined });
+    expect(() => decodeAnswer({ ...answer, reason: unknown })).toThrow('unknown failure reason');
+    const prepared = { access: unknown, shape: 'q1', argumentsText: '' };
+    const statement = { ...encodeStatement(createRequest(), { action: 'read', now: 0 }), prepared };
+    expect(() => decodeStatement(statement, { arrivalStamp: STAMP })).toThrow('unknown access');
+  },
+);
