Classify statements of any text without exceeding the stack

Callers saw: an INSERT or SELECT with a string of a few megabytes of escapes or doubled quotes, within the packet limit, ended the process, and with it the connections of all callers. A short text without an end of its quotes or comments, or with a long option, stopped it for seconds.

Cause: strings and comments were matched by expressions, which keep a state for each repetition of a group: beyond the stack they throw a RangeError, which the task of the caller rethrows. What has no end was tried again from each following character. The list of selected variables was copied for each of its items.

A quote or comment without an end makes a query a write, which the primary answers with its syntax error; the rest of its text was split into words before.

--- a/packages/core/src/lib/session/classifyStatement.ts
+++ b/packages/core/src/lib/session/classifyStatement.ts
@@ -190,6 +190,8 @@
   for (let index = 0; index < tokens.length; index += 1) {
     const { type, value } = tokens[index] as SqlToken;
     const next = tokens[index + 1]?.value;
+    // A database that reads quotes in another mode may find the end, and what follows it.
+    if (type === 'unterminated') return WRITE;
     if (value === ';') return asUnsupported('more than one statement at a time');
     if (value === ':=') return asUnsupported('a user variable');
     if (type === 'word' && next === '(' && unsupportedFunctions.has(value)) {
@@ -207,19 +209,22 @@
   return value === '/*!' || (value === 'LOCK' && next === 'IN');
 }
 
+/** Name, parentheses, AS and label. */
+const MAXIMUM_ITEM_TOKENS = 5;
+
 /** Parses `SELECT @@name [AS label], function() ...`; undefined for queries that need a database. */
 function parseSelectedVariables(tokens: SqlToken[]): StatementClassification | undefined {
   const [select, ...list] = removeLimit(tokens);
   if (select?.value !== 'SELECT') return undefined;
   const columns: VariableColumn[] = [];
-  let rest = list;
-  while (rest.length > 0) {
-    const item = parseSelectItem(rest);
+  let offset = 0;
+  while (offset < list.length) {
+    const item = parseSelectItem(list.slice(offset, offset + MAXIMUM_ITEM_TOKENS));
     if (!item) return undefined;
     columns.push(item.column);
-    rest = rest.slice(item.length);
-    if (rest.length > 0 && rest[0]?.value !== ',') return undefined;
-    rest = rest.slice(1);
+    offset += item.length;
+    if (offset < list.length && list[offset]?.value !== ',') return undefined;
+    offset += 1;
   }
   return columns.length > 0 ? { type: 'selectVariables', columns } : undefined;
 }
--- a/packages/core/src/lib/session/statementOptions.ts
+++ b/packages/core/src/lib/session/statementOptions.ts
@@ -12,7 +12,8 @@
 export const NO_STATEMENT_OPTIONS: StatementOptions = {};
 
 const OPTIONS_COMMENT = /^\s*\/\*\s*wisterialift\s([^*]*)\*\//;
-const OPTION = /(\w+)=(\S+)/g;
+/** Begins at whole words only, since trying each end of a long one would take quadratic time. */
+const OPTION = /(?<!\w)(\w+)=(\S+)/g;
 
 const optionNames = ['kind', 'token', 'session'] as const;
 
--- a/packages/core/src/test/session.test.ts
+++ b/packages/core/src/test/session.test.ts
@@ -51,6 +51,20 @@
   '/* wisterialift kind=history token=w1.x.00000000 odd=1 */ SELECT 1',
 ];
 
+/** Nearly as long as the largest packet that is accepted by default. */
+const LENGTH = 16_000_000;
+
+const LONG_STATEMENTS = {
+  'a long string of doubled quotes': { sql: `SELECT '${"'".repeat(LENGTH)}'`, type: 'read' },
+  'a long string of escapes': { sql: `SELECT '${'\\'.repeat(LENGTH)}'`, type: 'read' },
+  'a long identifier': { sql: `SELECT \`${'`'.repeat(LENGTH)}\``, type: 'read' },
+  'many comments': { sql: `${'/**/'.repeat(LENGTH / 4)}SELECT 1`, type: 'read' },
+  'a string without an end': { sql: `SELECT '${"\\'".repeat(LENGTH / 2)}`, type: 'write' },
+  'a comment without an end': { sql: `SELECT ${'/* '.repeat(LENGTH / 3)}`, type: 'write' },
+  'many variables': { sql: `SELECT ${'@@a,'.repeat(400_000)}@@a`, type: 'selectVariables' },
+  'a long option': { sql: `/* wisterialift ${'a'.repeat(LENGTH)} */ SELECT 1`, type: 'read' },
+};
+
 describe('classifyStatement', () => {
   it('classifies each statement', () => {
     const table = Object.fromEntries(statements.map((sql) => [sql, classifyStatement(sql)]));
@@ -61,6 +75,11 @@
     const text = `SELECT '${"\\'x''".repeat(300_000)}' FROM tests`;
     expect(classifyStatement(text).request).toEqual({ type: 'read' });
   });
+
+  // A statement whose text exceeds the stack, or takes minutes, ends the service of all callers.
+  it.each(Object.entries(LONG_STATEMENTS))('classifies %s', (_, { sql, type }) => {
+    expect(classifyStatement(sql).request.type).toBe(type);
+  });
 });
 
 describe('session token', () => {
