Do not take the content of quotes for syntax

Callers saw: a query with the literal ';' was refused as more than one statement, and one with ':=' as a user variable.

Cause: the value of a string token was its content, which was compared with symbols and words without a look at the type of the token.

Change: the value of a quoted token is its text with the quotes. Its content is read where it is wanted: names, values of variables, patterns, labels. Long strings are no longer unquoted in vain.

--- a/packages/core/src/lib/session/classifyStatement.ts
+++ b/packages/core/src/lib/session/classifyStatement.ts
@@ -1,5 +1,5 @@
 import { parseSetStatement } from './parseSetStatement';
-import { readFirstWord, tokenizeSql, type SqlToken } from './sqlTokens';
+import { readContent, readFirstWord, tokenizeSql, type SqlToken } from './sqlTokens';
 import { parseStatementOptions } from './statementOptions';
 import type { ClassifiedStatement, StatementClassification, VariableColumn } from './statement';
 
@@ -161,7 +161,7 @@
 function classifyUse(sql: string): StatementClassification {
   const [, name, ...rest] = tokenizeStatement(sql);
   if (!name || rest.length > 0) return asUnsupported('this form of USE');
-  return { type: 'use', group: name.type === 'word' ? name.text : name.value };
+  return { type: 'use', group: readContent(name) };
 }
 
 function classifyShow(sql: string): StatementClassification {
@@ -171,8 +171,8 @@
   if (second === 'GROUP') return asUnsupported('control of the group');
   if (second === 'WARNINGS' || second === 'ERRORS') return asUnsupported(`SHOW ${second}`);
   if (second === 'VARIABLES' || third === 'VARIABLES') {
-    const pattern = tokens.find(({ type }) => type === 'string')?.value ?? '%';
-    return { type: 'showVariables', pattern };
+    const literal = tokens.find(({ type }) => type === 'string');
+    return { type: 'showVariables', pattern: literal ? readContent(literal) : '%' };
   }
   return READ;
 }
@@ -261,7 +261,6 @@
   const next = tokens[length];
   const label = next?.value === 'AS' ? tokens[length + 1] : next;
   if (!label || label.type === 'symbol') return { column, length };
-  const labelText = label.type === 'word' ? label.text : label.value;
-  const labelled = { label: labelText, variable: column.variable };
+  const labelled = { label: readContent(label), variable: column.variable };
   return { column: labelled, length: length + (next?.value === 'AS' ? 2 : 1) };
 }
--- a/packages/core/src/lib/session/parseSetStatement.ts
+++ b/packages/core/src/lib/session/parseSetStatement.ts
@@ -1,5 +1,5 @@
 import type { Assignment } from './statement';
-import type { SqlToken } from './sqlTokens';
+import { readContent, type SqlToken } from './sqlTokens';
 
 const scopesByWord: Record<string, Assignment['scope']> = {
   SESSION: 'session',
@@ -49,7 +49,7 @@
 }
 
 function createNamesAssignment(charset: SqlToken): Assignment {
-  return { scope: 'names', name: 'names', value: charset.value.toLowerCase() };
+  return { scope: 'names', name: 'names', value: readContent(charset).toLowerCase() };
 }
 
 function parseVariableAssignment(
@@ -67,7 +67,7 @@
   target: SqlToken,
   scope: Assignment['scope'],
 ): Pick<Assignment, 'scope' | 'name'> {
-  const name = target.value.toLowerCase();
+  const name = readContent(target).toLowerCase();
   if (name.startsWith('@@global.')) return { scope: 'global', name: name.slice(9) };
   if (name.startsWith('@@')) {
     return { scope, name: name.slice(2).replace(/^(session|local)\./, '') };
@@ -78,7 +78,7 @@
 
 function readValue(tokens: SqlToken[]): string {
   const [only] = tokens;
-  return tokens.length === 1 && only?.type === 'string' ? only.value : joinText(tokens);
+  return tokens.length === 1 && only?.type === 'string' ? readContent(only) : joinText(tokens);
 }
 
 function joinText(tokens: SqlToken[]): string {
--- a/packages/core/src/lib/session/sqlTokens.ts
+++ b/packages/core/src/lib/session/sqlTokens.ts
@@ -3,7 +3,7 @@
   /** `unterminated` is a string, identifier or comment without an end; it extends to the end of the text. */
   type: 'word' | 'string' | 'identifier' | 'variable' | 'number' | 'symbol' | 'unterminated';
   text: string;
-  /** Upper case for words, unquoted for strings and identifiers, otherwise equal to `text`. */
+  /** Upper case for words, otherwise equal to `text`, so that quoted text equals no symbol or word. */
   value: string;
 }
 
@@ -92,8 +92,7 @@
   const end = findQuoteEnd(sql, offset);
   if (end === undefined) return createUnterminated(sql, offset);
   const text = sql.slice(offset, end);
-  const value = type === 'string' ? unquoteString(text) : text.slice(1, -1).replaceAll('``', '`');
-  return { type, text, value };
+  return { type, text, value: text };
 }
 
 /** Returns the offset after the closing quote. A doubled quote is part of the text; so is an escaped one. */
@@ -123,6 +122,12 @@
   return { type: 'symbol', text, value: text };
 }
 
+/** Returns the content of a string or identifier, and the text of any other token. @internal */
+export function readContent({ type, text }: SqlToken): string {
+  if (type === 'string') return unquoteString(text);
+  return type === 'identifier' ? text.slice(1, -1).replaceAll('``', '`') : text;
+}
+
 function unquoteString(text: string): string {
   const quote = text.charAt(0);
   return text
--- a/packages/core/src/test/session.test.ts
+++ b/packages/core/src/test/session.test.ts
@@ -21,6 +21,7 @@
   'WITH old AS (SELECT 1) SELECT * FROM old',
   'SELECT GET_LOCK("a", 1)',
   'SELECT 1; DELETE FROM tests',
+  "SELECT ';', ':=', '/*!', `FOR`, `SHARE` FROM tests WHERE name = '('",
   'INSERT INTO tests VALUES (1)',
   'INSERT INTO tests VALUES (1) RETURNING id',
   "INSERT INTO tests VALUES ('returning')",
