Look names from outside up among own properties only

Callers saw: SET wisterialift___proto__ = 1 ended the process, and with it the connections of all callers. SET wisterialift_constructor = 1 and SET wisterialift_roaming = constructor were accepted. For operators, a group named constructor, which the schema allows, could not be added, a caller could be given a group of that name where there is none, and a member of that name would never have become a voter.

Cause: tables were indexed with names from outside, which also finds what every object inherits.

Change: lookUp finds own properties only, and is used wherever a name comes from a caller, an operator or another program. Tables that are indexed with upper-case words, single characters or numbers cannot be reached so.

--- a/packages/cli/src/lib/client/clientError.ts
+++ b/packages/cli/src/lib/client/clientError.ts
@@ -1,3 +1,4 @@
+import { lookUp } from '@wisterialift/schema';
 import { z } from 'zod';
 
 /** Reason for the failure of a command. @public */
@@ -70,5 +71,5 @@
 };
 
 function toClientErrorCode(code: string): ClientErrorCode {
-  return CLIENT_ERROR_CODES[code] ?? 'refused';
+  return lookUp(CLIENT_ERROR_CODES, code) ?? 'refused';
 }
--- a/packages/core/src/lib/configuration/memberChanges.ts
+++ b/packages/core/src/lib/configuration/memberChanges.ts
@@ -1,3 +1,4 @@
+import { lookUp } from '@wisterialift/schema';
 import type { Configuration, Database, RemovedGroup } from '@wisterialift/schema';
 import type { ConfigurationFault } from './configurationFault';
 
@@ -33,10 +34,10 @@
 }): ConfigurationFault[] {
   const { previous, removedGroups, next, establishedMemberSets } = options;
   return Object.entries(next.groups).flatMap(([name, group]) => {
-    const previousGroup = previous.groups[name];
+    const previousGroup = lookUp(previous.groups, name);
     const reason = previousGroup
-      ? findFault(previousGroup, group, establishedMemberSets[name])
-      : findReturnFault(removedGroups[name], group);
+      ? findFault(previousGroup, group, lookUp(establishedMemberSets, name))
+      : findReturnFault(lookUp(removedGroups, name), group);
     return reason ? [{ path: `groups.${name}.databases`, reason }] : [];
   });
 }
@@ -78,7 +79,7 @@
     ([name, { databases, memberSet }]) => [name, { databases, memberSet }] as const,
   );
   const known = [...Object.entries(removedGroups), ...former];
-  return Object.fromEntries(known.filter(([name]) => !next.groups[name]));
+  return Object.fromEntries(known.filter(([name]) => !Object.hasOwn(next.groups, name)));
 }
 
 /**
@@ -95,8 +96,8 @@
 }): Configuration {
   const { previous, removedGroups, next, configurationNumber } = options;
   const groups = Object.entries(next.groups).map(([name, group]) => {
-    const previousGroup = previous.groups[name];
-    const formerGroup = previousGroup ?? removedGroups[name];
+    const previousGroup = lookUp(previous.groups, name);
+    const formerGroup = previousGroup ?? lookUp(removedGroups, name);
     const previousNumber = formerGroup ? getNumber(formerGroup) : -1;
     const hasChanged = !previousGroup || countChanges(previousGroup, group) > 0;
     const lowest = hasChanged ? Math.max(previousNumber + 1, configurationNumber) : previousNumber;
--- a/packages/core/src/lib/engine/voters.ts
+++ b/packages/core/src/lib/engine/voters.ts
@@ -1,4 +1,4 @@
-import { comparePositions, getHigherPosition } from '@wisterialift/schema';
+import { comparePositions, getHigherPosition, lookUp } from '@wisterialift/schema';
 import type { MemberStatus, Position, Voters } from '@wisterialift/schema';
 
 /** What answers of several members count for. @internal */
@@ -53,5 +53,5 @@
 }
 
 function isNamed({ member, incarnation }: MemberStatus, { incarnations }: Voters): boolean {
-  return incarnations[member] === incarnation;
+  return lookUp(incarnations, member) === incarnation;
 }
--- a/packages/core/src/lib/failover/voterNaming.ts
+++ b/packages/core/src/lib/failover/voterNaming.ts
@@ -64,7 +64,7 @@
     );
     if (leaving) return Object.fromEntries(named.filter((entry) => entry !== leaving));
     const joining = reaching.find(
-      ({ member }) => !(member in incarnations) && findIncarnation(member) !== undefined,
+      ({ member }) => !Object.hasOwn(incarnations, member) && findIncarnation(member) !== undefined,
     );
     return joining && { ...incarnations, [joining.member]: joining.incarnation };
   }
--- a/packages/core/src/lib/session/session.ts
+++ b/packages/core/src/lib/session/session.ts
@@ -1,4 +1,4 @@
-import { INITIAL_POSITION, getHigherPosition, type Position } from '@wisterialift/schema';
+import { INITIAL_POSITION, getHigherPosition, lookUp, type Position } from '@wisterialift/schema';
 import type { Assignment } from './statement';
 import { decodeToken, encodeToken, type GroupPosition } from './sessionToken';
 
@@ -77,7 +77,7 @@
     },
     roaming: (value) => {
       const isRoamingByValue: Record<string, boolean> = { 0: false, off: false, 1: true, on: true };
-      const isRoamingRequested = isRoamingByValue[value.toLowerCase()];
+      const isRoamingRequested = lookUp(isRoamingByValue, value.toLowerCase());
       if (isRoamingRequested === undefined) {
         throw new InvalidSessionVariableError('wisterialift_roaming takes 0 or 1');
       }
@@ -94,7 +94,7 @@
     },
     assign: ({ name: variable, value }) => {
       if (!variable.startsWith(VARIABLE_PREFIX)) return false;
-      const handler = handlers[variable.slice(VARIABLE_PREFIX.length)];
+      const handler = lookUp(handlers, variable.slice(VARIABLE_PREFIX.length));
       if (!handler) {
         throw new InvalidSessionVariableError(`${variable} is no variable of a session`);
       }
--- a/packages/core/src/test/configuration.test.ts
+++ b/packages/core/src/test/configuration.test.ts
@@ -76,6 +76,19 @@
     expect(accept({ changes: { groups: { 'archivio-1': GROUP } } })).toMatchSnapshot();
   });
 
+  it('takes a group, a caller and a kind that are named like a member of every object', () => {
+    // Guards against a name that no configuration lists and yet is found, and one that is listed in vain.
+    const caller = { passwordHash: 'a'.repeat(40), groups: ['constructor'] };
+    const named = { groups: { constructor: GROUP }, kinds: { constructor: {} } };
+    expect(submit({ changes: { callers: { office: caller } } })).toMatchObject({
+      status: 'invalid',
+    });
+    const current = accept({ changes: { ...named, callers: { constructor: caller } } });
+    const changes = { groups: { constructor: null }, callers: { constructor: null } };
+    const removed = accept({ current, patchId: 'second', againstNumber: 1, changes });
+    expect(Object.keys(removed.removedGroups ?? {})).toEqual(['constructor']);
+  });
+
   // Merging a patch made against an older number could undo a change that its author has not seen.
   it('refuses a patch made against an older number and returns the current one', () => {
     const current = accept({ patchId: 'first' });
--- a/packages/core/src/test/session.test.ts
+++ b/packages/core/src/test/session.test.ts
@@ -138,7 +138,10 @@
     const session = createSession();
     expect(() => session.assign(set('token', 'w1.x.y'))).toThrow(InvalidTokenError);
     expect(() => session.assign(set('kind', 'No Kind'))).toThrow('not the name of a kind');
-    expect(() => session.assign(set('colour', 'red'))).toThrow('no variable of a session');
+    for (const name of ['colour', '__proto__', 'constructor']) {
+      expect(() => session.assign(set(name, 'red'))).toThrow('no variable of a session');
+      expect(() => session.assign(set('roaming', name))).toThrow('takes 0 or 1');
+    }
     expect(session.assign({ scope: 'session', name: 'sql_mode', value: '' })).toBe(false);
   });
 });
--- a/packages/proxy/src/lib/statements/caller/loginCheck.ts
+++ b/packages/proxy/src/lib/statements/caller/loginCheck.ts
@@ -1,5 +1,5 @@
 import { isPasswordProven, type CallerLogin, type SqlError } from '@wisterialift/mysql';
-import type { Caller, Configuration } from '@wisterialift/schema';
+import { lookUp, type Caller, type Configuration } from '@wisterialift/schema';
 import { createCallerError } from './callerErrors';
 
 /** @internal */
@@ -52,5 +52,5 @@
 
 /** @internal */
 export function findCaller({ callers }: Configuration, name: string): Caller | undefined {
-  return Object.hasOwn(callers, name) ? callers[name] : undefined;
+  return lookUp(callers, name);
 }
--- a/packages/proxy/src/lib/statements/caller/requestKinds.ts
+++ b/packages/proxy/src/lib/statements/caller/requestKinds.ts
@@ -1,5 +1,6 @@
 import {
   DEFAULT_REQUEST_KIND,
+  lookUp,
   requestKindSchema,
   type Configuration,
   type RequestKind,
@@ -9,6 +10,5 @@
 
 /** @returns the settings of a request kind, or undefined if it is not configured. @internal */
 export function findKind({ kinds }: Configuration, name: string): RequestKind | undefined {
-  if (Object.hasOwn(kinds, name)) return kinds[name];
-  return name === DEFAULT_REQUEST_KIND ? defaultKind : undefined;
+  return lookUp(kinds, name) ?? (name === DEFAULT_REQUEST_KIND ? defaultKind : undefined);
 }
--- a/packages/proxy/src/lib/statements/caller/sessionVariables.ts
+++ b/packages/proxy/src/lib/statements/caller/sessionVariables.ts
@@ -1,5 +1,6 @@
 import type { Assignment, Session } from '@wisterialift/core';
 import type { SqlError } from '@wisterialift/mysql';
+import { lookUp } from '@wisterialift/schema';
 import { createCallerError } from './callerErrors';
 
 /** State from which session variables are read. @internal */
@@ -69,7 +70,7 @@
 
 /** @returns the value of a variable, or undefined if there is no such variable. @internal */
 export function readVariable(name: string, sources: VariableSources): string | null | undefined {
-  return Object.hasOwn(variables, name) ? variables[name]?.(sources) : undefined;
+  return lookUp(variables, name)?.(sources);
 }
 
 /** @returns names and values of the variables that match a LIKE pattern. @internal */
@@ -118,8 +119,7 @@
  */
 export function checkAssignment({ scope, name, value }: Assignment): SqlError | undefined {
   const isSessionScope = scope === 'session' || scope === 'names';
-  const isAccepted = isSessionScope && Object.hasOwn(acceptedValues, name);
-  if (isAccepted && acceptedValues[name]?.(value)) return undefined;
+  if (isSessionScope && lookUp(acceptedValues, name)?.(value)) return undefined;
   return createCallerError(
     'unsupported',
     `Connections to databases are shared, so SET ${name} to ${value} is not supported`,
--- a/packages/proxy/src/lib/statements/statementPath.ts
+++ b/packages/proxy/src/lib/statements/statementPath.ts
@@ -12,7 +12,7 @@
   type ListenerAddress,
   type SqlError,
 } from '@wisterialift/mysql';
-import type { Configuration, Settings } from '@wisterialift/schema';
+import { lookUp, type Configuration, type Settings } from '@wisterialift/schema';
 import { createCallerError } from './caller/callerErrors';
 import { createCallerTask, type CallerTask } from './caller/callerTask';
 import type { GroupServices, RequestObservation, GracefulCloseOptions } from './caller/callerTypes';
@@ -152,7 +152,7 @@
   }
 
   function startGroup(group: string): void {
-    const upstreamGroup = configuration.groups[group];
+    const upstreamGroup = lookUp(configuration.groups, group);
     if (!upstreamGroup) return;
     const task = createGroupTask({
       group,
@@ -194,7 +194,7 @@
 
   function applyGroups(): void {
     [...groups].forEach(([group, running]) => {
-      const upstreamGroup = configuration.groups[group];
+      const upstreamGroup = lookUp(configuration.groups, group);
       if (!upstreamGroup) removeGroup(group, running);
       else running.mailbox.post({ type: 'upstreamGroupChanged', upstreamGroup });
     });
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -19,6 +19,7 @@
   type TermStart,
   type Voters,
 } from './lib/group/memberStatus';
+export { lookUp } from './lib/lookup/lookUp';
 export { GROUP_OBJECT_KIND, groupObjectSchema, type GroupObject } from './lib/group/groupObject';
 export {
   DEFAULT_REQUEST_KIND,
--- a/packages/schema/src/lib/configuration/configuration.ts
+++ b/packages/schema/src/lib/configuration/configuration.ts
@@ -126,15 +126,15 @@
   });
   Object.entries(configuration.callers).forEach(([caller, { groups }]) => {
     groups.forEach((group, index) => {
-      if (group in configuration.groups) return;
+      if (Object.hasOwn(configuration.groups, group)) return;
       reportIssue(['callers', caller, 'groups', index], `no group is named "${group}"`);
     });
   });
   configuration.serviceLevels.forEach((level, index) => {
-    if (!(level.group in configuration.groups)) {
+    if (!Object.hasOwn(configuration.groups, level.group)) {
       reportIssue(['serviceLevels', index, 'group'], `no group is named "${level.group}"`);
     }
-    if (level.kind !== DEFAULT_REQUEST_KIND && !(level.kind in configuration.kinds)) {
+    if (level.kind !== DEFAULT_REQUEST_KIND && !Object.hasOwn(configuration.kinds, level.kind)) {
       reportIssue(['serviceLevels', index, 'kind'], `no kind is named "${level.kind}"`);
     }
   });
