Match LIKE patterns of variables without regular expressions

Cause: the pattern became a regular expression in which a backslash of its own released the one that was put before a bracket, which then threw a SyntaxError; and .* was tried at all combinations of places.

Evidence: before, the pattern of an escaped bracket threw 'Unterminated group'. The pattern of 30 '%_' was not run on the former code.

Change: a matcher that only tries the last % at other places.

--- a/packages/proxy/src/lib/statements/caller/sessionVariables.ts
+++ b/packages/proxy/src/lib/statements/caller/sessionVariables.ts
@@ -2,6 +2,7 @@
 import type { SqlError } from '@wisterialift/mysql';
 import { lookUp } from '@wisterialift/schema';
 import { createCallerError } from './callerErrors';
+import { createLikeMatcher } from './likePattern';
 
 /** State from which session variables are read. @internal */
 export interface VariableSources {
@@ -75,21 +76,12 @@
 
 /** @returns names and values of the variables that match a LIKE pattern. @internal */
 export function listVariables(pattern: string, sources: VariableSources): [string, string][] {
-  const expression = toRegularExpression(pattern);
+  const matches = createLikeMatcher(pattern);
   return Object.keys(variables)
-    .filter((name) => !name.endsWith(')') && expression.test(name))
+    .filter((name) => !name.endsWith(')') && matches(name))
     .map((name) => [name, readVariable(name, sources) ?? '']);
 }
 
-function toRegularExpression(pattern: string): RegExp {
-  const escaped = pattern.replaceAll(/[.*+?^${}()|[\]]/g, String.raw`\$&`);
-  const text = escaped
-    .replaceAll(/(?<!\\)%/g, '.*')
-    .replaceAll(/(?<!\\)_/g, '.')
-    .replaceAll(/\\([%_])/g, '$1');
-  return new RegExp(`^${text}$`, 'i');
-}
-
 const utf8Names: ReadonlySet<string> = new Set(['utf8', 'utf8mb3', 'utf8mb4', 'default', 'binary']);
 const isUtf8 = (value: string): boolean => utf8Names.has(value.toLowerCase());
 const isOn = (value: string): boolean => /^(1|on|true|default)$/i.test(value);
