Find each object of the store under its own name

Callers saw: no write for a group whose name is . or .. after the loss of its primary: the record of its promotions was created, and never found. A group without a name read the list of all records.

Cause: the name is a segment of the path. An URL resolves segments of dots, even if they are percent-encoded, and an empty one names the list. For half a surrogate pair, encodeURIComponent throws an URIError, which is none of the errors of the store.

Change: one function encodes a segment and refuses, by an error of its own, a name that none can hold; the path is passed to Node.js beside the URL. The test's store reads the path as it was sent and decodes its segments.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,6 +8,8 @@
   type PlatformWatch,
 } from './lib/platformClient';
 export { PlatformAnswerError } from './lib/errors/platformAnswerError';
+export { encodePathSegment } from './lib/pathSegment';
+export { PlatformNameError } from './lib/errors/platformNameError';
 export { PlatformError } from './lib/errors/platformError';
 export { PlatformUnavailableError } from './lib/errors/platformUnavailableError';
 export { VersionConflictError } from './lib/errors/versionConflictError';
--- a/packages/platform/src/lib/httpClient.ts
+++ b/packages/platform/src/lib/httpClient.ts
@@ -70,7 +70,10 @@
       ...call.headers,
       ...(text !== undefined && { 'content-type': 'application/json' }),
     };
-    const request = openRequest(`${base}${call.path}`, { method, agent, headers, signal });
+    const url = new URL(base);
+    // As an option, the path is sent as it is; in the URL, an encoded segment of dots would be resolved.
+    const path = `${url.pathname.replace(/\/$/, '')}${call.path}`;
+    const request = openRequest(url, { path, method, agent, headers, signal });
     let timeout: Error | undefined;
     const timer = setTimeout(() => {
       timeout = new Error(`no answer within ${timeoutMilliseconds} ms`);
--- a/packages/platform/src/lib/platformClient.ts
+++ b/packages/platform/src/lib/platformClient.ts
@@ -4,6 +4,7 @@
 import type { PlatformObject } from './responses';
 import { createHttpClient } from './httpClient';
 import type { HttpResponse, HttpRequest } from './httpClient';
+import { encodePathSegment } from './pathSegment';
 import { PlatformAnswerError } from './errors/platformAnswerError';
 import { PlatformUnavailableError } from './errors/platformUnavailableError';
 import { VersionConflictError } from './errors/versionConflictError';
@@ -114,14 +115,12 @@
   }
 
   async function registerInstance(instance: Instance): Promise<void> {
-    const path = `/instances/${encodeURIComponent(instance.name)}`;
+    const path = `/instances/${encodePathSegment(instance.name)}`;
     requireSuccess(await send({ method: 'PUT', path, body: instance }));
   }
 
   async function removeInstance(name: string): Promise<void> {
-    requireSuccess(
-      await send({ method: 'DELETE', path: `/instances/${encodeURIComponent(name)}` }),
-    );
+    requireSuccess(await send({ method: 'DELETE', path: `/instances/${encodePathSegment(name)}` }));
   }
 
   return {
@@ -136,7 +135,7 @@
 }
 
 function buildObjectPath({ kind, name }: PlatformObjectKey): string {
-  return `/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
+  return `/objects/${encodePathSegment(kind)}/${encodePathSegment(name)}`;
 }
 
 function parseResponse<Schema extends z.ZodType>(
--- a/stand-ins/line-platform/src/lib/objectStoreServer.ts
+++ b/stand-ins/line-platform/src/lib/objectStoreServer.ts
@@ -142,7 +142,9 @@
 
   async function handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
-    const [, , , kind = '', name] = url.pathname.split('/');
+    // The path is read as it was sent; the URL resolves segments of dots.
+    const [path = ''] = (request.url ?? '/').split('?');
+    const [, , , kind = '', name] = path.split('/').map(decodeURIComponent);
     calls.push(`${request.method} ${kind}${url.search}`);
     const body = await readBody(request);
     if (faults.isDown) {
