Order promotions whatever the name of the instance

Callers would see no write after the loss of a primary while an instance whose name is outside latin1 holds the claim: it could not order anything.

Cause: the name is the value of a header, and Node.js throws for a character that is not one byte; the order counted as not answered.

Evidence: before, the order of the instance 入口 had the outcome unknown.

Change: the client of HTTP sends all header values in UTF-8, and bodies as bytes: Node.js encodes the headers like a text that follows them, so latin1 values were sent in UTF-8 with a body and in latin1 without one.

--- a/packages/platform/src/lib/httpClient.ts
+++ b/packages/platform/src/lib/httpClient.ts
@@ -65,10 +65,11 @@
 
   function sendOnce(call: HttpRequest): PendingRequest {
     const { method, signal, timeoutMilliseconds } = call;
-    const text = call.body === undefined ? undefined : JSON.stringify(call.body);
+    // As bytes, since Node.js would encode the headers like a text that follows them.
+    const body = call.body === undefined ? undefined : Buffer.from(JSON.stringify(call.body));
     const headers = {
-      ...call.headers,
-      ...(text !== undefined && { 'content-type': 'application/json' }),
+      ...encodeHeaders(call.headers),
+      ...(body !== undefined && { 'content-type': 'application/json' }),
     };
     const url = new URL(base);
     // As an option, the path is sent as it is; in the URL, an encoded segment of dots would be resolved.
@@ -90,7 +91,7 @@
         readResponse(response).then(resolve, onError);
       });
     });
-    request.end(text);
+    request.end(body);
     return { request, response: answer };
   }
 
@@ -104,6 +105,15 @@
   return { send, close: () => agent.destroy() };
 }
 
+/** Encodes header values in UTF-8. Node.js sends each character as one byte and throws for others. */
+function encodeHeaders(headers: Record<string, string> = {}): Record<string, string> {
+  const encoded = Object.entries(headers).map(([name, value]) => [
+    name,
+    Buffer.from(value).toString('latin1'),
+  ]);
+  return Object.fromEntries(encoded);
+}
+
 async function readResponse(response: IncomingMessage): Promise<HttpResponse> {
   const chunks: Buffer[] = [];
   let length = 0;
