Quote texts in statements for the group of a database

A text of a database or the configuration could become part of a statement that an instance composes: GROUP FOLLOW and GROUP VOTERS put names, addresses and @@server_uuid between quotes as they were. With a quote in an incarnation, the database refused each statement that names the voters.

Evidence: before, the database of the test refused both statements with a syntax error.

Change: one function encodes literals. The test's database reads them with escapes and doubled quotes.

--- a/packages/mysql/src/lib/control/groupControlConnection.ts
+++ b/packages/mysql/src/lib/control/groupControlConnection.ts
@@ -2,6 +2,7 @@
 import type { MemberStatus, Position } from '@wisterialift/schema';
 import { encodeQuery } from '../protocol/query';
 import { readSingleValue } from '../protocol/singleValue';
+import { encodeLiteral } from '../protocol/sqlLiteral';
 import {
   createUpstreamConnection,
   type UpstreamAddress,
@@ -55,9 +56,9 @@
   fence: ({ term }) => `GROUP FENCE TERM ${term}`,
   promote: ({ term }) => `GROUP PROMOTE TERM ${term}`,
   follow: ({ term, primary, primaryAddress }) =>
-    `GROUP FOLLOW TERM ${term} PRIMARY '${primary}' AT '${primaryAddress}'`,
+    `GROUP FOLLOW TERM ${term} PRIMARY ${encodeLiteral(primary)} AT ${encodeLiteral(primaryAddress)}`,
   nameVoters: ({ term, after, incarnations }) =>
-    `GROUP VOTERS TERM ${term} AFTER TERM ${after.term} INDEX ${after.index} ARE '${JSON.stringify(incarnations)}'`,
+    `GROUP VOTERS TERM ${term} AFTER TERM ${after.term} INDEX ${after.index} ARE ${encodeLiteral(JSON.stringify(incarnations))}`,
 };
 
 /**
--- a/packages/proxy/src/test/statementsIncarnation.test.ts
+++ b/packages/proxy/src/test/statementsIncarnation.test.ts
@@ -1,6 +1,7 @@
 import { expect, onTestFinished, test } from 'vitest';
 import {
   createGroupControlConnection,
+  type ControlQuestion,
   type ControlResponse,
   type UpstreamAddress,
 } from '@wisterialift/mysql';
@@ -58,3 +59,23 @@
   expect(await acquire(after)).toBe('granted');
   expect(pool.getConnectionCount()).toEqual({ opening: 0, running: 0, idle: 1 });
 });
+
+test('a member takes names and incarnations of any text in the statements of its group', async () => {
+  // Guards against a text of a database that ends a literal, and becomes part of the statement.
+  const { port } = await startDatabase(0);
+  const { host, user, password } = DEFAULT_DATABASE_OPTIONS;
+  const address = { host, user, password, port };
+  const control = createGroupControlConnection({ address, timeoutMilliseconds: 5_000 });
+  onTestFinished(() => control.close());
+  const ask = (question: ControlQuestion): Promise<ControlResponse> =>
+    new Promise((resolve) => {
+      control.ask(question, resolve);
+    });
+  const text = String.raw`a'b''c\'d"e\" TERM 9`;
+  const incarnations = { a1: text, [text]: '\\' };
+  const after = { term: 0, index: 0 };
+  const named = await ask({ type: 'nameVoters', term: 1, after, incarnations });
+  expect(named).toMatchObject({ status: { voters: { incarnations } } });
+  const followed = await ask({ type: 'follow', term: 2, primary: text, primaryAddress: text });
+  expect(followed).toMatchObject({ status: { following: text } });
+});
--- a/stand-ins/database/src/lib/group/groupStatements.ts
+++ b/stand-ins/database/src/lib/group/groupStatements.ts
@@ -25,22 +25,28 @@
     run: (member, match) => member.promote(Number(match[1])),
   },
   {
-    pattern: /^GROUP\s+FOLLOW\s+TERM\s+(\d+)\s+PRIMARY\s+'([^']*)'\s+AT\s+'([^']*)'$/i,
+    pattern:
+      /^GROUP\s+FOLLOW\s+TERM\s+(\d+)\s+PRIMARY\s+'((?:[^'\\]|''|\\.)*)'\s+AT\s+'((?:[^'\\]|''|\\.)*)'$/i,
     run: (member, match) =>
-      member.follow(Number(match[1]), { name: match[2] ?? '', address: match[3] ?? '' }),
+      member.follow(Number(match[1]), { name: readText(match[2]), address: readText(match[3]) }),
   },
   {
     pattern:
-      /^GROUP\s+VOTERS\s+TERM\s+(\d+)\s+AFTER\s+TERM\s+(\d+)\s+INDEX\s+(\d+)\s+ARE\s+'([^']*)'$/i,
+      /^GROUP\s+VOTERS\s+TERM\s+(\d+)\s+AFTER\s+TERM\s+(\d+)\s+INDEX\s+(\d+)\s+ARE\s+'((?:[^'\\]|''|\\.)*)'$/i,
     run: (member, match) =>
       member.nameVoters(
         Number(match[1]),
         { term: Number(match[2]), index: Number(match[3]) },
-        JSON.parse(match[4] ?? '{}') as Record<string, string>,
+        JSON.parse(readText(match[4])) as Record<string, string>,
       ),
   },
 ];
 
+/** Reads the content of a literal. */
+function readText(content = ''): string {
+  return content.replaceAll(/''|\\(.)/g, (_, escaped: string | undefined) => escaped ?? "'");
+}
+
 /**
  * Runs a statement of the group's control.
  *
