Encode lengths beyond 16 MiB in answers

Callers would see all connections end: a value or column label of 16 MiB or more in an answer that the proxy composes threw a RangeError, which ends the process. With the default packet limit it took a session name of 6 MB that is not valid UTF-8, whose replacement characters have three bytes each, and a query for it.

Cause: lengths were encoded in at most three bytes.

Evidence: before, the encoder threw for 2^24.

Change: longer ones take eight bytes, as the protocol has it.

--- a/packages/mysql/src/lib/protocol/lengthEncoded.ts
+++ b/packages/mysql/src/lib/protocol/lengthEncoded.ts
@@ -21,16 +21,21 @@
   return first;
 }
 
-/** Encodes an integer below 2^24 as a length-encoded integer. @internal */
+/** Encodes an integer up to 2^53 as a length-encoded integer. @internal */
 export function encodeLengthEncodedInteger(value: number): Buffer {
   if (value < 0xfb) return Buffer.from([value]);
   if (value < 0x1_0000) return Buffer.from([TWO_BYTE_PREFIX, value % 256, Math.floor(value / 256)]);
+  if (value >= 0x100_0000) {
+    const long = Buffer.from([EIGHT_BYTE_PREFIX, 0, 0, 0, 0, 0, 0, 0, 0]);
+    long.writeBigUInt64LE(BigInt(value), 1);
+    return long;
+  }
   const buffer = Buffer.from([THREE_BYTE_PREFIX, 0, 0, 0]);
   buffer.writeUIntLE(value, 1, 3);
   return buffer;
 }
 
-/** Encodes bytes or text of less than 2^24 bytes as a length-encoded string. @internal */
+/** Encodes bytes or text as a length-encoded string. @internal */
 export function encodeWithLength(value: Buffer | string): Buffer {
   const bytes = typeof value === 'string' ? Buffer.from(value) : value;
   return Buffer.concat([encodeLengthEncodedInteger(bytes.length), bytes]);
