Count latencies and service levels by group and kind, not by a joined text

The metrics would report two databases as one: the keys were joined with a slash, which names on the platform may hold. In the test, 'a/b' with 'c' and 'a' with 'b/c' were one series before.

--- a/packages/telemetry/src/lib/burn/burnCounters.ts
+++ b/packages/telemetry/src/lib/burn/burnCounters.ts
@@ -41,8 +41,8 @@
   buckets: BurnBucket[];
 }
 
-function createRequestKey(request: { group: string; kind: string }): string {
-  return `${request.group}/${request.kind}`;
+function createRequestKey({ group, kind }: { group: string; kind: string }): string {
+  return JSON.stringify([group, kind]);
 }
 
 /**
--- a/packages/telemetry/src/lib/latency/latencyRecorder.ts
+++ b/packages/telemetry/src/lib/latency/latencyRecorder.ts
@@ -43,7 +43,7 @@
   const recordedSeries = new Map<string, RecordedSeries>();
 
   function getHistogram(series: LatencySeries): Histogram {
-    const key = `${series.group}/${series.kind}/${series.access}`;
+    const key = JSON.stringify([series.group, series.kind, series.access]);
     const existing = recordedSeries.get(key);
     if (existing) return existing.histogram;
     const histogram = build({
