Close a prepared statement that another preparing replaces

Callers would see prepares refused by a database that has reached its limit of prepared statements: a statement that was described again on a connection that had prepared it, as after a change of the schema, replaced the id in the cache of the connection, and the former one was never closed.

Evidence: before, the cache of the test named no statement to close when the second id of a text was added.

--- a/packages/mysql/src/lib/upstream/preparedStatementCache.ts
+++ b/packages/mysql/src/lib/upstream/preparedStatementCache.ts
@@ -3,7 +3,7 @@
 /** LRU cache of the statement ids of one connection, by SQL text. @internal */
 export interface PreparedStatementCache {
   get: (sql: SqlBytes) => number | undefined;
-  /** @returns the ids of evicted statements, which the connection must close. */
+  /** @returns the ids of evicted and replaced statements, which the connection must close. */
   add: (sql: SqlBytes, statementId: number) => number[];
   clear: () => void;
 }
@@ -31,8 +31,9 @@
       return statementId;
     },
     add: (sql, statementId) => {
+      const replacedId = idsBySql.get(sql);
       idsBySql.set(sql, statementId);
-      return evictExcess();
+      return replacedId === undefined ? evictExcess() : [replacedId];
     },
     clear: () => idsBySql.clear(),
   };
