Read lines in the stand-in database by the protocol alone

A statement whose name or arguments were moved into other fields ran here without a sign, so no test could show that callers' prepared statements ran with other arguments.

Cause: the stand-in split each line at every blank, kept neither the rest of a last field nor the shape of a prepared statement, took any number of fields, and looked verbs up through the prototype. It also ran what followed a refused start on the same connection.

A parser of its own now reads words up to the last field and the last field to the end of the line, and checks verb, access, position and the number of fields. Other statements are answered MALFORMED; these and messages that are unreadable or longer than 1 MiB are kept in `rejections`. A run tells item, data and the access and shape of its name; values are kept in a map, so that `__proto__` is a name like any other.

--- a/stand-ins/line-platform/src/index.ts
+++ b/stand-ins/line-platform/src/index.ts
@@ -1,7 +1,13 @@
 export { breakOff } from './lib/breakOff';
 export { connectLineCaller, type LineAnswer, type LineCaller } from './lib/lineCaller';
 export { startDutyServer, type DutyServer, type PromotionCall } from './lib/dutyServer';
-export { startLineDatabase, type LineDatabase, type StatementRun } from './lib/lineDatabase';
+export {
+  startLineDatabase,
+  type LineDatabase,
+  type PreparedStatement,
+  type RejectedMessage,
+  type StatementRun,
+} from './lib/lineDatabase';
 export {
   NO_FAULTS,
   createLineGroup,
--- a/stand-ins/line-platform/src/lib/lineDatabase.ts
+++ b/stand-ins/line-platform/src/lib/lineDatabase.ts
@@ -3,6 +3,8 @@
 import { breakOff } from './breakOff';
 import { positionText } from './lineGroup';
 import type { LineGroup, LineMember } from './lineGroup';
+import { parseQueryText, splitFields } from './queryText';
+import type { Query, QueryFields, QueryVerb } from './queryText';
 
 /** A statement that a database ran, and in which state of its connection. */
 export interface StatementRun {
@@ -11,7 +13,14 @@
   /** Who the connection was opened for. */
   client: string;
   id: string;
+  /** As it was sent, without the position that it may be preceded by. */
   text: string;
+  /** What a read or a write is about; undefined for other statements. */
+  item: string | undefined;
+  /** What a write writes. */
+  data: string | undefined;
+  /** What the name of an EXECUTE was prepared with. */
+  prepared: PreparedStatement | undefined;
   values: Record<string, string>;
   /** Number of the transaction that it ran in, or undefined outside of one. */
   transaction: number | undefined;
@@ -19,10 +28,31 @@
   at: number;
 }
 
+/** A statement that a connection has prepared. */
+export interface PreparedStatement {
+  access: string;
+  shape: string;
+}
+
+/** A message that a database did not take. */
+export interface RejectedMessage {
+  reason:
+    /** A query text of another form than the protocol's. */
+    | 'malformed'
+    /** A message of another kind, or without its fields. */
+    | 'unreadable'
+    | 'tooLong';
+  /** Id of a malformed statement; undefined for other messages. */
+  id: string | undefined;
+  /** Begin of the statement, or of the message. */
+  text: string;
+}
+
 /** A database that speaks the line protocol over TCP. */
 export interface LineDatabase {
   address: string;
   runs: StatementRun[];
+  rejections: RejectedMessage[];
   connectionCount: () => number;
   /** Drops all connections and takes no new ones. */
   crash: () => Promise<void>;
@@ -41,6 +71,11 @@
   isSilent?: boolean;
 }
 
+const MAXIMUM_MESSAGE_BYTES = 1_048_576;
+
+/** Characters of a rejected message that are kept. */
+const KEPT_CHARACTERS = 200;
+
 /** Interval at which a held statement looks whether it may start. */
 const HOLD_CHECK_MILLISECONDS = 5;
 
@@ -53,6 +88,7 @@
   { port = 0 }: { port?: number } = {},
 ): Promise<LineDatabase> {
   const runs: StatementRun[] = [];
+  const rejections: RejectedMessage[] = [];
   const sockets = new Set<Socket>();
   let connections = 0;
   const server = createServer({ noDelay: true }, (socket) => {
@@ -60,7 +96,7 @@
     sockets.add(socket);
     socket.on('close', () => sockets.delete(socket));
     socket.on('error', () => socket.destroy());
-    serveConnection({ socket, group, member, runs, connection: connections });
+    serveConnection({ socket, group, member, runs, rejections, connection: connections });
   });
   const address = await listen(server, port);
 
@@ -71,7 +107,14 @@
       for (const socket of sockets) breakOff(socket);
     });
 
-  return { address, runs, connectionCount: () => sockets.size, crash: stop, close: stop };
+  return {
+    address,
+    runs,
+    rejections,
+    connectionCount: () => sockets.size,
+    crash: stop,
+    close: stop,
+  };
 }
 
 function serveConnection(options: {
@@ -79,12 +122,14 @@
   group: LineGroup;
   member: LineMember;
   runs: StatementRun[];
+  rejections: RejectedMessage[];
   connection: number;
 }): void {
-  const { socket, group, member, runs, connection } = options;
-  const values: Record<string, string> = {};
-  const prepared = new Map<string, { access: string; shape: string }>();
+  const { socket, group, member, runs, rejections, connection } = options;
+  const values = new Map<string, string>();
+  const prepared = new Map<string, PreparedStatement>();
   let client = '';
+  let isStarted = false;
   let transaction: OpenTransaction | undefined;
   let isFailed = false;
   let rest = '';
@@ -109,14 +154,26 @@
     ready();
   }
 
-  function record(id: string, text: string): void {
+  function reject(reason: RejectedMessage['reason'], text: string, id?: string): void {
+    rejections.push({ reason, id, text: text.slice(0, KEPT_CHARACTERS) });
+  }
+
+  function rejectStatement(id: string, text: string): Reply {
+    reject('malformed', text, id);
+    return { error: 'MALFORMED' };
+  }
+
+  function record(id: string, { text, fields: { item, data, name } }: Query): void {
     runs.push({
       memberId: member.id,
       connection,
       client,
       id,
       text,
-      values: { ...values },
+      item,
+      data,
+      prepared: name === undefined ? undefined : prepared.get(name),
+      values: Object.fromEntries(values),
       transaction: transaction?.number,
       at: performance.now(),
     });
@@ -172,10 +229,12 @@
     return {};
   }
 
-  const handlers: Record<string, (words: string[], id: string, text: string) => Reply> = {
-    BEGIN: ([mode]) => begin(mode === 'READ'),
-    COMMIT: (words, id, text) => {
-      record(id, text);
+  const handlers: {
+    [Verb in QueryVerb]: (fields: QueryFields<Verb>, id: string, query: Query) => Reply;
+  } = {
+    BEGIN: ({ mode }) => begin(mode === 'READ'),
+    COMMIT: (fields, id, query) => {
+      record(id, query);
       return commit();
     },
     ROLLBACK: () => {
@@ -183,35 +242,42 @@
       isFailed = false;
       return {};
     },
-    READ: ([item], id, text) => {
-      record(id, text);
-      return read(item ?? '');
+    READ: ({ item }, id, query) => {
+      record(id, query);
+      return read(item);
     },
-    WRITE: ([item, value], id, text) => {
-      record(id, text);
-      return write(item ?? '', value ?? '');
+    WRITE: ({ item, data }, id, query) => {
+      record(id, query);
+      return write(item, data);
     },
-    EXECUTE: ([name, item, value], id, text) => {
-      const statement = prepared.get(name ?? '');
+    EXECUTE: ({ name, item, data }, id, query) => {
+      const statement = prepared.get(name);
       if (!statement) return { error: `NOSTMT ${name}` };
-      record(id, text);
-      return statement.access === 'READ' ? read(item ?? '') : write(item ?? '', value ?? '');
+      if ((statement.access === 'READ') !== (data === undefined)) {
+        return rejectStatement(id, query.text);
+      }
+      record(id, query);
+      return data === undefined ? read(item) : write(item, data);
     },
-    SET: ([name, value]) => {
-      values[name ?? ''] = value ?? '';
+    SET: ({ name, value }) => {
+      values.set(name, value);
       return {};
     },
-    PREPARE: ([name, access, shape]) => {
-      prepared.set(name ?? '', { access: access ?? '', shape: shape ?? '' });
+    PREPARE: ({ name, access, shape }) => {
+      prepared.set(name, { access, shape });
+      return {};
+    },
+    DEALLOCATE: ({ name }) => {
+      prepared.delete(name);
       return {};
     },
     RESET: () => {
-      for (const name of Object.keys(values)) delete values[name];
+      values.clear();
       prepared.clear();
       return {};
     },
     STATUS: report,
-    PAUSE: ([term]) => {
+    PAUSE: ({ term }) => {
       group.pause(member, Number(term));
       return report();
     },
@@ -219,16 +285,20 @@
       Object.assign(member, { heldTerm: 0 });
       return report();
     },
-    DEMOTE: ([term]) => {
+    DEMOTE: ({ term }) => {
       group.demote(member, Number(term));
       return report();
     },
   };
 
-  const WORKING = new Set(['READ', 'WRITE', 'EXECUTE', 'COMMIT']);
+  const WORKING: ReadonlySet<QueryVerb> = new Set<QueryVerb>([
+    'READ',
+    'WRITE',
+    'EXECUTE',
+    'COMMIT',
+  ]);
 
-  function isBehind(after: string): boolean {
-    const [term = 0, index = 0] = after.split('.').map(Number);
+  function isBehind({ term, index }: NonNullable<Query['after']>): boolean {
     const last = member.log[member.applied - 1];
     const lacks = member.applied < index || (last?.term ?? 0) < term;
     const entry = member.log[index - 1];
@@ -239,12 +309,15 @@
     while (member.faults.isHolding && member.isUp) await pause(HOLD_CHECK_MILLISECONDS);
   }
 
-  async function run(id: string, words: string[], text: string): Promise<void> {
-    const [verb = '', ...operands] = words;
-    if (verb === 'AFTER') {
-      const [after = '', ...statement] = operands;
-      if (isBehind(after)) reply({ error: `LAGGING ${positionText(member.log, member.applied)}` });
-      else await run(id, statement, statement.join(' '));
+  async function run(id: string, text: string): Promise<void> {
+    const query = parseQueryText(text);
+    if (!query) {
+      reply(rejectStatement(id, text));
+      return;
+    }
+    const { verb, fields, after } = query;
+    if (after && isBehind(after)) {
+      reply({ error: `LAGGING ${positionText(member.log, member.applied)}` });
       return;
     }
     if (WORKING.has(verb)) {
@@ -256,24 +329,51 @@
       reply({ error: 'BUSY all slots are taken' });
       return;
     }
-    const handler = handlers[verb];
-    reply(handler ? handler(operands, id, text) : { error: 'MALFORMED' });
+    const handle = handlers[verb] as (fields: Query['fields'], id: string, query: Query) => Reply;
+    reply(handle(fields, id, query));
   }
 
-  function readLine(line: string): void {
-    const [word, ...words] = line.split(' ');
-    if (word === 'STARTUP') {
-      client = words[1] ?? '';
-      const isExpected = words[0] === group.name && (words[2] ?? member.id) === member.id;
-      if (member.faults.isFull) socket.end(`ERROR TOOMANY ${member.id}\r\n`);
-      else if (isExpected) ready();
-      else socket.end(`ERROR WRONGNODE ${member.id}\r\n`);
-    } else if (word === 'QUERY') {
-      const [id = '', ...statement] = words;
-      work = work.then(() => run(id, statement, statement.join(' ')));
-    } else {
-      socket.end();
+  function dropFor(reason: RejectedMessage['reason'], line: string): void {
+    reject(reason, line);
+    socket.end();
+  }
+
+  function readStartup(line: string): void {
+    const [service, name, expectedId = member.id] = splitFields(line, 4).slice(1);
+    if (isStarted || !service || !name || !expectedId) {
+      dropFor('unreadable', line);
+      return;
     }
+    client = name;
+    const isExpected = service === group.name && expectedId === member.id;
+    if (member.faults.isFull) socket.end(`ERROR TOOMANY ${member.id}\r\n`);
+    else if (isExpected) start();
+    else socket.end(`ERROR WRONGNODE ${member.id}\r\n`);
+  }
+
+  function start(): void {
+    isStarted = true;
+    ready();
+  }
+
+  function readQuery(line: string): void {
+    const [, id, text] = splitFields(line, 3);
+    if (!isStarted || !id || text === undefined) dropFor('unreadable', line);
+    else work = work.then(() => run(id, text));
+  }
+
+  const messageReaders = new Map<string, (line: string) => void>([
+    ['STARTUP', readStartup],
+    ['QUERY', readQuery],
+    ['TERMINATE', () => socket.end()],
+  ]);
+
+  function readLine(line: string): void {
+    const [word = ''] = splitFields(line, 2);
+    const readMessage = messageReaders.get(word);
+    if (line.length > MAXIMUM_MESSAGE_BYTES) dropFor('tooLong', line);
+    else if (readMessage) readMessage(line);
+    else dropFor('unreadable', line);
   }
 
   socket.on('data', (chunk: Buffer) => {
--- a/stand-ins/line-platform/src/test/lineDatabase.test.ts
+++ b/stand-ins/line-platform/src/test/lineDatabase.test.ts
@@ -59,3 +59,64 @@
   connection.write(`STARTUP ${GROUP} tester b\r\n`);
   expect(await once(connection, 'data')).toEqual(['READY I 1.1\r\n']);
 });
+
+async function ask(connection: Socket, message: string): Promise<string> {
+  connection.write(`${message}\r\n`, 'latin1');
+  let answer = '';
+  while (!/READY .*\r\n$/.test(answer)) answer += (await once(connection, 'data'))[0];
+  return answer.split('\r\n')[0]!;
+}
+
+it('tells what ran with the fields of its line and the shape behind its name', async () => {
+  // Guards against checks that cannot see another shape or moved arguments.
+  const connection = await openConnection();
+  await ask(connection, `STARTUP ${GROUP} tester`);
+  await ask(connection, 'QUERY - PREPARE s1 WRITE q15 WRITE dn');
+  await ask(connection, 'QUERY - SET __proto__ a  b');
+  await ask(connection, 'QUERY 7 EXECUTE s1 lamp-1 a  b ');
+  expect(database.runs).toMatchObject([
+    {
+      id: '7',
+      item: 'lamp-1',
+      data: 'a  b ',
+      prepared: { access: 'WRITE', shape: 'q15 WRITE dn' },
+      values: Object.fromEntries([['__proto__', 'a  b']]),
+    },
+  ]);
+  expect(group.members.get('a')!.log.at(-1)).toMatchObject({ item: 'lamp-1', value: 'a  b ' });
+});
+
+it.each(['EXECUTE s1 lamp-1', 'EXECUTE s2 lamp-1 data', 'WRITE lamp-1', 'DROP lamp-1'])(
+  'answers MALFORMED and counts a statement with fields too few or too many: %s',
+  async (text) => {
+    const connection = await openConnection();
+    await ask(connection, `STARTUP ${GROUP} tester`);
+    await ask(connection, 'QUERY - PREPARE s1 WRITE q1');
+    await ask(connection, 'QUERY - PREPARE s2 READ q1');
+    expect(await ask(connection, `QUERY 7 ${text}`)).toBe('ERROR MALFORMED');
+    expect(database.rejections).toEqual([{ reason: 'malformed', id: '7', text }]);
+    expect(database.runs).toEqual([]);
+  },
+);
+
+it.each([
+  ['unreadable', 'DEMOTE 9'],
+  ['unreadable', 'QUERY 7'],
+  ['unreadable', `STARTUP ${GROUP} tester`],
+  ['tooLong', `QUERY 7 READ ${'x'.repeat(1_048_576)}`],
+])('ends a connection with a message that is %s', async (reason, message) => {
+  const connection = await openConnection();
+  await ask(connection, `STARTUP ${GROUP} tester`);
+  connection.write(`${message}\r\n`);
+  await once(connection, 'end');
+  expect(database.rejections).toMatchObject([{ reason }]);
+  expect(database.runs).toEqual([]);
+});
+
+it('runs nothing that follows a refused start', async () => {
+  const connection = await openConnection();
+  connection.write(`STARTUP ${GROUP} tester zz\r\nQUERY - DEMOTE 9\r\n`);
+  connection.resume();
+  await once(connection, 'end');
+  expect(group.members.get('a')!.role).toBe('primary');
+});
