Compare what databases ran with what callers sent

Tests looked for the runs of texts that they expected; a statement that nobody had sent was no failure of any.

A record of what callers send follows the values and prepared names that were acknowledged to each session.

--- a/stand-ins/line-platform/src/index.ts
+++ b/stand-ins/line-platform/src/index.ts
@@ -32,3 +32,9 @@
   type PlatformEntries,
   type TeamEntry,
 } from './lib/platformEntries';
+export {
+  createStatementRecord,
+  type AlteredStatement,
+  type SessionRecord,
+  type StatementRecord,
+} from './lib/statementRecord';
--- a/stand-ins/line-platform/src/lib/lineCaller.ts
+++ b/stand-ins/line-platform/src/lib/lineCaller.ts
@@ -1,5 +1,5 @@
 import { connect } from 'node:net';
-import type { Socket } from 'node:net';
+import type { StatementRecord } from './statementRecord';
 
 /** An answer as its caller saw it. */
 export interface LineAnswer {
@@ -21,6 +21,7 @@
 }
 
 interface Waiting {
+  id: string;
   settle: (answer: LineAnswer) => void;
   fail: (error: Error) => void;
 }
@@ -39,8 +40,11 @@
   prefix?: string;
   /** Key that the caller presents. */
   key?: string;
+  /** Record of what all callers send. */
+  record?: StatementRecord;
 }): Promise<LineCaller> {
-  const { port, database, prefix = 'q', key = 'tester' } = options;
+  const { port, database, prefix = 'q', key = 'tester', record } = options;
+  const session = record?.openSession();
   return new Promise((resolve, reject) => {
     const socket = connect({ host: '127.0.0.1', port, noDelay: true });
     let isClosed = false;
@@ -50,15 +54,35 @@
     let end = '';
     const waiting: Waiting[] = [];
 
+    function sendQuery(text: string): string {
+      identities += 1;
+      const id = `${prefix}${identities}`;
+      session?.noteSent({ id, text });
+      socket.write(`QUERY ${id} ${text}\r\n`, 'latin1');
+      return id;
+    }
+
+    function finishAnswer(state: string): void {
+      const answer = { rows, end, state };
+      rows = [];
+      end = '';
+      const answered = waiting.shift();
+      if (!answered) return;
+      session?.noteAnswer(answered.id, answer.end.startsWith('COMPLETE'));
+      answered.settle(answer);
+    }
+
     const caller: LineCaller = {
       query: (text) =>
         new Promise((settle, fail) => {
-          if (isClosed) fail(new Error('the session was closed'));
-          waiting.push({ settle, fail });
-          sendQuery(socket, prefix, text);
+          if (isClosed) {
+            fail(new Error('the session was closed'));
+            return;
+          }
+          waiting.push({ id: sendQuery(text), settle, fail });
         }),
       leaveAfter: (text) => {
-        sendQuery(socket, prefix, text);
+        sendQuery(text);
         socket.end();
       },
       isClosed: () => isClosed,
@@ -80,9 +104,7 @@
           resolve(caller);
           return;
         }
-        waiting.shift()?.settle({ rows, end, state: fields.split(' ')[0] ?? '' });
-        rows = [];
-        end = '';
+        finishAnswer(fields.split(' ')[0] ?? '');
       },
     };
 
@@ -105,8 +127,3 @@
     socket.write(`STARTUP ${database} ${key}\r\n`);
   });
 }
-
-function sendQuery(socket: Socket, prefix: string, text: string): void {
-  identities += 1;
-  socket.write(`QUERY ${prefix}${identities} ${text}\r\n`, 'latin1');
-}
