Draw the texts of the soak's callers, and compare what databases ran with them

The soak sent plain words only and prepared nothing, so no run of it could show that prepared statements ran with other arguments.

Its callers now set variables, prepare two shapes that begin alike and the same shape for reads and writes, and run half of their reads and writes by name; names, shapes, items, data and values are drawn texts, from a source of their own, so that each seed has the same faults and operations as before. At the end the runs and rejected messages of all databases are compared with what the callers sent.

--- a/tools/soak/src/lib/load/soakCaller.ts
+++ b/tools/soak/src/lib/load/soakCaller.ts
@@ -1,16 +1,20 @@
 import { setTimeout as pause } from 'node:timers/promises';
+import { createDrawnTexts } from '@wisterialift/fuzz';
 import type { Random } from '@wisterialift/fuzz';
 import { DATABASES, STALENESS, connectLineCaller } from '@wisterialift/stand-in-line-platform';
 import type { LineAnswer, LineCaller } from '@wisterialift/stand-in-line-platform';
 import type { World } from '../world/startWorld';
 import { numberOf } from './history';
 import type { History, WriteOutcome } from './history';
+import { drawPreparation } from './preparation';
 import { teamOfCaller } from './soakTeams';
 
 export interface SoakCallerOptions {
   world: World;
   history: History;
   random: Random;
+  /** Draws texts; apart from the source of all else, so that a seed has the same operations. */
+  textRandom: Random;
   name: string;
   database: (typeof DATABASES)[keyof typeof DATABASES];
   /** Items of all callers, for reads. */
@@ -27,6 +31,9 @@
 /** Items that one caller writes by turns; few, so that writes and reads meet. */
 const OWN_ITEMS = 3;
 
+/** Share of reads and writes that run a prepared statement. */
+const EXECUTED_SHARE = 0.5;
+
 /** Answers after which nothing of the attempt may be kept. */
 const PROMISES = /^ERROR (BUSY|ABORTED|LAGGING|READONLY|WRONGNODE|TOOMANY)\b/;
 
@@ -34,12 +41,16 @@
 
 /** Runs operations until the run is over, over one session after the other. */
 export async function runSoakCaller(options: SoakCallerOptions): Promise<void> {
-  const { world, history, random, name, database, items, isOver } = options;
+  const { world, history, random, textRandom, name, database, items, isOver } = options;
+  const texts = createDrawnTexts(textRandom);
+  let preparation = drawPreparation(texts);
   let number = 0;
   let generation = 0;
   let session = '';
 
-  const ownItem = (index: number) => `${name}-${generation}-${index}`;
+  let suffix = texts.word();
+
+  const ownItem = (index: number) => `${name}-${generation}-${index}${suffix}`;
   for (let index = 0; index < OWN_ITEMS; index += 1) items.push(ownItem(index));
 
   async function connect(): Promise<LineCaller | undefined> {
@@ -47,7 +58,11 @@
     session = `${name}.${random.between(0, 1e9)}.`;
     try {
       const [key] = teamOfCaller(name).keys;
-      return await connectLineCaller({ port: callers.port, database, prefix: session, key });
+      const { port } = callers;
+      const { record } = world;
+      const caller = await connectLineCaller({ port, database, prefix: session, key, record });
+      await prepare(caller);
+      return caller;
     } catch {
       // Refused or cut, as callers are while an instance is away; another one may serve them.
       await pause(COME_BACK_MILLISECONDS);
@@ -55,6 +70,20 @@
     }
   }
 
+  /** Sets variables and prepares statements; each session has others. */
+  async function prepare(caller: LineCaller): Promise<void> {
+    preparation = drawPreparation(texts);
+    for (const text of preparation.statements) await ask(caller, text);
+  }
+
+  const writeText = (item: string, value: string) =>
+    textRandom.chance(EXECUTED_SHARE)
+      ? `EXECUTE ${preparation.writeName} ${item} ${value}`
+      : `WRITE ${item} ${value}`;
+
+  const readText = (item: string) =>
+    textRandom.chance(EXECUTED_SHARE) ? `EXECUTE ${preparation.readName} ${item}` : `READ ${item}`;
+
   async function write(caller: LineCaller): Promise<void> {
     number += 1;
     const isTransaction = random.chance(0.4);
@@ -62,7 +91,7 @@
     const chosen = isTransaction
       ? [ownItem(first), ownItem((first + 1) % OWN_ITEMS)]
       : [ownItem(first)];
-    const value = `${name}:${number}`;
+    const value = `${name}:${number}:${texts.text()}`;
     const outcome = isTransaction
       ? await writeTogether(caller, chosen, value)
       : await writeOne(caller, chosen[0]!, value);
@@ -73,11 +102,12 @@
 
   function startNewItems(): void {
     generation += 1;
+    suffix = texts.word();
     for (let index = 0; index < OWN_ITEMS; index += 1) items.push(ownItem(index));
   }
 
   async function writeOne(caller: LineCaller, item: string, value: string): Promise<WriteOutcome> {
-    return toOutcome(await ask(caller, `WRITE ${item} ${value}`));
+    return toOutcome(await ask(caller, writeText(item, value)));
   }
 
   async function writeTogether(
@@ -85,7 +115,7 @@
     chosen: string[],
     value: string,
   ): Promise<WriteOutcome> {
-    const steps = ['BEGIN', ...chosen.map((item) => `WRITE ${item} ${value}`)];
+    const steps = ['BEGIN', ...chosen.map((item) => writeText(item, value))];
     for (const step of steps) {
       const answer = await ask(caller, step);
       if (!answer?.end.startsWith('COMPLETE')) {
@@ -130,7 +160,7 @@
       database === DATABASES.own
         ? history.highestAcknowledged({ item, before: startedAt, session })
         : 0;
-    const answer = await ask(caller, `READ ${item}`);
+    const answer = await ask(caller, readText(item));
     if (!answer?.end.startsWith('COMPLETE')) return;
     history.reads += 1;
     const seen = numberOf(answer.rows[0]);
--- a/tools/soak/src/lib/runSoak.ts
+++ b/tools/soak/src/lib/runSoak.ts
@@ -5,6 +5,7 @@
 import { checkLeaving } from './checks/checkLeaving';
 import { checkTeams } from './checks/checkTeams';
 import { checkLog } from './checks/checkLog';
+import { checkStatements } from './checks/checkStatements';
 import { injectFaults } from './faults/injectFaults';
 import { createFaultPlan, createLeavingPlan } from './faults/faultPlan';
 import type { FaultPlan } from './faults/faultPlan';
@@ -70,6 +71,7 @@
         world,
         history,
         random: createRandom(plan.seed * 1_000 + kind * 100 + index),
+        textRandom: createRandom(-plan.seed * 1_000 - kind * 100 - index),
         name: `${database}${index}`,
         database,
         items,
@@ -87,6 +89,7 @@
     ...history.violations,
     ...checkLog(world, history),
     ...checkTeams(world),
+    ...checkStatements(world),
     ...checkLeaving(world, stalls.max / NANOSECONDS_PER_MILLISECOND),
   ];
   for (const instance of world.instances) {
@@ -113,9 +116,9 @@
 async function waitForService(world: World, milliseconds: number): Promise<boolean> {
   const until = performance.now() + milliseconds;
   const served = await Promise.all(
-    world.instances.map(async ({ callers }) => {
+    world.instances.map(async ({ callers: { port } }) => {
       while (performance.now() < until) {
-        if (await isServed(callers.port)) return true;
+        if (await isServed(world, port)) return true;
         await pause(100);
       }
       return false;
@@ -124,11 +127,11 @@
   return served.every(Boolean);
 }
 
-async function isServed(port: number): Promise<boolean> {
+async function isServed({ record }: World, port: number): Promise<boolean> {
   try {
     const [key] = SOAK_TEAMS[0].keys;
     for (const database of Object.values(DATABASES)) {
-      const caller = await connectLineCaller({ port, database, prefix: 'check.', key });
+      const caller = await connectLineCaller({ port, database, prefix: 'check.', key, record });
       const texts = database === DATABASES.aged ? ['READ first'] : ['WRITE check 1', 'READ check'];
       for (const text of texts) {
         if (!(await caller.query(text)).end.startsWith('COMPLETE')) return false;
--- a/tools/soak/src/lib/world/soakDatabase.ts
+++ b/tools/soak/src/lib/world/soakDatabase.ts
@@ -3,6 +3,7 @@
   LineDatabase,
   LineGroup,
   LineMember,
+  RejectedMessage,
   StatementRun,
 } from '@wisterialift/stand-in-line-platform';
 import { openFaultLink } from './faultLink';
@@ -18,6 +19,8 @@
   restart: () => Promise<void>;
   /** All statements that it ran, those of former lives included. */
   runs: () => StatementRun[];
+  /** All messages that it did not take, in all lives. */
+  rejections: () => RejectedMessage[];
   close: () => Promise<void>;
 }
 
@@ -49,6 +52,7 @@
       if (leader) group.demote(member, leader.term);
     },
     runs: () => lives.flatMap(({ runs }) => runs),
+    rejections: () => lives.flatMap(({ rejections }) => rejections),
     close: async () => {
       link.close();
       await database.close();
--- a/tools/soak/src/lib/world/startWorld.ts
+++ b/tools/soak/src/lib/world/startWorld.ts
@@ -5,6 +5,7 @@
 import {
   createLineGroup,
   createPlatformEntries,
+  createStatementRecord,
   startDutyServer,
   startObjectStore,
 } from '@wisterialift/stand-in-line-platform';
@@ -13,6 +14,7 @@
   LineGroup,
   LineMember,
   ObjectStoreServer,
+  StatementRecord,
 } from '@wisterialift/stand-in-line-platform';
 import { SOAK_TEAMS } from '../load/soakTeams';
 import { startSoakDatabase } from './soakDatabase';
@@ -27,6 +29,8 @@
   instances: SoakInstance[];
   store: ObjectStoreServer;
   duty: DutyServer;
+  /** What all callers send. */
+  record: StatementRecord;
   /** Writes the next version of the configuration. */
   configure: (changes?: { timeout?: number }) => void;
   setLeaving: (member: LineMember, isLeaving: boolean) => void;
@@ -112,6 +116,7 @@
     instances,
     store,
     duty,
+    record: createStatementRecord(),
     configure,
     setLeaving: (member, isLeaving) => {
       const present = findLeaving(member);
