Run prepared statements with drawn texts in the simulated world

The world's callers prepared nothing and set nothing, and its databases ignored both, so no play could show a statement that ran with another session's values or as another prepared statement.

With load.drawsTexts, sessions set variables and prepare a read and a write of one shape, whose names, values and shapes are drawn texts, and run their reads and writes by name. Databases keep values and prepared statements of each connection, refuse what is not prepared, and the oracle compares each run with what was sent (unasked, pinned).

--- a/tools/world/src/lib/callers/callerConnection.ts
+++ b/tools/world/src/lib/callers/callerConnection.ts
@@ -3,10 +3,13 @@
 import type { CallerMessage, CallerReply, SimulatedInstance } from '../instances/simulatedInstance';
 import type { Host, Simulation } from '../simulation/host';
 import { openStream } from '../simulation/stream';
+import type { SessionTexts } from './sessionTexts';
 
 /** A session of a caller with an instance. @internal */
 export interface CallerConnection {
   instance: SimulatedInstance;
+  /** What its session prepared; undefined where callers draw no texts. */
+  texts: SessionTexts | undefined;
   /** Undefined where the session ended, or no answer came by the deadline. */
   run: (statement: CallerStatement, deadlineAt: number) => Promise<CallerAnswer | undefined>;
   isOpen: () => boolean;
@@ -24,8 +27,9 @@
   instance: SimulatedInstance;
   database: string;
   keyDigest?: string;
+  texts?: SessionTexts;
 }): Promise<CallerConnection | undefined> {
-  const { simulation, clock, caller, instance, database, keyDigest } = options;
+  const { simulation, clock, caller, instance, database, keyDigest, texts } = options;
   return new Promise((resolve) => {
     let waiting: ((answer: CallerAnswer | undefined) => void) | undefined;
     const end = openStream<CallerMessage, CallerReply>({
@@ -80,7 +84,7 @@
 
     function accept(): void {
       cancelStart();
-      resolve({ instance, run, isOpen: end.isOpen, close: end.close });
+      resolve({ instance, texts, run, isOpen: end.isOpen, close: end.close });
     }
   });
 }
--- a/tools/world/src/lib/callers/load.ts
+++ b/tools/world/src/lib/callers/load.ts
@@ -1,3 +1,4 @@
+import { createDrawnTexts, createRandom } from '@wisterialift/fuzz';
 import type { Random } from '@wisterialift/fuzz';
 import type { Clock } from '@wisterialift/gateway';
 import type { Experiment, RequestKind } from '../experiment/experimentSchema';
@@ -9,6 +10,7 @@
 import { drawOperation, runAttempt } from './operation';
 import type { Operation } from './operation';
 import type { Oracle } from './oracle';
+import { drawSessionTexts, listPreparations } from './sessionTexts';
 import type { WorldTeam, WorldTeams } from './teams';
 
 /** One operation as its caller saw it. @internal */
@@ -28,6 +30,12 @@
 /** Pause of a caller that was told no return time; doubled by each attempt. */
 const RETRY_MILLISECONDS = { shortest: 80, longest: 240 };
 
+/** Time for one statement that prepares a session. */
+const PREPARE_MILLISECONDS = 2_000;
+
+/** Seed of texts, which are apart from all else that an experiment draws. */
+const TEXT_SEED = 1;
+
 /** Open sessions that a data centre's callers keep for later, by kind and group. */
 type IdleSessions = Map<string, CallerConnection[]>;
 
@@ -45,6 +53,7 @@
   const { experiment, simulation, clock, balancer, oracle, groups, teams, onOutcome } = options;
   const { random } = simulation;
   const idle: IdleSessions = new Map();
+  const drawnTexts = createDrawnTexts(createRandom(TEXT_SEED));
   let operations = 0;
 
   function scheduleNext(caller: Host, load: number): void {
@@ -154,7 +163,25 @@
     const instance = balancer.choose(caller.dataCentre, tried);
     const database = `${kind.name}@${group}`;
     const keyDigest = operation.team?.keyDigest;
-    return connectCaller({ simulation, clock, caller, instance, database, keyDigest });
+    const texts = experiment.load.drawsTexts ? drawSessionTexts(drawnTexts) : undefined;
+    const session = { simulation, clock, caller, instance, database, keyDigest, texts };
+    const connection = await connectCaller(session);
+    return connection && prepareSession(connection);
+  }
+
+  /** @returns undefined if the session ended before it was prepared. */
+  async function prepareSession(
+    connection: CallerConnection,
+  ): Promise<CallerConnection | undefined> {
+    const { texts } = connection;
+    for (const statement of texts ? listPreparations(texts) : []) {
+      const answer = await connection.run(statement, clock.now() + PREPARE_MILLISECONDS);
+      if (answer?.outcome !== 'completed') {
+        connection.close();
+        return undefined;
+      }
+    }
+    return connection;
   }
 
   function takeKept(key: string): CallerConnection | undefined {
--- a/tools/world/src/lib/callers/operation.ts
+++ b/tools/world/src/lib/callers/operation.ts
@@ -1,7 +1,12 @@
 import type { Random } from '@wisterialift/fuzz';
 import { parseReturnTime } from '@wisterialift/gateway';
 import type { CallerAnswer, Clock } from '@wisterialift/gateway';
-import type { CallerStatement, FailureReason } from '@wisterialift/pooling';
+import type {
+  CallerStatement,
+  FailureReason,
+  PreparedStatement,
+  StatementAccess,
+} from '@wisterialift/pooling';
 import type { RequestKind } from '../experiment/experimentSchema';
 import type { AttemptEnd } from './attemptEnd';
 import type { Oracle } from './oracle';
@@ -74,13 +79,37 @@
       type,
       isReadOnly: text === 'BEGIN READ',
     };
+    noteSent(statement);
     return connection.run(statement as CallerStatement, deadlineAt);
   };
 
-  const write = () => run('write', `WRITE ${kind.name} ${attemptId}`);
+  function noteSent(sent: { id: string; text: string; prepared?: PreparedStatement }): void {
+    const values = connection.texts?.values;
+    if (values) oracle.statements.noteSent({ prepared: undefined, ...sent, values });
+  }
+
+  /** Runs a read or a write, as a prepared statement where the session has prepared some. */
+  function runData(access: StatementAccess, operands: string) {
+    const named = connection.texts?.prepared[access];
+    if (!named) return run(access, `${access.toUpperCase()} ${operands}`);
+    number += 1;
+    const statementId = `${attemptId}.${number}`;
+    const { name, ...prepared } = named;
+    noteSent({ id: statementId, text: operands, prepared });
+    const statement = {
+      id: statementId,
+      text: `EXECUTE ${name} ${operands}`,
+      type: 'execute' as const,
+      name,
+      argumentsText: operands,
+    };
+    return connection.run(statement, deadlineAt);
+  }
+
+  const write = () => runData('write', `${kind.name} ${attemptId}`);
 
   async function read(since: number): Promise<CallerAnswer | undefined> {
-    const answer = await run('read', `READ ${kind.name}`);
+    const answer = await runData('read', kind.name);
     if (answer?.outcome === 'completed') {
       oracle.checkRead({ group, kind, since, session, rows: answer.rows, id: attemptId });
     }
--- a/tools/world/src/lib/callers/oracle.ts
+++ b/tools/world/src/lib/callers/oracle.ts
@@ -5,6 +5,8 @@
 import type { ReplicatedLog } from '../databases/replicatedLog';
 import type { RequestKind } from '../experiment/experimentSchema';
 import type { AttemptEnd } from './attemptEnd';
+import { createStatementOracle } from './statementOracle';
+import type { StatementOracle } from './statementOracle';
 import { createTeamOracle } from './teamOracle';
 import type { TeamOracle } from './teamOracle';
 import type { WorldTeam } from './teams';
@@ -19,6 +21,10 @@
     | 'rolledBack'
     | 'doubled'
     | 'falseRefusal'
+    /** A statement that nobody sent, or with another text. */
+    | 'unasked'
+    /** With other session values, or as another prepared statement. */
+    | 'pinned'
     | 'leaving'
     | 'replaced'
     | 'wrongTeam'
@@ -32,6 +38,8 @@
 export interface Oracle {
   /** Holds the teams' keys and limits. */
   teams: TeamOracle;
+  /** Holds the texts that databases run. */
+  statements: StatementOracle;
   /** Its clock, by which callers tell when they sent a read. */
   now: () => number;
   noteSent: (group: string, id: string) => void;
@@ -203,6 +211,7 @@
 
   return {
     teams: createTeamOracle({ scheduler, teams, report }),
+    statements: createStatementOracle(report),
     now: scheduler.now,
     noteSent: (group) => {
       if (!acknowledged.has(group)) acknowledged.set(group, { all: [], furthest: [] });
--- a/tools/world/src/lib/databases/simulatedDatabase.ts
+++ b/tools/world/src/lib/databases/simulatedDatabase.ts
@@ -1,5 +1,6 @@
 import type {
   MemberReport,
+  PreparedStatement,
   TransactionState,
   UpstreamAnswer,
   UpstreamCommand,
@@ -7,6 +8,7 @@
 import { isAtMost } from '@wisterialift/schema';
 import type { Position } from '@wisterialift/schema';
 import type { Host, Simulation } from '../simulation/host';
+import type { ComparedStatement } from '../callers/statementOracle';
 import type { StreamAcceptor, StreamEnd } from '../simulation/stream';
 import type { LogState, ReplicatedLog } from './replicatedLog';
 import { createSlotQueue } from './slotQueue';
@@ -63,6 +65,8 @@
   hasFollowed: (milliseconds: number) => boolean;
   /** Calls back as a statement of a caller arrives. */
   onStatement: (listener: (arrival: StatementArrival) => void) => void;
+  /** Calls back as a statement of a caller runs. */
+  onRun: (listener: (statement: ComparedStatement) => void) => void;
   /** Share of statements whose answer is lost after they ran. */
   setAnswerLoss: (share: number) => void;
   /** Which statements of callers fail; none if undefined. */
@@ -90,6 +94,9 @@
   client: string | undefined;
   transaction: TransactionState;
   isReadOnly: boolean;
+  values: Map<string, string>;
+  /** Access and shape of the statements that are prepared on it. */
+  prepared: Set<string>;
   writes: string[];
   /** Where the commit stands whose answer is held; undefined if none is. */
   position: Position | undefined;
@@ -102,6 +109,9 @@
 
 type Effect = Omit<UpstreamAnswer & { outcome: 'refused' }, 'transaction'> | 'done';
 
+/** Identifies a prepared statement; the access has no blank. */
+const keyOf = ({ access, shape }: PreparedStatement) => `${access} ${shape}`;
+
 /**
  * Creates a database that keeps the platform's contract.
  *
@@ -122,6 +132,7 @@
   const { slots: count, queueLength } = limits;
   const slots = createSlotQueue({ slots: count, queueLength, scheduler });
   const connections = new Set<Connection>();
+  const runListeners: ((statement: ComparedStatement) => void)[] = [];
   const statementListeners: ((arrival: StatementArrival) => void)[] = [];
   let { memberId } = state;
   let answerLoss = 0;
@@ -137,6 +148,8 @@
       client: undefined,
       transaction: 'idle',
       isReadOnly: false,
+      values: new Map(),
+      prepared: new Set(),
       writes: [],
       position: undefined,
       hasBegun: false,
@@ -292,14 +305,17 @@
 
   function timeOf(command: UpstreamCommand): number {
     if (command.type === 'forward') return workTime(command.text);
-    if (command.type === 'execute') return workTime(command.argumentsText);
+    if (command.type === 'execute') return workTime(`EXECUTE ${command.argumentsText}`);
     return command.type === 'status' ? REPORT_MILLISECONDS : 0;
   }
 
   function refusalBefore(
-    { isReadOnly, transaction }: Connection,
+    { isReadOnly, transaction, prepared }: Connection,
     command: UpstreamCommand,
   ): Effect | undefined {
+    if (command.type === 'execute' && !prepared.has(keyOf(command.statement))) {
+      return refusal('unknownStatement', 'it is not prepared');
+    }
     const after = 'after' in command ? command.after : undefined;
     if (after && !holds(after)) return refusal('lagging', 'the log lacks the position');
     const isPlainTransaction = transaction === 'open' && !isReadOnly;
@@ -322,9 +338,24 @@
       if (connection.transaction === 'open') Object.assign(connection, { transaction: 'failed' });
       return refused;
     }
+    if (isCallers(command)) noteRun(connection, command);
     const handlers: Partial<Record<UpstreamCommand['type'], () => Effect>> = {
       forward: () => runText(connection, (command as { text: string }).text),
-      execute: () => runText(connection, (command as { argumentsText: string }).argumentsText),
+      execute: () => execute(connection, command as UpstreamCommand & { type: 'execute' }),
+      set: () => {
+        const { name, value } = command as { name: string; value: string };
+        connection.values.set(name, value);
+        return 'done';
+      },
+      prepare: () => {
+        connection.prepared.add(keyOf((command as { statement: PreparedStatement }).statement));
+        return 'done';
+      },
+      reset: () =>
+        control(() => {
+          connection.values.clear();
+          connection.prepared.clear();
+        }),
       begin: () => begin(connection, (command as { isReadOnly: boolean }).isReadOnly),
       rollback: () => endTransaction(connection),
       pause: () => control(() => replication.stop(state, (command as { term: number }).term)),
@@ -334,6 +365,28 @@
     return handlers[command.type]?.() ?? 'done';
   }
 
+  function noteRun(
+    { values }: Connection,
+    command: UpstreamCommand & { type: 'forward' | 'execute' },
+  ): void {
+    const isPrepared = command.type === 'execute';
+    const statement: ComparedStatement = {
+      id: command.id,
+      text: isPrepared ? command.argumentsText : command.text,
+      prepared: isPrepared ? command.statement : undefined,
+      values: new Map(values),
+    };
+    for (const listener of runListeners) listener(statement);
+  }
+
+  function execute(
+    connection: Connection,
+    { statement, argumentsText }: UpstreamCommand & { type: 'execute' },
+  ): Effect {
+    const verb = statement.access === 'write' ? 'WRITE' : 'READ';
+    return runText(connection, `${verb} ${argumentsText}`);
+  }
+
   function control(action: () => void): Effect {
     action();
     return 'done';
@@ -413,6 +466,7 @@
     slots,
     accept,
     onStatement: (listener) => statementListeners.push(listener),
+    onRun: (listener) => runListeners.push(listener),
     connectionCount: () => connections.size,
     hasFollowed: (milliseconds) => {
       const since = replication.followsSince(state.memberId);
@@ -449,7 +503,7 @@
 }
 
 function refusal(
-  reason: 'busy' | 'lagging' | 'readOnly' | 'aborted' | 'failed',
+  reason: 'busy' | 'lagging' | 'readOnly' | 'aborted' | 'failed' | 'unknownStatement',
   detail: string,
 ): Effect {
   return { outcome: 'refused', reason, detail };
@@ -467,6 +521,7 @@
 }
 
 function isWriteCommand(command: UpstreamCommand): boolean {
+  if (command.type === 'execute') return command.statement.access === 'write';
   return command.type === 'forward' && command.text.startsWith('WRITE');
 }
 
--- a/tools/world/src/lib/experiment/experimentSchema.ts
+++ b/tools/world/src/lib/experiment/experimentSchema.ts
@@ -237,6 +237,8 @@
       factor: z.number().positive().default(1),
       /** Whether callers return at the time that a refusal states instead of after their own pause. */
       followsReturnTime: z.boolean().default(false),
+      /** Whether sessions set variables and run prepared statements, all with texts of any bytes. */
+      drawsTexts: z.boolean().default(false),
     })
     .prefault({}),
   kinds: z.array(kindSchema).min(1),
--- a/tools/world/src/lib/experiment/runExperiment.ts
+++ b/tools/world/src/lib/experiment/runExperiment.ts
@@ -123,6 +123,7 @@
     if (!isOver) samples.push(sampleDatabases(clock.now(), databases));
   });
   for (const [memberId, database] of databases) {
+    if (experiment.load.drawsTexts) database.onRun(oracle.statements.checkRun);
     database.onStatement((arrival) => {
       onStatement();
       oracle.teams.checkStatement(arrival);
--- a/tools/world/src/test/experiments.test.ts
+++ b/tools/world/src/test/experiments.test.ts
@@ -35,6 +35,21 @@
     expect(callers.credit).toBeGreaterThan(0.99);
   });
 
+  it.each(['calm.toml', 'holders-apart.toml', 'dark-primary.toml'])(
+    'runs what callers sent in %s, with values, names and shapes of any bytes',
+    async (name) => {
+      // Guards against values and prepared statements of one session that run for another.
+      const experiment = readExperiment(join(FOLDER, name));
+      const load = { ...experiment.load, drawsTexts: true };
+      const { callers, broken } = await runExperiment(
+        { ...experiment, load, seconds: 8 },
+        { seed: 1 },
+      );
+      expect(broken).toEqual([]);
+      expect(callers.credit).toBeGreaterThan(0.5);
+    },
+  );
+
   it.each([
     ['failed', 1],
     ['failed', 0.4],
