Put odd entries among those of databases and instances in the soak

The soak's store held only entries that its own stand-ins wrote, so no run showed what an entry of another writer does to instances.

Each run now puts up to eight of them, drawn from a source of their own, so that the other faults of a seed stay as they were: nested 50,000 deep, numbers too large, ports and octets out of range, an id with a blank or a line break at the address of a database that is there, unknown state, missing fields, and an instance's own entry overwritten. Half of them are removed after seconds, the others stay until the end.

--- a/tools/soak/src/lib/faults/faultHandlers.ts
+++ b/tools/soak/src/lib/faults/faultHandlers.ts
@@ -6,6 +6,7 @@
 import type { SoakInstance } from '../world/soakInstance';
 import type { World } from '../world/startWorld';
 import type { FaultStrike } from './faultStrike';
+import { ODD_VALUES, listOddEntries } from './oddEntries';
 
 type FaultHandler = (world: World, fault: FaultStrike) => Promise<void>;
 
@@ -113,6 +114,15 @@
     Object.assign(store.faults, { lostAnswers: 2 });
   },
   storeForgets: async ({ store }) => store.compact(),
+  oddEntry: async ({ store, databases }, fault) => {
+    const address = `127.0.0.1:${choose(databases, fault).link.port}`;
+    const { kind, name, spec } = choose(listOddEntries(address), fault);
+    for (const [value, json] of ODD_VALUES) store.faults.rawValues.set(value, json);
+    store.put(kind, name, spec);
+    await pause(fault.duration);
+    // Others stay until the run ends, as nobody need remove them.
+    if (fault.target % 2 === 0) store.remove(kind, name);
+  },
   configurationChanges: async ({ configure }, { target }) => configure({ timeout: 800 + target }),
 } satisfies Record<string, FaultHandler>;
 
--- a/tools/soak/src/lib/faults/faultPlan.ts
+++ b/tools/soak/src/lib/faults/faultPlan.ts
@@ -29,10 +29,12 @@
 const CONNECTION_LIMITS = [30, 5];
 
 /** Faults that are not drawn; a plan that has them draws its other faults as before. */
-const PLANNED_ONLY: ReadonlySet<FaultName> = new Set(['databasesLeave']);
+const PLANNED_ONLY: ReadonlySet<FaultName> = new Set(['databasesLeave', 'oddEntry']);
 
 const DRAWN = FAULT_NAMES.filter((name) => !PLANNED_ONLY.has(name));
 
+const MOST_ODD_ENTRIES = 8;
+
 /** Time for which databases leave: beyond the bound for new statements. */
 const LEAVING_MILLISECONDS = 9_500;
 
@@ -69,7 +71,20 @@
     }
     at += random.between(0, LONGEST_PAUSE_MILLISECONDS);
   }
-  return { seed, maximumConnections: random.pick(CONNECTION_LIMITS), faults };
+  const maximumConnections = random.pick(CONNECTION_LIMITS);
+  return { seed, maximumConnections, faults: [...faults, ...drawOddEntries(seed, length)] };
+}
+
+/** Entries of another writer, from a source of their own. */
+function drawOddEntries(seed: number, length: number): PlannedFault[] {
+  const random = createRandom(-seed);
+  const { shortest, longest } = DURATION_MILLISECONDS;
+  return Array.from({ length: random.between(1, MOST_ODD_ENTRIES) }, () => ({
+    name: 'oddEntry',
+    at: random.between(0, length),
+    duration: random.between(shortest, longest),
+    target: random.between(0, 999),
+  }));
 }
 
 function drawFault(random: Random, at: number): PlannedFault {
