Number the packets of answers to statements of several frames

Callers would see a statement of 16 MiB or more, where the limit allows it, without an answer: its outcome was unknown or discarded after the deadline, and each try closed a connection to the database.

Cause: the answer to a command continues its sequence numbers, so it begins with the number of the command's frames. Both sides of the proxy took it to begin with 1; the driver takes another number for packets out of order.

Evidence: in a trial with the database of the tests, statements of 2^24 - 2 bytes and more were discarded at their deadline.

Change: the number is that of the frames of the command, for answers from databases and those that the proxy composes. Descriptions of prepared statements, which are cached, are numbered anew.

--- a/packages/mysql/src/index.ts
+++ b/packages/mysql/src/index.ts
@@ -22,7 +22,7 @@
 } from './lib/control/groupControlConnection';
 export { serverStatus } from './lib/protocol/constants';
 export { type SqlError } from './lib/protocol/errorPacket';
-export { toFrames } from './lib/protocol/frames';
+export { renumberFrames, toFrames } from './lib/protocol/frames';
 export { EMPTY_OK, hasFlag, withFlag, type OkPacket } from './lib/protocol/okPacket';
 export { type TextResult } from './lib/protocol/textResult';
 export { type SqlBytes } from './lib/protocol/sqlBytes';
--- a/packages/mysql/src/lib/caller/callerConnection.ts
+++ b/packages/mysql/src/lib/caller/callerConnection.ts
@@ -16,6 +16,8 @@
   readonly id: number;
   /** Whether the write buffer is full; `onDrain` is called once it has been flushed. */
   readonly isFull: boolean;
+  /** Sequence number of the first packet of the current command's response. */
+  readonly firstSequence: number;
   /** Registers the handlers and dispatches the commands received so far. */
   start: (handlers: CallerHandlers) => void;
   /** Sends part of the current command's response; the frames include their headers. */
@@ -25,7 +27,7 @@
   /**
    * Finishes the response with an OK packet.
    *
-   * @param sequence - sequence number of the packet within the response; 1 by default.
+   * @param sequence - sequence number of the packet; by default, that of the first of the response.
    */
   finishOk: (response: OkResponse, sequence?: number) => void;
   finishError: (error: SqlError, sequence?: number) => void;
@@ -63,7 +65,7 @@
   message: 'Malformed communication packet.',
 };
 
-/** Sequence number of the first packet of a response; the command has 0. */
+/** Sequence number of the first packet of a response to a command of one frame, which has 0. */
 const FIRST_RESPONSE_SEQUENCE = 1;
 
 /** Queue length at which reading from the socket is paused. */
@@ -86,17 +88,20 @@
 export function createCallerConnection(options: CallerConnectionOptions): CallerConnection {
   const { id, driver, canTrackSession } = options;
   const socket = driver.stream;
-  const commandQueue: CallerCommand[] = [];
+  const commandQueue: { command: CallerCommand; frameCount: number }[] = [];
   let handlers: CallerHandlers | undefined;
   let isBusy = false;
+  let firstSequence = FIRST_RESPONSE_SEQUENCE;
 
   const closeOnMalformedPacket = (): void =>
     closeGracefully(driver, MALFORMED_PACKET, FIRST_RESPONSE_SEQUENCE);
 
   const dispatchCommands = (): void => {
     while (handlers && !isBusy && !socket.destroyed) {
-      const command = commandQueue.shift();
-      if (!command) return;
+      const next = commandQueue.shift();
+      if (!next) return;
+      const { command, frameCount } = next;
+      firstSequence = frameCount;
       if (socket.isPaused() && commandQueue.length < MAXIMUM_QUEUED_COMMANDS) socket.resume();
       isBusy = !commandsWithoutResponse.has(command.type);
       handlers.onCommand(command);
@@ -112,7 +117,8 @@
       return;
     }
     try {
-      commandQueue.push(parseCommand(getPayload(packet)));
+      const command = parseCommand(getPayload(packet));
+      commandQueue.push({ command, frameCount: packet.numPackets });
     } catch (error) {
       if (!(error instanceof MalformedPacketError)) throw error;
       closeOnMalformedPacket();
@@ -135,6 +141,9 @@
 
   const connection: CallerConnection = {
     id,
+    get firstSequence() {
+      return firstSequence;
+    },
     get isFull() {
       return socket.writableNeedDrain;
     },
@@ -153,20 +162,18 @@
       isBusy = false;
       dispatchCommands();
     },
-    finishOk: ({ ok = EMPTY_OK, token }, sequence = FIRST_RESPONSE_SEQUENCE) => {
+    finishOk: ({ ok = EMPTY_OK, token }, sequence = firstSequence) => {
       connection.finish([toFrames(encodeOk({ ok, canTrackSession, token }), sequence)]);
     },
-    finishError: (error, sequence = FIRST_RESPONSE_SEQUENCE) => {
+    finishError: (error, sequence = firstSequence) => {
       connection.finish([toFrames(encodeError(error), sequence)]);
     },
     finishResult: (result, status = serverStatus.autocommit) => {
       const payloads = encodeTextResult(result, status);
-      connection.finish(
-        payloads.map((payload, index) => toFrames(payload, FIRST_RESPONSE_SEQUENCE + index)),
-      );
+      connection.finish(payloads.map((payload, index) => toFrames(payload, firstSequence + index)));
     },
     end: (error) => {
-      closeGracefully(driver, error, FIRST_RESPONSE_SEQUENCE);
+      closeGracefully(driver, error, firstSequence);
     },
     destroy: () => {
       socket.destroy();
--- a/packages/mysql/src/lib/protocol/frames.ts
+++ b/packages/mysql/src/lib/protocol/frames.ts
@@ -2,6 +2,11 @@
 
 const SEQUENCE_NUMBER_COUNT = 256;
 
+/** Number of frames of a payload; the last one is shorter than the largest, and may be empty. @internal */
+export function countFrames(payloadBytes: number): number {
+  return Math.floor(payloadBytes / MAXIMUM_FRAME_PAYLOAD_BYTES) + 1;
+}
+
 /**
  * Splits a payload into frames and adds their headers.
  *
@@ -35,3 +40,14 @@
   payload.copy(frame, HEADER_BYTES);
   return frame;
 }
+
+/** Copies frames and numbers them anew from a sequence number. @public */
+export function renumberFrames(frames: Buffer, sequence: number): Buffer {
+  const copy = Buffer.from(frames);
+  let next = sequence;
+  for (let offset = 0; offset < copy.length; offset += HEADER_BYTES + copy.readUIntLE(offset, 3)) {
+    copy.writeUInt8(next % SEQUENCE_NUMBER_COUNT, offset + 3);
+    next += 1;
+  }
+  return copy;
+}
--- a/packages/mysql/src/lib/upstream/upstreamConnection.ts
+++ b/packages/mysql/src/lib/upstream/upstreamConnection.ts
@@ -6,7 +6,7 @@
   type DriverPacket,
 } from '../driverConnection';
 import { commandCode } from '../protocol/constants';
-import { toFrames } from '../protocol/frames';
+import { countFrames, toFrames } from '../protocol/frames';
 import { encodeQuery } from '../protocol/query';
 import { readSingleValue } from '../protocol/singleValue';
 import { encodeSqlCommand, type SqlBytes } from '../protocol/sqlBytes';
@@ -127,13 +127,17 @@
     if (frames.length > 0) receiver.onFrames(frames, driver.sequenceId);
   });
 
-  /** Sends a command and reads its response; `onDone` receives the final packet. */
+  /**
+   * Sends commands, of which the last has a response, and reads it; `onDone` receives the final packet.
+   */
   const send = (
-    frames: Buffer[],
+    payloads: Buffer[],
     reader: ResponseReader,
     isForwarded: boolean,
     onDone: (response: CompletedAnswer) => void,
   ): void => {
+    const frames = payloads.map((payload) => toFrames(payload, COMMAND_SEQUENCE));
+    const firstResponseSequence = COMMAND_SEQUENCE + countFrames(payloads.at(-1)?.length ?? 0);
     const readPacket = (packet: DriverPacket): boolean => {
       const final = readOrClose(reader, packet);
       if (final) {
@@ -148,7 +152,7 @@
         if (state === 'closed') return false;
         if (packet) return readPacket(packet);
         stream.write(frames.length === 1 ? (frames[0] as Buffer) : Buffer.concat(frames));
-        driver.sequenceId = COMMAND_SEQUENCE + 1;
+        driver.sequenceId = firstResponseSequence;
         return false;
       },
       onResult: () => close('connectFailed'),
@@ -163,8 +167,7 @@
       () => close('connectFailed'),
       options.connectTimeoutMilliseconds,
     );
-    const frames = [toFrames(INCARNATION_QUERY, COMMAND_SEQUENCE)];
-    send(frames, createResponseReader(), true, onIdentified);
+    send([INCARNATION_QUERY], createResponseReader(), true, onIdentified);
   });
 
   function onIdentified(answer: CompletedAnswer): void {
@@ -196,15 +199,10 @@
 
   const prepare = (sql: SqlBytes, onPrepared: (response: CompletedAnswer) => void): void => {
     const payload = encodeSqlCommand(commandCode.prepare, sql);
-    send(
-      [toFrames(payload, COMMAND_SEQUENCE)],
-      createPrepareResponseReader(),
-      false,
-      (response) => {
-        if (response.final.type === 'prepared') cacheStatementId(sql, response.final.description);
-        onPrepared(response);
-      },
-    );
+    send([payload], createPrepareResponseReader(), false, (response) => {
+      if (response.final.type === 'prepared') cacheStatementId(sql, response.final.description);
+      onPrepared(response);
+    });
   };
 
   function cacheStatementId(sql: SqlBytes, { header }: PreparedDescription): void {
@@ -213,15 +211,15 @@
   }
 
   const execute = (statementId: number, { payload, longData }: ExecuteStatement): void => {
-    const frames = [...longData, payload].map((command) =>
-      toFrames(replaceStatementId(command, statementId), COMMAND_SEQUENCE),
+    const payloads = [...longData, payload].map((command) =>
+      replaceStatementId(command, statementId),
     );
-    send(frames, createResponseReader(), true, finish);
+    send(payloads, createResponseReader(), true, finish);
   };
 
   const runners: RunnersByType = {
     query: ({ payload }) => {
-      send([toFrames(payload, COMMAND_SEQUENCE)], createResponseReader(), true, finish);
+      send([payload], createResponseReader(), true, finish);
     },
     prepare: ({ sqlBytes }) => prepare(sqlBytes, finish),
     execute: (statement) => {
@@ -255,8 +253,8 @@
     },
     reset: (onReset) => {
       statementCache.clear();
-      const frames = [toFrames(Buffer.from([commandCode.resetConnection]), COMMAND_SEQUENCE)];
-      send(frames, createResponseReader(), false, ({ final }) => {
+      const payload = Buffer.from([commandCode.resetConnection]);
+      send([payload], createResponseReader(), false, ({ final }) => {
         if (final.type === 'ok') onReset();
         else close('connectFailed');
       });
--- a/packages/mysql/src/lib/upstream/upstreamStatement.ts
+++ b/packages/mysql/src/lib/upstream/upstreamStatement.ts
@@ -22,7 +22,7 @@
 export interface PreparedDescription {
   /** Payload of the first packet; bytes 1 to 4 are the database's statement id. */
   header: Buffer;
-  /** Frames of the definitions, with sequence numbers from 2. */
+  /** Frames of the definitions, with the sequence numbers of the database. */
   definitions: Buffer;
 }
 
--- a/packages/proxy/src/lib/statements/caller/answerWriter.ts
+++ b/packages/proxy/src/lib/statements/caller/answerWriter.ts
@@ -8,9 +8,6 @@
   type TextResult,
 } from '@wisterialift/mysql';
 
-/** Sequence number of the first packet of an answer. @internal */
-export const FIRST_ANSWER_SEQUENCE = 1;
-
 /** Sends the final part of the answer to each of a caller's commands. @internal */
 export interface AnswerWriter {
   sendFrames: (frames: Buffer[]) => void;
@@ -42,11 +39,11 @@
       connection.finish(frames);
       onAnswered();
     },
-    sendOk: (ok = createOk(), sequence = FIRST_ANSWER_SEQUENCE, token = undefined) => {
+    sendOk: (ok = createOk(), sequence = connection.firstSequence, token = undefined) => {
       connection.finishOk({ ok, token }, sequence);
       onAnswered();
     },
-    sendError: (error, sequence = FIRST_ANSWER_SEQUENCE) => {
+    sendError: (error, sequence = connection.firstSequence) => {
       connection.finishError(error, sequence);
       onAnswered();
     },
--- a/packages/proxy/src/lib/statements/caller/callerPreparedStatements.ts
+++ b/packages/proxy/src/lib/statements/caller/callerPreparedStatements.ts
@@ -1,5 +1,10 @@
-import { toFrames, type CallerConnection, type PreparedDescription } from '@wisterialift/mysql';
-import { FIRST_ANSWER_SEQUENCE, type AnswerWriter } from './answerWriter';
+import {
+  renumberFrames,
+  toFrames,
+  type CallerConnection,
+  type PreparedDescription,
+} from '@wisterialift/mysql';
+import type { AnswerWriter } from './answerWriter';
 import { createCallerError } from './callerErrors';
 import type { CallerRequests } from './callerRequests';
 import type { GroupServices, ReceivedStatement } from './callerTypes';
@@ -65,7 +70,11 @@
     const { id } = statements.add(preparable, header.readUInt16LE(PARAMETER_COUNT_OFFSET_BYTES));
     const payload = Buffer.from(header);
     payload.writeUInt32LE(id, STATEMENT_ID_OFFSET_BYTES);
-    answers.sendFrames([toFrames(payload, FIRST_ANSWER_SEQUENCE), definitions]);
+    const { firstSequence } = connection;
+    answers.sendFrames([
+      toFrames(payload, firstSequence),
+      renumberFrames(definitions, firstSequence + 1),
+    ]);
   }
 
   function requestDescription(preparable: PreparableStatement): void {
--- a/packages/proxy/src/lib/statements/caller/callerRequests.ts
+++ b/packages/proxy/src/lib/statements/caller/callerRequests.ts
@@ -10,7 +10,7 @@
 } from '@wisterialift/schema';
 import { createMailbox } from '../mailbox';
 import type { CallerMessage } from '../callerMessages';
-import { FIRST_ANSWER_SEQUENCE, type AnswerWriter } from './answerWriter';
+import type { AnswerWriter } from './answerWriter';
 import { createCallerError, createOutcomeError } from './callerErrors';
 import { createUnknownKindError, type CallerSession } from './callerSession';
 import type {
@@ -207,7 +207,7 @@
       access,
       kind,
       startedAt: arrivedAt,
-      nextSequence: FIRST_ANSWER_SEQUENCE,
+      nextSequence: connection.firstSequence,
       isPaused: false,
       onFinished,
     };
--- a/packages/proxy/src/test/scriptedDatabase.ts
+++ b/packages/proxy/src/test/scriptedDatabase.ts
@@ -13,7 +13,10 @@
 export type QueryHandler = (scripted: ScriptedConnection, sql: string) => void;
 
 /** Starts the primary of a group of one member, with answers written by the test. */
-export async function startScriptedDatabase(handleQuery: QueryHandler): Promise<{ port: number }> {
+export async function startScriptedDatabase(
+  handleQuery: QueryHandler,
+  { maximumPacketBytes = 1_000_000 } = {},
+): Promise<{ port: number }> {
   const status = {
     member: 'a1',
     role: 'primary',
@@ -26,7 +29,7 @@
   const listener = createCallerListener({
     host: DEFAULT_DATABASE_OPTIONS.host,
     port: 0,
-    maximumPacketBytes: 1_000_000,
+    maximumPacketBytes,
     authenticate: () => undefined,
     onConnection: (connection) => {
       connections.add(connection);
