Set variables in the soak by names that can be sent

Sessions now draw names without control characters for their variables; the property test of drawn texts still sends the others.

--- a/tools/fuzz/src/lib/simulation/drawnTexts.ts
+++ b/tools/fuzz/src/lib/simulation/drawnTexts.ts
@@ -42,12 +42,16 @@
 export interface DrawnTexts {
   /** Without a blank, and not empty. */
   word: () => string;
+  /** A word without control characters, which no line refuses. */
+  name: () => string;
   /** With blanks anywhere; may be empty. */
   text: () => string;
 }
 
 const MOST_PIECES = 4;
 
+const NAME_PIECES = WORD_PIECES.filter((piece) => /^[!-~\u0080-\u00ff]+$/.test(piece));
+
 /** Joins pieces; a line break of the protocol would end the line. @public */
 export function joinPieces(pieces: readonly string[], separator: '' | ' '): string {
   return pieces.join(separator).replace(/\r+\n/g, '\n');
@@ -60,6 +64,7 @@
 
   return {
     word: () => joinPieces(draw(WORD_PIECES, 2), ''),
+    name: () => joinPieces(draw(NAME_PIECES, 2), ''),
     text: () => joinPieces(draw(TEXT_PIECES, MOST_PIECES), ' '),
   };
 }
--- a/tools/soak/src/lib/load/preparation.ts
+++ b/tools/soak/src/lib/load/preparation.ts
@@ -7,7 +7,7 @@
   writeName: string;
 }
 
-export function drawPreparation({ word, text }: DrawnTexts): Preparation {
+export function drawPreparation({ name, word, text }: DrawnTexts): Preparation {
   const readName = `r${word()}`;
   const writeName = `w${word()}`;
   const shape = `q29 ${text()}`;
@@ -15,7 +15,7 @@
     readName,
     writeName,
     statements: [
-      `SET ${word()} ${text()}`,
+      `SET ${name()} ${text()}`,
       'SET __proto__ x',
       `PREPARE ${readName} READ ${shape}`,
       `PREPARE ${writeName} WRITE ${shape}`,
