Take a refused preparation for final only if its content is refused

Callers: a RESET that a member refused as malformed was told as the answer to the caller's statement, which another connection would have run; MALFORMED promises nothing, so that a write was not tried again.

Change: only SET and PREPARE outside of a failed transaction are final, the others are tried elsewhere.

--- a/packages/gateway/src/lib/groups/attemptCommand.ts
+++ b/packages/gateway/src/lib/groups/attemptCommand.ts
@@ -2,7 +2,7 @@
 import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import { NoConnectionError } from '../errors/noConnectionError';
 import { settleWithTimeout } from '../timing/promiseTimeout';
-import { isFinalRefusal, prepareConnection } from './connectionPreparation';
+import { prepareConnection } from './connectionPreparation';
 import { createSequencedTime, logIfLeaving, observeAnswer } from './groupContext';
 import type { SequencedTime, GroupContext } from './groupContext';
 import { backOffFromMember } from './member';
@@ -171,7 +171,7 @@
   }
   const preparation = await prepareConnection(context, member, { connection, request, deadlineAt });
   if (preparation.type === 'ready') return { connection, hasPrepared: preparation.hasPrepared };
-  if (preparation.type === 'refused' && isFinalRefusal(preparation.answer)) {
+  if (preparation.type === 'refused' && preparation.isFinal) {
     const { answer } = preparation;
     return { type: 'answered', answer, sentStamp: createSequencedTime(context), connection };
   }
--- a/packages/gateway/src/lib/groups/connectionPreparation.ts
+++ b/packages/gateway/src/lib/groups/connectionPreparation.ts
@@ -1,5 +1,5 @@
 import { applyStateCommand, isPrepared, planStateRestore } from '@wisterialift/pooling';
-import type { UpstreamAnswer } from '@wisterialift/pooling';
+import type { UpstreamAnswer, UpstreamCommand } from '@wisterialift/pooling';
 import { settleWithTimeout } from '../timing/promiseTimeout';
 import type { GroupContext } from './groupContext';
 import type { Member } from './member';
@@ -15,7 +15,12 @@
       /** Whether the statement has just been prepared on the connection. */
       hasPrepared: boolean;
     }
-  | { type: 'refused'; answer: Refusal }
+  | {
+      type: 'refused';
+      answer: Refusal;
+      /** Whether every member would refuse it, so that no other attempt can succeed. */
+      isFinal: boolean;
+    }
   /** Not answered; the connection must be discarded. */
   | { type: 'lost' };
 
@@ -39,9 +44,7 @@
   if (prepared.type === 'value' && !prepared.value) return { type: 'ready', hasPrepared };
   const { memberId } = entry;
   logger.warn('connectionNotPrepared', { group, memberId, requestId: request.id, prepared });
-  if (prepared.type === 'value' && prepared.value) {
-    return { type: 'refused', answer: prepared.value };
-  }
+  if (prepared.type === 'value' && prepared.value) return prepared.value;
   return { type: 'lost' };
 }
 
@@ -50,7 +53,7 @@
   { counters }: GroupContext,
   connection: PooledConnection,
   { sessionState, prepared }: StatementRequest,
-): Promise<Refusal | undefined> {
+): Promise<(Preparation & { type: 'refused' }) | undefined> {
   const commands = planStateRestore({
     session: sessionState,
     connection: connection.state,
@@ -66,10 +69,16 @@
     const isCompleted = answers[index]?.outcome === 'completed';
     if (isCompleted) applyStateCommand(connection.state, command);
   });
-  return answers.find((answer) => answer.outcome === 'refused');
+  const refusals = answers.map((answer, index) => toRefusal(commands[index]!, answer));
+  return refusals.find((refusal) => refusal !== undefined);
 }
 
-/** Whether every member would refuse the preparation, so that no other attempt can succeed. */
-export function isFinalRefusal({ reason }: Refusal): boolean {
-  return reason === 'malformed';
+function toRefusal(
+  { type }: UpstreamCommand,
+  answer: UpstreamAnswer,
+): (Preparation & { type: 'refused' }) | undefined {
+  if (answer.outcome !== 'refused') return undefined;
+  // In a failed transaction, or at a reset, the refusal is due to the connection.
+  const isDueToContent = (type === 'set' || type === 'prepare') && answer.transaction !== 'failed';
+  return { type: 'refused', answer, isFinal: isDueToContent && answer.reason === 'malformed' };
 }
--- a/packages/gateway/src/lib/groups/transactionOpener.ts
+++ b/packages/gateway/src/lib/groups/transactionOpener.ts
@@ -7,7 +7,7 @@
   runWithDeadline,
 } from './attemptCommand';
 import type { AttemptOutcome } from './attemptCommand';
-import { isFinalRefusal, prepareConnection } from './connectionPreparation';
+import { prepareConnection } from './connectionPreparation';
 import { createSequencedTime, logIfLeaving, observeAnswer } from './groupContext';
 import type { StatementRunner, OpenTransactionOptions, Transaction } from './statementRunner';
 import type { GroupContext } from './groupContext';
@@ -109,7 +109,7 @@
     const { answer, connection } = outcome;
     if (answer.outcome === 'refused' || !answer.position) {
       releaseConnection(context, { member, connection, transaction: answer.transaction });
-      const isFinal = answer.outcome === 'refused' && isFinalRefusal(answer);
+      const isFinal = answer.outcome === 'refused' && answer.reason === 'malformed';
       return { refusal: isFinal ? answer : refuseBegin(request) };
     }
     const verification = primaryVerifier.verifyCurrent({
--- a/packages/gateway/src/test/finalRefusals.test.ts
+++ b/packages/gateway/src/test/finalRefusals.test.ts
@@ -50,6 +50,21 @@
     expect(countPreparations()).toBe(1);
   });
 
+  it('whose connection cannot be reset is tried at another one', async () => {
+    // Guards against a refusal that is due to a connection and is told to be due to the statement.
+    const first = gateway.openSession();
+    first.set();
+    first.read('first');
+    await vi.advanceTimersByTimeAsync(1);
+    gateway.forwarded[0]!.answer();
+    await vi.advanceTimersByTimeAsync(EVIDENCE_MILLISECONDS);
+    gateway.refuseAll('reset', 'malformed');
+    const session = openPreparedSession();
+    session.execute('s1');
+    await vi.advanceTimersByTimeAsync(EVIDENCE_MILLISECONDS);
+    expect(session.answers.at(-1)).toMatchObject({ outcome: 'completed' });
+  });
+
   it('that no member can take is refused at once in a transaction', async () => {
     // Guards against a transaction that waits for a member until its time is over.
     gateway.refuseAll('prepare', 'malformed');
